--- /dev/null
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -0,0 +1,4 @@
+package ebonygw;
+
+/** The state machine of an entry process. */
+public final class EntryNode {}
--- /dev/null
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -0,0 +1,4 @@
+package ebonygw;
+
+/** The state machine of a target process. */
+public final class TargetNode {}
--- /dev/null
+++ b/src/main/java/ebonygw/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments and benchmarks of the decision classes. */
+package ebonygw.bench;
--- /dev/null
+++ b/src/main/java/ebonygw/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface towards callers. */
+package ebonygw.caller;
--- /dev/null
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -0,0 +1,45 @@
+package ebonygw.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Entry point of the binary. */
+public final class Main {
+    private static final Map<String, Command> COMMANDS = commands();
+
+    private Main() {}
+
+    /** Runs the subcommand named by the first argument and ends with its exit status. */
+    public static void main(String[] args) throws Exception {
+        System.exit(run(List.of(args), System.out, System.err));
+    }
+
+    /**
+     * Runs the subcommand named by the first argument.
+     *
+     * @param args command line
+     * @param out where results go
+     * @param err where faults go
+     * @return the exit status
+     * @throws Exception if the command cannot go on
+     */
+    public static int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
+        if (args.isEmpty() || args.get(0).equals("--help") || args.get(0).equals("help")) {
+            err.println("usage: ebonygw COMMAND [ARGUMENTS]; commands: " + COMMANDS.keySet());
+            return args.isEmpty() ? Command.USAGE : Command.OK;
+        }
+        Command command = COMMANDS.get(args.get(0));
+        if (command == null) {
+            err.println("unknown command " + args.get(0) + "; commands: " + COMMANDS.keySet());
+            return Command.USAGE;
+        }
+        return command.run(args.subList(1, args.size()), out, err);
+    }
+
+    private static Map<String, Command> commands() {
+        Map<String, Command> commands = new TreeMap<>();
+        return commands;
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one binary with a subcommand for each role and tool. */
+package ebonygw.cli;
--- /dev/null
+++ b/src/main/java/ebonygw/membership/MemberMessage.java
@@ -0,0 +1,57 @@
+package ebonygw.membership;
+
+import ebonygw.protocol.Message;
+import ebonygw.request.AdapterVersion;
+import java.util.List;
+import java.util.Objects;
+
+/** Messages by which processes tell each other of their own state. */
+public sealed interface MemberMessage extends Message {
+    /**
+     * First message on each link, and again on each change of the sender's state.
+     *
+     * @param self the sender
+     * @param settingsRevision revision of the settings that it holds
+     */
+    record Hello(Member self, long settingsRevision) implements MemberMessage {
+        /** Creates the message. */
+        public Hello {
+            Objects.requireNonNull(self, "self");
+        }
+    }
+
+    /**
+     * Periodic sign of life.
+     *
+     * @param sequence number of this heartbeat in the sender's incarnation
+     * @param settingsRevision revision of the settings that the sender holds
+     */
+    record Heartbeat(long sequence, long settingsRevision) implements MemberMessage {}
+
+    /**
+     * Load and residency of a target, sent by its process.
+     *
+     * @param sequence number of this report in the sender's incarnation
+     * @param running requests running at the target
+     * @param queued requests waiting in the target process
+     * @param concurrency requests that the target runs well together
+     * @param queuedTokens tokens of the waiting requests
+     * @param resident adapter versions loaded
+     * @param loading adapter versions being loaded
+     */
+    record TargetReport(
+            long sequence,
+            int running,
+            int queued,
+            int concurrency,
+            long queuedTokens,
+            List<AdapterVersion> resident,
+            List<AdapterVersion> loading)
+            implements MemberMessage {
+        /** Creates the message. */
+        public TargetReport {
+            resident = List.copyOf(resident);
+            loading = List.copyOf(loading);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The two node state machines, {@code EntryNode} and {@code TargetNode}, with their events and
+ * effects.
+ */
+package ebonygw;
--- /dev/null
+++ b/src/main/java/ebonygw/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between the system's own processes over Netty and protobuf. */
+package ebonygw.peer;
--- /dev/null
+++ b/src/main/java/ebonygw/protocol/Locality.java
@@ -0,0 +1,31 @@
+package ebonygw.protocol;
+
+import java.util.Objects;
+
+/**
+ * The region and data centre of a host.
+ *
+ * @param region the region's name
+ * @param dataCenter the data centre's name, unique within its region
+ */
+public record Locality(String region, String dataCenter) {
+    /**
+     * Creates a locality.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public Locality {
+        Objects.requireNonNull(region, "region");
+        Objects.requireNonNull(dataCenter, "dataCenter");
+    }
+
+    /** Returns whether both are in the same region. */
+    public boolean sameRegion(Locality other) {
+        return region.equals(other.region);
+    }
+
+    /** Returns whether both are in the same data centre. */
+    public boolean sameDataCenter(Locality other) {
+        return sameRegion(other) && dataCenter.equals(other.dataCenter);
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Identities and the common type of messages between the system's processes. */
+package ebonygw.protocol;
--- /dev/null
+++ b/src/main/java/ebonygw/request/Refusal.java
@@ -0,0 +1,39 @@
+package ebonygw.request;
+
+import java.util.Objects;
+
+/**
+ * Why a request, or one attempt of it, got no whole answer.
+ *
+ * @param code the stable code
+ * @param verdict whether the request may have run
+ * @param detail text for people, free of secrets
+ * @param retryAfterNanos after how long the same request may succeed, 0 if not known
+ */
+public record Refusal(RefusalCode code, Verdict verdict, String detail, long retryAfterNanos) {
+    /**
+     * Creates a refusal.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public Refusal {
+        Objects.requireNonNull(code, "code");
+        Objects.requireNonNull(verdict, "verdict");
+        Objects.requireNonNull(detail, "detail");
+    }
+
+    /** Returns a refusal whose request may have run. */
+    public static Refusal mayHaveRun(RefusalCode code, String detail) {
+        return new Refusal(code, Verdict.MAY_HAVE_RUN, detail, 0);
+    }
+
+    /** Returns a refusal whose request did not run. */
+    public static Refusal notRun(RefusalCode code, String detail) {
+        return new Refusal(code, Verdict.NOT_RUN, detail, 0);
+    }
+
+    /** Returns this refusal with another verdict. */
+    public Refusal withVerdict(Verdict other) {
+        return new Refusal(code, other, detail, retryAfterNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Time limits, retries and their budgets. */
+package ebonygw.retry;
--- /dev/null
+++ b/src/main/java/ebonygw/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the target of a request at the entry. */
+package ebonygw.routing;
--- /dev/null
+++ b/src/main/java/ebonygw/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Queue order, adapter residency and loads at the target process. */
+package ebonygw.scheduling;
--- /dev/null
+++ b/src/main/java/ebonygw/settings/AdapterSettings.java
@@ -0,0 +1,20 @@
+package ebonygw.settings;
+
+import java.util.Set;
+
+/**
+ * Effective settings of an adapter.
+ *
+ * @param adapter its name
+ * @param owner customer that owns it, empty if every customer may use it
+ * @param model its base model
+ * @param versions versions that may be served
+ * @param defaultVersion version for requests that name none
+ */
+public record AdapterSettings(
+        String adapter, String owner, String model, Set<String> versions, String defaultVersion) {
+    /** Creates the settings. */
+    public AdapterSettings {
+        versions = Set.copyOf(versions);
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The tree of settings, its change log, callers' keys and their distribution. */
+package ebonygw.settings;
--- /dev/null
+++ b/src/main/java/ebonygw/target/package-info.java
@@ -0,0 +1,2 @@
+/** Model engines and plain services behind a target process. */
+package ebonygw.target;
--- /dev/null
+++ b/src/main/java/ebonygw/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Generated protobuf classes of the links between processes. */
+package ebonygw.wire;
