--- a/src/main/java/ebonygw/bench/placement/Fleet.java
+++ b/src/main/java/ebonygw/bench/placement/Fleet.java
@@ -121,13 +121,18 @@
     /**
      * Runs an attempt at an engine.
      *
-     * @param done gets the tokens used, or -1 if the engine restarted meanwhile
+     * @param done gets the tokens used, or -1 if the engine restarted meanwhile or refused
      */
     void run(int target, Request request, Work attempt, Consumer<Integer> done) {
         FakeEngine engine = mEngines.get(target);
         long startedAt = engine.startedAtNanos();
         AdapterVersion adapter = attempt.adapter().orElse(null);
-        mChecker.onStart(engine, request, adapter, attempt.attempt());
+        mChecker.onStart(engine, request, adapter, attempt.attempt(), mLoop.nowNanos());
+        if (adapter != null && !engine.isResident(adapter)) {
+            mMeter.onLeftQueue(target, request);
+            mLoop.after(LOCAL_NANOS, () -> done.accept(-1));
+            return;
+        }
         long nanos = engine.start(adapter, request.mArrival);
         mMeter.onLeftQueue(target, request);
         mMeter.onRunning(target, 1);
--- a/src/main/java/ebonygw/routing/LinkSets.java
+++ b/src/main/java/ebonygw/routing/LinkSets.java
@@ -31,7 +31,7 @@
      *
      * @param self the entry process
      * @param locality where it is
-     * @param members all known members; those gone are left out
+     * @param members all known members, entries too; those gone are left out
      * @param limit most links for each service
      * @return the targets, empty if there are none
      * @throws IllegalArgumentException if {@code limit} is not positive
@@ -48,12 +48,13 @@
             }
         }
         Set<NodeId> chosen = new LinkedHashSet<>();
-        services.values().forEach(targets -> addCell(self, locality, targets, limit, chosen));
+        double part = partOfEntries(self, locality, members);
+        services.values().forEach(targets -> addCell(part, locality, targets, limit, chosen));
         return chosen;
     }
 
     private static void addCell(
-            NodeId self, Locality locality, List<Member> targets, int limit, Set<NodeId> chosen) {
+            double part, Locality locality, List<Member> targets, int limit, Set<NodeId> chosen) {
         if (targets.size() <= limit) {
             targets.forEach(t -> chosen.add(t.id()));
             return;
@@ -65,7 +66,7 @@
         while (near.size() > cells * (long) limit * 3 / 4) {
             cells *= 2;
         }
-        long cell = hash(self) & (cells - 1);
+        long cell = (long) (part * cells);
         long mask = cells - 1;
         near.stream()
                 .filter(t -> (hash(t.id()) & mask) == cell)
@@ -74,6 +75,26 @@
                 .forEach(t -> chosen.add(t.id()));
     }
 
+    /** Returns which part of the region's entries comes before this one, below 1. */
+    private static double partOfEntries(
+            NodeId self, Locality locality, Collection<Member> members) {
+        long own = hash(self);
+        int before = 0;
+        int all = 1;
+        for (Member member : members) {
+            if (member.role() != Role.ENTRY
+                    || member.state() == MemberState.GONE
+                    || member.id().equals(self)
+                    || !member.locality().sameRegion(locality)) {
+                continue;
+            }
+            all++;
+            long hash = hash(member.id());
+            before += hash < own || hash == own && member.id().compareTo(self) < 0 ? 1 : 0;
+        }
+        return (double) before / all;
+    }
+
     private static long hash(NodeId id) {
         return LongHashFunction.xx().hashChars(id.name());
     }
--- /dev/null
+++ b/src/test/java/ebonygw/Works.java
@@ -0,0 +1,53 @@
+package ebonygw;
+
+import com.google.protobuf.ByteString;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.request.Payload;
+import ebonygw.request.RequestId;
+import ebonygw.request.Work;
+import java.util.Map;
+import java.util.Optional;
+
+/** Work items for tests. */
+public final class Works {
+    private static final Payload NOTHING = new Payload("POST", "/", Map.of(), ByteString.EMPTY);
+
+    private Works() {}
+
+    /** Returns a call of a plain service that may not be repeated. */
+    public static Work call(long sequence) {
+        return work(sequence, "customer", Optional.empty(), false, 0, 0, 1);
+    }
+
+    /** Returns a model request on version 1 of an adapter, of 100 tokens. */
+    public static Work model(long sequence, String customer, String adapter) {
+        return work(
+                sequence, customer, Optional.of(new AdapterVersion(adapter, "1")), true, 0, 50, 50);
+    }
+
+    /** Returns work with all that matters to scheduling. */
+    public static Work work(
+            long sequence,
+            String customer,
+            Optional<AdapterVersion> adapter,
+            boolean idempotent,
+            int priority,
+            long promptTokens,
+            long maxTokens) {
+        return new Work(
+                new RequestId(new NodeId("entry"), 1, sequence),
+                1,
+                customer,
+                "key",
+                "route",
+                adapter,
+                idempotent,
+                priority,
+                promptTokens,
+                maxTokens,
+                0,
+                false,
+                NOTHING);
+    }
+}
