--- a/src/main/java/ebonygw/routing/Router.java
+++ b/src/main/java/ebonygw/routing/Router.java
@@ -31,6 +31,7 @@
 public final class Router {
     private static final long BUSY_NANOS = 500_000_000L;
     private static final long EXPECTED_LOAD_NANOS = 3_000_000_000L;
+    private static final long MARGINAL_RATE_NANOS = 2_000_000_000L;
     private static final int MAX_ADAPTERS = 65_536;
     private static final double RARE_COUNT = 0.05;
 
@@ -329,9 +330,10 @@
 
     private void updateMarginalRate(TargetState target, long nowNanos) {
         int quarter = target.mResident.size() / 4;
-        if (quarter == 0) {
+        if (quarter == 0 || nowNanos < target.mMarginalDueNanos) {
             return;
         }
+        target.mMarginalDueNanos = nowNanos + MARGINAL_RATE_NANOS;
         double[] rates = new double[target.mResident.size()];
         for (int i = 0; i < rates.length; i++) {
             rates[i] = demand(target.mResident.get(i), nowNanos).mRate.perSecond(nowNanos);
--- a/src/main/java/ebonygw/routing/TargetState.java
+++ b/src/main/java/ebonygw/routing/TargetState.java
@@ -19,6 +19,7 @@
     Member mMember;
     boolean mSameRegion;
     long mRoundTripNanos;
+    long mMarginalDueNanos = Long.MIN_VALUE;
     List<AdapterVersion> mResident = List.of();
     List<AdapterVersion> mLoading = List.of();
     private final RouterOptions mOptions;
