--- a/src/main/java/ebonygw/scheduling/SchedulerOptions.java
+++ b/src/main/java/ebonygw/scheduling/SchedulerOptions.java
@@ -55,7 +55,7 @@
                 500 * MILLISECOND_NANOS,
                 10 * SECOND_NANOS,
                 250 * MILLISECOND_NANOS,
-                900 * SECOND_NANOS,
+                240 * SECOND_NANOS,
                 8192,
                 10 * SECOND_NANOS);
     }
