--- a/src/main/java/ebonygw/routing/RouterOptions.java
+++ b/src/main/java/ebonygw/routing/RouterOptions.java
@@ -66,7 +66,7 @@
                 MILLISECOND_NANOS,
                 20 * MILLISECOND_NANOS,
                 250 * MILLISECOND_NANOS,
-                2 * SECOND_NANOS,
+                8 * SECOND_NANOS,
                 MILLISECOND_NANOS / 5,
                 2 * SECOND_NANOS,
                 600 * SECOND_NANOS,
