--- a/src/main/java/ebonygw/routing/Choice.java
+++ b/src/main/java/ebonygw/routing/Choice.java
@@ -11,6 +11,7 @@
     final Set<NodeId> mExcluded;
     final long mDeadlineNanos;
     final long mNowNanos;
+    TargetState mPrefixTarget;
     boolean mLastResort;
     TargetState mBest;
     double mBestCost = Double.POSITIVE_INFINITY;
--- a/src/main/java/ebonygw/routing/CostModel.java
+++ b/src/main/java/ebonygw/routing/CostModel.java
@@ -11,11 +11,9 @@
     private static final double SPREAD = 0.1;
 
     private final RouterOptions mOptions;
-    private final PrefixTable mPrefixes;
 
-    CostModel(RouterOptions options, PrefixTable prefixes) {
+    CostModel(RouterOptions options) {
         mOptions = options;
-        mPrefixes = prefixes;
     }
 
     /**
@@ -33,7 +31,7 @@
         if (choice.mNowNanos + cost - loadNanos > choice.mDeadlineNanos) {
             cost += mOptions.stallNanos();
         }
-        if (mPrefixes.get(choice.mWork.prefixHash()) == target) {
+        if (choice.mPrefixTarget == target) {
             cost -= (double) choice.mWork.promptTokens() * mOptions.prefillNanosPerToken();
         }
         if (cost < choice.mBestCost) {
--- a/src/main/java/ebonygw/routing/Router.java
+++ b/src/main/java/ebonygw/routing/Router.java
@@ -51,7 +51,7 @@
      */
     public Router(RouterOptions options) {
         mOptions = Objects.requireNonNull(options, "options");
-        mCosts = new CostModel(options, mPrefixes);
+        mCosts = new CostModel(options);
     }
 
     /**
@@ -77,6 +77,7 @@
             return Optional.empty();
         }
         Choice choice = new Choice(work, route.regions(), excluded, deadlineNanos, nowNanos);
+        choice.mPrefixTarget = mPrefixes.get(work.prefixHash());
         if (work.adapter().isPresent()) {
             AdapterDemand demand = demand(work.adapter().get(), nowNanos);
             if (work.attempt() == 1) {
@@ -207,26 +208,33 @@
             AdapterDemand demand,
             int holders,
             boolean localHolder) {
-        long now = choice.mNowNanos;
-        double rate = demand.mRate.perSecond(now);
-        if (!localHolder && demand.mLocalHome != null) {
-            double saved = rate * mRegionEntries * mCosts.regionNanos(choice.mWork);
-            double lost = pool.mMarginalRate * mEntries * mOptions.stallNanos();
-            if (holders > 0 && saved > lost) {
-                mCosts.consider(choice, pool, demand.mLocalHome, 0);
-            }
+        if (!localHolder && holders > 0 && demand.mLocalHome != null) {
+            considerLocalCopy(choice, pool, demand);
+        }
+        if (mOptions.loadNanos() >= choice.mBestCost) {
+            return;
         }
-        int wanted = wantedCopies(pool, demand, rate * mEntries);
+        double rate = demand.mRate.perSecond(choice.mNowNanos) * mEntries;
+        int wanted = holders == 0 ? 0 : wantedCopies(pool, demand, rate);
         for (int rank = 0; rank < demand.mCandidates.length; rank++) {
             TargetState target = demand.mCandidates[rank];
-            if (demand.mHolders.contains(target)) {
-                continue;
-            }
             long cost = mOptions.loadNanos() * (1 + rank);
-            if (holders == 0 || rank >= wanted) {
+            if (rank >= wanted) {
                 cost += mOptions.stallNanos();
             }
-            mCosts.consider(choice, pool, target, cost);
+            if (cost < choice.mBestCost && !demand.mHolders.contains(target)) {
+                mCosts.consider(choice, pool, target, cost);
+            }
+        }
+    }
+
+    /** Considers a further copy in the region, where billed traffic outweighs the slot's use. */
+    private void considerLocalCopy(Choice choice, TargetPool pool, AdapterDemand demand) {
+        double rate = demand.mRate.perSecond(choice.mNowNanos);
+        double saved = rate * mRegionEntries * mCosts.regionNanos(choice.mWork);
+        double lost = pool.mMarginalRate * mEntries * mOptions.stallNanos();
+        if (saved > lost) {
+            mCosts.consider(choice, pool, demand.mLocalHome, 0);
         }
     }
 
--- a/src/test/java/ebonygw/routing/RouterTest.java
+++ b/src/test/java/ebonygw/routing/RouterTest.java
@@ -91,11 +91,17 @@
     }
 
     @Test
-    void aHolderWithALongQueueGivesWayToAnother() {
+    void aHolderGivesWayOnceWaitingThereCostsMoreThanALoad() {
         target("t0", MemberState.LIVE, KINGSTON, "model");
         target("t1", MemberState.LIVE, KINGSTON, "model");
-        report(new NodeId("t0"), 1, 40, List.of(new AdapterVersion("a", "1")));
+        RouterOptions options = RouterOptions.defaults(new NodeId("entry"), KINGSTON);
+        long loadCost = options.loadNanos() + options.stallNanos();
+        int concurrency = 8;
+        int tooMany = (int) (concurrency * (2 + loadCost / options.serviceNanos()));
         report(new NodeId("t1"), 1, 0, List.of());
+        report(new NodeId("t0"), 1, tooMany / 2, List.of(new AdapterVersion("a", "1")));
+        assertThat(choose()).contains(new NodeId("t0"));
+        report(new NodeId("t0"), 2, tooMany, List.of(new AdapterVersion("a", "1")));
         assertThat(choose()).contains(new NodeId("t1"));
     }
 
