Caller server, target clients, host list client and stand-ins of engine, plain service, weight store

First whole version of the HTTP sides: requests become EntryEvents, answers come from EntryEffects; TargetEffects become calls of an engine or a plain service over a bounded connection pool.

--- /dev/null
+++ b/src/main/java/ebonygw/caller/Refusals.java
@@ -0,0 +1,37 @@
+package ebonygw.caller;
+
+import ebonygw.request.Refusal;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/** Writes refusals as HTTP answers. */
+final class Refusals {
+    static final HttpString REQUEST_ID = new HttpString("x-request-id");
+
+    private static final String JSON = "application/json";
+
+    private Refusals() {}
+
+    /** Sets status and header fields of the answer to a refused request. */
+    static void prepare(HttpServerExchange exchange, Refusal refusal) {
+        exchange.setStatusCode(refusal.code().status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
+        long seconds = ErrorBodies.retryAfterSeconds(refusal);
+        if (seconds > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+        }
+    }
+
+    /** Sends a whole JSON answer and ends the exchange. */
+    static void send(HttpServerExchange exchange, String json) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
+        exchange.getResponseSender().send(json);
+    }
+
+    /** Refuses a request that has no number yet and ends the exchange. */
+    static void send(HttpServerExchange exchange, Refusal refusal) {
+        prepare(exchange, refusal);
+        send(exchange, ErrorBodies.json(refusal, ""));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/hostlist/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's host list. */
+package ebonygw.hostlist;
--- /dev/null
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -0,0 +1,232 @@
+package ebonygw.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * A client of one HTTP server with a bounded pool of connections.
+ *
+ * <p>All its state belongs to one IO thread. Methods may be called from any thread and never block.
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_POOLED_BUFFERS = 256;
+
+    private final HttpClientOptions mOptions;
+    private final URI mUri;
+    private final String mHost;
+    private final XnioWorker mWorker;
+    private final XnioIoThread mThread;
+    private final ByteBufferPool mBuffers =
+            new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
+    private final ArrayDeque<ClientConnection> mIdle = new ArrayDeque<>();
+    private final ArrayDeque<HttpCall> mWaiting = new ArrayDeque<>();
+    private int mOpen;
+    private int mConnecting;
+    private boolean mClosed;
+
+    /**
+     * Creates a client with an IO thread of its own.
+     *
+     * @param options the options
+     * @throws NullPointerException if {@code options} is null
+     * @throws IOException if the IO thread cannot be started
+     */
+    public HttpClient(HttpClientOptions options) throws IOException {
+        mOptions = Objects.requireNonNull(options, "options");
+        InetSocketAddress server = options.server();
+        mHost = server.getHostString() + ":" + server.getPort();
+        mUri = URI.create("http://" + mHost);
+        mWorker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder()
+                                        .set(Options.WORKER_IO_THREADS, 1)
+                                        .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                                        .set(Options.THREAD_DAEMON, true)
+                                        .set(Options.WORKER_NAME, "http-client-" + mHost)
+                                        .getMap());
+        mThread = mWorker.getIoThread();
+    }
+
+    /** Closes all connections; open calls fail. */
+    @Override
+    public void close() {
+        mThread.execute(this::closeNow);
+    }
+
+    /** Runs a task on the client's IO thread after a delay in nanoseconds. */
+    public XnioIoThread.Key after(long delayNanos, Runnable task) {
+        return mThread.executeAfter(task, Math.max(1, delayNanos), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Prepares a call, which starts once it is sent.
+     *
+     * @param request the request
+     * @param timeoutNanos time limit of the whole call, in nanoseconds
+     * @param sink takes the answer; hears exactly one end or failure
+     * @return the call, to cancel or pause it
+     * @throws NullPointerException if an argument is null
+     */
+    public HttpCall prepare(HttpRequest request, long timeoutNanos, HttpAnswerSink sink) {
+        return new HttpCall(this, request, timeoutNanos, sink);
+    }
+
+    /** Starts a prepared call; each call may be sent once. */
+    public void send(HttpCall call) {
+        mThread.execute(() -> submit(call));
+    }
+
+    /** Prepares a call and starts it. */
+    public void send(HttpRequest request, long timeoutNanos, HttpAnswerSink sink) {
+        send(prepare(request, timeoutNanos, sink));
+    }
+
+    ByteBufferPool buffers() {
+        return mBuffers;
+    }
+
+    void forget(HttpCall call) {
+        mWaiting.remove(call);
+    }
+
+    String host() {
+        return mHost;
+    }
+
+    void release(ClientConnection connection) {
+        if (connection.isOpen() && !mClosed) {
+            mIdle.push(connection);
+        } else {
+            IoUtils.safeClose(connection);
+        }
+        pump();
+    }
+
+    XnioIoThread thread() {
+        return mThread;
+    }
+
+    private void closeNow() {
+        mClosed = true;
+        while (!mWaiting.isEmpty()) {
+            mWaiting.poll()
+                    .failed(new HttpFailure(HttpFailure.Kind.CANCELLED, false, "client closed"));
+        }
+        mIdle.forEach(IoUtils::safeClose);
+        mWorker.shutdown();
+    }
+
+    private void connect() {
+        mOpen++;
+        mConnecting++;
+        ConnectAttempt attempt = new ConnectAttempt();
+        attempt.mTimer = after(mOptions.connectTimeoutNanos(), attempt::timedOut);
+        UndertowClient.getInstance()
+                .connect(
+                        attempt,
+                        mUri,
+                        mThread,
+                        mBuffers,
+                        OptionMap.create(Options.TCP_NODELAY, true));
+    }
+
+    private void pump() {
+        while (!mWaiting.isEmpty()) {
+            ClientConnection connection = mIdle.poll();
+            if (connection != null) {
+                if (connection.isOpen()) {
+                    mWaiting.poll().sendOn(connection);
+                }
+                continue;
+            }
+            if (mOpen >= mOptions.maxConnections() || mConnecting >= mWaiting.size()) {
+                return;
+            }
+            connect();
+        }
+    }
+
+    private void submit(HttpCall call) {
+        if (mClosed || mWaiting.size() > mOptions.maxWaiting()) {
+            call.failed(
+                    new HttpFailure(
+                            HttpFailure.Kind.OVERLOADED, false, "no connection to " + mHost));
+            return;
+        }
+        if (call.begin()) {
+            mWaiting.add(call);
+            pump();
+        }
+    }
+
+    /** One attempt to open a connection; all methods run on the IO thread. */
+    private final class ConnectAttempt implements ClientCallback<ClientConnection> {
+        private boolean mEnded;
+        private XnioIoThread.Key mTimer;
+
+        @Override
+        public void completed(ClientConnection connection) {
+            if (!end()) {
+                IoUtils.safeClose(connection);
+                return;
+            }
+            connection.addCloseListener(
+                    closed -> {
+                        mOpen--;
+                        mIdle.remove(closed);
+                        mThread.execute(HttpClient.this::pump);
+                    });
+            release(connection);
+        }
+
+        @Override
+        public void failed(IOException cause) {
+            if (end()) {
+                mOpen--;
+                Logger.debug("event=connect_failed server={} cause=\"{}\"", mHost, cause);
+                HttpCall call = mWaiting.poll();
+                if (call != null) {
+                    call.failed(
+                            new HttpFailure(
+                                    HttpFailure.Kind.CONNECT, false, "cannot reach " + mHost));
+                }
+                pump();
+            }
+        }
+
+        private boolean end() {
+            if (mEnded) {
+                return false;
+            }
+            mEnded = true;
+            mConnecting--;
+            if (mTimer != null) {
+                mTimer.remove();
+            }
+            return true;
+        }
+
+        private void timedOut() {
+            failed(new IOException("timeout"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/http/HttpClientOptions.java
@@ -0,0 +1,38 @@
+package ebonygw.http;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+/**
+ * Options of a client.
+ *
+ * @param server address of the server
+ * @param maxConnections most connections open at once, positive
+ * @param maxWaiting most calls that wait for a connection, not negative
+ * @param connectTimeoutNanos time limit of opening a connection, in nanoseconds
+ */
+public record HttpClientOptions(
+        InetSocketAddress server, int maxConnections, int maxWaiting, long connectTimeoutNanos) {
+    private static final int DEFAULT_CONNECTIONS = 256;
+    private static final int DEFAULT_WAITING = 4096;
+    private static final long DEFAULT_CONNECT_TIMEOUT_NANOS = 2_000_000_000L;
+
+    /**
+     * Creates options.
+     *
+     * @throws NullPointerException if {@code server} is null
+     * @throws IllegalArgumentException if a number is out of its bounds
+     */
+    public HttpClientOptions {
+        Objects.requireNonNull(server, "server");
+        if (maxConnections < 1 || maxWaiting < 0 || connectTimeoutNanos < 1) {
+            throw new IllegalArgumentException("bounds of the HTTP client must be positive");
+        }
+    }
+
+    /** Returns options for a server with usual bounds. */
+    public static HttpClientOptions of(InetSocketAddress server) {
+        return new HttpClientOptions(
+                server, DEFAULT_CONNECTIONS, DEFAULT_WAITING, DEFAULT_CONNECT_TIMEOUT_NANOS);
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/standin/StandInServer.java
@@ -0,0 +1,63 @@
+package ebonygw.standin;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+
+/** An HTTP server with one IO thread, on which all its handlers run. */
+final class StandInServer {
+    private final Undertow mServer;
+    private final Queue<SeenRequest> mSeen = new ConcurrentLinkedQueue<>();
+
+    StandInServer(String address, int port, HttpHandler handler) {
+        mServer =
+                Undertow.builder()
+                        .setIoThreads(1)
+                        .setWorkerThreads(1)
+                        .setSocketOption(Options.TCP_NODELAY, true)
+                        .setServerOption(UndertowOptions.DECODE_URL, false)
+                        .addHttpListener(port, address)
+                        .setHandler(handler)
+                        .build();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+    }
+
+    XnioIoThread ioThread() {
+        return mServer.getWorker().getIoThread();
+    }
+
+    void record(HttpServerExchange exchange, byte[] body) {
+        mSeen.add(
+                SeenRequest.of(
+                        exchange, new String(body, java.nio.charset.StandardCharsets.UTF_8)));
+    }
+
+    List<SeenRequest> seen() {
+        return List.copyOf(mSeen);
+    }
+
+    static void sendJson(HttpServerExchange exchange, int status, String json) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(json);
+    }
+
+    void start() {
+        mServer.start();
+    }
+
+    void stop() {
+        mServer.stop();
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/target/TargetClientTest.java
@@ -0,0 +1,327 @@
+package ebonygw.target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.TargetEffect;
+import ebonygw.TargetEvent;
+import ebonygw.http.HttpClientOptions;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.request.Payload;
+import ebonygw.request.RefusalCode;
+import ebonygw.request.RequestId;
+import ebonygw.request.Verdict;
+import ebonygw.request.Work;
+import ebonygw.standin.EngineStandIn;
+import ebonygw.standin.EngineStandInOptions;
+import ebonygw.standin.PlainServiceStandIn;
+import ebonygw.standin.WeightStoreStandIn;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class TargetClientTest {
+    private static final long SECOND_NANOS = 1_000_000_000L;
+    private static final AdapterVersion KILTS = new AdapterVersion("kilts", "1");
+    private static final EngineStandInOptions FAST =
+            EngineStandInOptions.local().withSpeed(0, 8).withTimes(0, SECOND_NANOS);
+
+    private final BlockingQueue<TargetEvent> mEvents = new LinkedBlockingQueue<>();
+    private final List<AutoCloseable> mOpened = new ArrayList<>();
+    private EngineStandIn mEngine;
+    private TargetClient mClient;
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable opened : mOpened) {
+            opened.close();
+        }
+    }
+
+    @Test
+    void aWholeAnswerRunsOnTheExactVersionAndSaysItsTokens() throws Exception {
+        engine(FAST);
+        load();
+        call(1, "{\"model\":\"kilts\",\"prompt\":\"sett\",\"priority\":9}", false);
+
+        assertThat(((TargetEvent.AnswerStarted) next()).status()).isEqualTo(200);
+        String answer = body();
+        assertThat(answer).contains("\"model\":\"kilts@1\"", "sett", "e1-7-1");
+        TargetEvent.AnswerEnded ended = (TargetEvent.AnswerEnded) next();
+        assertThat(ended.tokensUsed()).isEqualTo(9);
+        String seen = mEngine.seen().get(1).text();
+        assertThat(seen).contains("x-customer=atlas", "x-request-id=e1-7-1", "\"priority\":-3");
+        assertThat(seen).doesNotContain("\"priority\":9");
+    }
+
+    @Test
+    void aStreamedAnswerEndsWithItsMarkerAndUsage() throws Exception {
+        engine(FAST);
+        load();
+        call(1, "{\"prompt\":\"sett\",\"max_tokens\":3}", true);
+
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+        assertThat(body()).contains("token3", "total_tokens").endsWith("data: [DONE]\n\n");
+        assertThat(((TargetEvent.AnswerEnded) next()).tokensUsed()).isEqualTo(4);
+    }
+
+    @Test
+    void cutAnswersMayHaveRun() throws Exception {
+        engine(FAST);
+        load();
+        for (boolean streamed : new boolean[] {false, true}) {
+            mEngine.cutNextAnswers(1);
+            call(1, "{\"prompt\":\"sett\"}", streamed);
+            assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+            assertFailed(RefusalCode.BROKEN_ANSWER, Verdict.MAY_HAVE_RUN);
+        }
+    }
+
+    @Test
+    void answersLostBeforeTheirStartMayHaveRun() throws Exception {
+        engine(FAST);
+        load();
+        mEngine.loseNextAnswers(1);
+        call(1, "{\"prompt\":\"sett\"}", false);
+        assertFailed(RefusalCode.LOST, Verdict.MAY_HAVE_RUN);
+        assertThat(mEngine.runsById()).containsEntry("e1-7-1", 1);
+    }
+
+    @Test
+    void aRefusedConnectionMeansNotRun() throws Exception {
+        client(TargetClientOptions.of(unused()));
+        call(1, "{\"prompt\":\"sett\"}", false);
+        assertFailed(RefusalCode.UNAVAILABLE, Verdict.NOT_RUN);
+    }
+
+    @Test
+    void anAdapterThatIsNotResidentIsNoAnswer() throws Exception {
+        engine(FAST);
+        call(1, "{\"prompt\":\"sett\"}", false);
+        assertFailed(RefusalCode.BAD_ANSWER, Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void aPassedDeadlineMayHaveRunAndEndsTheRunAtTheEngine() throws Exception {
+        engine(FAST.withSpeed(1, 100));
+        load();
+        mClient.apply(new TargetEffect.Call(1, work("{\"prompt\":\"s\"}", false), 100_000_000L));
+        assertFailed(RefusalCode.DEADLINE, Verdict.MAY_HAVE_RUN);
+        while (mEngine.cancelled() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void aCallThatWaitsForAConnectionIsNotRunWhenCancelled() throws Exception {
+        engine(FAST.withSpeed(1, 100));
+        load();
+        HttpClientOptions one = new HttpClientOptions(mEngine.address(), 1, 8, SECOND_NANOS);
+        client(new TargetClientOptions(one, SECOND_NANOS, SECOND_NANOS, SECOND_NANOS, "a/"));
+        call(1, "{\"prompt\":\"sett\"}", true);
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+        call(2, "{\"prompt\":\"sett\"}", true);
+        mClient.apply(new TargetEffect.CancelCall(2));
+        assertFailed(RefusalCode.CANCELLED, Verdict.NOT_RUN);
+        mClient.apply(new TargetEffect.CancelCall(1));
+        assertFailed(RefusalCode.CANCELLED, Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void aPausedAnswerStopsItsEngine() throws Exception {
+        engine(FAST.withSpeed(1_000_000, 1_000_000));
+        load();
+        call(1, "{\"prompt\":\"sett\",\"max_tokens\":1000000}", true);
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+        mClient.apply(new TargetEffect.ReadAnswer(1, false));
+        TargetEvent event = next();
+        while (event != null) {
+            event = mEvents.poll(300, TimeUnit.MILLISECONDS);
+        }
+        long tokens = mEngine.tokens();
+        assertThat(tokens).isLessThan(1_000_000);
+        mClient.apply(new TargetEffect.ReadAnswer(1, true));
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerPart.class);
+        mClient.apply(new TargetEffect.CancelCall(1));
+    }
+
+    @Test
+    void ordersReachTheEngineAndOldTokensAreRefused() throws Exception {
+        engine(FAST);
+        load();
+        mClient.apply(new TargetEffect.Unload(KILTS, 4));
+        TargetEvent.OrderDone fenced = (TargetEvent.OrderDone) next();
+        assertThat(fenced.succeeded()).isFalse();
+        assertThat(fenced.detail()).isEqualTo("status 409");
+        assertThat(mEngine.refusedOrders()).isEqualTo(1);
+
+        mEngine.failNextLoads(1);
+        AdapterVersion other = new AdapterVersion("sporrans", "1");
+        mClient.apply(new TargetEffect.Load(other, 6));
+        assertThat(next()).isEqualTo(new TargetEvent.OrderDone(other, true, false, "status 500"));
+    }
+
+    @Test
+    void anUnloadUnderARunIsCounted() throws Exception {
+        engine(FAST.withSpeed(1, 100));
+        load();
+        call(1, "{\"prompt\":\"sett\"}", true);
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+        mClient.apply(new TargetEffect.Unload(KILTS, 5));
+        TargetEvent event = next();
+        while (!(event instanceof TargetEvent.OrderDone)) {
+            event = next();
+        }
+        assertThat(mEngine.evictionsInUse()).isEqualTo(1);
+    }
+
+    @Test
+    void loadReportsAreReadAndAnEngineThatIsAwayIsNoticed() throws Exception {
+        engine(FAST);
+        load();
+        mClient.start();
+        TargetEvent.EngineReported report = (TargetEvent.EngineReported) next();
+        assertThat(report.resident()).containsExactly(KILTS);
+        assertThat(report.slots()).isEqualTo(8);
+        assertThat(report.startedAtNanos()).isPositive();
+        mEngine.stop();
+        TargetEvent event = next();
+        while (event instanceof TargetEvent.EngineReported) {
+            event = next();
+        }
+        assertThat(event).isEqualTo(new TargetEvent.EngineUnreachable());
+    }
+
+    @Test
+    void aRestartBreaksRunsAndForgetsAdapters() throws Exception {
+        engine(FAST.withSpeed(1, 100));
+        load();
+        call(1, "{\"prompt\":\"sett\"}", true);
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+        mEngine.restart();
+        assertFailed(RefusalCode.BROKEN_ANSWER, Verdict.MAY_HAVE_RUN);
+        assertThat(mEngine.resident()).isEmpty();
+    }
+
+    @Test
+    void plainServicesAnswerAsTheyLikeAndLostBookingsMayHaveRun() throws Exception {
+        PlainServiceStandIn service = new PlainServiceStandIn("127.0.0.1", 0, 0);
+        service.start();
+        mOpened.add(service::stop);
+        mClient = new PlainServiceClient(TargetClientOptions.of(service.address()), mEvents::add);
+        mOpened.add(mClient);
+        Payload payload =
+                new Payload(
+                        "PUT",
+                        "/book?day=1",
+                        Map.of("idempotency-key", "b1"),
+                        ByteString.copyFromUtf8("cloth"));
+        mClient.apply(new TargetEffect.Call(1, work(payload, Optional.empty()), SECOND_NANOS));
+        assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
+        assertThat(body()).isEqualTo("{\"bookings\":1,\"bytes\":5}");
+        assertThat(next()).isEqualTo(new TargetEvent.AnswerEnded(1, -1));
+        assertThat(service.seen().get(0).target()).isEqualTo("/book?day=1");
+
+        service.loseNextAnswers(1);
+        mClient.apply(new TargetEffect.Call(2, work(payload, Optional.empty()), SECOND_NANOS));
+        assertFailed(RefusalCode.LOST, Verdict.MAY_HAVE_RUN);
+        assertThat(service.bookings()).containsEntry("b1", 2);
+    }
+
+    private void assertFailed(RefusalCode code, Verdict verdict) throws InterruptedException {
+        TargetEvent event = next();
+        while (event instanceof TargetEvent.AnswerPart) {
+            event = next();
+        }
+        assertThat(event).isInstanceOf(TargetEvent.AnswerFailed.class);
+        TargetEvent.AnswerFailed failed = (TargetEvent.AnswerFailed) event;
+        assertThat(failed.refusal().code()).isEqualTo(code);
+        assertThat(failed.refusal().verdict()).isEqualTo(verdict);
+    }
+
+    private String body() throws InterruptedException {
+        StringBuilder body = new StringBuilder();
+        while (true) {
+            if (mEvents.peek() instanceof TargetEvent.AnswerEnded) {
+                return body.toString();
+            }
+            if (mEvents.peek() != null) {
+                body.append(((TargetEvent.AnswerPart) next()).data().toStringUtf8());
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private void call(long number, String json, boolean streamed) {
+        String body = streamed ? json.replaceFirst("\\{", "{\"stream\":true,") : json;
+        mClient.apply(new TargetEffect.Call(number, work(body, streamed), 20 * SECOND_NANOS));
+    }
+
+    private void client(TargetClientOptions options) throws IOException {
+        mClient = new EngineClient(options, mEvents::add);
+        mOpened.add(mClient);
+    }
+
+    private void engine(EngineStandInOptions options) throws IOException {
+        mEngine = new EngineStandIn(options, new WeightStoreStandIn(0, 0, 8));
+        mEngine.start();
+        mOpened.add(mEngine::stop);
+        client(TargetClientOptions.of(mEngine.address()).withReportInterval(10_000_000L));
+    }
+
+    private void load() throws InterruptedException {
+        mClient.apply(new TargetEffect.Load(KILTS, 5));
+        assertThat(next()).isEqualTo(new TargetEvent.OrderDone(KILTS, true, true, ""));
+    }
+
+    private TargetEvent next() throws InterruptedException {
+        TargetEvent event = mEvents.poll(20, TimeUnit.SECONDS);
+        assertThat(event).isNotNull();
+        return event;
+    }
+
+    private static InetSocketAddress unused() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    private static Work work(String json, boolean streamed) {
+        Payload payload =
+                new Payload(
+                        "POST",
+                        "/v1/completions",
+                        Map.of("content-type", "application/json"),
+                        ByteString.copyFromUtf8(json));
+        Work work = work(payload, Optional.of(KILTS));
+        return new Work(
+                work.id(),
+                1,
+                "atlas",
+                "k1",
+                "completions",
+                work.adapter(),
+                true,
+                3,
+                1,
+                16,
+                1,
+                streamed,
+                payload);
+    }
+
+    private static Work work(Payload payload, Optional<AdapterVersion> adapter) {
+        RequestId id = new RequestId(new NodeId("e1"), 7, 1);
+        return new Work(id, 1, "atlas", "k1", "orders", adapter, true, 3, 1, 16, 1, false, payload);
+    }
+}
