--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -49,12 +49,12 @@
 
     /** Cancels the call; its sink hears of a failure unless it has ended. */
     public void cancel() {
-        mClient.thread().execute(() -> abort(HttpFailure.Kind.CANCELLED, "cancelled"));
+        mClient.execute(() -> abort(HttpFailure.Kind.CANCELLED, "cancelled"));
     }
 
     /** Pauses or resumes reading the answer. */
     public void reading(boolean on) {
-        mClient.thread().execute(() -> readingNow(on));
+        mClient.execute(() -> readingNow(on));
     }
 
     boolean begin() {
@@ -66,7 +66,7 @@
             return false;
         }
         mTimer =
-                mClient.after(
+                mClient.timer(
                         mTimeoutNanos, () -> abort(HttpFailure.Kind.TIMEOUT, "time limit passed"));
         return true;
     }
@@ -99,7 +99,7 @@
         boolean sent = mConnection != null;
         mClient.forget(this);
         failed(new HttpFailure(kind, sent, detail));
-        IoUtils.safeClose(mConnection);
+        HttpClient.abort(mConnection);
     }
 
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
@@ -128,6 +128,9 @@
     }
 
     private void lost(IOException cause) {
+        if (mDone) {
+            return;
+        }
         Logger.debug("event=call_lost server={} cause=\"{}\"", mClient.host(), cause);
         abort(
                 mStarted ? HttpFailure.Kind.BROKEN : HttpFailure.Kind.LOST,
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -10,6 +10,7 @@
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Objects;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import org.xnio.IoUtils;
@@ -69,12 +70,12 @@
     /** Closes all connections; open calls fail. */
     @Override
     public void close() {
-        mThread.execute(this::closeNow);
+        execute(this::closeNow);
     }
 
-    /** Runs a task on the client's IO thread after a delay in nanoseconds. */
-    public XnioIoThread.Key after(long delayNanos, Runnable task) {
-        return mThread.executeAfter(task, Math.max(1, delayNanos), TimeUnit.NANOSECONDS);
+    /** Runs a task on the client's IO thread after a delay; not at all once it is closed. */
+    public void after(long delayNanos, Runnable task) {
+        execute(() -> timer(delayNanos, task));
     }
 
     /**
@@ -92,7 +93,9 @@
 
     /** Starts a prepared call; each call may be sent once. */
     public void send(HttpCall call) {
-        mThread.execute(() -> submit(call));
+        if (!execute(() -> submit(call))) {
+            call.failed(new HttpFailure(HttpFailure.Kind.CANCELLED, false, "client closed"));
+        }
     }
 
     /** Prepares a call and starts it. */
@@ -100,10 +103,39 @@
         send(prepare(request, timeoutNanos, sink));
     }
 
+    /**
+     * Closes a connection at once, also in the middle of an answer.
+     *
+     * <p>Closing the connection itself would first wait for the rest of the answer.
+     */
+    static void abort(ClientConnection connection) {
+        if (connection == null || !connection.isOpen()) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException cause) {
+            Logger.debug("event=abort_failed cause=\"{}\"", cause);
+            IoUtils.safeClose(connection);
+        }
+    }
+
     ByteBufferPool buffers() {
         return mBuffers;
     }
 
+    /** Runs a task on the IO thread; returns false if the client is closed. */
+    boolean execute(Runnable task) {
+        try {
+            mThread.execute(task);
+            return true;
+        } catch (RejectedExecutionException closed) {
+            Logger.debug("event=client_closed server={}", mHost);
+            return false;
+        }
+    }
+
     void forget(HttpCall call) {
         mWaiting.remove(call);
     }
@@ -121,8 +153,11 @@
         pump();
     }
 
-    XnioIoThread thread() {
-        return mThread;
+    /** Starts a timer; used on the IO thread only. */
+    XnioIoThread.Key timer(long delayNanos, Runnable task) {
+        return mClosed
+                ? () -> true
+                : mThread.executeAfter(task, Math.max(1, delayNanos), TimeUnit.NANOSECONDS);
     }
 
     private void closeNow() {
@@ -131,7 +166,7 @@
             mWaiting.poll()
                     .failed(new HttpFailure(HttpFailure.Kind.CANCELLED, false, "client closed"));
         }
-        mIdle.forEach(IoUtils::safeClose);
+        mIdle.forEach(HttpClient::abort);
         mWorker.shutdown();
     }
 
@@ -139,7 +174,7 @@
         mOpen++;
         mConnecting++;
         ConnectAttempt attempt = new ConnectAttempt();
-        attempt.mTimer = after(mOptions.connectTimeoutNanos(), attempt::timedOut);
+        attempt.mTimer = timer(mOptions.connectTimeoutNanos(), attempt::timedOut);
         UndertowClient.getInstance()
                 .connect(
                         attempt,
@@ -150,7 +185,7 @@
     }
 
     private void pump() {
-        while (!mWaiting.isEmpty()) {
+        while (!mClosed && !mWaiting.isEmpty()) {
             ClientConnection connection = mIdle.poll();
             if (connection != null) {
                 if (connection.isOpen()) {
@@ -193,7 +228,7 @@
                     closed -> {
                         mOpen--;
                         mIdle.remove(closed);
-                        mThread.execute(HttpClient.this::pump);
+                        execute(HttpClient.this::pump);
                     });
             release(connection);
         }
--- a/src/main/java/ebonygw/standin/EngineStandIn.java
+++ b/src/main/java/ebonygw/standin/EngineStandIn.java
@@ -17,11 +17,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.tinylog.Logger;
-import org.xnio.XnioIoThread;
 
 /**
  * A model engine with an OpenAI-compatible interface: adapter slots, loads through the weight
@@ -116,15 +114,13 @@
     /** Restarts the engine: all runs break, all adapters are gone. */
     public void restart() {
         mStarting = true;
-        XnioIoThread thread = mServer.ioThread();
-        thread.execute(this::forgetAll);
-        thread.executeAfter(
+        mServer.execute(this::forgetAll);
+        mServer.after(
+                mOptions.restartNanos(),
                 () -> {
                     mStartedAtNanos = now();
                     mStarting = false;
-                },
-                Math.max(1, mOptions.restartNanos()),
-                TimeUnit.NANOSECONDS);
+                });
     }
 
     /** Returns how many times requests were run, by the value of x-request-id. */
@@ -202,7 +198,7 @@
 
     private void ended(EngineRun run) {
         mRunning.remove(run);
-        mServer.ioThread().execute(this::schedule);
+        mServer.execute(this::schedule);
     }
 
     private void forgetAll() {
@@ -224,7 +220,7 @@
         }
         if (!run.ended()) {
             long interval = NANOS_PER_SECOND / mOptions.tokensPerSecond();
-            mServer.ioThread().executeAfter(() -> generate(run), interval, TimeUnit.NANOSECONDS);
+            mServer.after(interval, () -> generate(run));
         }
     }
 
@@ -262,12 +258,7 @@
         long duration = mStore.begin(now());
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
-                () ->
-                        mServer.ioThread()
-                                .executeAfter(
-                                        () -> loaded(exchange, name, startedAt),
-                                        Math.max(1, duration),
-                                        TimeUnit.NANOSECONDS));
+                () -> mServer.after(duration, () -> loaded(exchange, name, startedAt)));
     }
 
     private void loaded(HttpServerExchange exchange, String name, long startedAtNanos) {
--- a/src/main/java/ebonygw/standin/StandInServer.java
+++ b/src/main/java/ebonygw/standin/StandInServer.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
 
@@ -33,8 +36,22 @@
         return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
     }
 
-    XnioIoThread ioThread() {
-        return mServer.getWorker().getIoThread();
+    /** Runs a task on the IO thread after a delay; not at all once the server has stopped. */
+    void after(long delayNanos, Runnable task) {
+        try {
+            ioThread().executeAfter(task, Math.max(1, delayNanos), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException stopped) {
+            Logger.debug("event=stand_in_stopped");
+        }
+    }
+
+    /** Runs a task on the IO thread; not at all once the server has stopped. */
+    void execute(Runnable task) {
+        try {
+            ioThread().execute(task);
+        } catch (RejectedExecutionException stopped) {
+            Logger.debug("event=stand_in_stopped");
+        }
     }
 
     void record(HttpServerExchange exchange, byte[] body) {
@@ -60,4 +77,8 @@
     void stop() {
         mServer.stop();
     }
+
+    private XnioIoThread ioThread() {
+        return mServer.getWorker().getIoThread();
+    }
 }
--- a/src/test/java/ebonygw/target/TargetClientTest.java
+++ b/src/test/java/ebonygw/target/TargetClientTest.java
@@ -39,6 +39,7 @@
     private final BlockingQueue<TargetEvent> mEvents = new LinkedBlockingQueue<>();
     private final List<AutoCloseable> mOpened = new ArrayList<>();
     private EngineStandIn mEngine;
+    private TargetEvent.AnswerEnded mLast;
     private TargetClient mClient;
 
     @AfterEach
@@ -57,8 +58,7 @@
         assertThat(((TargetEvent.AnswerStarted) next()).status()).isEqualTo(200);
         String answer = body();
         assertThat(answer).contains("\"model\":\"kilts@1\"", "sett", "e1-7-1");
-        TargetEvent.AnswerEnded ended = (TargetEvent.AnswerEnded) next();
-        assertThat(ended.tokensUsed()).isEqualTo(9);
+        assertThat(mLast.tokensUsed()).isEqualTo(9);
         String seen = mEngine.seen().get(1).text();
         assertThat(seen).contains("x-customer=atlas", "x-request-id=e1-7-1", "\"priority\":-3");
         assertThat(seen).doesNotContain("\"priority\":9");
@@ -72,7 +72,7 @@
 
         assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
         assertThat(body()).contains("token3", "total_tokens").endsWith("data: [DONE]\n\n");
-        assertThat(((TargetEvent.AnswerEnded) next()).tokensUsed()).isEqualTo(4);
+        assertThat(mLast.tokensUsed()).isEqualTo(4);
     }
 
     @Test
@@ -229,7 +229,7 @@
         mClient.apply(new TargetEffect.Call(1, work(payload, Optional.empty()), SECOND_NANOS));
         assertThat(next()).isInstanceOf(TargetEvent.AnswerStarted.class);
         assertThat(body()).isEqualTo("{\"bookings\":1,\"bytes\":5}");
-        assertThat(next()).isEqualTo(new TargetEvent.AnswerEnded(1, -1));
+        assertThat(mLast).isEqualTo(new TargetEvent.AnswerEnded(1, -1));
         assertThat(service.seen().get(0).target()).isEqualTo("/book?day=1");
 
         service.loseNextAnswers(1);
@@ -251,15 +251,14 @@
 
     private String body() throws InterruptedException {
         StringBuilder body = new StringBuilder();
-        while (true) {
-            if (mEvents.peek() instanceof TargetEvent.AnswerEnded) {
-                return body.toString();
-            }
-            if (mEvents.peek() != null) {
-                body.append(((TargetEvent.AnswerPart) next()).data().toStringUtf8());
-            }
-            Thread.onSpinWait();
+        TargetEvent event = next();
+        while (event instanceof TargetEvent.AnswerPart part) {
+            body.append(part.data().toStringUtf8());
+            event = next();
         }
+        assertThat(event).isInstanceOf(TargetEvent.AnswerEnded.class);
+        mLast = (TargetEvent.AnswerEnded) event;
+        return body.toString();
     }
 
     private void call(long number, String json, boolean streamed) {
