--- a/src/main/java/ebonygw/membership/MemberMessage.java
+++ b/src/main/java/ebonygw/membership/MemberMessage.java
@@ -28,6 +28,33 @@
      */
     record Heartbeat(long sequence, long settingsRevision) implements MemberMessage {}
 
+    /**
+     * Hashes of the sender's table of members, to find differences between two tables.
+     *
+     * @param buckets one hash for each bucket of members; a receiver with another number of buckets
+     *     ignores the message
+     */
+    record MemberDigest(List<Long> buckets) implements MemberMessage {
+        /** Creates the message. */
+        public MemberDigest {
+            buckets = List.copyOf(buckets);
+        }
+    }
+
+    /**
+     * What the sender knows of other processes, by their own word or on proof.
+     *
+     * @param members the processes, in any state but {@link MemberState#SUSPECTED}
+     * @param news whether they have just changed, so that the receiver is to pass on what it did
+     *     not know; else they answer a {@link MemberDigest}
+     */
+    record MemberUpdates(List<Member> members, boolean news) implements MemberMessage {
+        /** Creates the message. */
+        public MemberUpdates {
+            members = List.copyOf(members);
+        }
+    }
+
     /**
      * Load and residency of a target, sent by its process.
      *
