--- /dev/null
+++ b/src/main/java/ebonygw/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines of key=value pairs, one line for each event. */
+package ebonygw.log;
--- /dev/null
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -0,0 +1,238 @@
+package ebonygw.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import ebonygw.log.LogLine;
+import ebonygw.membership.Member;
+import ebonygw.protocol.Message;
+import ebonygw.wire.PeerProtocol.Envelope;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * One connection to another process, from its first byte to its end.
+ *
+ * <p>All methods run on the transport's event loop, but for {@link #queue}, which any one thread
+ * may call.
+ */
+final class Link extends SimpleChannelInboundHandler<Envelope> {
+    private static final int FLUSH_MESSAGES = 256;
+
+    private final PeerTransport mTransport;
+    private final Optional<Member> mExpected;
+    private final Queue<Message> mQueue = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger mQueued = new AtomicInteger();
+    private final AtomicBoolean mScheduled = new AtomicBoolean();
+    private Channel mChannel;
+    private Member mPeer;
+    private boolean mClosed;
+    private volatile long mSent;
+    private volatile long mReceived;
+
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param transport the owner
+     * @param expected the process that was dialled, empty for an accepted connection
+     */
+    Link(PeerTransport transport, Optional<Member> expected) {
+        mTransport = transport;
+        mExpected = expected;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mChannel = context.channel();
+        context.writeAndFlush(mTransport.hello());
+        long timeout = mTransport.options().connectTimeoutNanos();
+        context.executor().schedule(this::closeUnlessUp, timeout, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        close("peer_closed", "");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Throwable root =
+                cause instanceof DecoderException && cause.getCause() != null
+                        ? cause.getCause()
+                        : cause;
+        boolean malformed =
+                root instanceof InvalidProtocolBufferException || root instanceof DecoderException;
+        close(malformed ? "malformed" : "failed", root.toString());
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof IdleStateEvent idle)) {
+            return;
+        }
+        if (idle.state() == IdleState.READER_IDLE) {
+            close("idle", "");
+        } else if (isUp()) {
+            context.writeAndFlush(Envelope.getDefaultInstance());
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+        if (mClosed) {
+            return;
+        }
+        try {
+            if (isUp()) {
+                receive(envelope);
+            } else {
+                establish(envelope);
+            }
+        } catch (IllegalArgumentException malformed) {
+            close("malformed", malformed.getMessage());
+        }
+    }
+
+    /** Closes the connection and tells the transport; does nothing the second time. */
+    void close(String why, String detail) {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        LogLine line = LogLine.of("link_closed").with("why", why).with("opened_here", openedHere());
+        line.with("peer", mPeer != null ? mPeer.id() : mExpected.map(Member::id).orElse(null));
+        line.with("address", mChannel == null ? null : mChannel.remoteAddress());
+        line.with("detail", detail).info();
+        if (mChannel != null) {
+            mChannel.close();
+        }
+        mTransport.closed(this);
+    }
+
+    /** Sends what waits, then closes the connection. */
+    void closeAfterFlush(String why) {
+        if (mClosed || mChannel == null) {
+            return;
+        }
+        drain();
+        Envelope last = Envelope.getDefaultInstance();
+        mChannel.writeAndFlush(last).addListener((ChannelFutureListener) done -> close(why, ""));
+    }
+
+    /** Returns the process that was dialled. */
+    Optional<Member> expected() {
+        return mExpected;
+    }
+
+    /** Returns whether the hello of the other process was accepted and the link not closed. */
+    boolean isUp() {
+        return mPeer != null && !mClosed;
+    }
+
+    /** Returns whether this process opened the connection. */
+    boolean openedHere() {
+        return mExpected.isPresent();
+    }
+
+    /** Returns the other process, null before its hello. */
+    Member peer() {
+        return mPeer;
+    }
+
+    /** Appends a message; over the bound the link is closed, since its order would break. */
+    void queue(Message message) {
+        int queued = mQueued.incrementAndGet();
+        if (queued > mTransport.options().maxQueuedMessages()) {
+            mChannel.eventLoop().execute(() -> close("overflow", "messages=" + queued));
+            return;
+        }
+        mQueue.add(message);
+        if (mScheduled.compareAndSet(false, true)) {
+            mChannel.eventLoop().execute(this::drain);
+        }
+    }
+
+    /** Returns how many messages were received. */
+    long received() {
+        return mReceived;
+    }
+
+    /** Returns how many messages were sent. */
+    long sent() {
+        return mSent;
+    }
+
+    private void closeUnlessUp() {
+        if (!isUp()) {
+            close("no_hello", "");
+        }
+    }
+
+    private void drain() {
+        mScheduled.set(false);
+        int unflushed = 0;
+        for (Message message = mQueue.poll(); message != null; message = mQueue.poll()) {
+            mQueued.decrementAndGet();
+            if (mClosed) {
+                continue;
+            }
+            mChannel.write(mTransport.codec().encode(message), mChannel.voidPromise());
+            mSent++;
+            unflushed++;
+            if (unflushed == FLUSH_MESSAGES || !mChannel.isWritable()) {
+                flush();
+                unflushed = 0;
+            }
+        }
+        if (unflushed > 0 && !mClosed) {
+            flush();
+        }
+    }
+
+    private void establish(Envelope envelope) {
+        if (!envelope.hasHello()) {
+            close("no_hello", envelope.getKindCase().toString());
+            return;
+        }
+        if (envelope.getHello().getProtocolVersion() < MemberCodec.PROTOCOL_VERSION) {
+            throw new IllegalArgumentException("protocol version missing");
+        }
+        Member peer = MemberCodec.decode(envelope.getHello().getSelf());
+        if (mExpected.isPresent() && !mExpected.get().id().equals(peer.id())) {
+            close("other_process", peer.id().name());
+            return;
+        }
+        Optional<String> rejection = mTransport.rejection(this, peer);
+        if (rejection.isPresent()) {
+            close(rejection.get(), Long.toString(peer.incarnation()));
+            return;
+        }
+        mPeer = peer;
+        mTransport.established(this);
+        receive(envelope);
+    }
+
+    private void flush() {
+        mChannel.flush();
+        if (!mChannel.isWritable() && !mClosed) {
+            close("overflow", "bytes=" + mTransport.options().maxQueuedBytes());
+        }
+    }
+
+    private void receive(Envelope envelope) {
+        mReceived++;
+        Optional<Message> message = mTransport.codec().decode(envelope);
+        if (message.isPresent()) {
+            mTransport.listener().message(mPeer.id(), mPeer.incarnation(), message.get());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/peer/MemberCodec.java
@@ -0,0 +1,127 @@
+package ebonygw.peer;
+
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberMessage;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.wire.PeerProtocol;
+import ebonygw.wire.PeerProtocol.Envelope;
+import java.util.List;
+import java.util.Optional;
+
+/** Translates {@link MemberMessage}s. */
+final class MemberCodec implements FamilyCodec {
+    /** Version of the protocol that this code speaks; greater ones only add. */
+    static final int PROTOCOL_VERSION = 1;
+
+    MemberCodec() {}
+
+    /**
+     * Reads a process.
+     *
+     * @throws IllegalArgumentException if its name is missing or its role or state unknown
+     */
+    static Member decode(PeerProtocol.Member member) {
+        return new Member(
+                new NodeId(member.getId()),
+                member.getIncarnation(),
+                constant(Role.values(), member.getRole(), "role"),
+                constant(MemberState.values(), member.getState(), "state"),
+                new Locality(member.getRegion(), member.getDataCenter()),
+                member.getAddress(),
+                member.getServes());
+    }
+
+    /** Writes a process. */
+    static PeerProtocol.Member encode(Member member) {
+        return PeerProtocol.Member.newBuilder()
+                .setId(member.id().name())
+                .setIncarnation(member.incarnation())
+                .setRole(member.role().ordinal() + 1)
+                .setState(member.state().ordinal() + 1)
+                .setRegion(member.locality().region())
+                .setDataCenter(member.locality().dataCenter())
+                .setAddress(member.address())
+                .setServes(member.serves())
+                .build();
+    }
+
+    @Override
+    public Optional<Message> decode(Envelope envelope) {
+        switch (envelope.getKindCase()) {
+            case HELLO:
+                return Optional.of(
+                        new MemberMessage.Hello(
+                                decode(envelope.getHello().getSelf()),
+                                envelope.getHello().getSettingsRevision()));
+            case HEARTBEAT:
+                return Optional.of(
+                        new MemberMessage.Heartbeat(
+                                envelope.getHeartbeat().getSequence(),
+                                envelope.getHeartbeat().getSettingsRevision()));
+            case REPORT:
+                return Optional.of(report(envelope.getReport()));
+            default:
+                return Optional.empty();
+        }
+    }
+
+    @Override
+    public Optional<Envelope> encode(Message message) {
+        Envelope.Builder envelope = Envelope.newBuilder();
+        if (message instanceof MemberMessage.Hello hello) {
+            envelope.getHelloBuilder()
+                    .setSelf(encode(hello.self()))
+                    .setSettingsRevision(hello.settingsRevision())
+                    .setProtocolVersion(PROTOCOL_VERSION);
+        } else if (message instanceof MemberMessage.Heartbeat heartbeat) {
+            envelope.getHeartbeatBuilder()
+                    .setSequence(heartbeat.sequence())
+                    .setSettingsRevision(heartbeat.settingsRevision());
+        } else if (message instanceof MemberMessage.TargetReport report) {
+            envelope.setReport(report(report));
+        } else {
+            return Optional.empty();
+        }
+        return Optional.of(envelope.build());
+    }
+
+    private static <T> T constant(T[] constants, int number, String what) {
+        if (number < 1 || number > constants.length) {
+            throw new IllegalArgumentException("unknown " + what + ": " + number);
+        }
+        return constants[number - 1];
+    }
+
+    private static PeerProtocol.TargetReport report(MemberMessage.TargetReport report) {
+        PeerProtocol.TargetReport.Builder builder =
+                PeerProtocol.TargetReport.newBuilder()
+                        .setSequence(report.sequence())
+                        .setRunning(report.running())
+                        .setQueued(report.queued())
+                        .setConcurrency(report.concurrency())
+                        .setQueuedTokens(report.queuedTokens());
+        report.resident().forEach(adapter -> builder.addResident(RequestCodec.encode(adapter)));
+        report.loading().forEach(adapter -> builder.addLoading(RequestCodec.encode(adapter)));
+        return builder.build();
+    }
+
+    private static MemberMessage.TargetReport report(PeerProtocol.TargetReport report) {
+        return new MemberMessage.TargetReport(
+                report.getSequence(),
+                report.getRunning(),
+                report.getQueued(),
+                report.getConcurrency(),
+                report.getQueuedTokens(),
+                versions(report.getResidentList()),
+                versions(report.getLoadingList()));
+    }
+
+    private static List<AdapterVersion> versions(List<PeerProtocol.AdapterVersion> versions) {
+        return versions.stream().map(RequestCodec::decode).toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/peer/PeerTransportTest.java
@@ -0,0 +1,367 @@
+package ebonygw.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberMessage;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.wire.PeerProtocol.Envelope;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerTransportTest {
+    private static final long WAIT_SECONDS = 20;
+
+    private final List<AutoCloseable> mOpen = new ArrayList<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable open : mOpen) {
+            open.close();
+        }
+    }
+
+    @Test
+    void messagesOfOneLinkArriveInOrderInBothDirections() throws Exception {
+        Node entry = node("entry-1", 1, Role.ENTRY);
+        Node target = node("target-1", 1, Role.TARGET);
+        entry.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(entry.next()).isEqualTo("up target-1/1");
+        assertThat(target.next()).isEqualTo("up entry-1/1");
+        assertThat(entry.next()).isEqualTo("hello target-1 JOINING");
+        assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
+        for (int i = 0; i < 2_000; i++) {
+            entry.mTransport.send(target.id(), new MemberMessage.Heartbeat(i, 0));
+            target.mTransport.send(entry.id(), new MemberMessage.Heartbeat(i, 0));
+        }
+        for (int i = 0; i < 2_000; i++) {
+            assertThat(target.next()).isEqualTo("heartbeat " + i);
+            assertThat(entry.next()).isEqualTo("heartbeat " + i);
+        }
+    }
+
+    @Test
+    void twoProcessesThatDialEachOtherEndWithOneLinkThatWorksBothWays() throws Exception {
+        Node first = node("a", 1, Role.ENTRY);
+        Node second = node("b", 1, Role.TARGET);
+        first.mTransport.links(Set.of(second.mTransport.self()));
+        second.mTransport.links(Set.of(first.mTransport.self()));
+        first.sendUntilAnswered(second);
+        second.sendUntilAnswered(first);
+        assertThat(first.mTransport.size()).isEqualTo(1);
+        assertThat(second.mTransport.size()).isEqualTo(1);
+    }
+
+    @Test
+    void aLostLinkIsReportedAndOpenedAgainWhenTheProcessIsBack() throws Exception {
+        Node entry = node("entry-1", 1, Role.ENTRY);
+        Node target = node("target-1", 1, Role.TARGET);
+        Member address = target.mTransport.self();
+        entry.mTransport.links(Set.of(address));
+        assertThat(entry.next()).isEqualTo("up target-1/1");
+        target.mTransport.close();
+        entry.await("down target-1/1");
+        node(address.withState(MemberState.JOINING), 2, PeerOptions.defaults());
+        entry.await("up target-1/2");
+    }
+
+    @Test
+    void aGreaterIncarnationReplacesTheLinkAndAnOlderOneIsTurnedAway() throws Exception {
+        Node target = node("target-1", 1, Role.TARGET);
+        Node old = node("entry-1", 5, Role.ENTRY);
+        old.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(target.next()).isEqualTo("up entry-1/5");
+        assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
+        Node restarted = node("entry-1", 6, Role.ENTRY);
+        restarted.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(target.next()).isEqualTo("down entry-1/5");
+        assertThat(target.next()).isEqualTo("up entry-1/6");
+        old.await("down target-1/1");
+        restarted.mTransport.send(target.id(), new MemberMessage.Heartbeat(1, 0));
+        assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
+        assertThat(target.next()).isEqualTo("heartbeat 1");
+        assertThat(target.mTransport.size()).isEqualTo(1);
+    }
+
+    @Test
+    void theLastHelloSentIsTheFirstMessageOfLaterLinks() throws Exception {
+        Node entry = node("entry-1", 1, Role.ENTRY);
+        Node target = node("target-1", 1, Role.TARGET);
+        Member leaving = entry.mTransport.self().withState(MemberState.LEAVING);
+        entry.mTransport.send(new NodeId("nobody"), new MemberMessage.Hello(leaving, 9));
+        entry.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(target.next()).isEqualTo("up entry-1/1");
+        assertThat(target.next()).isEqualTo("hello entry-1 LEAVING");
+    }
+
+    @Test
+    void aLinkThatIsNotWantedAnyMoreIsClosedAfterWhatWaitsIsSent() throws Exception {
+        Node entry = node("entry-1", 1, Role.ENTRY);
+        Node target = node("target-1", 1, Role.TARGET);
+        entry.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(entry.next()).isEqualTo("up target-1/1");
+        entry.mTransport.send(target.id(), new MemberMessage.Heartbeat(7, 0));
+        entry.mTransport.links(Set.of());
+        target.await("heartbeat 7");
+        assertThat(target.next()).isEqualTo("down entry-1/1");
+        entry.await("down target-1/1");
+    }
+
+    @Test
+    void aPeerThatFallsSilentIsReportedAsDown() throws Exception {
+        PeerOptions quick =
+                PeerOptions.defaults()
+                        .withIdle(
+                                TimeUnit.MILLISECONDS.toNanos(50),
+                                TimeUnit.MILLISECONDS.toNanos(300));
+        Node target = node(member("target-1", 1, Role.TARGET), 1, quick);
+        try (Socket silent = connect(target)) {
+            silent.getOutputStream().write(frame(hello("entry-1", 3)));
+            assertThat(target.next()).isEqualTo("up entry-1/3");
+            target.await("down entry-1/3");
+        }
+    }
+
+    @Test
+    void aLinkOnWhichNothingIsSaidStaysUpBySignsOfLife() throws Exception {
+        PeerOptions quick =
+                PeerOptions.defaults()
+                        .withIdle(
+                                TimeUnit.MILLISECONDS.toNanos(20),
+                                TimeUnit.MILLISECONDS.toNanos(2_000));
+        Node entry = node(member("entry-1", 1, Role.ENTRY), 1, quick);
+        Node target = node(member("target-1", 1, Role.TARGET), 1, quick);
+        entry.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(entry.next()).isEqualTo("up target-1/1");
+        assertThat(entry.next()).isEqualTo("hello target-1 JOINING");
+        assertThat(entry.mSeen.poll(2_500, TimeUnit.MILLISECONDS)).isNull();
+    }
+
+    @Test
+    void aReaderThatStandsStillClosesTheLinkAtTheBoundAndNotTheSender() throws Exception {
+        PeerOptions small = PeerOptions.defaults().withMaxQueued(100, 1 << 20);
+        Node entry = node(member("entry-1", 1, Role.ENTRY), 1, small);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Member stuck =
+                    PeerAddresses.withPort(
+                            member("target-1", 1, Role.TARGET), server.getLocalPort());
+            entry.mTransport.links(Set.of(stuck));
+            Thread reader = new Thread(() -> helloThenStandStill(server, release));
+            reader.start();
+            assertThat(entry.next()).isEqualTo("up target-1/1");
+            assertThat(entry.next()).isEqualTo("hello target-1 JOINING");
+            Message large = largeReport();
+            for (int i = 0; i < 3_000 && entry.mSeen.isEmpty(); i++) {
+                entry.mTransport.send(stuck.id(), large);
+            }
+            assertThat(entry.next()).isEqualTo("down target-1/1");
+            release.countDown();
+            reader.join();
+        }
+    }
+
+    @Test
+    void malformedBytesCloseTheLinkAndNothingElse() throws Exception {
+        Node target = node("target-1", 1, Role.TARGET);
+        Random random = new Random(3);
+        for (int i = 0; i < 50; i++) {
+            byte[] noise = new byte[random.nextInt(200)];
+            random.nextBytes(noise);
+            try (Socket socket = connect(target)) {
+                socket.getOutputStream().write(frame(hello("noise", i)));
+                socket.getOutputStream().write(i % 5 == 0 ? noise : frame(noise));
+                socket.shutdownOutput();
+                readToEnd(socket.getInputStream());
+            }
+        }
+        Node entry = node("entry-1", 1, Role.ENTRY);
+        entry.mTransport.links(Set.of(target.mTransport.self()));
+        assertThat(entry.next()).isEqualTo("up target-1/1");
+        target.await("up entry-1/1");
+    }
+
+    @Test
+    void aHelloOfAnotherProcessThanTheOneDialledIsNotTaken() throws Exception {
+        Node entry = node("entry-1", 1, Role.ENTRY);
+        Node target = node("target-2", 1, Role.TARGET);
+        Member wrong = member("target-1", 1, Role.TARGET);
+        int port = PeerAddresses.parse(target.mTransport.self().address()).getPort();
+        entry.mTransport.links(Set.of(PeerAddresses.withPort(wrong, port)));
+        assertThat(target.next()).isEqualTo("up entry-1/1");
+        target.await("down entry-1/1");
+        assertThat(entry.mSeen).isEmpty();
+    }
+
+    @Test
+    void unknownKindsAreSkipped() throws Exception {
+        Node target = node("target-1", 1, Role.TARGET);
+        byte[] unknownField = {(byte) 0xfa, 0x3f, 1, 'x'};
+        try (Socket socket = connect(target)) {
+            socket.getOutputStream().write(frame(hello("entry-1", 1)));
+            socket.getOutputStream().write(frame(unknownField));
+            byte[] heartbeat =
+                    new PeerCodec(List.of())
+                            .encode(new MemberMessage.Heartbeat(4, 0))
+                            .toByteArray();
+            socket.getOutputStream().write(frame(heartbeat));
+            assertThat(target.next()).isEqualTo("up entry-1/1");
+            assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
+            assertThat(target.next()).isEqualTo("heartbeat 4");
+        }
+    }
+
+    private static Socket connect(Node node) throws Exception {
+        int port = PeerAddresses.parse(node.mTransport.self().address()).getPort();
+        return new Socket("127.0.0.1", port);
+    }
+
+    private static byte[] frame(byte[] message) {
+        return ByteBuffer.allocate(Integer.BYTES + message.length)
+                .putInt(message.length)
+                .put(message)
+                .array();
+    }
+
+    private static byte[] hello(String id, long incarnation) {
+        Member member = member(id, incarnation, Role.ENTRY);
+        Envelope hello = new PeerCodec(List.of()).encode(new MemberMessage.Hello(member, 0));
+        return hello.toByteArray();
+    }
+
+    private static void helloThenStandStill(ServerSocket server, CountDownLatch release) {
+        try (Socket socket = server.accept()) {
+            socket.getOutputStream().write(frame(hello("target-1", 1)));
+            release.await();
+        } catch (Exception failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    private static Message largeReport() {
+        String large = "x".repeat(10_000);
+        var adapter = new ebonygw.request.AdapterVersion(large, "1");
+        return new MemberMessage.TargetReport(1, 0, 0, 1, 0, List.of(adapter), List.of());
+    }
+
+    private static Member member(String id, long incarnation, Role role) {
+        return new Member(
+                new NodeId(id),
+                incarnation,
+                role,
+                MemberState.JOINING,
+                new Locality("kingston", "kingston-1"),
+                "127.0.0.1:0",
+                "");
+    }
+
+    private Node node(Member member, long incarnation, PeerOptions options) {
+        Member self =
+                new Member(
+                        member.id(),
+                        incarnation,
+                        member.role(),
+                        member.state(),
+                        member.locality(),
+                        member.address(),
+                        member.serves());
+        Node node = new Node(self, options);
+        mOpen.add(node.mTransport);
+        return node;
+    }
+
+    private Node node(String id, long incarnation, Role role) {
+        return node(member(id, incarnation, role), incarnation, PeerOptions.defaults());
+    }
+
+    private static void readToEnd(InputStream in) {
+        try {
+            in.readAllBytes();
+        } catch (java.io.IOException reset) {
+            assertThat(reset.getMessage()).isNotEmpty();
+        }
+    }
+
+    /** A transport whose listener writes down what it hears. */
+    private static final class Node implements PeerListener {
+        private final BlockingQueue<String> mSeen = new LinkedBlockingQueue<>();
+        private final PeerTransport mTransport;
+
+        Node(Member self, PeerOptions options) {
+            mTransport =
+                    new PeerTransport(
+                            self,
+                            options,
+                            new PeerCodec(List.of()),
+                            Optional.empty(),
+                            new Random(1),
+                            this);
+        }
+
+        void await(String wanted) throws InterruptedException {
+            for (String seen = next(); !seen.equals(wanted); seen = next()) {
+                assertThat(seen).isNotEmpty();
+            }
+        }
+
+        @Override
+        public void down(NodeId peer, long incarnation) {
+            mSeen.add("down " + peer + "/" + incarnation);
+        }
+
+        NodeId id() {
+            return mTransport.self().id();
+        }
+
+        @Override
+        public void message(NodeId peer, long incarnation, Message message) {
+            if (message instanceof MemberMessage.Heartbeat heartbeat) {
+                mSeen.add("heartbeat " + heartbeat.sequence());
+            } else if (message instanceof MemberMessage.Hello hello) {
+                mSeen.add("hello " + hello.self().id() + " " + hello.self().state());
+            } else {
+                mSeen.add("other");
+            }
+        }
+
+        String next() throws InterruptedException {
+            String seen = mSeen.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(seen).as("seen in time by %s", id()).isNotNull();
+            return seen;
+        }
+
+        void sendUntilAnswered(Node other) throws InterruptedException {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+            String seen = "";
+            while (!seen.startsWith("heartbeat") && System.nanoTime() < end) {
+                mTransport.send(other.id(), new MemberMessage.Heartbeat(1, 0));
+                String polled = other.mSeen.poll(50, TimeUnit.MILLISECONDS);
+                seen = polled == null ? "" : polled;
+            }
+            assertThat(seen).startsWith("heartbeat");
+        }
+
+        @Override
+        public void up(NodeId peer, long incarnation) {
+            mSeen.add("up " + peer + "/" + incarnation);
+        }
+    }
+}
