Settings of processes, operator listener, dump and check, codec and control tests

Cause: processes need settings that are checked at start and a port for operators. Change: flags and EBONYGW_ variables over args4j with all faults in one line and exit status 2, dump and check commands, operator listener (metrics, dump, ready, live), runner that turns a signal into a graceful stop within a bound, reloaded certificate files.

--- a/src/main/java/ebonygw/peer/PeerTls.java
+++ b/src/main/java/ebonygw/peer/PeerTls.java
@@ -1,16 +1,13 @@
 package ebonygw.peer;
 
-import ebonygw.log.LogLine;
+import ebonygw.tls.Reloaded;
 import io.netty.channel.Channel;
 import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslProvider;
-import java.io.File;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import javax.net.ssl.SSLException;
@@ -18,10 +15,9 @@
 /**
  * Certificates for links that are encrypted and proven on both ends.
  *
- * <p>The files are looked at again before each new connection; when one has changed they are read
- * anew. If they cannot be read the former ones stay in use. Links that are up keep theirs. A
+ * <p>The files are looked at again before each new connection; links that are up keep theirs. A
  * process is trusted if its certificate was issued by the given authorities; processes have no host
- * names, so names in certificates are not compared. Not thread-safe: used on the event loop only.
+ * names, so names in certificates are not compared. Thread-safe.
  */
 public final class PeerTls {
     private static final String[] PROTOCOLS = {"TLSv1.3", "TLSv1.2"};
@@ -29,9 +25,7 @@
     private final Path mCertificate;
     private final Path mKey;
     private final Path mAuthorities;
-    private List<Long> mStamp;
-    private SslContext mServer;
-    private SslContext mClient;
+    private final Reloaded<Contexts> mContexts;
 
     /**
      * Reads the files.
@@ -45,22 +39,16 @@
         mCertificate = Objects.requireNonNull(certificate, "certificate");
         mKey = Objects.requireNonNull(key, "key");
         mAuthorities = Objects.requireNonNull(authorities, "authorities");
-        try {
-            load();
-        } catch (SSLException | IllegalArgumentException unusable) {
-            throw new IllegalArgumentException(
-                    "cannot use certificate files: " + unusable.getMessage(), unusable);
-        }
+        mContexts = new Reloaded<>(List.of(certificate, key, authorities), this::load);
     }
 
     /** Returns the handler of a new connection. */
     SslHandler handler(Channel channel, boolean client) {
-        reloadIfChanged();
-        return (client ? mClient : mServer).newHandler(channel.alloc());
+        Contexts contexts = mContexts.value();
+        return (client ? contexts.client : contexts.server).newHandler(channel.alloc());
     }
 
-    private void load() throws SSLException {
-        List<Long> stamp = stamp();
+    private Contexts load() throws SSLException {
         SslContext server =
                 SslContextBuilder.forServer(mCertificate.toFile(), mKey.toFile())
                         .sslProvider(SslProvider.JDK)
@@ -68,7 +56,7 @@
                         .clientAuth(ClientAuth.REQUIRE)
                         .protocols(PROTOCOLS)
                         .build();
-        mClient =
+        SslContext client =
                 SslContextBuilder.forClient()
                         .sslProvider(SslProvider.JDK)
                         .keyManager(mCertificate.toFile(), mKey.toFile())
@@ -76,29 +64,8 @@
                         .endpointIdentificationAlgorithm(null)
                         .protocols(PROTOCOLS)
                         .build();
-        mServer = server;
-        mStamp = stamp;
+        return new Contexts(server, client);
     }
 
-    private void reloadIfChanged() {
-        if (stamp().equals(mStamp)) {
-            return;
-        }
-        try {
-            load();
-            LogLine.of("certificates_reloaded").with("certificate", mCertificate).info();
-        } catch (SSLException | IllegalArgumentException unusable) {
-            LogLine.of("certificates_unusable").with("detail", unusable.getMessage()).warn();
-        }
-    }
-
-    private List<Long> stamp() {
-        List<Long> stamp = new ArrayList<>();
-        for (Path path : List.of(mCertificate, mKey, mAuthorities)) {
-            File file = path.toFile();
-            stamp.add(Files.isReadable(path) ? file.lastModified() : -1L);
-            stamp.add(file.length());
-        }
-        return stamp;
-    }
+    private record Contexts(SslContext server, SslContext client) {}
 }
--- /dev/null
+++ b/src/main/java/ebonygw/process/EntryFlags.java
@@ -0,0 +1,72 @@
+package ebonygw.process;
+
+import ebonygw.tls.ServerTls;
+import java.nio.file.Path;
+import java.util.Optional;
+import javax.net.ssl.SSLContext;
+import org.kohsuke.args4j.Option;
+
+/** Flags of an entry process. */
+public final class EntryFlags extends CommonFlags implements Flags<EntrySettings> {
+    @Option(name = "--caller-address", metaVar = "IP:PORT", usage = "where to listen for callers")
+    private String mCallerAddress = "0.0.0.0:8080";
+
+    @Option(
+            name = "--caller-certificate",
+            metaVar = "FILE",
+            usage = "PEM file of the certificate for callers, with its chain")
+    private String mCallerCertificate;
+
+    @Option(
+            name = "--caller-key",
+            metaVar = "FILE",
+            usage = "PEM file of the private key to --caller-certificate, PKCS #8, no password")
+    private String mCallerKey;
+
+    @Option(name = "--max-requests", metaVar = "COUNT", usage = "most requests open at once")
+    private int mMaxRequests = 4_096;
+
+    @Option(name = "--max-body", metaVar = "BYTES", usage = "longest body of a request")
+    private int mMaxBodyBytes = 1 << 20;
+
+    @Option(name = "--io-threads", metaVar = "COUNT", usage = "threads that serve callers")
+    private int mIoThreads = 2;
+
+    @Option(
+            name = "--max-links",
+            metaVar = "COUNT",
+            usage = "most target processes that it keeps links to")
+    private int mMaxLinks = 64;
+
+    /** Creates flags with their defaults. */
+    public EntryFlags() {}
+
+    @Override
+    public EntrySettings settings(FlagReader reader) {
+        reader.bounds("--max-requests", mMaxRequests, 1, 1_000_000);
+        reader.bounds("--max-body", mMaxBodyBytes, 1, 16 << 20);
+        reader.bounds("--io-threads", mIoThreads, 1, 256);
+        reader.bounds("--max-links", mMaxLinks, 1, 65_536);
+        return new EntrySettings(
+                common(reader),
+                reader.address("--caller-address", mCallerAddress),
+                callerTls(reader),
+                mMaxRequests,
+                mMaxBodyBytes,
+                mIoThreads,
+                mMaxLinks);
+    }
+
+    private Optional<SSLContext> callerTls(FlagReader reader) {
+        if (mCallerCertificate == null && mCallerKey == null) {
+            return Optional.empty();
+        }
+        if (mCallerCertificate == null || mCallerKey == null) {
+            reader.fault("--caller-certificate and --caller-key are set together or not at all");
+            return Optional.empty();
+        }
+        return reader.file(
+                "--caller-certificate",
+                () -> ServerTls.context(Path.of(mCallerCertificate), Path.of(mCallerKey)));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/process/EntrySettings.java
@@ -0,0 +1,25 @@
+package ebonygw.process;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import javax.net.ssl.SSLContext;
+
+/**
+ * Settings of an entry process.
+ *
+ * @param common what target processes have too
+ * @param callerAddress where it listens for callers
+ * @param callerTls certificate for callers, empty for plain HTTP
+ * @param maxRequests most requests open at once
+ * @param maxBodyBytes longest body of a request
+ * @param ioThreads threads that read from and write to callers
+ * @param maxLinks most target processes that it keeps links to
+ */
+public record EntrySettings(
+        CommonSettings common,
+        InetSocketAddress callerAddress,
+        Optional<SSLContext> callerTls,
+        int maxRequests,
+        int maxBodyBytes,
+        int ioThreads,
+        int maxLinks) {}
--- /dev/null
+++ b/src/main/java/ebonygw/process/OperatorListener.java
@@ -0,0 +1,113 @@
+package ebonygw.process;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import ebonygw.log.LogLine;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.server.handlers.PathHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.Callable;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Answers operators over HTTP on an address that callers cannot reach: {@code /metrics}, {@code
+ * /dump}, {@code /ready} and {@code /live}.
+ *
+ * <p>Thread-safe.
+ */
+public final class OperatorListener implements AutoCloseable {
+    private static final int WORKER_THREADS = 2;
+    private static final ObjectMapper JSON =
+            new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    private final Undertow mServer;
+
+    /**
+     * Creates a listener; it listens after {@link #start}.
+     *
+     * @param address where to listen, port 0 for any free one
+     * @param metrics metrics of the process
+     * @param dump reads the state of the process, free of secrets
+     * @param ready whether the process takes requests
+     * @param further handlers by prefix of the path
+     */
+    public OperatorListener(
+            InetSocketAddress address,
+            PrometheusMeterRegistry metrics,
+            Callable<Map<String, Object>> dump,
+            BooleanSupplier ready,
+            Map<String, HttpHandler> further) {
+        Objects.requireNonNull(metrics, "metrics");
+        PathHandler paths =
+                new PathHandler()
+                        .addExactPath("/metrics", send("text/plain", metrics::scrape))
+                        .addExactPath("/dump", send("application/json", () -> json(dump.call())))
+                        .addExactPath("/live", send("application/json", () -> "{\"live\":true}"))
+                        .addExactPath("/ready", exchange -> sendReady(exchange, ready));
+        further.forEach(paths::addPrefixPath);
+        mServer =
+                Undertow.builder()
+                        .addHttpListener(address.getPort(), address.getHostString())
+                        .setIoThreads(1)
+                        .setWorkerThreads(WORKER_THREADS)
+                        .setHandler(paths)
+                        .build();
+    }
+
+    /** Returns the address that it listens on, after the start. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws RuntimeException if the address cannot be listened on
+     */
+    public void start() {
+        mServer.start();
+    }
+
+    private static String json(Object value) throws IOException {
+        return JSON.writeValueAsString(value);
+    }
+
+    private static HttpHandler send(String type, Callable<String> body) {
+        HttpHandler handler =
+                exchange -> {
+                    try {
+                        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
+                        exchange.getResponseSender().send(body.call(), StandardCharsets.UTF_8);
+                    } catch (IOException | RuntimeException failure) {
+                        LogLine.of("operator_request_failed")
+                                .with("path", exchange.getRequestPath())
+                                .error(failure);
+                        exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
+                        exchange.getResponseSender().send("{\"error\":\"see the log\"}");
+                    }
+                };
+        return new BlockingHandler(handler);
+    }
+
+    private static void sendReady(HttpServerExchange exchange, BooleanSupplier ready) {
+        boolean isReady = ready.getAsBoolean();
+        exchange.setStatusCode(isReady ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send("{\"ready\":" + isReady + "}");
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/process/ProcessRunner.java
@@ -0,0 +1,74 @@
+package ebonygw.process;
+
+import ebonygw.log.LogLine;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Runs a process to its end: a signal to terminate asks it to stop gracefully, within a bound.
+ *
+ * <p>The exit status is 0 after a graceful stop and 1 if the bound was reached; what remained is
+ * logged then.
+ */
+public final class ProcessRunner {
+    private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final RunningProcess mProcess;
+    private final long mStopTimeoutNanos;
+    private final AtomicBoolean mEnded = new AtomicBoolean();
+
+    private ProcessRunner(RunningProcess process, long stopTimeoutNanos) {
+        mProcess = Objects.requireNonNull(process, "process");
+        mStopTimeoutNanos = stopTimeoutNanos;
+    }
+
+    /**
+     * Waits for a process to end.
+     *
+     * @param process the process, already started
+     * @param stopTimeoutNanos longest time that its node takes to stop
+     * @return the exit status
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public static int run(RunningProcess process, long stopTimeoutNanos)
+            throws InterruptedException {
+        ProcessRunner runner = new ProcessRunner(process, stopTimeoutNanos);
+        Runtime.getRuntime().addShutdownHook(new Thread(runner::onSignal, "stop"));
+        process.awaitExit(Long.MAX_VALUE);
+        return runner.end(true);
+    }
+
+    /** Stops gracefully, or reports what remained; returns the exit status. */
+    static int stop(RunningProcess process, long stopTimeoutNanos) throws InterruptedException {
+        process.askStop();
+        boolean graceful = process.awaitExit(stopTimeoutNanos + GRACE_NANOS);
+        return new ProcessRunner(process, stopTimeoutNanos).end(graceful);
+    }
+
+    private int end(boolean graceful) throws InterruptedException {
+        if (!mEnded.compareAndSet(false, true)) {
+            Thread.currentThread().join();
+        }
+        if (!graceful) {
+            LogLine.of("stop_overrun").with("remaining", mProcess.dump()).error();
+        }
+        mProcess.close();
+        LogLine.of("stopped").with("graceful", graceful).info();
+        return graceful ? 0 : 1;
+    }
+
+    private void onSignal() {
+        if (mEnded.get()) {
+            return;
+        }
+        try {
+            mProcess.askStop();
+            boolean graceful = mProcess.awaitExit(mStopTimeoutNanos + GRACE_NANOS);
+            Runtime.getRuntime().halt(end(graceful));
+        } catch (InterruptedException interrupted) {
+            LogLine.of("stop_interrupted").error(interrupted);
+            Runtime.getRuntime().halt(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/tls/package-info.java
@@ -0,0 +1,2 @@
+/** Certificate and key files, read again when they change. */
+package ebonygw.tls;
--- /dev/null
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -0,0 +1,167 @@
+package ebonygw.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberMessage;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.request.Payload;
+import ebonygw.request.Refusal;
+import ebonygw.request.RefusalCode;
+import ebonygw.request.RequestId;
+import ebonygw.request.RequestMessage;
+import ebonygw.request.Verdict;
+import ebonygw.request.Work;
+import ebonygw.wire.PeerProtocol;
+import ebonygw.wire.PeerProtocol.Envelope;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class PeerCodecProperties {
+    private final PeerCodec mCodec = new PeerCodec(List.of());
+
+    @Property(seed = "1", tries = 300)
+    void whatIsWrittenIsReadAgain(@ForAll long seed) throws Exception {
+        for (Message message : messages(new Random(seed))) {
+            byte[] bytes = mCodec.encode(message).toByteArray();
+            assertThat(mCodec.decode(Envelope.parseFrom(bytes))).contains(message);
+        }
+    }
+
+    @Property(seed = "2", tries = 2_000)
+    void anyBytesAreReadAsAMessageOrRefusedAsMalformed(@ForAll byte[] bytes) {
+        try {
+            mCodec.decode(Envelope.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
+            assertThat(malformed).isNotNull();
+        }
+    }
+
+    @Property(seed = "3", tries = 500)
+    void aDamagedMessageIsReadAsSomeMessageOrRefusedAsMalformed(@ForAll long seed) {
+        Random random = new Random(seed);
+        for (Message message : messages(random)) {
+            byte[] bytes = mCodec.encode(message).toByteArray();
+            bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+            anyBytesAreReadAsAMessageOrRefusedAsMalformed(bytes);
+        }
+    }
+
+    @Example
+    void anUnknownCodeReadsAsUnavailableAndAnUnknownVerdictAsMayHaveRun() {
+        Envelope.Builder envelope = Envelope.newBuilder();
+        envelope.getFailedBuilder()
+                .setId(PeerProtocol.RequestId.newBuilder().setEntry("e"))
+                .setCode("CODE_OF_A_LATER_VERSION")
+                .setVerdict(99);
+        RequestMessage.Failed failed =
+                (RequestMessage.Failed) mCodec.decode(envelope.build()).orElseThrow();
+        assertThat(failed.refusal().code()).isEqualTo(RefusalCode.UNAVAILABLE);
+        assertThat(failed.refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Example
+    void aMissingVerdictNeverReadsAsNotRun() {
+        Envelope.Builder envelope = Envelope.newBuilder();
+        envelope.getFailedBuilder().setId(PeerProtocol.RequestId.newBuilder().setEntry("e"));
+        RequestMessage.Failed failed =
+                (RequestMessage.Failed) mCodec.decode(envelope.build()).orElseThrow();
+        assertThat(failed.refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Example
+    void aMessageWithoutTheNameOfItsProcessIsMalformed() {
+        Envelope hello = Envelope.newBuilder().setHello(PeerProtocol.Hello.newBuilder()).build();
+        Envelope run = Envelope.newBuilder().setRun(PeerProtocol.Run.newBuilder()).build();
+        assertThatThrownBy(() -> mCodec.decode(hello)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> mCodec.decode(run)).isInstanceOf(IllegalArgumentException.class);
+    }
+
+    @Example
+    void anEnvelopeWithoutAKnownKindIsNoMessage() {
+        assertThat(mCodec.decode(Envelope.getDefaultInstance())).isEmpty();
+    }
+
+    private static List<Message> messages(Random random) {
+        RequestId id =
+                new RequestId(new NodeId("e" + word(random)), random.nextLong(), number(random));
+        int attempt = random.nextInt(5);
+        Map<String, String> headers = Map.of("a" + word(random), word(random), "b", word(random));
+        ByteString data = ByteString.copyFromUtf8(word(random));
+        AdapterVersion adapter = new AdapterVersion(word(random), word(random));
+        Work work =
+                new Work(
+                        id,
+                        attempt,
+                        word(random),
+                        word(random),
+                        word(random),
+                        random.nextBoolean() ? Optional.of(adapter) : Optional.empty(),
+                        random.nextBoolean(),
+                        random.nextInt(),
+                        number(random),
+                        number(random),
+                        random.nextLong(),
+                        random.nextBoolean(),
+                        new Payload(word(random), word(random), headers, data));
+        Refusal refusal =
+                new Refusal(
+                        RefusalCode.values()[random.nextInt(RefusalCode.values().length)],
+                        Verdict.values()[random.nextInt(Verdict.values().length)],
+                        word(random),
+                        number(random));
+        Member member =
+                new Member(
+                        new NodeId("m" + word(random)),
+                        random.nextLong(),
+                        Role.values()[random.nextInt(2)],
+                        MemberState.values()[random.nextInt(5)],
+                        new Locality(word(random), word(random)),
+                        word(random),
+                        word(random));
+        return List.of(
+                new RequestMessage.Run(work, number(random), random.nextInt(100)),
+                new RequestMessage.Head(id, attempt, random.nextInt(600), headers),
+                new RequestMessage.Body(id, attempt, number(random), data),
+                new RequestMessage.End(id, attempt, number(random), random.nextLong()),
+                new RequestMessage.Failed(id, attempt, refusal),
+                new RequestMessage.Cancel(id, attempt),
+                new RequestMessage.Credit(id, attempt, random.nextInt(100)),
+                new MemberMessage.Hello(member, number(random)),
+                new MemberMessage.Heartbeat(number(random), number(random)),
+                new MemberMessage.TargetReport(
+                        number(random),
+                        random.nextInt(9),
+                        random.nextInt(9),
+                        random.nextInt(9),
+                        number(random),
+                        List.of(adapter, adapter),
+                        List.of(adapter)));
+    }
+
+    private static long number(Random random) {
+        return random.nextLong() >>> (1 + random.nextInt(60));
+    }
+
+    private static String word(Random random) {
+        StringBuilder word = new StringBuilder();
+        int length = random.nextInt(12);
+        for (int i = 0; i < length; i++) {
+            word.appendCodePoint(random.nextInt(0xd800));
+        }
+        return word.toString();
+    }
+}
