--- /dev/null
+++ b/src/main/java/ebonygw/peer/PeerTls.java
@@ -0,0 +1,71 @@
+package ebonygw.peer;
+
+import ebonygw.tls.Reloaded;
+import io.netty.channel.Channel;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslProvider;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import javax.net.ssl.SSLException;
+
+/**
+ * Certificates for links that are encrypted and proven on both ends.
+ *
+ * <p>The files are looked at again before each new connection; links that are up keep theirs. A
+ * process is trusted if its certificate was issued by the given authorities; processes have no host
+ * names, so names in certificates are not compared. Thread-safe.
+ */
+public final class PeerTls {
+    private static final String[] PROTOCOLS = {"TLSv1.3", "TLSv1.2"};
+
+    private final Path mCertificate;
+    private final Path mKey;
+    private final Path mAuthorities;
+    private final Reloaded<Contexts> mContexts;
+
+    /**
+     * Reads the files.
+     *
+     * @param certificate PEM file of this process's certificate chain
+     * @param key PEM file of its private key, PKCS #8 without password
+     * @param authorities PEM file of the certificates whose issue is trusted
+     * @throws IllegalArgumentException if a file cannot be read or used
+     */
+    public PeerTls(Path certificate, Path key, Path authorities) {
+        mCertificate = Objects.requireNonNull(certificate, "certificate");
+        mKey = Objects.requireNonNull(key, "key");
+        mAuthorities = Objects.requireNonNull(authorities, "authorities");
+        mContexts = new Reloaded<>(List.of(certificate, key, authorities), this::load);
+    }
+
+    /** Returns the handler of a new connection. */
+    SslHandler handler(Channel channel, boolean client) {
+        Contexts contexts = mContexts.value();
+        return (client ? contexts.client : contexts.server).newHandler(channel.alloc());
+    }
+
+    private Contexts load() throws SSLException {
+        SslContext server =
+                SslContextBuilder.forServer(mCertificate.toFile(), mKey.toFile())
+                        .sslProvider(SslProvider.JDK)
+                        .trustManager(mAuthorities.toFile())
+                        .clientAuth(ClientAuth.REQUIRE)
+                        .protocols(PROTOCOLS)
+                        .build();
+        SslContext client =
+                SslContextBuilder.forClient()
+                        .sslProvider(SslProvider.JDK)
+                        .keyManager(mCertificate.toFile(), mKey.toFile())
+                        .trustManager(mAuthorities.toFile())
+                        .endpointIdentificationAlgorithm(null)
+                        .protocols(PROTOCOLS)
+                        .build();
+        return new Contexts(server, client);
+    }
+
+    private record Contexts(SslContext server, SslContext client) {}
+}
