--- a/src/test/java/ebonygw/peer/PeerTransportTest.java
+++ b/src/test/java/ebonygw/peer/PeerTransportTest.java
@@ -6,7 +6,6 @@
 import ebonygw.membership.MemberMessage;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Role;
-import ebonygw.protocol.Locality;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.wire.PeerProtocol.Envelope;
@@ -20,16 +19,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class PeerTransportTest {
-    private static final long WAIT_SECONDS = 20;
-
     private final List<AutoCloseable> mOpen = new ArrayList<>();
 
     @AfterEach
@@ -41,16 +36,16 @@
 
     @Test
     void messagesOfOneLinkArriveInOrderInBothDirections() throws Exception {
-        Node entry = node("entry-1", 1, Role.ENTRY);
-        Node target = node("target-1", 1, Role.TARGET);
-        entry.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer entry = node("entry-1", 1, Role.ENTRY);
+        TestPeer target = node("target-1", 1, Role.TARGET);
+        entry.transport().links(Set.of(target.transport().self()));
         assertThat(entry.next()).isEqualTo("up target-1/1");
         assertThat(target.next()).isEqualTo("up entry-1/1");
         assertThat(entry.next()).isEqualTo("hello target-1 JOINING");
         assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
         for (int i = 0; i < 2_000; i++) {
-            entry.mTransport.send(target.id(), new MemberMessage.Heartbeat(i, 0));
-            target.mTransport.send(entry.id(), new MemberMessage.Heartbeat(i, 0));
+            entry.transport().send(target.id(), new MemberMessage.Heartbeat(i, 0));
+            target.transport().send(entry.id(), new MemberMessage.Heartbeat(i, 0));
         }
         for (int i = 0; i < 2_000; i++) {
             assertThat(target.next()).isEqualTo("heartbeat " + i);
@@ -60,24 +55,24 @@
 
     @Test
     void twoProcessesThatDialEachOtherEndWithOneLinkThatWorksBothWays() throws Exception {
-        Node first = node("a", 1, Role.ENTRY);
-        Node second = node("b", 1, Role.TARGET);
-        first.mTransport.links(Set.of(second.mTransport.self()));
-        second.mTransport.links(Set.of(first.mTransport.self()));
+        TestPeer first = node("a", 1, Role.ENTRY);
+        TestPeer second = node("b", 1, Role.TARGET);
+        first.transport().links(Set.of(second.transport().self()));
+        second.transport().links(Set.of(first.transport().self()));
         first.sendUntilAnswered(second);
         second.sendUntilAnswered(first);
-        assertThat(first.mTransport.size()).isEqualTo(1);
-        assertThat(second.mTransport.size()).isEqualTo(1);
+        assertThat(first.transport().size()).isEqualTo(1);
+        assertThat(second.transport().size()).isEqualTo(1);
     }
 
     @Test
     void aLostLinkIsReportedAndOpenedAgainWhenTheProcessIsBack() throws Exception {
-        Node entry = node("entry-1", 1, Role.ENTRY);
-        Node target = node("target-1", 1, Role.TARGET);
-        Member address = target.mTransport.self();
-        entry.mTransport.links(Set.of(address));
+        TestPeer entry = node("entry-1", 1, Role.ENTRY);
+        TestPeer target = node("target-1", 1, Role.TARGET);
+        Member address = target.transport().self();
+        entry.transport().links(Set.of(address));
         assertThat(entry.next()).isEqualTo("up target-1/1");
-        target.mTransport.close();
+        target.transport().close();
         entry.await("down target-1/1");
         node(address.withState(MemberState.JOINING), 2, PeerOptions.defaults());
         entry.await("up target-1/2");
@@ -85,41 +80,41 @@
 
     @Test
     void aGreaterIncarnationReplacesTheLinkAndAnOlderOneIsTurnedAway() throws Exception {
-        Node target = node("target-1", 1, Role.TARGET);
-        Node old = node("entry-1", 5, Role.ENTRY);
-        old.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer target = node("target-1", 1, Role.TARGET);
+        TestPeer old = node("entry-1", 5, Role.ENTRY);
+        old.transport().links(Set.of(target.transport().self()));
         assertThat(target.next()).isEqualTo("up entry-1/5");
         assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
-        Node restarted = node("entry-1", 6, Role.ENTRY);
-        restarted.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer restarted = node("entry-1", 6, Role.ENTRY);
+        restarted.transport().links(Set.of(target.transport().self()));
         assertThat(target.next()).isEqualTo("down entry-1/5");
         assertThat(target.next()).isEqualTo("up entry-1/6");
         old.await("down target-1/1");
-        restarted.mTransport.send(target.id(), new MemberMessage.Heartbeat(1, 0));
+        restarted.transport().send(target.id(), new MemberMessage.Heartbeat(1, 0));
         assertThat(target.next()).isEqualTo("hello entry-1 JOINING");
         assertThat(target.next()).isEqualTo("heartbeat 1");
-        assertThat(target.mTransport.size()).isEqualTo(1);
+        assertThat(target.transport().size()).isEqualTo(1);
     }
 
     @Test
     void theLastHelloSentIsTheFirstMessageOfLaterLinks() throws Exception {
-        Node entry = node("entry-1", 1, Role.ENTRY);
-        Node target = node("target-1", 1, Role.TARGET);
-        Member leaving = entry.mTransport.self().withState(MemberState.LEAVING);
-        entry.mTransport.send(new NodeId("nobody"), new MemberMessage.Hello(leaving, 9));
-        entry.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer entry = node("entry-1", 1, Role.ENTRY);
+        TestPeer target = node("target-1", 1, Role.TARGET);
+        Member leaving = entry.transport().self().withState(MemberState.LEAVING);
+        entry.transport().send(new NodeId("nobody"), new MemberMessage.Hello(leaving, 9));
+        entry.transport().links(Set.of(target.transport().self()));
         assertThat(target.next()).isEqualTo("up entry-1/1");
         assertThat(target.next()).isEqualTo("hello entry-1 LEAVING");
     }
 
     @Test
     void aLinkThatIsNotWantedAnyMoreIsClosedAfterWhatWaitsIsSent() throws Exception {
-        Node entry = node("entry-1", 1, Role.ENTRY);
-        Node target = node("target-1", 1, Role.TARGET);
-        entry.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer entry = node("entry-1", 1, Role.ENTRY);
+        TestPeer target = node("target-1", 1, Role.TARGET);
+        entry.transport().links(Set.of(target.transport().self()));
         assertThat(entry.next()).isEqualTo("up target-1/1");
-        entry.mTransport.send(target.id(), new MemberMessage.Heartbeat(7, 0));
-        entry.mTransport.links(Set.of());
+        entry.transport().send(target.id(), new MemberMessage.Heartbeat(7, 0));
+        entry.transport().links(Set.of());
         target.await("heartbeat 7");
         assertThat(target.next()).isEqualTo("down entry-1/1");
         entry.await("down target-1/1");
@@ -132,7 +127,7 @@
                         .withIdle(
                                 TimeUnit.MILLISECONDS.toNanos(50),
                                 TimeUnit.MILLISECONDS.toNanos(300));
-        Node target = node(member("target-1", 1, Role.TARGET), 1, quick);
+        TestPeer target = node(TestPeer.member("target-1", 1, Role.TARGET), 1, quick);
         try (Socket silent = connect(target)) {
             silent.getOutputStream().write(frame(hello("entry-1", 3)));
             assertThat(target.next()).isEqualTo("up entry-1/3");
@@ -147,31 +142,31 @@
                         .withIdle(
                                 TimeUnit.MILLISECONDS.toNanos(20),
                                 TimeUnit.MILLISECONDS.toNanos(2_000));
-        Node entry = node(member("entry-1", 1, Role.ENTRY), 1, quick);
-        Node target = node(member("target-1", 1, Role.TARGET), 1, quick);
-        entry.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer entry = node(TestPeer.member("entry-1", 1, Role.ENTRY), 1, quick);
+        TestPeer target = node(TestPeer.member("target-1", 1, Role.TARGET), 1, quick);
+        entry.transport().links(Set.of(target.transport().self()));
         assertThat(entry.next()).isEqualTo("up target-1/1");
         assertThat(entry.next()).isEqualTo("hello target-1 JOINING");
-        assertThat(entry.mSeen.poll(2_500, TimeUnit.MILLISECONDS)).isNull();
+        assertThat(entry.seen().poll(2_500, TimeUnit.MILLISECONDS)).isNull();
     }
 
     @Test
     void aReaderThatStandsStillClosesTheLinkAtTheBoundAndNotTheSender() throws Exception {
         PeerOptions small = PeerOptions.defaults().withMaxQueued(100, 1 << 20);
-        Node entry = node(member("entry-1", 1, Role.ENTRY), 1, small);
+        TestPeer entry = node(TestPeer.member("entry-1", 1, Role.ENTRY), 1, small);
         CountDownLatch release = new CountDownLatch(1);
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             Member stuck =
                     PeerAddresses.withPort(
-                            member("target-1", 1, Role.TARGET), server.getLocalPort());
-            entry.mTransport.links(Set.of(stuck));
+                            TestPeer.member("target-1", 1, Role.TARGET), server.getLocalPort());
+            entry.transport().links(Set.of(stuck));
             Thread reader = new Thread(() -> helloThenStandStill(server, release));
             reader.start();
             assertThat(entry.next()).isEqualTo("up target-1/1");
             assertThat(entry.next()).isEqualTo("hello target-1 JOINING");
             Message large = largeReport();
-            for (int i = 0; i < 3_000 && entry.mSeen.isEmpty(); i++) {
-                entry.mTransport.send(stuck.id(), large);
+            for (int i = 0; i < 3_000 && entry.seen().isEmpty(); i++) {
+                entry.transport().send(stuck.id(), large);
             }
             assertThat(entry.next()).isEqualTo("down target-1/1");
             release.countDown();
@@ -181,7 +176,7 @@
 
     @Test
     void malformedBytesCloseTheLinkAndNothingElse() throws Exception {
-        Node target = node("target-1", 1, Role.TARGET);
+        TestPeer target = node("target-1", 1, Role.TARGET);
         Random random = new Random(3);
         for (int i = 0; i < 50; i++) {
             byte[] noise = new byte[random.nextInt(200)];
@@ -193,27 +188,27 @@
                 readToEnd(socket.getInputStream());
             }
         }
-        Node entry = node("entry-1", 1, Role.ENTRY);
-        entry.mTransport.links(Set.of(target.mTransport.self()));
+        TestPeer entry = node("entry-1", 1, Role.ENTRY);
+        entry.transport().links(Set.of(target.transport().self()));
         assertThat(entry.next()).isEqualTo("up target-1/1");
         target.await("up entry-1/1");
     }
 
     @Test
     void aHelloOfAnotherProcessThanTheOneDialledIsNotTaken() throws Exception {
-        Node entry = node("entry-1", 1, Role.ENTRY);
-        Node target = node("target-2", 1, Role.TARGET);
-        Member wrong = member("target-1", 1, Role.TARGET);
-        int port = PeerAddresses.parse(target.mTransport.self().address()).getPort();
-        entry.mTransport.links(Set.of(PeerAddresses.withPort(wrong, port)));
+        TestPeer entry = node("entry-1", 1, Role.ENTRY);
+        TestPeer target = node("target-2", 1, Role.TARGET);
+        Member wrong = TestPeer.member("target-1", 1, Role.TARGET);
+        int port = PeerAddresses.parse(target.transport().self().address()).getPort();
+        entry.transport().links(Set.of(PeerAddresses.withPort(wrong, port)));
         assertThat(target.next()).isEqualTo("up entry-1/1");
         target.await("down entry-1/1");
-        assertThat(entry.mSeen).isEmpty();
+        assertThat(entry.seen()).isEmpty();
     }
 
     @Test
     void unknownKindsAreSkipped() throws Exception {
-        Node target = node("target-1", 1, Role.TARGET);
+        TestPeer target = node("target-1", 1, Role.TARGET);
         byte[] unknownField = {(byte) 0xfa, 0x3f, 1, 'x'};
         try (Socket socket = connect(target)) {
             socket.getOutputStream().write(frame(hello("entry-1", 1)));
@@ -229,8 +224,8 @@
         }
     }
 
-    private static Socket connect(Node node) throws Exception {
-        int port = PeerAddresses.parse(node.mTransport.self().address()).getPort();
+    private static Socket connect(TestPeer node) throws Exception {
+        int port = PeerAddresses.parse(node.transport().self().address()).getPort();
         return new Socket("127.0.0.1", port);
     }
 
@@ -242,7 +237,7 @@
     }
 
     private static byte[] hello(String id, long incarnation) {
-        Member member = member(id, incarnation, Role.ENTRY);
+        Member member = TestPeer.member(id, incarnation, Role.ENTRY);
         Envelope hello = new PeerCodec(List.of()).encode(new MemberMessage.Hello(member, 0));
         return hello.toByteArray();
     }
@@ -262,18 +257,7 @@
         return new MemberMessage.TargetReport(1, 0, 0, 1, 0, List.of(adapter), List.of());
     }
 
-    private static Member member(String id, long incarnation, Role role) {
-        return new Member(
-                new NodeId(id),
-                incarnation,
-                role,
-                MemberState.JOINING,
-                new Locality("kingston", "kingston-1"),
-                "127.0.0.1:0",
-                "");
-    }
-
-    private Node node(Member member, long incarnation, PeerOptions options) {
+    private TestPeer node(Member member, long incarnation, PeerOptions options) {
         Member self =
                 new Member(
                         member.id(),
@@ -283,13 +267,13 @@
                         member.locality(),
                         member.address(),
                         member.serves());
-        Node node = new Node(self, options);
-        mOpen.add(node.mTransport);
+        TestPeer node = new TestPeer(self, options, Optional.empty());
+        mOpen.add(node);
         return node;
     }
 
-    private Node node(String id, long incarnation, Role role) {
-        return node(member(id, incarnation, role), incarnation, PeerOptions.defaults());
+    private TestPeer node(String id, long incarnation, Role role) {
+        return node(TestPeer.member(id, incarnation, role), incarnation, PeerOptions.defaults());
     }
 
     private static void readToEnd(InputStream in) {
@@ -299,69 +283,4 @@
             assertThat(reset.getMessage()).isNotEmpty();
         }
     }
-
-    /** A transport whose listener writes down what it hears. */
-    private static final class Node implements PeerListener {
-        private final BlockingQueue<String> mSeen = new LinkedBlockingQueue<>();
-        private final PeerTransport mTransport;
-
-        Node(Member self, PeerOptions options) {
-            mTransport =
-                    new PeerTransport(
-                            self,
-                            options,
-                            new PeerCodec(List.of()),
-                            Optional.empty(),
-                            new Random(1),
-                            this);
-        }
-
-        void await(String wanted) throws InterruptedException {
-            for (String seen = next(); !seen.equals(wanted); seen = next()) {
-                assertThat(seen).isNotEmpty();
-            }
-        }
-
-        @Override
-        public void down(NodeId peer, long incarnation) {
-            mSeen.add("down " + peer + "/" + incarnation);
-        }
-
-        NodeId id() {
-            return mTransport.self().id();
-        }
-
-        @Override
-        public void message(NodeId peer, long incarnation, Message message) {
-            if (message instanceof MemberMessage.Heartbeat heartbeat) {
-                mSeen.add("heartbeat " + heartbeat.sequence());
-            } else if (message instanceof MemberMessage.Hello hello) {
-                mSeen.add("hello " + hello.self().id() + " " + hello.self().state());
-            } else {
-                mSeen.add("other");
-            }
-        }
-
-        String next() throws InterruptedException {
-            String seen = mSeen.poll(WAIT_SECONDS, TimeUnit.SECONDS);
-            assertThat(seen).as("seen in time by %s", id()).isNotNull();
-            return seen;
-        }
-
-        void sendUntilAnswered(Node other) throws InterruptedException {
-            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-            String seen = "";
-            while (!seen.startsWith("heartbeat") && System.nanoTime() < end) {
-                mTransport.send(other.id(), new MemberMessage.Heartbeat(1, 0));
-                String polled = other.mSeen.poll(50, TimeUnit.MILLISECONDS);
-                seen = polled == null ? "" : polled;
-            }
-            assertThat(seen).startsWith("heartbeat");
-        }
-
-        @Override
-        public void up(NodeId peer, long incarnation) {
-            mSeen.add("up " + peer + "/" + incarnation);
-        }
-    }
 }
