--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -40,6 +40,8 @@
 
     private static Map<String, Command> commands() {
         Map<String, Command> commands = new TreeMap<>();
+        commands.put("check", new CheckCommand());
+        commands.put("dump", new DumpCommand());
         return commands;
     }
 }
--- /dev/null
+++ b/src/main/java/ebonygw/process/EntryProcess.java
@@ -0,0 +1,201 @@
+package ebonygw.process;
+
+import ebonygw.EntryEffect;
+import ebonygw.EntryEvent;
+import ebonygw.caller.CallerDecisions;
+import ebonygw.caller.CallerOptions;
+import ebonygw.caller.CallerServer;
+import ebonygw.log.LogLine;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.peer.FamilyCodec;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.Refusal;
+import ebonygw.request.RefusalCode;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+
+/**
+ * An entry process: its node with the transports around it.
+ *
+ * <p>Thread-safe.
+ */
+public final class EntryProcess implements RunningProcess {
+    private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final ProcessShell<EntryEvent, EntryEffect> mShell;
+    private final NodeRuntime<EntryEvent> mRuntime;
+    private final CallerServer mCallers;
+    private final RequestTimes mTimes;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+    private long mNowNanos;
+
+    private EntryProcess(
+            EntrySettings settings, List<FamilyCodec> families, Map<String, HttpHandler> operators)
+            throws IOException {
+        CommonSettings common = settings.common();
+        Member self =
+                new Member(
+                        new NodeId(common.id()),
+                        0,
+                        Role.ENTRY,
+                        MemberState.JOINING,
+                        common.locality(),
+                        common.peerAddress(),
+                        "");
+        mShell = new ProcessShell<>(common, self, families, new EntryEvents(), operators);
+        mRuntime = mShell.runtime();
+        mTimes = new RequestTimes(mShell.metrics().registry());
+        mCallers =
+                new CallerServer(
+                        callerOptions(settings, mRuntime.self()),
+                        new CallerDecisions(this::post, mShell::ready, mShell::settings));
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param settings its settings
+     * @param families codecs of the messages beside those of requests and members
+     * @param operators handlers of the operators' listener by prefix of the path
+     * @param node makes the node of this process
+     * @return the process, which listens
+     * @throws IOException if a client cannot be created
+     * @throws IllegalStateException if an address cannot be listened on
+     */
+    public static EntryProcess start(
+            EntrySettings settings,
+            List<FamilyCodec> families,
+            Map<String, HttpHandler> operators,
+            Function<Member, NodeDriver<EntryEvent, EntryEffect>> node)
+            throws IOException {
+        EntryProcess process = new EntryProcess(settings, families, operators);
+        try {
+            process.start(node.apply(process.mRuntime.self()));
+        } catch (IllegalStateException cannotListen) {
+            process.close();
+            throw cannotListen;
+        }
+        return process;
+    }
+
+    @Override
+    public void askStop() {
+        mRuntime.askStop();
+    }
+
+    @Override
+    public boolean awaitExit(long timeoutNanos) throws InterruptedException {
+        return mRuntime.awaitExit(timeoutNanos);
+    }
+
+    /** Returns the address that it listens on for callers. */
+    public InetSocketAddress callerAddress() {
+        return mCallers.address();
+    }
+
+    @Override
+    public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
+        try {
+            mCallers.stop(DRAIN_NANOS);
+        } catch (InterruptedException interrupted) {
+            LogLine.of("drain_interrupted").warn();
+            Thread.currentThread().interrupt();
+        }
+        mShell.close();
+    }
+
+    @Override
+    public Map<String, Object> dump() throws InterruptedException {
+        return mRuntime.dump();
+    }
+
+    /** Returns the address of the operators' listener. */
+    public InetSocketAddress operatorAddress() {
+        return mShell.operatorAddress();
+    }
+
+    /** Returns whether it takes requests. */
+    public boolean ready() {
+        return mShell.ready();
+    }
+
+    /** Returns this process as others see it. */
+    public Member self() {
+        return mRuntime.self();
+    }
+
+    private static CallerOptions callerOptions(EntrySettings settings, Member self) {
+        InetSocketAddress address = settings.callerAddress();
+        CallerOptions usual =
+                CallerOptions.of(
+                        self.id(),
+                        self.incarnation(),
+                        address.getAddress().getHostAddress(),
+                        address.getPort());
+        return new CallerOptions(
+                usual.node(),
+                usual.incarnation(),
+                usual.address(),
+                usual.port(),
+                settings.callerTls(),
+                settings.ioThreads(),
+                settings.maxRequests(),
+                settings.maxBodyBytes(),
+                usual.maxBufferedBytes(),
+                usual.maxHeaderBytes(),
+                usual.bodyTimeoutNanos(),
+                usual.writeTimeoutNanos(),
+                usual.defaultMaxTokens());
+    }
+
+    private void apply(EntryEffect effect) {
+        mTimes.onEffect(effect, mNowNanos);
+        if (effect instanceof EntryEffect.Send send) {
+            mRuntime.send(send.to(), send.message());
+        } else if (effect instanceof EntryEffect.KeyValue call) {
+            mRuntime.keyValue(call.callId(), call.call());
+        } else if (effect instanceof EntryEffect.Links links) {
+            mRuntime.links(links.members());
+        } else if (effect instanceof EntryEffect.Log log) {
+            mRuntime.log(log.event(), log.fields());
+        } else if (effect instanceof EntryEffect.Exit) {
+            mRuntime.exit();
+        } else {
+            mCallers.apply(effect);
+        }
+    }
+
+    private void post(EntryEvent event) {
+        if (!(event instanceof EntryEvent.CallerAsked asked)) {
+            mRuntime.loop().put(event);
+        } else if (!mRuntime.loop().offer(event)) {
+            Refusal refusal =
+                    Refusal.notRun(RefusalCode.OVERLOADED, "the control thread is overloaded");
+            mCallers.apply(new EntryEffect.Refused(asked.exchange(), refusal));
+        }
+    }
+
+    private void start(NodeDriver<EntryEvent, EntryEffect> node) {
+        NodeDriver.Handler<EntryEvent, EntryEffect> timed =
+                (event, nowNanos, effects) -> {
+                    mNowNanos = nowNanos;
+                    mTimes.onEvent(event, nowNanos);
+                    node.handler().handle(event, nowNanos, effects);
+                };
+        mShell.start(
+                new NodeDriver<>(timed, node.dump(), node.ready(), node.settings()), this::apply);
+        Listeners.start(mCallers::start, "callers");
+        LogLine.of("callers_welcome").with("address", callerAddress()).info();
+    }
+}
--- a/src/main/java/ebonygw/process/FlagReader.java
+++ b/src/main/java/ebonygw/process/FlagReader.java
@@ -5,9 +5,7 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -18,7 +16,7 @@
 final class FlagReader {
     private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
     private static final String NO_TEXT = "none";
-    private static final Set<String> SCHEMES = Set.of("http", "https");
+    private static final String SCHEME = "http";
 
     private final List<String> mFaults = new ArrayList<>();
 
@@ -69,7 +67,7 @@
         return isMissing(flag, value) ? NO_TEXT : value;
     }
 
-    /** Reads a list of URLs, separated by commas, of schemes http and https. */
+    /** Reads a list of URLs, separated by commas, of scheme http. */
     List<URI> urls(String flag, String value) {
         if (isMissing(flag, value)) {
             return List.of();
@@ -92,11 +90,10 @@
     private Optional<URI> url(String flag, String text) {
         try {
             URI url = URI.create(text);
-            String scheme = url.getScheme() == null ? "" : url.getScheme().toLowerCase(Locale.ROOT);
-            if (SCHEMES.contains(scheme) && url.getHost() != null) {
+            if (SCHEME.equalsIgnoreCase(url.getScheme()) && url.getHost() != null) {
                 return Optional.of(url);
             }
-            fault(flag + ": not a URL of scheme http or https with a host: " + text);
+            fault(flag + ": not a URL of scheme http with a host: " + text);
         } catch (IllegalArgumentException malformed) {
             fault(flag + ": " + malformed.getMessage());
         }
--- a/src/main/java/ebonygw/process/OperatorListener.java
+++ b/src/main/java/ebonygw/process/OperatorListener.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import ebonygw.log.LogLine;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -36,21 +35,21 @@
      * Creates a listener; it listens after {@link #start}.
      *
      * @param address where to listen, port 0 for any free one
-     * @param metrics metrics of the process
+     * @param metrics reads the metrics of the process
      * @param dump reads the state of the process, free of secrets
      * @param ready whether the process takes requests
      * @param further handlers by prefix of the path
      */
     public OperatorListener(
             InetSocketAddress address,
-            PrometheusMeterRegistry metrics,
+            Callable<String> metrics,
             Callable<Map<String, Object>> dump,
             BooleanSupplier ready,
             Map<String, HttpHandler> further) {
         Objects.requireNonNull(metrics, "metrics");
         PathHandler paths =
                 new PathHandler()
-                        .addExactPath("/metrics", send("text/plain", metrics::scrape))
+                        .addExactPath("/metrics", send("text/plain", metrics))
                         .addExactPath("/dump", send("application/json", () -> json(dump.call())))
                         .addExactPath("/live", send("application/json", () -> "{\"live\":true}"))
                         .addExactPath("/ready", exchange -> sendReady(exchange, ready));
@@ -77,10 +76,10 @@
     /**
      * Starts to listen.
      *
-     * @throws RuntimeException if the address cannot be listened on
+     * @throws IllegalStateException if the address cannot be listened on
      */
     public void start() {
-        mServer.start();
+        Listeners.start(mServer, "operators");
     }
 
     private static String json(Object value) throws IOException {
