--- /dev/null
+++ b/src/main/java/ebonygw/settings/EffectiveCompiler.java
@@ -0,0 +1,235 @@
+package ebonygw.settings;
+
+import ebonygw.settings.FieldValue.Decimal;
+import ebonygw.settings.FieldValue.Flag;
+import ebonygw.settings.FieldValue.Names;
+import ebonygw.settings.FieldValue.Text;
+import ebonygw.settings.FieldValue.Whole;
+import io.vavr.collection.HashMap;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Brings the effective view up to date after some nodes were touched, and only for them and those
+ * below them.
+ *
+ * <p>Used once. Not thread-safe.
+ */
+final class EffectiveCompiler {
+    private final SettingsTree mTree;
+    private final List<EffectiveChange> mChanges = new ArrayList<>();
+    private HashMap<String, Optional<CustomerSettings>> mCustomers;
+    private HashMap<String, Optional<RouteSettings>> mRoutes;
+    private HashMap<String, Optional<AdapterSettings>> mAdapters;
+    private HashMap<String, HashMap<String, Optional<AdapterSettings>>> mAdaptersByOwner;
+    private HashMap<String, Optional<TargetSettings>> mTargets;
+    private HashMap<String, Optional<KeySettings>> mKeysById;
+    private HashMap<String, Optional<KeySettings>> mKeysByHash;
+
+    /** Creates a compiler from an old view to a new tree. */
+    EffectiveCompiler(EffectiveView old, SettingsTree tree) {
+        mTree = tree;
+        mCustomers = old.mCustomers;
+        mRoutes = old.mRoutes;
+        mAdapters = old.mAdapters;
+        mAdaptersByOwner = old.mAdaptersByOwner;
+        mTargets = old.mTargets;
+        mKeysById = old.mKeysById;
+        mKeysByHash = old.mKeysByHash;
+    }
+
+    /** Returns the effective settings that differ from the old view. */
+    List<EffectiveChange> changes() {
+        return mChanges;
+    }
+
+    /**
+     * Compiles what was touched.
+     *
+     * @param revision revision of the new view
+     * @param touched nodes with the kinds below them that may differ
+     * @param keys identifiers of the keys touched
+     * @return the new view
+     */
+    EffectiveView compile(long revision, Map<NodeKey, Set<NodeKind>> touched, Set<String> keys) {
+        Set<NodeKey> dirty = new LinkedHashSet<>();
+        touched.forEach((node, kinds) -> mTree.visit(node, kinds, dirty::add));
+        dirty.forEach(this::compile);
+        keys.forEach(this::compileKey);
+        return new EffectiveView(
+                revision,
+                mCustomers,
+                mRoutes,
+                mAdapters,
+                mAdaptersByOwner,
+                mTargets,
+                mKeysById,
+                mKeysByHash);
+    }
+
+    private AdapterSettings adapter(NodeKey key) {
+        return new AdapterSettings(
+                key.name(),
+                owner(key),
+                text(key, Field.MODEL),
+                names(key, Field.VERSIONS),
+                text(key, Field.DEFAULT_VERSION));
+    }
+
+    private void compile(NodeKey key) {
+        boolean exists = mTree.node(key).isPresent();
+        String name = key.name();
+        switch (key.kind()) {
+            case ADAPTER ->
+                    replaceAdapter(key, exists ? Optional.of(adapter(key)) : Optional.empty());
+            case CUSTOMER ->
+                    mCustomers =
+                            replace(
+                                    mCustomers,
+                                    key,
+                                    name,
+                                    exists ? Optional.of(customer(key)) : Optional.empty());
+            case ROUTE -> {
+                Optional<RouteSettings> route = exists ? Optional.of(route(key)) : Optional.empty();
+                String owner =
+                        route.or(() -> current(mRoutes, name)).map(RouteSettings::owner).orElse("");
+                mRoutes = replace(mRoutes, key, owner, route);
+            }
+            case TARGET ->
+                    mTargets =
+                            replace(
+                                    mTargets,
+                                    key,
+                                    "",
+                                    exists ? Optional.of(target(key)) : Optional.empty());
+            default -> {
+                // Organisations and regions have no effective settings of their own.
+            }
+        }
+    }
+
+    private void compileKey(String keyId) {
+        IssuedKey key = mTree.issuedKey(keyId).orElseThrow();
+        KeySettings settings = key.settings();
+        if (key.live()) {
+            Optional<KeySettings> value = Optional.of(settings);
+            mKeysById = mKeysById.put(keyId, value);
+            mKeysByHash = mKeysByHash.put(settings.sha256Hex(), value);
+        } else {
+            mKeysById = mKeysById.remove(keyId);
+            mKeysByHash = mKeysByHash.remove(settings.sha256Hex());
+        }
+    }
+
+    private static <T> Optional<T> current(HashMap<String, Optional<T>> map, String name) {
+        return map.getOrElse(name, Optional.empty());
+    }
+
+    private CustomerSettings customer(NodeKey key) {
+        return new CustomerSettings(
+                key.name(),
+                whole(key, Field.RATE),
+                whole(key, Field.BURST),
+                ((Decimal) mTree.effective(key, Field.WEIGHT)).value(),
+                (int) whole(key, Field.RETRY_PERCENT));
+    }
+
+    private boolean flag(NodeKey key, Field field) {
+        return ((Flag) mTree.effective(key, field)).value();
+    }
+
+    private Set<String> names(NodeKey key, Field field) {
+        return ((Names) mTree.effective(key, field)).value();
+    }
+
+    private String owner(NodeKey key) {
+        return mTree.ancestor(key, NodeKind.CUSTOMER).map(NodeKey::name).orElse("");
+    }
+
+    private <T extends Record> HashMap<String, Optional<T>> replace(
+            HashMap<String, Optional<T>> map, NodeKey key, String customer, Optional<T> after) {
+        Optional<T> before = current(map, key.name());
+        if (before.equals(after)) {
+            return map;
+        }
+        mChanges.add(
+                new EffectiveChange(
+                        key, customer, before.map(r -> (Record) r), after.map(r -> (Record) r)));
+        return after.isPresent() ? map.put(key.name(), after) : map.remove(key.name());
+    }
+
+    private void replaceAdapter(NodeKey key, Optional<AdapterSettings> after) {
+        Optional<AdapterSettings> before = current(mAdapters, key.name());
+        String owner = after.or(() -> before).map(AdapterSettings::owner).orElse("");
+        HashMap<String, Optional<AdapterSettings>> next = replace(mAdapters, key, owner, after);
+        if (next == mAdapters) {
+            return;
+        }
+        mAdapters = next;
+        before.ifPresent(
+                old ->
+                        mAdaptersByOwner =
+                                mAdaptersByOwner.put(
+                                        old.owner(), ofOwner(old.owner()).remove(key.name())));
+        after.ifPresent(
+                now ->
+                        mAdaptersByOwner =
+                                mAdaptersByOwner.put(
+                                        now.owner(), ofOwner(now.owner()).put(key.name(), after)));
+    }
+
+    private boolean modelIsNearer(NodeKey key) {
+        int model = mTree.distance(key, Field.MODEL);
+        int service = mTree.distance(key, Field.SERVICE);
+        return model >= 0 && service >= 0 && model < service;
+    }
+
+    private HashMap<String, Optional<AdapterSettings>> ofOwner(String owner) {
+        return mAdaptersByOwner.getOrElse(owner, HashMap.empty());
+    }
+
+    private RouteSettings route(NodeKey key) {
+        Set<String> regions = names(key, Field.REGIONS);
+        if (regions.isEmpty()) {
+            regions =
+                    mTree.farthestAncestor(key, NodeKind.REGION)
+                            .map(region -> Set.of(region.name()))
+                            .orElse(Set.of());
+        }
+        return new RouteSettings(
+                key.name(),
+                owner(key),
+                flag(key, Field.OPEN_TO_ALL),
+                serviceIsNearer(key) ? "" : text(key, Field.MODEL),
+                modelIsNearer(key) ? "" : text(key, Field.SERVICE),
+                flag(key, Field.IDEMPOTENT),
+                TimeUnit.MILLISECONDS.toNanos(whole(key, Field.TIMEOUT_MILLIS)),
+                (int) whole(key, Field.PRIORITY),
+                whole(key, Field.CHARGE),
+                regions);
+    }
+
+    private boolean serviceIsNearer(NodeKey key) {
+        int model = mTree.distance(key, Field.MODEL);
+        int service = mTree.distance(key, Field.SERVICE);
+        return model >= 0 && service >= 0 && service < model;
+    }
+
+    private TargetSettings target(NodeKey key) {
+        return new TargetSettings(
+                key.name(), text(key, Field.SERVES), flag(key, Field.CHECKS_FENCING));
+    }
+
+    private String text(NodeKey key, Field field) {
+        return ((Text) mTree.effective(key, field)).value();
+    }
+
+    private long whole(NodeKey key, Field field) {
+        return ((Whole) mTree.effective(key, field)).value();
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/settings/EffectiveView.java
@@ -0,0 +1,137 @@
+package ebonygw.settings;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Iterator;
+import java.util.AbstractCollection;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Effective settings in persistent maps, so that the next revision shares what does not change.
+ *
+ * <p>Look-ups allocate nothing. Thread-safe.
+ */
+final class EffectiveView implements SettingsView {
+    static final EffectiveView EMPTY =
+            new EffectiveView(
+                    0,
+                    HashMap.empty(),
+                    HashMap.empty(),
+                    HashMap.empty(),
+                    HashMap.empty(),
+                    HashMap.empty(),
+                    HashMap.empty(),
+                    HashMap.empty());
+
+    private final long mRevision;
+    final HashMap<String, Optional<CustomerSettings>> mCustomers;
+    final HashMap<String, Optional<RouteSettings>> mRoutes;
+    final HashMap<String, Optional<AdapterSettings>> mAdapters;
+    final HashMap<String, HashMap<String, Optional<AdapterSettings>>> mAdaptersByOwner;
+    final HashMap<String, Optional<TargetSettings>> mTargets;
+    final HashMap<String, Optional<KeySettings>> mKeysById;
+    final HashMap<String, Optional<KeySettings>> mKeysByHash;
+
+    EffectiveView(
+            long revision,
+            HashMap<String, Optional<CustomerSettings>> customers,
+            HashMap<String, Optional<RouteSettings>> routes,
+            HashMap<String, Optional<AdapterSettings>> adapters,
+            HashMap<String, HashMap<String, Optional<AdapterSettings>>> adaptersByOwner,
+            HashMap<String, Optional<TargetSettings>> targets,
+            HashMap<String, Optional<KeySettings>> keysById,
+            HashMap<String, Optional<KeySettings>> keysByHash) {
+        mRevision = revision;
+        mCustomers = customers;
+        mRoutes = routes;
+        mAdapters = adapters;
+        mAdaptersByOwner = adaptersByOwner;
+        mTargets = targets;
+        mKeysById = keysById;
+        mKeysByHash = keysByHash;
+    }
+
+    @Override
+    public Optional<AdapterSettings> adapter(String name) {
+        return mAdapters.getOrElse(name, Optional.empty());
+    }
+
+    @Override
+    public Collection<AdapterSettings> adaptersOf(String customer) {
+        HashMap<String, Optional<AdapterSettings>> shared =
+                mAdaptersByOwner.getOrElse("", HashMap.empty());
+        HashMap<String, Optional<AdapterSettings>> own =
+                customer.isEmpty()
+                        ? HashMap.empty()
+                        : mAdaptersByOwner.getOrElse(customer, HashMap.empty());
+        return new Values<>(
+                own.size() + shared.size(),
+                () -> own.valuesIterator().concat(shared.valuesIterator()));
+    }
+
+    @Override
+    public Optional<CustomerSettings> customer(String name) {
+        return mCustomers.getOrElse(name, Optional.empty());
+    }
+
+    @Override
+    public Collection<CustomerSettings> customers() {
+        return new Values<>(mCustomers.size(), mCustomers::valuesIterator);
+    }
+
+    @Override
+    public Optional<KeySettings> keyByHash(String sha256Hex) {
+        return mKeysByHash.getOrElse(sha256Hex, Optional.empty());
+    }
+
+    @Override
+    public Optional<KeySettings> keyById(String keyId) {
+        return mKeysById.getOrElse(keyId, Optional.empty());
+    }
+
+    @Override
+    public long revision() {
+        return mRevision;
+    }
+
+    @Override
+    public Optional<RouteSettings> route(String name) {
+        return mRoutes.getOrElse(name, Optional.empty());
+    }
+
+    @Override
+    public Optional<TargetSettings> target(String name) {
+        return mTargets.getOrElse(name, Optional.empty());
+    }
+
+    /** Returns all routes. */
+    Collection<RouteSettings> routes() {
+        return new Values<>(mRoutes.size(), mRoutes::valuesIterator);
+    }
+
+    /** Returns all targets. */
+    Collection<TargetSettings> targets() {
+        return new Values<>(mTargets.size(), mTargets::valuesIterator);
+    }
+
+    private static final class Values<T> extends AbstractCollection<T> {
+        private final int mSize;
+        private final Supplier<Iterator<Optional<T>>> mIterators;
+
+        Values(int size, Supplier<Iterator<Optional<T>>> iterators) {
+            mSize = size;
+            mIterators = iterators;
+        }
+
+        @Override
+        public java.util.Iterator<T> iterator() {
+            return mIterators.get().map(Optional::get);
+        }
+
+        @Override
+        public int size() {
+            return mSize;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/settings/Explanation.java
@@ -0,0 +1,15 @@
+package ebonygw.settings;
+
+import java.util.Optional;
+
+/**
+ * Where an effective value comes from.
+ *
+ * @param node the node asked about
+ * @param field the field
+ * @param value its effective value
+ * @param origin node that sets it, empty for the built-in default
+ * @param revision revision that set it, 0 for the default
+ */
+public record Explanation(
+        NodeKey node, Field field, FieldValue value, Optional<NodeKey> origin, long revision) {}
--- /dev/null
+++ b/src/main/java/ebonygw/settings/SettingsSnapshot.java
@@ -0,0 +1,166 @@
+package ebonygw.settings;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * The whole tree at one revision as compressed bytes with a checksum.
+ *
+ * @param revision the revision
+ * @param checksum XXH64 of the bytes
+ * @param bytes the compressed JSON
+ */
+public record SettingsSnapshot(long revision, long checksum, ByteString bytes) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final JsonFactory FACTORY = MAPPER.getFactory();
+    private static final int MAX_PLAIN_BYTES = 256 * 1024 * 1024;
+
+    /** Returns the snapshot of a state; equal states give equal bytes. */
+    public static SettingsSnapshot of(SettingsState state) {
+        ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+        try (JsonGenerator json = FACTORY.createGenerator(new GZIPOutputStream(buffer))) {
+            json.setCodec(MAPPER);
+            json.writeStartObject();
+            json.writeNumberField("revision", state.revision());
+            json.writeStringField("lastId", state.lastId());
+            writeNodes(state.tree(), json);
+            writeKeys(state.tree(), json);
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("memory could not be written", e);
+        }
+        ByteString bytes = ByteString.copyFrom(buffer.toByteArray());
+        return new SettingsSnapshot(state.revision(), checksum(bytes), bytes);
+    }
+
+    /** Returns the checksum of bytes. */
+    public static long checksum(ByteString bytes) {
+        return LongHashFunction.xx().hashBytes(bytes.toByteArray());
+    }
+
+    /** Returns the bytes in parts of at most some size, in order; at least one. */
+    public List<ByteString> parts(int partBytes) {
+        List<ByteString> parts = new ArrayList<>();
+        for (int from = 0; from < bytes.size(); from += partBytes) {
+            parts.add(bytes.substring(from, Math.min(bytes.size(), from + partBytes)));
+        }
+        return parts;
+    }
+
+    /**
+     * Restores the state, with an empty log.
+     *
+     * @throws IOException if the bytes are damaged
+     */
+    public SettingsState restore() throws IOException {
+        if (checksum(bytes) != checksum) {
+            throw new IOException("snapshot of revision " + revision + ": wrong checksum");
+        }
+        JsonNode json;
+        try (InputStream in = new GZIPInputStream(bytes.newInput())) {
+            byte[] plain = in.readNBytes(MAX_PLAIN_BYTES);
+            json = MAPPER.readTree(plain);
+        }
+        if (json == null || json.path("revision").asLong(-1) != revision) {
+            throw new IOException("snapshot of another revision than " + revision);
+        }
+        try {
+            return SettingsState.of(revision, json.path("lastId").asText(), readTree(json));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("snapshot: " + e.getMessage(), e);
+        }
+    }
+
+    private static Field field(String word) {
+        return Field.ofWord(word)
+                .orElseThrow(() -> new IllegalArgumentException("unknown field " + word));
+    }
+
+    private static TreeNode readNode(JsonNode json) {
+        Map<Field, Setting> fields = new EnumMap<>(Field.class);
+        json.path("f")
+                .properties()
+                .forEach(
+                        entry -> {
+                            Field field = field(entry.getKey());
+                            JsonNode pair = entry.getValue();
+                            fields.put(
+                                    field,
+                                    new Setting(
+                                            SettingsJson.readValue(field, pair.path(1)),
+                                            pair.path(0).asLong()));
+                        });
+        NodeKey parent = json.has("p") ? NodeKey.parse(json.path("p").asText()) : null;
+        return new TreeNode(
+                NodeKey.parse(json.path("n").asText()), parent, fields, json.path("r").asLong());
+    }
+
+    private static SettingsTree readTree(JsonNode json) {
+        SettingsTree tree = SettingsTree.EMPTY;
+        for (JsonNode node : json.path("nodes")) {
+            tree = tree.with(readNode(node));
+        }
+        for (JsonNode key : json.path("keys")) {
+            tree =
+                    tree.with(
+                            new IssuedKey(
+                                    SettingsJson.readKey(key),
+                                    key.path("issued").asLong(),
+                                    key.path("withdrawn").asLong()));
+        }
+        return tree;
+    }
+
+    private static void writeKeys(SettingsTree tree, JsonGenerator json) throws IOException {
+        json.writeArrayFieldStart("keys");
+        List<IssuedKey> keys = new ArrayList<>(tree.issuedKeys());
+        keys.sort(Comparator.comparing(key -> key.settings().keyId()));
+        for (IssuedKey key : keys) {
+            var object = MAPPER.createObjectNode();
+            SettingsJson.writeKey(key.settings(), object);
+            object.put("issued", key.issuedAtRevision());
+            object.put("withdrawn", key.withdrawnAtRevision());
+            json.writeTree(object);
+        }
+        json.writeEndArray();
+    }
+
+    private static void writeNodes(SettingsTree tree, JsonGenerator json) throws IOException {
+        json.writeArrayFieldStart("nodes");
+        List<TreeNode> nodes = new ArrayList<>(tree.nodes());
+        nodes.sort(Comparator.comparing(TreeNode::key));
+        for (TreeNode node : nodes) {
+            json.writeStartObject();
+            json.writeStringField("n", node.key().toString());
+            if (node.parent() != null) {
+                json.writeStringField("p", node.parent().toString());
+            }
+            json.writeNumberField("r", node.revision());
+            json.writeObjectFieldStart("f");
+            for (Map.Entry<Field, Setting> entry : new TreeMap<>(node.fields()).entrySet()) {
+                json.writeArrayFieldStart(entry.getKey().word());
+                json.writeNumber(entry.getValue().revision());
+                json.writeTree(SettingsJson.writeValue(entry.getValue().value()));
+                json.writeEndArray();
+            }
+            json.writeEndObject();
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/settings/SettingsState.java
@@ -0,0 +1,204 @@
+package ebonygw.settings;
+
+import ebonygw.request.AdapterVersion;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Everything known of the settings at one revision: the tree, its effective view and the newest
+ * part of the log.
+ *
+ * <p>Immutable; the next revision shares what does not change. Thread-safe.
+ */
+public final class SettingsState {
+    /** Settings before the first change. */
+    public static final SettingsState EMPTY =
+            new SettingsState(0, "", SettingsTree.EMPTY, EffectiveView.EMPTY, Vector.empty(), 0);
+
+    private static final int MAX_HISTORY = 1024;
+    private static final int MAX_HISTORY_BYTES = 8 * 1024 * 1024;
+
+    private final long mRevision;
+    private final String mLastId;
+    private final SettingsTree mTree;
+    private final EffectiveView mView;
+    private final Vector<LoggedChange> mHistory;
+    private final long mHistoryBytes;
+
+    private SettingsState(
+            long revision,
+            String lastId,
+            SettingsTree tree,
+            EffectiveView view,
+            Vector<LoggedChange> history,
+            long historyBytes) {
+        mRevision = revision;
+        mLastId = lastId;
+        mTree = tree;
+        mView = view;
+        mHistory = history;
+        mHistoryBytes = historyBytes;
+    }
+
+    /** Returns the state of a whole tree, without any part of its log. */
+    static SettingsState of(long revision, String lastId, SettingsTree tree) {
+        Map<NodeKey, Set<NodeKind>> all = new LinkedHashMap<>();
+        Set<NodeKind> kinds = Set.of(NodeKind.values());
+        tree.nodes().stream()
+                .filter(node -> node.parent() == null)
+                .forEach(node -> all.put(node.key(), kinds));
+        Set<String> keys = new java.util.HashSet<>();
+        tree.issuedKeys().forEach(key -> keys.add(key.settings().keyId()));
+        EffectiveView view =
+                new EffectiveCompiler(EffectiveView.EMPTY, tree).compile(revision, all, keys);
+        return new SettingsState(revision, lastId, tree, view, Vector.empty(), 0);
+    }
+
+    /**
+     * Applies an accepted change; what is wrong in combination was judged when it was accepted.
+     *
+     * @param change the change, which must be the next one
+     * @return the next state, or why it cannot follow
+     */
+    public Either<List<Reason>, SettingsState> apply(LoggedChange change) {
+        ChangeRecord record = change.record();
+        if (record.revision() != mRevision + 1 || !record.previousId().equals(mLastId)) {
+            return Either.left(
+                    List.of(
+                            new Reason(
+                                    "revision/" + record.revision(),
+                                    "does not follow revision " + mRevision + " " + mLastId)));
+        }
+        TreeEditor editor = new TreeEditor(mTree, record.revision());
+        editor.apply(record.change().edits());
+        if (!editor.reasons().isEmpty()) {
+            return Either.left(editor.reasons());
+        }
+        EffectiveView view =
+                new EffectiveCompiler(mView, editor.tree())
+                        .compile(record.revision(), editor.touched(), editor.touchedKeys());
+        Vector<LoggedChange> history = mHistory.append(change);
+        long bytes = mHistoryBytes + change.stored().size();
+        while (history.size() > MAX_HISTORY || (bytes > MAX_HISTORY_BYTES && history.size() > 1)) {
+            bytes -= history.head().stored().size();
+            history = history.tail();
+        }
+        return Either.right(
+                new SettingsState(
+                        record.revision(),
+                        record.change().id(),
+                        editor.tree(),
+                        view,
+                        history,
+                        bytes));
+    }
+
+    /** Returns the newest part of the log, oldest first; it ends at {@link #revision()}. */
+    public List<LoggedChange> history() {
+        return mHistory.asJava();
+    }
+
+    /** Returns the identifier of the newest change, empty before the first. */
+    public String lastId() {
+        return mLastId;
+    }
+
+    /** Returns the logged change of a revision, empty if it is not in the part that is kept. */
+    public Optional<LoggedChange> logged(long revision) {
+        long index = revision - (mRevision - mHistory.size() + 1);
+        if (index < 0 || index >= mHistory.size()) {
+            return Optional.empty();
+        }
+        return Optional.of(mHistory.get((int) index));
+    }
+
+    /**
+     * Judges a change as a whole, as the next revision, without applying it.
+     *
+     * @param change the change; its base revision is not looked at
+     * @param inUse tells which adapter versions run requests
+     * @return what would become of it, or all reasons against it
+     */
+    public Either<List<Reason>, Preview> preview(
+            SettingsChange change, Predicate<AdapterVersion> inUse) {
+        Objects.requireNonNull(change, "change");
+        List<Reason> reasons = new ArrayList<>();
+        if (change.edits().isEmpty()) {
+            reasons.add(new Reason("change/" + change.id(), "has no edits"));
+        }
+        TreeEditor editor = new TreeEditor(mTree, mRevision + 1);
+        editor.apply(change.edits());
+        reasons.addAll(editor.reasons());
+        EffectiveCompiler compiler = new EffectiveCompiler(mView, editor.tree());
+        EffectiveView view =
+                compiler.compile(mRevision + 1, editor.touched(), editor.touchedKeys());
+        reasons.addAll(
+                new CombinationChecks(editor.tree(), view, inUse)
+                        .check(compiler.changes(), editor.touched()));
+        ChangeRecord record =
+                new ChangeRecord(
+                        mRevision + 1, mLastId, change, editor.undo(), editor.revertible());
+        LoggedChange logged = new LoggedChange(record, SettingsJson.write(record));
+        if (logged.stored().size() > SettingsJson.MAX_CHANGE_BYTES) {
+            reasons.add(
+                    new Reason(
+                            "change/" + change.id(),
+                            "is larger than "
+                                    + SettingsJson.MAX_CHANGE_BYTES
+                                    + " bytes; split it"));
+        }
+        if (!reasons.isEmpty()) {
+            return Either.left(reasons);
+        }
+        return Either.right(new Preview(logged, List.copyOf(compiler.changes())));
+    }
+
+    /** Returns the revision, 0 before the first change. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /** Returns the tree. */
+    public SettingsTree tree() {
+        return mTree;
+    }
+
+    /** Returns the effective view. */
+    public SettingsView view() {
+        return mView;
+    }
+
+    /**
+     * Returns the tree as it was at an earlier revision, without what became of keys since.
+     *
+     * @return empty if the log is not kept that far back
+     */
+    public Optional<SettingsTree> treeAt(long revision) {
+        if (revision > mRevision || revision < mRevision - mHistory.size()) {
+            return Optional.empty();
+        }
+        SettingsTree tree = mTree;
+        for (long at = mRevision; at > revision; at--) {
+            TreeEditor editor = new TreeEditor(tree, at);
+            editor.apply(logged(at).orElseThrow().record().undo());
+            tree = editor.tree();
+        }
+        return Optional.of(tree);
+    }
+
+    /**
+     * What a change would do.
+     *
+     * @param logged the change as it would stand in the log
+     * @param effects how the effective settings would differ
+     */
+    public record Preview(LoggedChange logged, List<EffectiveChange> effects) {}
+}
--- a/src/main/java/ebonygw/settings/SettingsView.java
+++ b/src/main/java/ebonygw/settings/SettingsView.java
@@ -32,4 +32,9 @@
 
     /** Returns the route of that name. */
     Optional<RouteSettings> route(String name);
+
+    /** Returns the target of that name; targets need not be in the settings. */
+    default Optional<TargetSettings> target(String name) {
+        return Optional.empty();
+    }
 }
--- /dev/null
+++ b/src/main/java/ebonygw/settings/TargetSettings.java
@@ -0,0 +1,10 @@
+package ebonygw.settings;
+
+/**
+ * Effective settings of a target.
+ *
+ * @param target its name
+ * @param serves base model or plain service that it gives
+ * @param checksFencing whether it refuses orders with an old fencing token
+ */
+public record TargetSettings(String target, String serves, boolean checksFencing) {}
--- a/src/main/java/ebonygw/wire/SettingsProtocol.java
+++ b/src/main/java/ebonygw/wire/SettingsProtocol.java
@@ -45,6 +45,81 @@
      */
     ebonygw.wire.SettingsProtocol.SettingsOfferOrBuilder getOfferOrBuilder();
 
+    /**
+     * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+     * @return Whether the fetch field is set.
+     */
+    boolean hasFetch();
+    /**
+     * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+     * @return The fetch.
+     */
+    ebonygw.wire.SettingsProtocol.SettingsFetch getFetch();
+    /**
+     * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+     */
+    ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder getFetchOrBuilder();
+
+    /**
+     * <code>.ebonygw.SettingsChanges changes = 3;</code>
+     * @return Whether the changes field is set.
+     */
+    boolean hasChanges();
+    /**
+     * <code>.ebonygw.SettingsChanges changes = 3;</code>
+     * @return The changes.
+     */
+    ebonygw.wire.SettingsProtocol.SettingsChanges getChanges();
+    /**
+     * <code>.ebonygw.SettingsChanges changes = 3;</code>
+     */
+    ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder getChangesOrBuilder();
+
+    /**
+     * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+     * @return Whether the partFetch field is set.
+     */
+    boolean hasPartFetch();
+    /**
+     * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+     * @return The partFetch.
+     */
+    ebonygw.wire.SettingsProtocol.SettingsPartFetch getPartFetch();
+    /**
+     * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+     */
+    ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder getPartFetchOrBuilder();
+
+    /**
+     * <code>.ebonygw.SettingsPart part = 5;</code>
+     * @return Whether the part field is set.
+     */
+    boolean hasPart();
+    /**
+     * <code>.ebonygw.SettingsPart part = 5;</code>
+     * @return The part.
+     */
+    ebonygw.wire.SettingsProtocol.SettingsPart getPart();
+    /**
+     * <code>.ebonygw.SettingsPart part = 5;</code>
+     */
+    ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder getPartOrBuilder();
+
+    /**
+     * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+     * @return Whether the watcher field is set.
+     */
+    boolean hasWatcher();
+    /**
+     * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+     * @return The watcher.
+     */
+    ebonygw.wire.SettingsProtocol.SettingsWatcher getWatcher();
+    /**
+     * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+     */
+    ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder getWatcherOrBuilder();
+
     ebonygw.wire.SettingsProtocol.SettingsEnvelope.KindCase getKindCase();
   }
   /**
@@ -96,6 +171,11 @@
         implements com.google.protobuf.Internal.EnumLite,
             com.google.protobuf.AbstractMessage.InternalOneOfEnum {
       OFFER(1),
+      FETCH(2),
+      CHANGES(3),
+      PART_FETCH(4),
+      PART(5),
+      WATCHER(6),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -114,6 +194,11 @@
       public static KindCase forNumber(int value) {
         switch (value) {
           case 1: return OFFER;
+          case 2: return FETCH;
+          case 3: return CHANGES;
+          case 4: return PART_FETCH;
+          case 5: return PART;
+          case 6: return WATCHER;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -160,6 +245,161 @@
       return ebonygw.wire.SettingsProtocol.SettingsOffer.getDefaultInstance();
     }
 
+    public static final int FETCH_FIELD_NUMBER = 2;
+    /**
+     * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+     * @return Whether the fetch field is set.
+     */
+    @java.lang.Override
+    public boolean hasFetch() {
+      return kindCase_ == 2;
+    }
+    /**
+     * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+     * @return The fetch.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsFetch getFetch() {
+      if (kindCase_ == 2) {
+         return (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder getFetchOrBuilder() {
+      if (kindCase_ == 2) {
+         return (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
+    }
+
+    public static final int CHANGES_FIELD_NUMBER = 3;
+    /**
+     * <code>.ebonygw.SettingsChanges changes = 3;</code>
+     * @return Whether the changes field is set.
+     */
+    @java.lang.Override
+    public boolean hasChanges() {
+      return kindCase_ == 3;
+    }
+    /**
+     * <code>.ebonygw.SettingsChanges changes = 3;</code>
+     * @return The changes.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsChanges getChanges() {
+      if (kindCase_ == 3) {
+         return (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SettingsChanges changes = 3;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder getChangesOrBuilder() {
+      if (kindCase_ == 3) {
+         return (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+    }
+
+    public static final int PART_FETCH_FIELD_NUMBER = 4;
+    /**
+     * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+     * @return Whether the partFetch field is set.
+     */
+    @java.lang.Override
+    public boolean hasPartFetch() {
+      return kindCase_ == 4;
+    }
+    /**
+     * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+     * @return The partFetch.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsPartFetch getPartFetch() {
+      if (kindCase_ == 4) {
+         return (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder getPartFetchOrBuilder() {
+      if (kindCase_ == 4) {
+         return (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+    }
+
+    public static final int PART_FIELD_NUMBER = 5;
+    /**
+     * <code>.ebonygw.SettingsPart part = 5;</code>
+     * @return Whether the part field is set.
+     */
+    @java.lang.Override
+    public boolean hasPart() {
+      return kindCase_ == 5;
+    }
+    /**
+     * <code>.ebonygw.SettingsPart part = 5;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsPart getPart() {
+      if (kindCase_ == 5) {
+         return (ebonygw.wire.SettingsProtocol.SettingsPart) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SettingsPart part = 5;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder getPartOrBuilder() {
+      if (kindCase_ == 5) {
+         return (ebonygw.wire.SettingsProtocol.SettingsPart) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+    }
+
+    public static final int WATCHER_FIELD_NUMBER = 6;
+    /**
+     * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+     * @return Whether the watcher field is set.
+     */
+    @java.lang.Override
+    public boolean hasWatcher() {
+      return kindCase_ == 6;
+    }
+    /**
+     * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+     * @return The watcher.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsWatcher getWatcher() {
+      if (kindCase_ == 6) {
+         return (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder getWatcherOrBuilder() {
+      if (kindCase_ == 6) {
+         return (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_;
+      }
+      return ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -177,6 +417,21 @@
       if (kindCase_ == 1) {
         output.writeMessage(1, (ebonygw.wire.SettingsProtocol.SettingsOffer) kind_);
       }
+      if (kindCase_ == 2) {
+        output.writeMessage(2, (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_);
+      }
+      if (kindCase_ == 3) {
+        output.writeMessage(3, (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_);
+      }
+      if (kindCase_ == 4) {
+        output.writeMessage(4, (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_);
+      }
+      if (kindCase_ == 5) {
+        output.writeMessage(5, (ebonygw.wire.SettingsProtocol.SettingsPart) kind_);
+      }
+      if (kindCase_ == 6) {
+        output.writeMessage(6, (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -185,6 +440,26 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(1, (ebonygw.wire.SettingsProtocol.SettingsOffer) kind_);
       }
+      if (kindCase_ == 2) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_);
+      }
+      if (kindCase_ == 3) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_);
+      }
+      if (kindCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_);
+      }
+      if (kindCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (ebonygw.wire.SettingsProtocol.SettingsPart) kind_);
+      }
+      if (kindCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_);
+      }
       return size;
     }
     @java.lang.Override
@@ -215,6 +490,26 @@
           if (!getOffer()
               .equals(other.getOffer())) return false;
           break;
+        case 2:
+          if (!getFetch()
+              .equals(other.getFetch())) return false;
+          break;
+        case 3:
+          if (!getChanges()
+              .equals(other.getChanges())) return false;
+          break;
+        case 4:
+          if (!getPartFetch()
+              .equals(other.getPartFetch())) return false;
+          break;
+        case 5:
+          if (!getPart()
+              .equals(other.getPart())) return false;
+          break;
+        case 6:
+          if (!getWatcher()
+              .equals(other.getWatcher())) return false;
+          break;
         case 0:
         default:
       }
@@ -234,6 +529,26 @@
           hash = (37 * hash) + OFFER_FIELD_NUMBER;
           hash = (53 * hash) + getOffer().hashCode();
           break;
+        case 2:
+          hash = (37 * hash) + FETCH_FIELD_NUMBER;
+          hash = (53 * hash) + getFetch().hashCode();
+          break;
+        case 3:
+          hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+          hash = (53 * hash) + getChanges().hashCode();
+          break;
+        case 4:
+          hash = (37 * hash) + PART_FETCH_FIELD_NUMBER;
+          hash = (53 * hash) + getPartFetch().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + PART_FIELD_NUMBER;
+          hash = (53 * hash) + getPart().hashCode();
+          break;
+        case 6:
+          hash = (37 * hash) + WATCHER_FIELD_NUMBER;
+          hash = (53 * hash) + getWatcher().hashCode();
+          break;
         case 0:
         default:
       }
@@ -371,6 +686,21 @@
         if (offerBuilder_ != null) {
           offerBuilder_.clear();
         }
+        if (fetchBuilder_ != null) {
+          fetchBuilder_.clear();
+        }
+        if (changesBuilder_ != null) {
+          changesBuilder_.clear();
+        }
+        if (partFetchBuilder_ != null) {
+          partFetchBuilder_.clear();
+        }
+        if (partBuilder_ != null) {
+          partBuilder_.clear();
+        }
+        if (watcherBuilder_ != null) {
+          watcherBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -416,6 +746,26 @@
             offerBuilder_ != null) {
           result.kind_ = offerBuilder_.build();
         }
+        if (kindCase_ == 2 &&
+            fetchBuilder_ != null) {
+          result.kind_ = fetchBuilder_.build();
+        }
+        if (kindCase_ == 3 &&
+            changesBuilder_ != null) {
+          result.kind_ = changesBuilder_.build();
+        }
+        if (kindCase_ == 4 &&
+            partFetchBuilder_ != null) {
+          result.kind_ = partFetchBuilder_.build();
+        }
+        if (kindCase_ == 5 &&
+            partBuilder_ != null) {
+          result.kind_ = partBuilder_.build();
+        }
+        if (kindCase_ == 6 &&
+            watcherBuilder_ != null) {
+          result.kind_ = watcherBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -435,6 +785,26 @@
             mergeOffer(other.getOffer());
             break;
           }
+          case FETCH: {
+            mergeFetch(other.getFetch());
+            break;
+          }
+          case CHANGES: {
+            mergeChanges(other.getChanges());
+            break;
+          }
+          case PART_FETCH: {
+            mergePartFetch(other.getPartFetch());
+            break;
+          }
+          case PART: {
+            mergePart(other.getPart());
+            break;
+          }
+          case WATCHER: {
+            mergeWatcher(other.getWatcher());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -470,6 +840,41 @@
                 kindCase_ = 1;
                 break;
               } // case 10
+              case 18: {
+                input.readMessage(
+                    internalGetFetchFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 2;
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetChangesFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 3;
+                break;
+              } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetPartFetchFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetPartFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 5;
+                break;
+              } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetWatcherFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 6;
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -642,118 +1047,3540 @@
         return offerBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsEnvelope)
-    }
-
-    // @@protoc_insertion_point(class_scope:ebonygw.SettingsEnvelope)
-    private static final ebonygw.wire.SettingsProtocol.SettingsEnvelope DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsEnvelope();
-    }
-
-    public static ebonygw.wire.SettingsProtocol.SettingsEnvelope getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<SettingsEnvelope>
-        PARSER = new com.google.protobuf.AbstractParser<SettingsEnvelope>() {
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsFetch, ebonygw.wire.SettingsProtocol.SettingsFetch.Builder, ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder> fetchBuilder_;
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       * @return Whether the fetch field is set.
+       */
       @java.lang.Override
-      public SettingsEnvelope parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
+      public boolean hasFetch() {
+        return kindCase_ == 2;
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       * @return The fetch.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsFetch getFetch() {
+        if (fetchBuilder_ == null) {
+          if (kindCase_ == 2) {
+            return (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
+        } else {
+          if (kindCase_ == 2) {
+            return fetchBuilder_.getMessage();
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
         }
-        return builder.buildPartial();
       }
-    };
-
-    public static com.google.protobuf.Parser<SettingsEnvelope> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<SettingsEnvelope> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public ebonygw.wire.SettingsProtocol.SettingsEnvelope getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface SettingsOfferOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsOffer)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
-     */
-    long getRevision();
-  }
-  /**
-   * Protobuf type {@code ebonygw.SettingsOffer}
-   */
-  public static final class SettingsOffer extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.SettingsOffer)
-      SettingsOfferOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 36,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "SettingsOffer");
-    }
-    // Use SettingsOffer.newBuilder() to construct.
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      public Builder setFetch(ebonygw.wire.SettingsProtocol.SettingsFetch value) {
+        if (fetchBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          fetchBuilder_.setMessage(value);
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      public Builder setFetch(
+          ebonygw.wire.SettingsProtocol.SettingsFetch.Builder builderForValue) {
+        if (fetchBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          fetchBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      public Builder mergeFetch(ebonygw.wire.SettingsProtocol.SettingsFetch value) {
+        if (fetchBuilder_ == null) {
+          if (kindCase_ == 2 &&
+              kind_ != ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsFetch.newBuilder((ebonygw.wire.SettingsProtocol.SettingsFetch) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 2) {
+            fetchBuilder_.mergeFrom(value);
+          } else {
+            fetchBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      public Builder clearFetch() {
+        if (fetchBuilder_ == null) {
+          if (kindCase_ == 2) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 2) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          fetchBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      public ebonygw.wire.SettingsProtocol.SettingsFetch.Builder getFetchBuilder() {
+        return internalGetFetchFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder getFetchOrBuilder() {
+        if ((kindCase_ == 2) && (fetchBuilder_ != null)) {
+          return fetchBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 2) {
+            return (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsFetch fetch = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsFetch, ebonygw.wire.SettingsProtocol.SettingsFetch.Builder, ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder> 
+          internalGetFetchFieldBuilder() {
+        if (fetchBuilder_ == null) {
+          if (!(kindCase_ == 2)) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
+          }
+          fetchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SettingsProtocol.SettingsFetch, ebonygw.wire.SettingsProtocol.SettingsFetch.Builder, ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder>(
+                  (ebonygw.wire.SettingsProtocol.SettingsFetch) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 2;
+        onChanged();
+        return fetchBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsChanges, ebonygw.wire.SettingsProtocol.SettingsChanges.Builder, ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder> changesBuilder_;
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       * @return Whether the changes field is set.
+       */
+      @java.lang.Override
+      public boolean hasChanges() {
+        return kindCase_ == 3;
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       * @return The changes.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsChanges getChanges() {
+        if (changesBuilder_ == null) {
+          if (kindCase_ == 3) {
+            return (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+        } else {
+          if (kindCase_ == 3) {
+            return changesBuilder_.getMessage();
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      public Builder setChanges(ebonygw.wire.SettingsProtocol.SettingsChanges value) {
+        if (changesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(value);
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      public Builder setChanges(
+          ebonygw.wire.SettingsProtocol.SettingsChanges.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      public Builder mergeChanges(ebonygw.wire.SettingsProtocol.SettingsChanges value) {
+        if (changesBuilder_ == null) {
+          if (kindCase_ == 3 &&
+              kind_ != ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsChanges.newBuilder((ebonygw.wire.SettingsProtocol.SettingsChanges) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 3) {
+            changesBuilder_.mergeFrom(value);
+          } else {
+            changesBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      public Builder clearChanges() {
+        if (changesBuilder_ == null) {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          changesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      public ebonygw.wire.SettingsProtocol.SettingsChanges.Builder getChangesBuilder() {
+        return internalGetChangesFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder getChangesOrBuilder() {
+        if ((kindCase_ == 3) && (changesBuilder_ != null)) {
+          return changesBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 3) {
+            return (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsChanges changes = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsChanges, ebonygw.wire.SettingsProtocol.SettingsChanges.Builder, ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder> 
+          internalGetChangesFieldBuilder() {
+        if (changesBuilder_ == null) {
+          if (!(kindCase_ == 3)) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+          }
+          changesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SettingsProtocol.SettingsChanges, ebonygw.wire.SettingsProtocol.SettingsChanges.Builder, ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder>(
+                  (ebonygw.wire.SettingsProtocol.SettingsChanges) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 3;
+        onChanged();
+        return changesBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsPartFetch, ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder, ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder> partFetchBuilder_;
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       * @return Whether the partFetch field is set.
+       */
+      @java.lang.Override
+      public boolean hasPartFetch() {
+        return kindCase_ == 4;
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       * @return The partFetch.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPartFetch getPartFetch() {
+        if (partFetchBuilder_ == null) {
+          if (kindCase_ == 4) {
+            return (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+        } else {
+          if (kindCase_ == 4) {
+            return partFetchBuilder_.getMessage();
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      public Builder setPartFetch(ebonygw.wire.SettingsProtocol.SettingsPartFetch value) {
+        if (partFetchBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          partFetchBuilder_.setMessage(value);
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      public Builder setPartFetch(
+          ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder builderForValue) {
+        if (partFetchBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          partFetchBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      public Builder mergePartFetch(ebonygw.wire.SettingsProtocol.SettingsPartFetch value) {
+        if (partFetchBuilder_ == null) {
+          if (kindCase_ == 4 &&
+              kind_ != ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsPartFetch.newBuilder((ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 4) {
+            partFetchBuilder_.mergeFrom(value);
+          } else {
+            partFetchBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      public Builder clearPartFetch() {
+        if (partFetchBuilder_ == null) {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          partFetchBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      public ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder getPartFetchBuilder() {
+        return internalGetPartFetchFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder getPartFetchOrBuilder() {
+        if ((kindCase_ == 4) && (partFetchBuilder_ != null)) {
+          return partFetchBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 4) {
+            return (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsPartFetch part_fetch = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsPartFetch, ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder, ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder> 
+          internalGetPartFetchFieldBuilder() {
+        if (partFetchBuilder_ == null) {
+          if (!(kindCase_ == 4)) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+          }
+          partFetchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SettingsProtocol.SettingsPartFetch, ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder, ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder>(
+                  (ebonygw.wire.SettingsProtocol.SettingsPartFetch) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 4;
+        onChanged();
+        return partFetchBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsPart, ebonygw.wire.SettingsProtocol.SettingsPart.Builder, ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder> partBuilder_;
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       * @return Whether the part field is set.
+       */
+      @java.lang.Override
+      public boolean hasPart() {
+        return kindCase_ == 5;
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       * @return The part.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPart getPart() {
+        if (partBuilder_ == null) {
+          if (kindCase_ == 5) {
+            return (ebonygw.wire.SettingsProtocol.SettingsPart) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+        } else {
+          if (kindCase_ == 5) {
+            return partBuilder_.getMessage();
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      public Builder setPart(ebonygw.wire.SettingsProtocol.SettingsPart value) {
+        if (partBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          partBuilder_.setMessage(value);
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      public Builder setPart(
+          ebonygw.wire.SettingsProtocol.SettingsPart.Builder builderForValue) {
+        if (partBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          partBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      public Builder mergePart(ebonygw.wire.SettingsProtocol.SettingsPart value) {
+        if (partBuilder_ == null) {
+          if (kindCase_ == 5 &&
+              kind_ != ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsPart.newBuilder((ebonygw.wire.SettingsProtocol.SettingsPart) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 5) {
+            partBuilder_.mergeFrom(value);
+          } else {
+            partBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      public Builder clearPart() {
+        if (partBuilder_ == null) {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          partBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      public ebonygw.wire.SettingsProtocol.SettingsPart.Builder getPartBuilder() {
+        return internalGetPartFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder getPartOrBuilder() {
+        if ((kindCase_ == 5) && (partBuilder_ != null)) {
+          return partBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 5) {
+            return (ebonygw.wire.SettingsProtocol.SettingsPart) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsPart part = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsPart, ebonygw.wire.SettingsProtocol.SettingsPart.Builder, ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder> 
+          internalGetPartFieldBuilder() {
+        if (partBuilder_ == null) {
+          if (!(kindCase_ == 5)) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+          }
+          partBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SettingsProtocol.SettingsPart, ebonygw.wire.SettingsProtocol.SettingsPart.Builder, ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder>(
+                  (ebonygw.wire.SettingsProtocol.SettingsPart) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 5;
+        onChanged();
+        return partBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsWatcher, ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder, ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder> watcherBuilder_;
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       * @return Whether the watcher field is set.
+       */
+      @java.lang.Override
+      public boolean hasWatcher() {
+        return kindCase_ == 6;
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       * @return The watcher.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsWatcher getWatcher() {
+        if (watcherBuilder_ == null) {
+          if (kindCase_ == 6) {
+            return (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
+        } else {
+          if (kindCase_ == 6) {
+            return watcherBuilder_.getMessage();
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      public Builder setWatcher(ebonygw.wire.SettingsProtocol.SettingsWatcher value) {
+        if (watcherBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          watcherBuilder_.setMessage(value);
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      public Builder setWatcher(
+          ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder builderForValue) {
+        if (watcherBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          watcherBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      public Builder mergeWatcher(ebonygw.wire.SettingsProtocol.SettingsWatcher value) {
+        if (watcherBuilder_ == null) {
+          if (kindCase_ == 6 &&
+              kind_ != ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsWatcher.newBuilder((ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 6) {
+            watcherBuilder_.mergeFrom(value);
+          } else {
+            watcherBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      public Builder clearWatcher() {
+        if (watcherBuilder_ == null) {
+          if (kindCase_ == 6) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 6) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          watcherBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      public ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder getWatcherBuilder() {
+        return internalGetWatcherFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder getWatcherOrBuilder() {
+        if ((kindCase_ == 6) && (watcherBuilder_ != null)) {
+          return watcherBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 6) {
+            return (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_;
+          }
+          return ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SettingsWatcher watcher = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SettingsProtocol.SettingsWatcher, ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder, ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder> 
+          internalGetWatcherFieldBuilder() {
+        if (watcherBuilder_ == null) {
+          if (!(kindCase_ == 6)) {
+            kind_ = ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
+          }
+          watcherBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SettingsProtocol.SettingsWatcher, ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder, ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder>(
+                  (ebonygw.wire.SettingsProtocol.SettingsWatcher) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 6;
+        onChanged();
+        return watcherBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsEnvelope)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsEnvelope)
+    private static final ebonygw.wire.SettingsProtocol.SettingsEnvelope DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsEnvelope();
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsEnvelope getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SettingsEnvelope>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsEnvelope>() {
+      @java.lang.Override
+      public SettingsEnvelope parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SettingsEnvelope> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SettingsEnvelope> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsEnvelope getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SettingsOfferOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsOffer)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SettingsOffer}
+   */
+  public static final class SettingsOffer extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SettingsOffer)
+      SettingsOfferOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SettingsOffer");
+    }
+    // Use SettingsOffer.newBuilder() to construct.
     private SettingsOffer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private SettingsOffer() {
+    private SettingsOffer() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SettingsProtocol.SettingsOffer.class, ebonygw.wire.SettingsProtocol.SettingsOffer.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsOffer)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SettingsProtocol.SettingsOffer other = (ebonygw.wire.SettingsProtocol.SettingsOffer) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsOffer prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SettingsOffer}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsOffer)
+        ebonygw.wire.SettingsProtocol.SettingsOfferOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SettingsProtocol.SettingsOffer.class, ebonygw.wire.SettingsProtocol.SettingsOffer.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SettingsProtocol.SettingsOffer.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsOffer getDefaultInstanceForType() {
+        return ebonygw.wire.SettingsProtocol.SettingsOffer.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsOffer build() {
+        ebonygw.wire.SettingsProtocol.SettingsOffer result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsOffer buildPartial() {
+        ebonygw.wire.SettingsProtocol.SettingsOffer result = new ebonygw.wire.SettingsProtocol.SettingsOffer(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsOffer result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsOffer) {
+          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsOffer)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsOffer other) {
+        if (other == ebonygw.wire.SettingsProtocol.SettingsOffer.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsOffer)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsOffer)
+    private static final ebonygw.wire.SettingsProtocol.SettingsOffer DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsOffer();
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsOffer getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SettingsOffer>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsOffer>() {
+      @java.lang.Override
+      public SettingsOffer parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SettingsOffer> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SettingsOffer> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsOffer getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SettingsFetchOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsFetch)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 after = 1;</code>
+     * @return The after.
+     */
+    long getAfter();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SettingsFetch}
+   */
+  public static final class SettingsFetch extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SettingsFetch)
+      SettingsFetchOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SettingsFetch");
+    }
+    // Use SettingsFetch.newBuilder() to construct.
+    private SettingsFetch(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SettingsFetch() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsFetch_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsFetch_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsFetch_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SettingsProtocol.SettingsFetch.class, ebonygw.wire.SettingsProtocol.SettingsFetch.Builder.class);
+    }
+
+    public static final int AFTER_FIELD_NUMBER = 1;
+    private long after_ = 0L;
+    /**
+     * <code>uint64 after = 1;</code>
+     * @return The after.
+     */
+    @java.lang.Override
+    public long getAfter() {
+      return after_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (after_ != 0L) {
+        output.writeUInt64(1, after_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (after_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, after_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsFetch)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SettingsProtocol.SettingsFetch other = (ebonygw.wire.SettingsProtocol.SettingsFetch) obj;
+
+      if (getAfter()
+          != other.getAfter()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + AFTER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAfter());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsFetch prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SettingsFetch}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsFetch)
+        ebonygw.wire.SettingsProtocol.SettingsFetchOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsFetch_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsFetch_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SettingsProtocol.SettingsFetch.class, ebonygw.wire.SettingsProtocol.SettingsFetch.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SettingsProtocol.SettingsFetch.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        after_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsFetch_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsFetch getDefaultInstanceForType() {
+        return ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsFetch build() {
+        ebonygw.wire.SettingsProtocol.SettingsFetch result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsFetch buildPartial() {
+        ebonygw.wire.SettingsProtocol.SettingsFetch result = new ebonygw.wire.SettingsProtocol.SettingsFetch(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsFetch result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.after_ = after_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsFetch) {
+          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsFetch)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsFetch other) {
+        if (other == ebonygw.wire.SettingsProtocol.SettingsFetch.getDefaultInstance()) return this;
+        if (other.getAfter() != 0L) {
+          setAfter(other.getAfter());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                after_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long after_ ;
+      /**
+       * <code>uint64 after = 1;</code>
+       * @return The after.
+       */
+      @java.lang.Override
+      public long getAfter() {
+        return after_;
+      }
+      /**
+       * <code>uint64 after = 1;</code>
+       * @param value The after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfter(long value) {
+
+        after_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 after = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAfter() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        after_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsFetch)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsFetch)
+    private static final ebonygw.wire.SettingsProtocol.SettingsFetch DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsFetch();
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsFetch getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SettingsFetch>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsFetch>() {
+      @java.lang.Override
+      public SettingsFetch parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SettingsFetch> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SettingsFetch> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsFetch getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SettingsChangesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsChanges)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated bytes stored = 1;</code>
+     * @return A list containing the stored.
+     */
+    java.util.List<com.google.protobuf.ByteString> getStoredList();
+    /**
+     * <code>repeated bytes stored = 1;</code>
+     * @return The count of stored.
+     */
+    int getStoredCount();
+    /**
+     * <code>repeated bytes stored = 1;</code>
+     * @param index The index of the element to return.
+     * @return The stored at the given index.
+     */
+    com.google.protobuf.ByteString getStored(int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.SettingsChanges}
+   */
+  public static final class SettingsChanges extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SettingsChanges)
+      SettingsChangesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SettingsChanges");
+    }
+    // Use SettingsChanges.newBuilder() to construct.
+    private SettingsChanges(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SettingsChanges() {
+      stored_ = emptyList(com.google.protobuf.ByteString.class);
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsChanges_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsChanges_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsChanges_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SettingsProtocol.SettingsChanges.class, ebonygw.wire.SettingsProtocol.SettingsChanges.Builder.class);
+    }
+
+    public static final int STORED_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> stored_ =
+        emptyList(com.google.protobuf.ByteString.class);
+    /**
+     * <code>repeated bytes stored = 1;</code>
+     * @return A list containing the stored.
+     */
+    @java.lang.Override
+    public java.util.List<com.google.protobuf.ByteString>
+        getStoredList() {
+      return stored_;
+    }
+    /**
+     * <code>repeated bytes stored = 1;</code>
+     * @return The count of stored.
+     */
+    public int getStoredCount() {
+      return stored_.size();
+    }
+    /**
+     * <code>repeated bytes stored = 1;</code>
+     * @param index The index of the element to return.
+     * @return The stored at the given index.
+     */
+    public com.google.protobuf.ByteString getStored(int index) {
+      return stored_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < stored_.size(); i++) {
+        output.writeBytes(1, stored_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      {
+        int dataSize = 0;
+        for (int i = 0; i < stored_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeBytesSizeNoTag(stored_.get(i));
+        }
+        size += dataSize;
+        size += 1 * getStoredList().size();
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsChanges)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SettingsProtocol.SettingsChanges other = (ebonygw.wire.SettingsProtocol.SettingsChanges) obj;
+
+      if (!getStoredList()
+          .equals(other.getStoredList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getStoredCount() > 0) {
+        hash = (37 * hash) + STORED_FIELD_NUMBER;
+        hash = (53 * hash) + getStoredList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsChanges prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SettingsChanges}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsChanges)
+        ebonygw.wire.SettingsProtocol.SettingsChangesOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsChanges_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsChanges_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SettingsProtocol.SettingsChanges.class, ebonygw.wire.SettingsProtocol.SettingsChanges.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SettingsProtocol.SettingsChanges.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        stored_ = emptyList(com.google.protobuf.ByteString.class);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsChanges_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsChanges getDefaultInstanceForType() {
+        return ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsChanges build() {
+        ebonygw.wire.SettingsProtocol.SettingsChanges result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsChanges buildPartial() {
+        ebonygw.wire.SettingsProtocol.SettingsChanges result = new ebonygw.wire.SettingsProtocol.SettingsChanges(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsChanges result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          stored_.makeImmutable();
+          result.stored_ = stored_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsChanges) {
+          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsChanges)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsChanges other) {
+        if (other == ebonygw.wire.SettingsProtocol.SettingsChanges.getDefaultInstance()) return this;
+        if (!other.stored_.isEmpty()) {
+          if (stored_.isEmpty()) {
+            stored_ = other.stored_;
+            stored_.makeImmutable();
+            bitField0_ |= 0x00000001;
+          } else {
+            ensureStoredIsMutable();
+            stored_.addAll(other.stored_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                com.google.protobuf.ByteString v = input.readBytes();
+                ensureStoredIsMutable();
+                stored_.add(v);
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> stored_ = emptyList(com.google.protobuf.ByteString.class);
+      private void ensureStoredIsMutable() {
+        if (!stored_.isModifiable()) {
+          stored_ = makeMutableCopy(stored_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @return A list containing the stored.
+       */
+      public java.util.List<com.google.protobuf.ByteString>
+          getStoredList() {
+        stored_.makeImmutable();
+        return stored_;
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @return The count of stored.
+       */
+      public int getStoredCount() {
+        return stored_.size();
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @param index The index of the element to return.
+       * @return The stored at the given index.
+       */
+      public com.google.protobuf.ByteString getStored(int index) {
+        return stored_.get(index);
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The stored to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStored(
+          int index, com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        ensureStoredIsMutable();
+        stored_.set(index, value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @param value The stored to add.
+       * @return This builder for chaining.
+       */
+      public Builder addStored(com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        ensureStoredIsMutable();
+        stored_.add(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @param values The stored to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllStored(
+          java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
+        ensureStoredIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, stored_);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated bytes stored = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStored() {
+        stored_ = emptyList(com.google.protobuf.ByteString.class);
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsChanges)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsChanges)
+    private static final ebonygw.wire.SettingsProtocol.SettingsChanges DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsChanges();
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsChanges getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SettingsChanges>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsChanges>() {
+      @java.lang.Override
+      public SettingsChanges parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SettingsChanges> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SettingsChanges> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsChanges getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SettingsPartFetchOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsPartFetch)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>uint32 index = 2;</code>
+     * @return The index.
+     */
+    int getIndex();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SettingsPartFetch}
+   */
+  public static final class SettingsPartFetch extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SettingsPartFetch)
+      SettingsPartFetchOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SettingsPartFetch");
+    }
+    // Use SettingsPartFetch.newBuilder() to construct.
+    private SettingsPartFetch(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SettingsPartFetch() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPartFetch_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPartFetch_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPartFetch_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SettingsProtocol.SettingsPartFetch.class, ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int INDEX_FIELD_NUMBER = 2;
+    private int index_ = 0;
+    /**
+     * <code>uint32 index = 2;</code>
+     * @return The index.
+     */
+    @java.lang.Override
+    public int getIndex() {
+      return index_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
+      }
+      if (index_ != 0) {
+        output.writeUInt32(2, index_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
+      }
+      if (index_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, index_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsPartFetch)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SettingsProtocol.SettingsPartFetch other = (ebonygw.wire.SettingsProtocol.SettingsPartFetch) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getIndex()
+          != other.getIndex()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + getIndex();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsPartFetch prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SettingsPartFetch}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsPartFetch)
+        ebonygw.wire.SettingsProtocol.SettingsPartFetchOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPartFetch_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPartFetch_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SettingsProtocol.SettingsPartFetch.class, ebonygw.wire.SettingsProtocol.SettingsPartFetch.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SettingsProtocol.SettingsPartFetch.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        index_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPartFetch_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPartFetch getDefaultInstanceForType() {
+        return ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPartFetch build() {
+        ebonygw.wire.SettingsProtocol.SettingsPartFetch result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPartFetch buildPartial() {
+        ebonygw.wire.SettingsProtocol.SettingsPartFetch result = new ebonygw.wire.SettingsProtocol.SettingsPartFetch(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsPartFetch result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.index_ = index_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsPartFetch) {
+          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsPartFetch)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsPartFetch other) {
+        if (other == ebonygw.wire.SettingsProtocol.SettingsPartFetch.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getIndex() != 0) {
+          setIndex(other.getIndex());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                index_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int index_ ;
+      /**
+       * <code>uint32 index = 2;</code>
+       * @return The index.
+       */
+      @java.lang.Override
+      public int getIndex() {
+        return index_;
+      }
+      /**
+       * <code>uint32 index = 2;</code>
+       * @param value The index to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIndex(int value) {
+
+        index_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 index = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIndex() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        index_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsPartFetch)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsPartFetch)
+    private static final ebonygw.wire.SettingsProtocol.SettingsPartFetch DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsPartFetch();
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPartFetch getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SettingsPartFetch>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsPartFetch>() {
+      @java.lang.Override
+      public SettingsPartFetch parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SettingsPartFetch> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SettingsPartFetch> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsPartFetch getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SettingsPartOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsPart)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>fixed64 checksum = 2;</code>
+     * @return The checksum.
+     */
+    long getChecksum();
+
+    /**
+     * <code>uint32 index = 3;</code>
+     * @return The index.
+     */
+    int getIndex();
+
+    /**
+     * <code>uint32 count = 4;</code>
+     * @return The count.
+     */
+    int getCount();
+
+    /**
+     * <code>bytes data = 5;</code>
+     * @return The data.
+     */
+    com.google.protobuf.ByteString getData();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SettingsPart}
+   */
+  public static final class SettingsPart extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SettingsPart)
+      SettingsPartOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SettingsPart");
+    }
+    // Use SettingsPart.newBuilder() to construct.
+    private SettingsPart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SettingsPart() {
+      data_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPart_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPart_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPart_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SettingsProtocol.SettingsPart.class, ebonygw.wire.SettingsProtocol.SettingsPart.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int CHECKSUM_FIELD_NUMBER = 2;
+    private long checksum_ = 0L;
+    /**
+     * <code>fixed64 checksum = 2;</code>
+     * @return The checksum.
+     */
+    @java.lang.Override
+    public long getChecksum() {
+      return checksum_;
+    }
+
+    public static final int INDEX_FIELD_NUMBER = 3;
+    private int index_ = 0;
+    /**
+     * <code>uint32 index = 3;</code>
+     * @return The index.
+     */
+    @java.lang.Override
+    public int getIndex() {
+      return index_;
+    }
+
+    public static final int COUNT_FIELD_NUMBER = 4;
+    private int count_ = 0;
+    /**
+     * <code>uint32 count = 4;</code>
+     * @return The count.
+     */
+    @java.lang.Override
+    public int getCount() {
+      return count_;
+    }
+
+    public static final int DATA_FIELD_NUMBER = 5;
+    private com.google.protobuf.ByteString data_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes data = 5;</code>
+     * @return The data.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getData() {
+      return data_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
+      }
+      if (checksum_ != 0L) {
+        output.writeFixed64(2, checksum_);
+      }
+      if (index_ != 0) {
+        output.writeUInt32(3, index_);
+      }
+      if (count_ != 0) {
+        output.writeUInt32(4, count_);
+      }
+      if (!data_.isEmpty()) {
+        output.writeBytes(5, data_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
+      }
+      if (checksum_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, checksum_);
+      }
+      if (index_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, index_);
+      }
+      if (count_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, count_);
+      }
+      if (!data_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(5, data_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsPart)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SettingsProtocol.SettingsPart other = (ebonygw.wire.SettingsProtocol.SettingsPart) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getChecksum()
+          != other.getChecksum()) return false;
+      if (getIndex()
+          != other.getIndex()) return false;
+      if (getCount()
+          != other.getCount()) return false;
+      if (!getData()
+          .equals(other.getData())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + CHECKSUM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getChecksum());
+      hash = (37 * hash) + INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + getIndex();
+      hash = (37 * hash) + COUNT_FIELD_NUMBER;
+      hash = (53 * hash) + getCount();
+      hash = (37 * hash) + DATA_FIELD_NUMBER;
+      hash = (53 * hash) + getData().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SettingsProtocol.SettingsPart parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsPart prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SettingsPart}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsPart)
+        ebonygw.wire.SettingsProtocol.SettingsPartOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPart_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPart_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SettingsProtocol.SettingsPart.class, ebonygw.wire.SettingsProtocol.SettingsPart.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SettingsProtocol.SettingsPart.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        checksum_ = 0L;
+        index_ = 0;
+        count_ = 0;
+        data_ = com.google.protobuf.ByteString.EMPTY;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsPart_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPart getDefaultInstanceForType() {
+        return ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPart build() {
+        ebonygw.wire.SettingsProtocol.SettingsPart result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SettingsProtocol.SettingsPart buildPartial() {
+        ebonygw.wire.SettingsProtocol.SettingsPart result = new ebonygw.wire.SettingsProtocol.SettingsPart(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsPart result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.checksum_ = checksum_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.index_ = index_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.count_ = count_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.data_ = data_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsPart) {
+          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsPart)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsPart other) {
+        if (other == ebonygw.wire.SettingsProtocol.SettingsPart.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getChecksum() != 0L) {
+          setChecksum(other.getChecksum());
+        }
+        if (other.getIndex() != 0) {
+          setIndex(other.getIndex());
+        }
+        if (other.getCount() != 0) {
+          setCount(other.getCount());
+        }
+        if (!other.getData().isEmpty()) {
+          setData(other.getData());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 17: {
+                checksum_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 24: {
+                index_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                count_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 42: {
+                data_ = input.readBytes();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long checksum_ ;
+      /**
+       * <code>fixed64 checksum = 2;</code>
+       * @return The checksum.
+       */
+      @java.lang.Override
+      public long getChecksum() {
+        return checksum_;
+      }
+      /**
+       * <code>fixed64 checksum = 2;</code>
+       * @param value The checksum to set.
+       * @return This builder for chaining.
+       */
+      public Builder setChecksum(long value) {
+
+        checksum_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 checksum = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearChecksum() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        checksum_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int index_ ;
+      /**
+       * <code>uint32 index = 3;</code>
+       * @return The index.
+       */
+      @java.lang.Override
+      public int getIndex() {
+        return index_;
+      }
+      /**
+       * <code>uint32 index = 3;</code>
+       * @param value The index to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIndex(int value) {
+
+        index_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 index = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIndex() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        index_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int count_ ;
+      /**
+       * <code>uint32 count = 4;</code>
+       * @return The count.
+       */
+      @java.lang.Override
+      public int getCount() {
+        return count_;
+      }
+      /**
+       * <code>uint32 count = 4;</code>
+       * @param value The count to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCount(int value) {
+
+        count_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 count = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCount() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        count_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString data_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes data = 5;</code>
+       * @return The data.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getData() {
+        return data_;
+      }
+      /**
+       * <code>bytes data = 5;</code>
+       * @param value The data to set.
+       * @return This builder for chaining.
+       */
+      public Builder setData(com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        data_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes data = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearData() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        data_ = getDefaultInstance().getData();
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsPart)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsPart)
+    private static final ebonygw.wire.SettingsProtocol.SettingsPart DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsPart();
+    }
+
+    public static ebonygw.wire.SettingsProtocol.SettingsPart getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SettingsPart>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsPart>() {
+      @java.lang.Override
+      public SettingsPart parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SettingsPart> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SettingsPart> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SettingsProtocol.SettingsPart getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SettingsWatcherOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SettingsWatcher)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string watcher = 1;</code>
+     * @return The watcher.
+     */
+    java.lang.String getWatcher();
+    /**
+     * <code>string watcher = 1;</code>
+     * @return The bytes for watcher.
+     */
+    com.google.protobuf.ByteString
+        getWatcherBytes();
+
+    /**
+     * <code>fixed64 sequence = 2;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SettingsWatcher}
+   */
+  public static final class SettingsWatcher extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SettingsWatcher)
+      SettingsWatcherOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SettingsWatcher");
+    }
+    // Use SettingsWatcher.newBuilder() to construct.
+    private SettingsWatcher(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SettingsWatcher() {
+      watcher_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsWatcher_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsWatcher_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_fieldAccessorTable
+      return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsWatcher_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.SettingsProtocol.SettingsOffer.class, ebonygw.wire.SettingsProtocol.SettingsOffer.Builder.class);
+              ebonygw.wire.SettingsProtocol.SettingsWatcher.class, ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder.class);
     }
 
-    public static final int REVISION_FIELD_NUMBER = 1;
-    private long revision_ = 0L;
+    public static final int WATCHER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object watcher_ = "";
     /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
+     * <code>string watcher = 1;</code>
+     * @return The watcher.
      */
     @java.lang.Override
-    public long getRevision() {
-      return revision_;
+    public java.lang.String getWatcher() {
+      java.lang.Object ref = watcher_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        watcher_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string watcher = 1;</code>
+     * @return The bytes for watcher.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWatcherBytes() {
+      java.lang.Object ref = watcher_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        watcher_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 2;
+    private long sequence_ = 0L;
+    /**
+     * <code>fixed64 sequence = 2;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -770,16 +4597,22 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (revision_ != 0L) {
-        output.writeUInt64(1, revision_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(watcher_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, watcher_);
+      }
+      if (sequence_ != 0L) {
+        output.writeFixed64(2, sequence_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (revision_ != 0L) {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(watcher_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, watcher_);
+      }
+      if (sequence_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, revision_);
+          .computeFixed64Size(2, sequence_);
       }
       return size;
     }
@@ -800,13 +4633,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsOffer)) {
+      if (!(obj instanceof ebonygw.wire.SettingsProtocol.SettingsWatcher)) {
         return super.equals(obj);
       }
-      ebonygw.wire.SettingsProtocol.SettingsOffer other = (ebonygw.wire.SettingsProtocol.SettingsOffer) obj;
+      ebonygw.wire.SettingsProtocol.SettingsWatcher other = (ebonygw.wire.SettingsProtocol.SettingsWatcher) obj;
 
-      if (getRevision()
-          != other.getRevision()) return false;
+      if (!getWatcher()
+          .equals(other.getWatcher())) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -818,52 +4653,54 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (37 * hash) + WATCHER_FIELD_NUMBER;
+      hash = (53 * hash) + getWatcher().hashCode();
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
+          getSequence());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(byte[] data)
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -871,26 +4708,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseDelimitedFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer parseFrom(
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -903,7 +4740,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsOffer prototype) {
+    public static Builder newBuilder(ebonygw.wire.SettingsProtocol.SettingsWatcher prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -919,26 +4756,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.SettingsOffer}
+     * Protobuf type {@code ebonygw.SettingsWatcher}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsOffer)
-        ebonygw.wire.SettingsProtocol.SettingsOfferOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.SettingsWatcher)
+        ebonygw.wire.SettingsProtocol.SettingsWatcherOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsWatcher_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_fieldAccessorTable
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsWatcher_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.SettingsProtocol.SettingsOffer.class, ebonygw.wire.SettingsProtocol.SettingsOffer.Builder.class);
+                ebonygw.wire.SettingsProtocol.SettingsWatcher.class, ebonygw.wire.SettingsProtocol.SettingsWatcher.Builder.class);
       }
 
-      // Construct using ebonygw.wire.SettingsProtocol.SettingsOffer.newBuilder()
+      // Construct using ebonygw.wire.SettingsProtocol.SettingsWatcher.newBuilder()
       private Builder() {
 
       }
@@ -952,24 +4789,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        revision_ = 0L;
+        watcher_ = "";
+        sequence_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsOffer_descriptor;
+        return ebonygw.wire.SettingsProtocol.internal_static_ebonygw_SettingsWatcher_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.SettingsProtocol.SettingsOffer getDefaultInstanceForType() {
-        return ebonygw.wire.SettingsProtocol.SettingsOffer.getDefaultInstance();
+      public ebonygw.wire.SettingsProtocol.SettingsWatcher getDefaultInstanceForType() {
+        return ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.SettingsProtocol.SettingsOffer build() {
-        ebonygw.wire.SettingsProtocol.SettingsOffer result = buildPartial();
+      public ebonygw.wire.SettingsProtocol.SettingsWatcher build() {
+        ebonygw.wire.SettingsProtocol.SettingsWatcher result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -977,34 +4815,42 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.SettingsProtocol.SettingsOffer buildPartial() {
-        ebonygw.wire.SettingsProtocol.SettingsOffer result = new ebonygw.wire.SettingsProtocol.SettingsOffer(this);
+      public ebonygw.wire.SettingsProtocol.SettingsWatcher buildPartial() {
+        ebonygw.wire.SettingsProtocol.SettingsWatcher result = new ebonygw.wire.SettingsProtocol.SettingsWatcher(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsOffer result) {
+      private void buildPartial0(ebonygw.wire.SettingsProtocol.SettingsWatcher result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.revision_ = revision_;
+          result.watcher_ = watcher_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.sequence_ = sequence_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsOffer) {
-          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsOffer)other);
+        if (other instanceof ebonygw.wire.SettingsProtocol.SettingsWatcher) {
+          return mergeFrom((ebonygw.wire.SettingsProtocol.SettingsWatcher)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsOffer other) {
-        if (other == ebonygw.wire.SettingsProtocol.SettingsOffer.getDefaultInstance()) return this;
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
+      public Builder mergeFrom(ebonygw.wire.SettingsProtocol.SettingsWatcher other) {
+        if (other == ebonygw.wire.SettingsProtocol.SettingsWatcher.getDefaultInstance()) return this;
+        if (!other.getWatcher().isEmpty()) {
+          watcher_ = other.watcher_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -1030,11 +4876,16 @@
               case 0:
                 done = true;
                 break;
-              case 8: {
-                revision_ = input.readUInt64();
+              case 10: {
+                watcher_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 8
+              } // case 10
+              case 17: {
+                sequence_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1052,55 +4903,127 @@
       }
       private int bitField0_;
 
-      private long revision_ ;
+      private java.lang.Object watcher_ = "";
       /**
-       * <code>uint64 revision = 1;</code>
-       * @return The revision.
+       * <code>string watcher = 1;</code>
+       * @return The watcher.
        */
-      @java.lang.Override
-      public long getRevision() {
-        return revision_;
+      public java.lang.String getWatcher() {
+        java.lang.Object ref = watcher_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          watcher_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
       /**
-       * <code>uint64 revision = 1;</code>
-       * @param value The revision to set.
+       * <code>string watcher = 1;</code>
+       * @return The bytes for watcher.
+       */
+      public com.google.protobuf.ByteString
+          getWatcherBytes() {
+        java.lang.Object ref = watcher_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          watcher_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string watcher = 1;</code>
+       * @param value The watcher to set.
        * @return This builder for chaining.
        */
-      public Builder setRevision(long value) {
-
-        revision_ = value;
+      public Builder setWatcher(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        watcher_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 revision = 1;</code>
+       * <code>string watcher = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearRevision() {
+      public Builder clearWatcher() {
+        watcher_ = getDefaultInstance().getWatcher();
         bitField0_ = (bitField0_ & ~0x00000001);
-        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string watcher = 1;</code>
+       * @param value The bytes for watcher to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWatcherBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        watcher_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsOffer)
+      private long sequence_ ;
+      /**
+       * <code>fixed64 sequence = 2;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>fixed64 sequence = 2;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 sequence = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SettingsWatcher)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.SettingsOffer)
-    private static final ebonygw.wire.SettingsProtocol.SettingsOffer DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.SettingsWatcher)
+    private static final ebonygw.wire.SettingsProtocol.SettingsWatcher DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsOffer();
+      DEFAULT_INSTANCE = new ebonygw.wire.SettingsProtocol.SettingsWatcher();
     }
 
-    public static ebonygw.wire.SettingsProtocol.SettingsOffer getDefaultInstance() {
+    public static ebonygw.wire.SettingsProtocol.SettingsWatcher getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<SettingsOffer>
-        PARSER = new com.google.protobuf.AbstractParser<SettingsOffer>() {
+    private static final com.google.protobuf.Parser<SettingsWatcher>
+        PARSER = new com.google.protobuf.AbstractParser<SettingsWatcher>() {
       @java.lang.Override
-      public SettingsOffer parsePartialFrom(
+      public SettingsWatcher parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1119,17 +5042,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<SettingsOffer> parser() {
+    public static com.google.protobuf.Parser<SettingsWatcher> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<SettingsOffer> getParserForType() {
+    public com.google.protobuf.Parser<SettingsWatcher> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.SettingsProtocol.SettingsOffer getDefaultInstanceForType() {
+    public ebonygw.wire.SettingsProtocol.SettingsWatcher getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -1145,6 +5068,31 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_SettingsOffer_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SettingsFetch_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SettingsFetch_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SettingsChanges_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SettingsChanges_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SettingsPartFetch_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SettingsPartFetch_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SettingsPart_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SettingsPart_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SettingsWatcher_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SettingsWatcher_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
