@@ -1154,11 +5102,23 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\016settings.proto\022\007ebonygw\"C\n\020SettingsEnv" +
-      "elope\022\'\n\005offer\030\001 \001(\0132\026.ebonygw.SettingsO" +
-      "fferH\000B\006\n\004kind\"!\n\rSettingsOffer\022\020\n\010revis" +
-      "ion\030\001 \001(\004B \n\014ebonygw.wireB\020SettingsProto" +
-      "colb\006proto3"
+      "\n\016settings.proto\022\007ebonygw\"\237\002\n\020SettingsEn" +
+      "velope\022\'\n\005offer\030\001 \001(\0132\026.ebonygw.Settings" +
+      "OfferH\000\022\'\n\005fetch\030\002 \001(\0132\026.ebonygw.Setting" +
+      "sFetchH\000\022+\n\007changes\030\003 \001(\0132\030.ebonygw.Sett" +
+      "ingsChangesH\000\0220\n\npart_fetch\030\004 \001(\0132\032.ebon" +
+      "ygw.SettingsPartFetchH\000\022%\n\004part\030\005 \001(\0132\025." +
+      "ebonygw.SettingsPartH\000\022+\n\007watcher\030\006 \001(\0132" +
+      "\030.ebonygw.SettingsWatcherH\000B\006\n\004kind\"!\n\rS" +
+      "ettingsOffer\022\020\n\010revision\030\001 \001(\004\"\036\n\rSettin" +
+      "gsFetch\022\r\n\005after\030\001 \001(\004\"!\n\017SettingsChange" +
+      "s\022\016\n\006stored\030\001 \003(\014\"4\n\021SettingsPartFetch\022\020" +
+      "\n\010revision\030\001 \001(\004\022\r\n\005index\030\002 \001(\r\"^\n\014Setti" +
+      "ngsPart\022\020\n\010revision\030\001 \001(\004\022\020\n\010checksum\030\002 " +
+      "\001(\006\022\r\n\005index\030\003 \001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004dat" +
+      "a\030\005 \001(\014\"4\n\017SettingsWatcher\022\017\n\007watcher\030\001 " +
+      "\001(\t\022\020\n\010sequence\030\002 \001(\006B \n\014ebonygw.wireB\020S" +
+      "ettingsProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1169,13 +5129,43 @@
     internal_static_ebonygw_SettingsEnvelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_SettingsEnvelope_descriptor,
-        new java.lang.String[] { "Offer", "Kind", });
+        new java.lang.String[] { "Offer", "Fetch", "Changes", "PartFetch", "Part", "Watcher", "Kind", });
     internal_static_ebonygw_SettingsOffer_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_SettingsOffer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_SettingsOffer_descriptor,
         new java.lang.String[] { "Revision", });
+    internal_static_ebonygw_SettingsFetch_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_ebonygw_SettingsFetch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SettingsFetch_descriptor,
+        new java.lang.String[] { "After", });
+    internal_static_ebonygw_SettingsChanges_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_ebonygw_SettingsChanges_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SettingsChanges_descriptor,
+        new java.lang.String[] { "Stored", });
+    internal_static_ebonygw_SettingsPartFetch_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_ebonygw_SettingsPartFetch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SettingsPartFetch_descriptor,
+        new java.lang.String[] { "Revision", "Index", });
+    internal_static_ebonygw_SettingsPart_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_ebonygw_SettingsPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SettingsPart_descriptor,
+        new java.lang.String[] { "Revision", "Checksum", "Index", "Count", "Data", });
+    internal_static_ebonygw_SettingsWatcher_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_ebonygw_SettingsWatcher_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SettingsWatcher_descriptor,
+        new java.lang.String[] { "Watcher", "Sequence", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
