--- /dev/null
+++ b/src/test/java/ebonygw/settings/SettingsReplicaTest.java
@@ -0,0 +1,133 @@
+package ebonygw.settings;
+
+import static ebonygw.settings.SettingsFixtures.change;
+import static ebonygw.settings.SettingsFixtures.customer;
+import static ebonygw.settings.SettingsFleet.MILLI;
+import static ebonygw.settings.SettingsFleet.SECOND;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueFaults;
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.settings.Edit.Assign;
+import ebonygw.settings.FieldValue.Whole;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class SettingsReplicaTest {
+    @Test
+    void aProcessStartsWithTwentyOneThousandAdaptersWhileTheServiceIsDown() {
+        SettingsState large = SettingsFixtures.large(50, 21_000);
+        SettingsFleet fleet = new SettingsFleet(3, new SplittableRandom(1));
+        fleet.mService.faults(KeyValueFaults.DOWN);
+        fleet.run(3 * SECOND);
+        fleet.nodes().forEach(node -> assertThat(node.mReplica.ready()).isFalse());
+        fleet.node(0).mReplica.install(large, null, fleet.node(0));
+
+        fleet.run(3 * SECOND);
+
+        for (SettingsFleet.Node node : fleet.nodes()) {
+            assertThat(node.mReplica.ready()).isTrue();
+            assertThat(node.mReplica.view().revision()).isEqualTo(large.revision());
+            assertThat(node.mReplica.view().adapter("a20999"))
+                    .isEqualTo(large.view().adapter("a20999"));
+        }
+    }
+
+    @Test
+    void anEmptyServiceDoesNotMakeAProcessReady() {
+        SettingsFleet fleet = new SettingsFleet(2, new SplittableRandom(2));
+
+        fleet.run(5 * SECOND);
+
+        fleet.nodes().forEach(node -> assertThat(node.mReplica.ready()).isFalse());
+    }
+
+    @Test
+    void theLogIsTrimmedBehindASnapshotFromWhichALoneProcessStarts() {
+        SettingsFleet fleet = new SettingsFleet(1, new SplittableRandom(3));
+        write(fleet, 60);
+        fleet.run(60 * SECOND);
+
+        KeyValueReply.Found log = range(fleet, SettingsKeys.LOG, SettingsKeys.LOG_END);
+        KeyValueReply.Found parts = range(fleet, SettingsKeys.PARTS, SettingsKeys.PARTS_END);
+        SettingsState before = fleet.node(0).mReplica.state();
+        fleet.restart(0);
+        fleet.run(3 * SECOND);
+
+        assertThat(log.entries()).hasSizeLessThan(25);
+        assertThat(parts.entries()).hasSize(1);
+        assertThat(fleet.node(0).mReplica.ready()).isTrue();
+        assertThat(SettingsSnapshot.of(fleet.node(0).mReplica.state()))
+                .isEqualTo(SettingsSnapshot.of(before));
+    }
+
+    @Test
+    void twoOperatorsWithTheSameBaseGetOneAcceptanceAndOneConflictShowingTheOther() {
+        SettingsFleet fleet = new SettingsFleet(2, new SplittableRandom(4));
+        write(fleet, 1);
+        fleet.run(3 * SECOND);
+
+        long first = fleet.submit(0, rate("one", 1, 10));
+        long second = fleet.submit(1, rate("two", 1, 20));
+        fleet.run(SECOND);
+
+        ChangeOutcome a = fleet.mOutcomes.get(first);
+        ChangeOutcome b = fleet.mOutcomes.get(second);
+        ChangeOutcome lost = a instanceof ChangeOutcome.Accepted ? b : a;
+        String winner = lost == b ? "one" : "two";
+        assertThat(lost).isInstanceOf(ChangeOutcome.Conflict.class);
+        assertThat(((ChangeOutcome.Conflict) lost).others())
+                .extracting(record -> record.change().id())
+                .containsExactly(winner);
+    }
+
+    @Test
+    void anOutageGivesARefusalThatSaysNothingTookEffect() {
+        SettingsFleet fleet = new SettingsFleet(2, new SplittableRandom(5));
+        write(fleet, 1);
+        fleet.mService.faults(KeyValueFaults.DOWN);
+
+        long ticket = fleet.submit(0, rate("x", -1, 10));
+        fleet.run(6 * SECOND);
+
+        assertThat(fleet.mOutcomes.get(ticket))
+                .isInstanceOfSatisfying(
+                        ChangeOutcome.Unavailable.class,
+                        lost -> assertThat(lost.mayHaveTakenEffect()).isFalse());
+        assertThat(fleet.node(0).mReplica.view().customer("c0")).isPresent();
+    }
+
+    @Test
+    void aLostAnswerIsSettledWithoutDoublingTheChange() {
+        SettingsFleet fleet = new SettingsFleet(1, new SplittableRandom(6));
+        write(fleet, 1);
+        fleet.mService.faults(new KeyValueFaults(false, MILLI, 0, 60));
+
+        long ticket = fleet.submit(0, rate("x", 1, 10));
+        fleet.run(6 * SECOND);
+
+        assertThat(fleet.mOutcomes.get(ticket)).isEqualTo(new ChangeOutcome.Accepted(2));
+        assertThat(fleet.node(0).mReplica.state().revision()).isEqualTo(2);
+    }
+
+    private static KeyValueReply.Found range(SettingsFleet fleet, String from, String to) {
+        return (KeyValueReply.Found)
+                fleet.mService.store().execute(new KeyValueCall.Range(from, to, 0), fleet.mNow);
+    }
+
+    private static SettingsChange rate(String id, long base, long rate) {
+        return change(id, base, List.of(new Assign(customer(0), Field.RATE, new Whole(rate))));
+    }
+
+    private static void write(SettingsFleet fleet, int changes) {
+        fleet.submit(0, change("base", -1, SettingsFixtures.base()));
+        fleet.run(SECOND);
+        for (int i = 1; i < changes; i++) {
+            fleet.submit(0, rate("rate-" + i, -1, i));
+            fleet.run(100 * MILLI);
+        }
+        assertThat(fleet.node(0).mReplica.state().revision()).isEqualTo(changes);
+    }
+}
