--- /dev/null
+++ b/src/main/java/ebonygw/bench/shares/SharesBench.java
@@ -0,0 +1,86 @@
+package ebonygw.bench.shares;
+
+import ebonygw.cli.Command;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** The experiment on shares: {@code bench shares}. */
+public final class SharesBench implements Command {
+    @Override
+    public int run(List<String> args, PrintStream out, PrintStream err) {
+        Options options = new Options();
+        try {
+            new CmdLineParser(options).parseArgument(args);
+        } catch (CmdLineException e) {
+            err.println("bench shares: " + e.getMessage());
+            return USAGE;
+        }
+        for (Scenario scenario : scenarios()) {
+            for (Map.Entry<String, EntryModel.Factory> way : ways().entrySet()) {
+                Outcome sum = sweep(scenario, options, way.getValue());
+                out.printf(
+                        "%s %s overruns=%d excess=%.1f (%s) wrongful=%.5f least=%.4f msg=%.1f%n",
+                        scenario.name(),
+                        way.getKey(),
+                        sum.mOverruns,
+                        sum.mWorstExcess,
+                        sum.mWorstRun,
+                        sum.wrongfulShare(),
+                        sum.leastUtilisation(),
+                        sum.messageRate());
+                sum.mCustomers.forEach(
+                        (name, it) ->
+                                out.printf(
+                                        "    %s requests=%d served=%.4f wrongful=%d p95=%.1f"
+                                                + " util=%.4f%n",
+                                        name,
+                                        it.mRequests,
+                                        it.servedShare(),
+                                        it.mWrongful,
+                                        it.waitMillis(95),
+                                        it.utilisation()));
+            }
+        }
+        return OK;
+    }
+
+    static List<Scenario> scenarios() {
+        List<Scenario> all = new ArrayList<>();
+        all.add(new Scenario("skewed", 30, Scenario.loads(0.8), Scenario.Arrival.SKEWED, false));
+        all.add(new Scenario("moving", 30, Scenario.loads(0.8), Scenario.Arrival.MOVING, false));
+        all.add(new Scenario("overload", 30, Scenario.loads(3), Scenario.Arrival.SKEWED, false));
+        all.add(new Scenario("faults", 60, Scenario.loads(2), Scenario.Arrival.MOVING, true));
+        return all;
+    }
+
+    private static Outcome sweep(Scenario scenario, Options options, EntryModel.Factory factory) {
+        Outcome sum = new Outcome();
+        LongStream.rangeClosed(1, options.mSeeds)
+                .parallel()
+                .mapToObj(seed -> Experiment.run(scenario, seed, options.mEntries, factory))
+                .toList()
+                .forEach(sum::add);
+        return sum;
+    }
+
+    private static Map<String, EntryModel.Factory> ways() {
+        Map<String, EntryModel.Factory> ways = new LinkedHashMap<>();
+        ways.put("shares", (self, entries) -> new ShareEntry(self));
+        return ways;
+    }
+
+    private static final class Options {
+        @Option(name = "--seeds", usage = "number of seeds")
+        private int mSeeds = 100;
+
+        @Option(name = "--entries", usage = "number of entry processes")
+        private int mEntries = 4;
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/bench/shares/Traffic.java
@@ -0,0 +1,161 @@
+package ebonygw.bench.shares;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+
+/** Callers' requests of one run, and what became of them. Not thread-safe. */
+final class Traffic {
+    /** How long settings may take to be in force on all hosts, and a cut off host's lease. */
+    static final long GRACE_NANOS = 16 * VirtualFleet.SECOND;
+
+    private static final long MOVE_NANOS = VirtualFleet.SECOND;
+
+    private final Scenario mScenario;
+    private final Random mRandom;
+    private final Outcome mOutcome = new Outcome();
+    private final Map<String, IdealBucket> mIdeal = new HashMap<>();
+    private final Map<String, OverrunChecker> mCheckers = new HashMap<>();
+    private long mLastTicket;
+    private VirtualFleet mFleet;
+
+    Traffic(Scenario scenario, long seed) {
+        mScenario = scenario;
+        mRandom = new Random(seed * 31 + 7);
+        for (Scenario.Load load : scenario.loads()) {
+            mCheckers.put(load.customer(), new OverrunChecker(GRACE_NANOS));
+            limit(load.customer(), 0, load.ratePerSecond(), load.burst());
+        }
+    }
+
+    /** Logs a customer's limits from a true time on. */
+    void limit(String customer, long at, long rate, long burst) {
+        mCheckers.get(customer).limit(at, rate, burst);
+        mIdeal.computeIfAbsent(customer, it -> new IdealBucket()).limit(at, rate, burst);
+    }
+
+    void onDecided(Request request, boolean admitted, long now) {
+        Outcome.Customer customer = mOutcome.customer(request.mCustomer);
+        if (admitted) {
+            customer.mAdmitted++;
+            customer.mUsed += request.mUsed;
+            customer.mWaits.recordValue((now - request.mArrivedAt) / 1_000);
+            mCheckers.get(request.mCustomer).charge(now, request.mUsed);
+            return;
+        }
+        customer.mRefused++;
+        if (request.mRightful) {
+            customer.mWrongful++;
+        }
+    }
+
+    void onMessage() {
+        mOutcome.mMessages++;
+    }
+
+    /** Schedules the first request of each customer. */
+    void start(VirtualFleet fleet, long from, long until) {
+        mFleet = fleet;
+        mOutcome.mMessages = 0;
+        mOutcome.mHostSeconds = fleet.entries() * ((until - from) / (double) VirtualFleet.SECOND);
+        for (Scenario.Load load : mScenario.loads()) {
+            double seconds = (until - from) / (double) VirtualFleet.SECOND;
+            mOutcome.customer(load.customer()).mEntitled = load.ratePerSecond() * seconds;
+            next(load, from, until);
+        }
+    }
+
+    /** Checks the log of charges and returns the figures. */
+    Outcome finish(String run) {
+        mCheckers.forEach(
+                (customer, checker) -> {
+                    double excess = checker.worstExcess();
+                    if (excess > 0) {
+                        mOutcome.mOverruns++;
+                    }
+                    if (excess > mOutcome.mWorstExcess) {
+                        mOutcome.mWorstExcess = excess;
+                        mOutcome.mWorstRun = run + "/" + customer;
+                    }
+                });
+        return mOutcome;
+    }
+
+    private void arrive(Scenario.Load load) {
+        long charged = Math.max(1, (long) (load.tokens() * (0.5 + mRandom.nextDouble())));
+        long used = Math.max(1, (long) (charged * (0.5 + 0.5 * mRandom.nextDouble())));
+        long now = mFleet.now();
+        boolean rightful = mIdeal.get(load.customer()).take(now, charged);
+        long duration = (long) ((0.05 + 2 * mRandom.nextDouble()) * VirtualFleet.SECOND);
+        mLastTicket++;
+        Request request =
+                new Request(mLastTicket, load.customer(), charged, used, now, duration, rightful);
+        Outcome.Customer customer = mOutcome.customer(load.customer());
+        customer.mRequests++;
+        customer.mRightful += rightful ? 1 : 0;
+        mFleet.arrive(host(load.customer(), now), request);
+    }
+
+    private int host(String customer, long now) {
+        int entries = mFleet.entries();
+        int first = Math.floorMod(customer.hashCode(), entries);
+        if (mScenario.arrival() == Scenario.Arrival.MOVING) {
+            return (int) ((first + now / MOVE_NANOS * 7) % entries);
+        }
+        double sum = 0;
+        for (int i = 0; i < entries; i++) {
+            sum += 1.0 / (i + 1);
+        }
+        double at = mRandom.nextDouble() * sum;
+        int host = 0;
+        while (host < entries - 1 && at > 1.0 / (host + 1)) {
+            at -= 1.0 / (host + 1);
+            host++;
+        }
+        return (first + host) % entries;
+    }
+
+    private void next(Scenario.Load load, long at, long until) {
+        double perSecond = load.load() * load.ratePerSecond() / load.tokens();
+        double gap = -Math.log(1 - mRandom.nextDouble()) / perSecond;
+        long then = at + (long) (gap * VirtualFleet.SECOND);
+        if (then < until) {
+            mFleet.at(
+                    then,
+                    () -> {
+                        arrive(load);
+                        next(load, then, until);
+                    });
+        }
+    }
+
+    /** One token bucket for the whole fleet that knows everything at once. */
+    private static final class IdealBucket {
+        private double mLevel;
+        private double mRate;
+        private double mBurst;
+        private long mAt;
+
+        private void limit(long at, long rate, long burst) {
+            refill(at);
+            mLevel = mAt == 0 ? burst : Math.min(mLevel, burst);
+            mRate = rate;
+            mBurst = burst;
+        }
+
+        private void refill(long now) {
+            double passed = (now - mAt) / (double) VirtualFleet.SECOND;
+            mLevel = Math.min(mBurst, mLevel + mRate * passed);
+            mAt = now;
+        }
+
+        private boolean take(long now, long tokens) {
+            refill(now);
+            if (mLevel < tokens) {
+                return false;
+            }
+            mLevel -= tokens;
+            return true;
+        }
+    }
+}
--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,5 +1,6 @@
 package ebonygw.cli;
 
+import ebonygw.bench.BenchCommand;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,7 @@
 
     private static Map<String, Command> commands() {
         Map<String, Command> commands = new TreeMap<>();
+        commands.put("bench", new BenchCommand());
         return commands;
     }
 }
--- a/src/main/java/ebonygw/wire/SharesProtocol.java
+++ b/src/main/java/ebonygw/wire/SharesProtocol.java
@@ -45,6 +45,141 @@
      */
     ebonygw.wire.SharesProtocol.SharesAskOrBuilder getAskOrBuilder();
 
+    /**
+     * <code>.ebonygw.SharesGrant grant = 2;</code>
+     * @return Whether the grant field is set.
+     */
+    boolean hasGrant();
+    /**
+     * <code>.ebonygw.SharesGrant grant = 2;</code>
+     * @return The grant.
+     */
+    ebonygw.wire.SharesProtocol.SharesGrant getGrant();
+    /**
+     * <code>.ebonygw.SharesGrant grant = 2;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesGrantOrBuilder getGrantOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesReturn give_back = 3;</code>
+     * @return Whether the giveBack field is set.
+     */
+    boolean hasGiveBack();
+    /**
+     * <code>.ebonygw.SharesReturn give_back = 3;</code>
+     * @return The giveBack.
+     */
+    ebonygw.wire.SharesProtocol.SharesReturn getGiveBack();
+    /**
+     * <code>.ebonygw.SharesReturn give_back = 3;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesReturnOrBuilder getGiveBackOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+     * @return Whether the adopt field is set.
+     */
+    boolean hasAdopt();
+    /**
+     * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+     * @return The adopt.
+     */
+    ebonygw.wire.SharesProtocol.SharesAdopt getAdopt();
+    /**
+     * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder getAdoptOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+     * @return Whether the adopted field is set.
+     */
+    boolean hasAdopted();
+    /**
+     * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+     * @return The adopted.
+     */
+    ebonygw.wire.SharesProtocol.SharesAdopted getAdopted();
+    /**
+     * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder getAdoptedOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesAssign assign = 6;</code>
+     * @return Whether the assign field is set.
+     */
+    boolean hasAssign();
+    /**
+     * <code>.ebonygw.SharesAssign assign = 6;</code>
+     * @return The assign.
+     */
+    ebonygw.wire.SharesProtocol.SharesAssign getAssign();
+    /**
+     * <code>.ebonygw.SharesAssign assign = 6;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesAssignOrBuilder getAssignOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+     * @return Whether the assigned field is set.
+     */
+    boolean hasAssigned();
+    /**
+     * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+     * @return The assigned.
+     */
+    ebonygw.wire.SharesProtocol.SharesAssigned getAssigned();
+    /**
+     * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder getAssignedOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesDemand demand = 8;</code>
+     * @return Whether the demand field is set.
+     */
+    boolean hasDemand();
+    /**
+     * <code>.ebonygw.SharesDemand demand = 8;</code>
+     * @return The demand.
+     */
+    ebonygw.wire.SharesProtocol.SharesDemand getDemand();
+    /**
+     * <code>.ebonygw.SharesDemand demand = 8;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesDemandOrBuilder getDemandOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+     * @return Whether the heartbeat field is set.
+     */
+    boolean hasHeartbeat();
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+     * @return The heartbeat.
+     */
+    ebonygw.wire.SharesProtocol.SharesHeartbeat getHeartbeat();
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder getHeartbeatOrBuilder();
+
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+     * @return Whether the heartbeatAck field is set.
+     */
+    boolean hasHeartbeatAck();
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+     * @return The heartbeatAck.
+     */
+    ebonygw.wire.SharesProtocol.SharesHeartbeat getHeartbeatAck();
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder getHeartbeatAckOrBuilder();
+
     ebonygw.wire.SharesProtocol.SharesEnvelope.KindCase getKindCase();
   }
   /**
@@ -96,6 +231,15 @@
         implements com.google.protobuf.Internal.EnumLite,
             com.google.protobuf.AbstractMessage.InternalOneOfEnum {
       ASK(1),
+      GRANT(2),
+      GIVE_BACK(3),
+      ADOPT(4),
+      ADOPTED(5),
+      ASSIGN(6),
+      ASSIGNED(7),
+      DEMAND(8),
+      HEARTBEAT(9),
+      HEARTBEAT_ACK(10),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -114,6 +258,15 @@
       public static KindCase forNumber(int value) {
         switch (value) {
           case 1: return ASK;
+          case 2: return GRANT;
+          case 3: return GIVE_BACK;
+          case 4: return ADOPT;
+          case 5: return ADOPTED;
+          case 6: return ASSIGN;
+          case 7: return ASSIGNED;
+          case 8: return DEMAND;
+          case 9: return HEARTBEAT;
+          case 10: return HEARTBEAT_ACK;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -160,6 +313,285 @@
       return ebonygw.wire.SharesProtocol.SharesAsk.getDefaultInstance();
     }
 
+    public static final int GRANT_FIELD_NUMBER = 2;
+    /**
+     * <code>.ebonygw.SharesGrant grant = 2;</code>
+     * @return Whether the grant field is set.
+     */
+    @java.lang.Override
+    public boolean hasGrant() {
+      return kindCase_ == 2;
+    }
+    /**
+     * <code>.ebonygw.SharesGrant grant = 2;</code>
+     * @return The grant.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesGrant getGrant() {
+      if (kindCase_ == 2) {
+         return (ebonygw.wire.SharesProtocol.SharesGrant) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesGrant grant = 2;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesGrantOrBuilder getGrantOrBuilder() {
+      if (kindCase_ == 2) {
+         return (ebonygw.wire.SharesProtocol.SharesGrant) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
+    }
+
+    public static final int GIVE_BACK_FIELD_NUMBER = 3;
+    /**
+     * <code>.ebonygw.SharesReturn give_back = 3;</code>
+     * @return Whether the giveBack field is set.
+     */
+    @java.lang.Override
+    public boolean hasGiveBack() {
+      return kindCase_ == 3;
+    }
+    /**
+     * <code>.ebonygw.SharesReturn give_back = 3;</code>
+     * @return The giveBack.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesReturn getGiveBack() {
+      if (kindCase_ == 3) {
+         return (ebonygw.wire.SharesProtocol.SharesReturn) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesReturn give_back = 3;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesReturnOrBuilder getGiveBackOrBuilder() {
+      if (kindCase_ == 3) {
+         return (ebonygw.wire.SharesProtocol.SharesReturn) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+    }
+
+    public static final int ADOPT_FIELD_NUMBER = 4;
+    /**
+     * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+     * @return Whether the adopt field is set.
+     */
+    @java.lang.Override
+    public boolean hasAdopt() {
+      return kindCase_ == 4;
+    }
+    /**
+     * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+     * @return The adopt.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAdopt getAdopt() {
+      if (kindCase_ == 4) {
+         return (ebonygw.wire.SharesProtocol.SharesAdopt) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder getAdoptOrBuilder() {
+      if (kindCase_ == 4) {
+         return (ebonygw.wire.SharesProtocol.SharesAdopt) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+    }
+
+    public static final int ADOPTED_FIELD_NUMBER = 5;
+    /**
+     * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+     * @return Whether the adopted field is set.
+     */
+    @java.lang.Override
+    public boolean hasAdopted() {
+      return kindCase_ == 5;
+    }
+    /**
+     * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+     * @return The adopted.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAdopted getAdopted() {
+      if (kindCase_ == 5) {
+         return (ebonygw.wire.SharesProtocol.SharesAdopted) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder getAdoptedOrBuilder() {
+      if (kindCase_ == 5) {
+         return (ebonygw.wire.SharesProtocol.SharesAdopted) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+    }
+
+    public static final int ASSIGN_FIELD_NUMBER = 6;
+    /**
+     * <code>.ebonygw.SharesAssign assign = 6;</code>
+     * @return Whether the assign field is set.
+     */
+    @java.lang.Override
+    public boolean hasAssign() {
+      return kindCase_ == 6;
+    }
+    /**
+     * <code>.ebonygw.SharesAssign assign = 6;</code>
+     * @return The assign.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAssign getAssign() {
+      if (kindCase_ == 6) {
+         return (ebonygw.wire.SharesProtocol.SharesAssign) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesAssign assign = 6;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAssignOrBuilder getAssignOrBuilder() {
+      if (kindCase_ == 6) {
+         return (ebonygw.wire.SharesProtocol.SharesAssign) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+    }
+
+    public static final int ASSIGNED_FIELD_NUMBER = 7;
+    /**
+     * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+     * @return Whether the assigned field is set.
+     */
+    @java.lang.Override
+    public boolean hasAssigned() {
+      return kindCase_ == 7;
+    }
+    /**
+     * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+     * @return The assigned.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAssigned getAssigned() {
+      if (kindCase_ == 7) {
+         return (ebonygw.wire.SharesProtocol.SharesAssigned) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder getAssignedOrBuilder() {
+      if (kindCase_ == 7) {
+         return (ebonygw.wire.SharesProtocol.SharesAssigned) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+    }
+
+    public static final int DEMAND_FIELD_NUMBER = 8;
+    /**
+     * <code>.ebonygw.SharesDemand demand = 8;</code>
+     * @return Whether the demand field is set.
+     */
+    @java.lang.Override
+    public boolean hasDemand() {
+      return kindCase_ == 8;
+    }
+    /**
+     * <code>.ebonygw.SharesDemand demand = 8;</code>
+     * @return The demand.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesDemand getDemand() {
+      if (kindCase_ == 8) {
+         return (ebonygw.wire.SharesProtocol.SharesDemand) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesDemand demand = 8;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesDemandOrBuilder getDemandOrBuilder() {
+      if (kindCase_ == 8) {
+         return (ebonygw.wire.SharesProtocol.SharesDemand) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+    }
+
+    public static final int HEARTBEAT_FIELD_NUMBER = 9;
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+     * @return Whether the heartbeat field is set.
+     */
+    @java.lang.Override
+    public boolean hasHeartbeat() {
+      return kindCase_ == 9;
+    }
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+     * @return The heartbeat.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHeartbeat getHeartbeat() {
+      if (kindCase_ == 9) {
+         return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder getHeartbeatOrBuilder() {
+      if (kindCase_ == 9) {
+         return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+    }
+
+    public static final int HEARTBEAT_ACK_FIELD_NUMBER = 10;
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+     * @return Whether the heartbeatAck field is set.
+     */
+    @java.lang.Override
+    public boolean hasHeartbeatAck() {
+      return kindCase_ == 10;
+    }
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+     * @return The heartbeatAck.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHeartbeat getHeartbeatAck() {
+      if (kindCase_ == 10) {
+         return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder getHeartbeatAckOrBuilder() {
+      if (kindCase_ == 10) {
+         return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+      }
+      return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -177,6 +609,33 @@
       if (kindCase_ == 1) {
         output.writeMessage(1, (ebonygw.wire.SharesProtocol.SharesAsk) kind_);
       }
+      if (kindCase_ == 2) {
+        output.writeMessage(2, (ebonygw.wire.SharesProtocol.SharesGrant) kind_);
+      }
+      if (kindCase_ == 3) {
+        output.writeMessage(3, (ebonygw.wire.SharesProtocol.SharesReturn) kind_);
+      }
+      if (kindCase_ == 4) {
+        output.writeMessage(4, (ebonygw.wire.SharesProtocol.SharesAdopt) kind_);
+      }
+      if (kindCase_ == 5) {
+        output.writeMessage(5, (ebonygw.wire.SharesProtocol.SharesAdopted) kind_);
+      }
+      if (kindCase_ == 6) {
+        output.writeMessage(6, (ebonygw.wire.SharesProtocol.SharesAssign) kind_);
+      }
+      if (kindCase_ == 7) {
+        output.writeMessage(7, (ebonygw.wire.SharesProtocol.SharesAssigned) kind_);
+      }
+      if (kindCase_ == 8) {
+        output.writeMessage(8, (ebonygw.wire.SharesProtocol.SharesDemand) kind_);
+      }
+      if (kindCase_ == 9) {
+        output.writeMessage(9, (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_);
+      }
+      if (kindCase_ == 10) {
+        output.writeMessage(10, (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -185,6 +644,42 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(1, (ebonygw.wire.SharesProtocol.SharesAsk) kind_);
       }
+      if (kindCase_ == 2) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, (ebonygw.wire.SharesProtocol.SharesGrant) kind_);
+      }
+      if (kindCase_ == 3) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, (ebonygw.wire.SharesProtocol.SharesReturn) kind_);
+      }
+      if (kindCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (ebonygw.wire.SharesProtocol.SharesAdopt) kind_);
+      }
+      if (kindCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (ebonygw.wire.SharesProtocol.SharesAdopted) kind_);
+      }
+      if (kindCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (ebonygw.wire.SharesProtocol.SharesAssign) kind_);
+      }
+      if (kindCase_ == 7) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, (ebonygw.wire.SharesProtocol.SharesAssigned) kind_);
+      }
+      if (kindCase_ == 8) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, (ebonygw.wire.SharesProtocol.SharesDemand) kind_);
+      }
+      if (kindCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_);
+      }
+      if (kindCase_ == 10) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(10, (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_);
+      }
       return size;
     }
     @java.lang.Override
@@ -215,6 +710,42 @@
           if (!getAsk()
               .equals(other.getAsk())) return false;
           break;
+        case 2:
+          if (!getGrant()
+              .equals(other.getGrant())) return false;
+          break;
+        case 3:
+          if (!getGiveBack()
+              .equals(other.getGiveBack())) return false;
+          break;
+        case 4:
+          if (!getAdopt()
+              .equals(other.getAdopt())) return false;
+          break;
+        case 5:
+          if (!getAdopted()
+              .equals(other.getAdopted())) return false;
+          break;
+        case 6:
+          if (!getAssign()
+              .equals(other.getAssign())) return false;
+          break;
+        case 7:
+          if (!getAssigned()
+              .equals(other.getAssigned())) return false;
+          break;
+        case 8:
+          if (!getDemand()
+              .equals(other.getDemand())) return false;
+          break;
+        case 9:
+          if (!getHeartbeat()
+              .equals(other.getHeartbeat())) return false;
+          break;
+        case 10:
+          if (!getHeartbeatAck()
+              .equals(other.getHeartbeatAck())) return false;
+          break;
         case 0:
         default:
       }
@@ -234,6 +765,42 @@
           hash = (37 * hash) + ASK_FIELD_NUMBER;
           hash = (53 * hash) + getAsk().hashCode();
           break;
+        case 2:
+          hash = (37 * hash) + GRANT_FIELD_NUMBER;
+          hash = (53 * hash) + getGrant().hashCode();
+          break;
+        case 3:
+          hash = (37 * hash) + GIVE_BACK_FIELD_NUMBER;
+          hash = (53 * hash) + getGiveBack().hashCode();
+          break;
+        case 4:
+          hash = (37 * hash) + ADOPT_FIELD_NUMBER;
+          hash = (53 * hash) + getAdopt().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + ADOPTED_FIELD_NUMBER;
+          hash = (53 * hash) + getAdopted().hashCode();
+          break;
+        case 6:
+          hash = (37 * hash) + ASSIGN_FIELD_NUMBER;
+          hash = (53 * hash) + getAssign().hashCode();
+          break;
+        case 7:
+          hash = (37 * hash) + ASSIGNED_FIELD_NUMBER;
+          hash = (53 * hash) + getAssigned().hashCode();
+          break;
+        case 8:
+          hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+          hash = (53 * hash) + getDemand().hashCode();
+          break;
+        case 9:
+          hash = (37 * hash) + HEARTBEAT_FIELD_NUMBER;
+          hash = (53 * hash) + getHeartbeat().hashCode();
+          break;
+        case 10:
+          hash = (37 * hash) + HEARTBEAT_ACK_FIELD_NUMBER;
+          hash = (53 * hash) + getHeartbeatAck().hashCode();
+          break;
         case 0:
         default:
       }
@@ -371,6 +938,33 @@
         if (askBuilder_ != null) {
           askBuilder_.clear();
         }
+        if (grantBuilder_ != null) {
+          grantBuilder_.clear();
+        }
+        if (giveBackBuilder_ != null) {
+          giveBackBuilder_.clear();
+        }
+        if (adoptBuilder_ != null) {
+          adoptBuilder_.clear();
+        }
+        if (adoptedBuilder_ != null) {
+          adoptedBuilder_.clear();
+        }
+        if (assignBuilder_ != null) {
+          assignBuilder_.clear();
+        }
+        if (assignedBuilder_ != null) {
+          assignedBuilder_.clear();
+        }
+        if (demandBuilder_ != null) {
+          demandBuilder_.clear();
+        }
+        if (heartbeatBuilder_ != null) {
+          heartbeatBuilder_.clear();
+        }
+        if (heartbeatAckBuilder_ != null) {
+          heartbeatAckBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -416,10 +1010,46 @@
             askBuilder_ != null) {
           result.kind_ = askBuilder_.build();
         }
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (kindCase_ == 2 &&
+            grantBuilder_ != null) {
+          result.kind_ = grantBuilder_.build();
+        }
+        if (kindCase_ == 3 &&
+            giveBackBuilder_ != null) {
+          result.kind_ = giveBackBuilder_.build();
+        }
+        if (kindCase_ == 4 &&
+            adoptBuilder_ != null) {
+          result.kind_ = adoptBuilder_.build();
+        }
+        if (kindCase_ == 5 &&
+            adoptedBuilder_ != null) {
+          result.kind_ = adoptedBuilder_.build();
+        }
+        if (kindCase_ == 6 &&
+            assignBuilder_ != null) {
+          result.kind_ = assignBuilder_.build();
+        }
+        if (kindCase_ == 7 &&
+            assignedBuilder_ != null) {
+          result.kind_ = assignedBuilder_.build();
+        }
+        if (kindCase_ == 8 &&
+            demandBuilder_ != null) {
+          result.kind_ = demandBuilder_.build();
+        }
+        if (kindCase_ == 9 &&
+            heartbeatBuilder_ != null) {
+          result.kind_ = heartbeatBuilder_.build();
+        }
+        if (kindCase_ == 10 &&
+            heartbeatAckBuilder_ != null) {
+          result.kind_ = heartbeatAckBuilder_.build();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
         if (other instanceof ebonygw.wire.SharesProtocol.SharesEnvelope) {
           return mergeFrom((ebonygw.wire.SharesProtocol.SharesEnvelope)other);
         } else {
@@ -435,6 +1065,42 @@
             mergeAsk(other.getAsk());
             break;
           }
+          case GRANT: {
+            mergeGrant(other.getGrant());
+            break;
+          }
+          case GIVE_BACK: {
+            mergeGiveBack(other.getGiveBack());
+            break;
+          }
+          case ADOPT: {
+            mergeAdopt(other.getAdopt());
+            break;
+          }
+          case ADOPTED: {
+            mergeAdopted(other.getAdopted());
+            break;
+          }
+          case ASSIGN: {
+            mergeAssign(other.getAssign());
+            break;
+          }
+          case ASSIGNED: {
+            mergeAssigned(other.getAssigned());
+            break;
+          }
+          case DEMAND: {
+            mergeDemand(other.getDemand());
+            break;
+          }
+          case HEARTBEAT: {
+            mergeHeartbeat(other.getHeartbeat());
+            break;
+          }
+          case HEARTBEAT_ACK: {
+            mergeHeartbeatAck(other.getHeartbeatAck());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -470,6 +1136,69 @@
                 kindCase_ = 1;
                 break;
               } // case 10
+              case 18: {
+                input.readMessage(
+                    internalGetGrantFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 2;
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetGiveBackFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 3;
+                break;
+              } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetAdoptFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetAdoptedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 5;
+                break;
+              } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetAssignFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 6;
+                break;
+              } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetAssignedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 7;
+                break;
+              } // case 58
+              case 66: {
+                input.readMessage(
+                    internalGetDemandFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 8;
+                break;
+              } // case 66
+              case 74: {
+                input.readMessage(
+                    internalGetHeartbeatFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 9;
+                break;
+              } // case 74
+              case 82: {
+                input.readMessage(
+                    internalGetHeartbeatAckFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 10;
+                break;
+              } // case 82
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -642,203 +1371,10780 @@
         return askBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.SharesEnvelope)
-    }
-
-    // @@protoc_insertion_point(class_scope:ebonygw.SharesEnvelope)
-    private static final ebonygw.wire.SharesProtocol.SharesEnvelope DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesEnvelope();
-    }
-
-    public static ebonygw.wire.SharesProtocol.SharesEnvelope getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<SharesEnvelope>
-        PARSER = new com.google.protobuf.AbstractParser<SharesEnvelope>() {
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesGrant, ebonygw.wire.SharesProtocol.SharesGrant.Builder, ebonygw.wire.SharesProtocol.SharesGrantOrBuilder> grantBuilder_;
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       * @return Whether the grant field is set.
+       */
       @java.lang.Override
-      public SharesEnvelope parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
+      public boolean hasGrant() {
+        return kindCase_ == 2;
+      }
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       * @return The grant.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesGrant getGrant() {
+        if (grantBuilder_ == null) {
+          if (kindCase_ == 2) {
+            return (ebonygw.wire.SharesProtocol.SharesGrant) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
+        } else {
+          if (kindCase_ == 2) {
+            return grantBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
         }
-        return builder.buildPartial();
       }
-    };
-
-    public static com.google.protobuf.Parser<SharesEnvelope> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<SharesEnvelope> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public ebonygw.wire.SharesProtocol.SharesEnvelope getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface SharesAskOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.SharesAsk)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>string customer = 1;</code>
-     * @return The customer.
-     */
-    java.lang.String getCustomer();
-    /**
-     * <code>string customer = 1;</code>
-     * @return The bytes for customer.
-     */
-    com.google.protobuf.ByteString
-        getCustomerBytes();
-
-    /**
-     * <code>uint64 tokens = 2;</code>
-     * @return The tokens.
-     */
-    long getTokens();
-  }
-  /**
-   * Protobuf type {@code ebonygw.SharesAsk}
-   */
-  public static final class SharesAsk extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.SharesAsk)
-      SharesAskOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 36,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "SharesAsk");
-    }
-    // Use SharesAsk.newBuilder() to construct.
-    private SharesAsk(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private SharesAsk() {
-      customer_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              ebonygw.wire.SharesProtocol.SharesAsk.class, ebonygw.wire.SharesProtocol.SharesAsk.Builder.class);
-    }
-
-    public static final int CUSTOMER_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object customer_ = "";
-    /**
-     * <code>string customer = 1;</code>
-     * @return The customer.
-     */
-    @java.lang.Override
-    public java.lang.String getCustomer() {
-      java.lang.Object ref = customer_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        customer_ = s;
-        return s;
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      public Builder setGrant(ebonygw.wire.SharesProtocol.SharesGrant value) {
+        if (grantBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          grantBuilder_.setMessage(value);
+        }
+        kindCase_ = 2;
+        return this;
       }
-    }
-    /**
-     * <code>string customer = 1;</code>
-     * @return The bytes for customer.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getCustomerBytes() {
-      java.lang.Object ref = customer_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        customer_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      public Builder setGrant(
+          ebonygw.wire.SharesProtocol.SharesGrant.Builder builderForValue) {
+        if (grantBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          grantBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 2;
+        return this;
       }
-    }
-
-    public static final int TOKENS_FIELD_NUMBER = 2;
-    private long tokens_ = 0L;
-    /**
-     * <code>uint64 tokens = 2;</code>
-     * @return The tokens.
-     */
-    @java.lang.Override
-    public long getTokens() {
-      return tokens_;
-    }
-
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
-
-      memoizedIsInitialized = 1;
-      return true;
-    }
-
-    @java.lang.Override
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      public Builder mergeGrant(ebonygw.wire.SharesProtocol.SharesGrant value) {
+        if (grantBuilder_ == null) {
+          if (kindCase_ == 2 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesGrant.newBuilder((ebonygw.wire.SharesProtocol.SharesGrant) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 2) {
+            grantBuilder_.mergeFrom(value);
+          } else {
+            grantBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      public Builder clearGrant() {
+        if (grantBuilder_ == null) {
+          if (kindCase_ == 2) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 2) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          grantBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesGrant.Builder getGrantBuilder() {
+        return internalGetGrantFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesGrantOrBuilder getGrantOrBuilder() {
+        if ((kindCase_ == 2) && (grantBuilder_ != null)) {
+          return grantBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 2) {
+            return (ebonygw.wire.SharesProtocol.SharesGrant) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesGrant grant = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesGrant, ebonygw.wire.SharesProtocol.SharesGrant.Builder, ebonygw.wire.SharesProtocol.SharesGrantOrBuilder> 
+          internalGetGrantFieldBuilder() {
+        if (grantBuilder_ == null) {
+          if (!(kindCase_ == 2)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
+          }
+          grantBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesGrant, ebonygw.wire.SharesProtocol.SharesGrant.Builder, ebonygw.wire.SharesProtocol.SharesGrantOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesGrant) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 2;
+        onChanged();
+        return grantBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesReturn, ebonygw.wire.SharesProtocol.SharesReturn.Builder, ebonygw.wire.SharesProtocol.SharesReturnOrBuilder> giveBackBuilder_;
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       * @return Whether the giveBack field is set.
+       */
+      @java.lang.Override
+      public boolean hasGiveBack() {
+        return kindCase_ == 3;
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       * @return The giveBack.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesReturn getGiveBack() {
+        if (giveBackBuilder_ == null) {
+          if (kindCase_ == 3) {
+            return (ebonygw.wire.SharesProtocol.SharesReturn) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+        } else {
+          if (kindCase_ == 3) {
+            return giveBackBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      public Builder setGiveBack(ebonygw.wire.SharesProtocol.SharesReturn value) {
+        if (giveBackBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          giveBackBuilder_.setMessage(value);
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      public Builder setGiveBack(
+          ebonygw.wire.SharesProtocol.SharesReturn.Builder builderForValue) {
+        if (giveBackBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          giveBackBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      public Builder mergeGiveBack(ebonygw.wire.SharesProtocol.SharesReturn value) {
+        if (giveBackBuilder_ == null) {
+          if (kindCase_ == 3 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesReturn.newBuilder((ebonygw.wire.SharesProtocol.SharesReturn) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 3) {
+            giveBackBuilder_.mergeFrom(value);
+          } else {
+            giveBackBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      public Builder clearGiveBack() {
+        if (giveBackBuilder_ == null) {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          giveBackBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesReturn.Builder getGiveBackBuilder() {
+        return internalGetGiveBackFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesReturnOrBuilder getGiveBackOrBuilder() {
+        if ((kindCase_ == 3) && (giveBackBuilder_ != null)) {
+          return giveBackBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 3) {
+            return (ebonygw.wire.SharesProtocol.SharesReturn) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesReturn give_back = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesReturn, ebonygw.wire.SharesProtocol.SharesReturn.Builder, ebonygw.wire.SharesProtocol.SharesReturnOrBuilder> 
+          internalGetGiveBackFieldBuilder() {
+        if (giveBackBuilder_ == null) {
+          if (!(kindCase_ == 3)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+          }
+          giveBackBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesReturn, ebonygw.wire.SharesProtocol.SharesReturn.Builder, ebonygw.wire.SharesProtocol.SharesReturnOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesReturn) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 3;
+        onChanged();
+        return giveBackBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAdopt, ebonygw.wire.SharesProtocol.SharesAdopt.Builder, ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder> adoptBuilder_;
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       * @return Whether the adopt field is set.
+       */
+      @java.lang.Override
+      public boolean hasAdopt() {
+        return kindCase_ == 4;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       * @return The adopt.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopt getAdopt() {
+        if (adoptBuilder_ == null) {
+          if (kindCase_ == 4) {
+            return (ebonygw.wire.SharesProtocol.SharesAdopt) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+        } else {
+          if (kindCase_ == 4) {
+            return adoptBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      public Builder setAdopt(ebonygw.wire.SharesProtocol.SharesAdopt value) {
+        if (adoptBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          adoptBuilder_.setMessage(value);
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      public Builder setAdopt(
+          ebonygw.wire.SharesProtocol.SharesAdopt.Builder builderForValue) {
+        if (adoptBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          adoptBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      public Builder mergeAdopt(ebonygw.wire.SharesProtocol.SharesAdopt value) {
+        if (adoptBuilder_ == null) {
+          if (kindCase_ == 4 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAdopt.newBuilder((ebonygw.wire.SharesProtocol.SharesAdopt) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 4) {
+            adoptBuilder_.mergeFrom(value);
+          } else {
+            adoptBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      public Builder clearAdopt() {
+        if (adoptBuilder_ == null) {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          adoptBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesAdopt.Builder getAdoptBuilder() {
+        return internalGetAdoptFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder getAdoptOrBuilder() {
+        if ((kindCase_ == 4) && (adoptBuilder_ != null)) {
+          return adoptBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 4) {
+            return (ebonygw.wire.SharesProtocol.SharesAdopt) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAdopt adopt = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAdopt, ebonygw.wire.SharesProtocol.SharesAdopt.Builder, ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder> 
+          internalGetAdoptFieldBuilder() {
+        if (adoptBuilder_ == null) {
+          if (!(kindCase_ == 4)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+          }
+          adoptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesAdopt, ebonygw.wire.SharesProtocol.SharesAdopt.Builder, ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesAdopt) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 4;
+        onChanged();
+        return adoptBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAdopted, ebonygw.wire.SharesProtocol.SharesAdopted.Builder, ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder> adoptedBuilder_;
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       * @return Whether the adopted field is set.
+       */
+      @java.lang.Override
+      public boolean hasAdopted() {
+        return kindCase_ == 5;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       * @return The adopted.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopted getAdopted() {
+        if (adoptedBuilder_ == null) {
+          if (kindCase_ == 5) {
+            return (ebonygw.wire.SharesProtocol.SharesAdopted) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+        } else {
+          if (kindCase_ == 5) {
+            return adoptedBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      public Builder setAdopted(ebonygw.wire.SharesProtocol.SharesAdopted value) {
+        if (adoptedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          adoptedBuilder_.setMessage(value);
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      public Builder setAdopted(
+          ebonygw.wire.SharesProtocol.SharesAdopted.Builder builderForValue) {
+        if (adoptedBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          adoptedBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      public Builder mergeAdopted(ebonygw.wire.SharesProtocol.SharesAdopted value) {
+        if (adoptedBuilder_ == null) {
+          if (kindCase_ == 5 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAdopted.newBuilder((ebonygw.wire.SharesProtocol.SharesAdopted) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 5) {
+            adoptedBuilder_.mergeFrom(value);
+          } else {
+            adoptedBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      public Builder clearAdopted() {
+        if (adoptedBuilder_ == null) {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          adoptedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesAdopted.Builder getAdoptedBuilder() {
+        return internalGetAdoptedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder getAdoptedOrBuilder() {
+        if ((kindCase_ == 5) && (adoptedBuilder_ != null)) {
+          return adoptedBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 5) {
+            return (ebonygw.wire.SharesProtocol.SharesAdopted) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAdopted adopted = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAdopted, ebonygw.wire.SharesProtocol.SharesAdopted.Builder, ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder> 
+          internalGetAdoptedFieldBuilder() {
+        if (adoptedBuilder_ == null) {
+          if (!(kindCase_ == 5)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+          }
+          adoptedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesAdopted, ebonygw.wire.SharesProtocol.SharesAdopted.Builder, ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesAdopted) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 5;
+        onChanged();
+        return adoptedBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAssign, ebonygw.wire.SharesProtocol.SharesAssign.Builder, ebonygw.wire.SharesProtocol.SharesAssignOrBuilder> assignBuilder_;
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       * @return Whether the assign field is set.
+       */
+      @java.lang.Override
+      public boolean hasAssign() {
+        return kindCase_ == 6;
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       * @return The assign.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssign getAssign() {
+        if (assignBuilder_ == null) {
+          if (kindCase_ == 6) {
+            return (ebonygw.wire.SharesProtocol.SharesAssign) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+        } else {
+          if (kindCase_ == 6) {
+            return assignBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      public Builder setAssign(ebonygw.wire.SharesProtocol.SharesAssign value) {
+        if (assignBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          assignBuilder_.setMessage(value);
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      public Builder setAssign(
+          ebonygw.wire.SharesProtocol.SharesAssign.Builder builderForValue) {
+        if (assignBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          assignBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      public Builder mergeAssign(ebonygw.wire.SharesProtocol.SharesAssign value) {
+        if (assignBuilder_ == null) {
+          if (kindCase_ == 6 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAssign.newBuilder((ebonygw.wire.SharesProtocol.SharesAssign) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 6) {
+            assignBuilder_.mergeFrom(value);
+          } else {
+            assignBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      public Builder clearAssign() {
+        if (assignBuilder_ == null) {
+          if (kindCase_ == 6) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 6) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          assignBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesAssign.Builder getAssignBuilder() {
+        return internalGetAssignFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssignOrBuilder getAssignOrBuilder() {
+        if ((kindCase_ == 6) && (assignBuilder_ != null)) {
+          return assignBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 6) {
+            return (ebonygw.wire.SharesProtocol.SharesAssign) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAssign assign = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAssign, ebonygw.wire.SharesProtocol.SharesAssign.Builder, ebonygw.wire.SharesProtocol.SharesAssignOrBuilder> 
+          internalGetAssignFieldBuilder() {
+        if (assignBuilder_ == null) {
+          if (!(kindCase_ == 6)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+          }
+          assignBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesAssign, ebonygw.wire.SharesProtocol.SharesAssign.Builder, ebonygw.wire.SharesProtocol.SharesAssignOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesAssign) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 6;
+        onChanged();
+        return assignBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAssigned, ebonygw.wire.SharesProtocol.SharesAssigned.Builder, ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder> assignedBuilder_;
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       * @return Whether the assigned field is set.
+       */
+      @java.lang.Override
+      public boolean hasAssigned() {
+        return kindCase_ == 7;
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       * @return The assigned.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssigned getAssigned() {
+        if (assignedBuilder_ == null) {
+          if (kindCase_ == 7) {
+            return (ebonygw.wire.SharesProtocol.SharesAssigned) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+        } else {
+          if (kindCase_ == 7) {
+            return assignedBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      public Builder setAssigned(ebonygw.wire.SharesProtocol.SharesAssigned value) {
+        if (assignedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          assignedBuilder_.setMessage(value);
+        }
+        kindCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      public Builder setAssigned(
+          ebonygw.wire.SharesProtocol.SharesAssigned.Builder builderForValue) {
+        if (assignedBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          assignedBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      public Builder mergeAssigned(ebonygw.wire.SharesProtocol.SharesAssigned value) {
+        if (assignedBuilder_ == null) {
+          if (kindCase_ == 7 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAssigned.newBuilder((ebonygw.wire.SharesProtocol.SharesAssigned) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 7) {
+            assignedBuilder_.mergeFrom(value);
+          } else {
+            assignedBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      public Builder clearAssigned() {
+        if (assignedBuilder_ == null) {
+          if (kindCase_ == 7) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 7) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          assignedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesAssigned.Builder getAssignedBuilder() {
+        return internalGetAssignedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder getAssignedOrBuilder() {
+        if ((kindCase_ == 7) && (assignedBuilder_ != null)) {
+          return assignedBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 7) {
+            return (ebonygw.wire.SharesProtocol.SharesAssigned) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesAssigned assigned = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesAssigned, ebonygw.wire.SharesProtocol.SharesAssigned.Builder, ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder> 
+          internalGetAssignedFieldBuilder() {
+        if (assignedBuilder_ == null) {
+          if (!(kindCase_ == 7)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+          }
+          assignedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesAssigned, ebonygw.wire.SharesProtocol.SharesAssigned.Builder, ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesAssigned) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 7;
+        onChanged();
+        return assignedBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesDemand, ebonygw.wire.SharesProtocol.SharesDemand.Builder, ebonygw.wire.SharesProtocol.SharesDemandOrBuilder> demandBuilder_;
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       * @return Whether the demand field is set.
+       */
+      @java.lang.Override
+      public boolean hasDemand() {
+        return kindCase_ == 8;
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       * @return The demand.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesDemand getDemand() {
+        if (demandBuilder_ == null) {
+          if (kindCase_ == 8) {
+            return (ebonygw.wire.SharesProtocol.SharesDemand) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+        } else {
+          if (kindCase_ == 8) {
+            return demandBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      public Builder setDemand(ebonygw.wire.SharesProtocol.SharesDemand value) {
+        if (demandBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          demandBuilder_.setMessage(value);
+        }
+        kindCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      public Builder setDemand(
+          ebonygw.wire.SharesProtocol.SharesDemand.Builder builderForValue) {
+        if (demandBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          demandBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      public Builder mergeDemand(ebonygw.wire.SharesProtocol.SharesDemand value) {
+        if (demandBuilder_ == null) {
+          if (kindCase_ == 8 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesDemand.newBuilder((ebonygw.wire.SharesProtocol.SharesDemand) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 8) {
+            demandBuilder_.mergeFrom(value);
+          } else {
+            demandBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      public Builder clearDemand() {
+        if (demandBuilder_ == null) {
+          if (kindCase_ == 8) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 8) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          demandBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesDemand.Builder getDemandBuilder() {
+        return internalGetDemandFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesDemandOrBuilder getDemandOrBuilder() {
+        if ((kindCase_ == 8) && (demandBuilder_ != null)) {
+          return demandBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 8) {
+            return (ebonygw.wire.SharesProtocol.SharesDemand) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesDemand demand = 8;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesDemand, ebonygw.wire.SharesProtocol.SharesDemand.Builder, ebonygw.wire.SharesProtocol.SharesDemandOrBuilder> 
+          internalGetDemandFieldBuilder() {
+        if (demandBuilder_ == null) {
+          if (!(kindCase_ == 8)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+          }
+          demandBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesDemand, ebonygw.wire.SharesProtocol.SharesDemand.Builder, ebonygw.wire.SharesProtocol.SharesDemandOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesDemand) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 8;
+        onChanged();
+        return demandBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHeartbeat, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder, ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder> heartbeatBuilder_;
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       * @return Whether the heartbeat field is set.
+       */
+      @java.lang.Override
+      public boolean hasHeartbeat() {
+        return kindCase_ == 9;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       * @return The heartbeat.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat getHeartbeat() {
+        if (heartbeatBuilder_ == null) {
+          if (kindCase_ == 9) {
+            return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+        } else {
+          if (kindCase_ == 9) {
+            return heartbeatBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      public Builder setHeartbeat(ebonygw.wire.SharesProtocol.SharesHeartbeat value) {
+        if (heartbeatBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          heartbeatBuilder_.setMessage(value);
+        }
+        kindCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      public Builder setHeartbeat(
+          ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder builderForValue) {
+        if (heartbeatBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          heartbeatBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      public Builder mergeHeartbeat(ebonygw.wire.SharesProtocol.SharesHeartbeat value) {
+        if (heartbeatBuilder_ == null) {
+          if (kindCase_ == 9 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesHeartbeat.newBuilder((ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 9) {
+            heartbeatBuilder_.mergeFrom(value);
+          } else {
+            heartbeatBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      public Builder clearHeartbeat() {
+        if (heartbeatBuilder_ == null) {
+          if (kindCase_ == 9) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 9) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          heartbeatBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder getHeartbeatBuilder() {
+        return internalGetHeartbeatFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder getHeartbeatOrBuilder() {
+        if ((kindCase_ == 9) && (heartbeatBuilder_ != null)) {
+          return heartbeatBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 9) {
+            return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHeartbeat, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder, ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder> 
+          internalGetHeartbeatFieldBuilder() {
+        if (heartbeatBuilder_ == null) {
+          if (!(kindCase_ == 9)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+          }
+          heartbeatBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHeartbeat, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder, ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 9;
+        onChanged();
+        return heartbeatBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHeartbeat, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder, ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder> heartbeatAckBuilder_;
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       * @return Whether the heartbeatAck field is set.
+       */
+      @java.lang.Override
+      public boolean hasHeartbeatAck() {
+        return kindCase_ == 10;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       * @return The heartbeatAck.
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat getHeartbeatAck() {
+        if (heartbeatAckBuilder_ == null) {
+          if (kindCase_ == 10) {
+            return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+        } else {
+          if (kindCase_ == 10) {
+            return heartbeatAckBuilder_.getMessage();
+          }
+          return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      public Builder setHeartbeatAck(ebonygw.wire.SharesProtocol.SharesHeartbeat value) {
+        if (heartbeatAckBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          heartbeatAckBuilder_.setMessage(value);
+        }
+        kindCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      public Builder setHeartbeatAck(
+          ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder builderForValue) {
+        if (heartbeatAckBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          heartbeatAckBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      public Builder mergeHeartbeatAck(ebonygw.wire.SharesProtocol.SharesHeartbeat value) {
+        if (heartbeatAckBuilder_ == null) {
+          if (kindCase_ == 10 &&
+              kind_ != ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance()) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesHeartbeat.newBuilder((ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 10) {
+            heartbeatAckBuilder_.mergeFrom(value);
+          } else {
+            heartbeatAckBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      public Builder clearHeartbeatAck() {
+        if (heartbeatAckBuilder_ == null) {
+          if (kindCase_ == 10) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 10) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          heartbeatAckBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder getHeartbeatAckBuilder() {
+        return internalGetHeartbeatAckFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder getHeartbeatAckOrBuilder() {
+        if ((kindCase_ == 10) && (heartbeatAckBuilder_ != null)) {
+          return heartbeatAckBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 10) {
+            return (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_;
+          }
+          return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHeartbeat heartbeat_ack = 10;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHeartbeat, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder, ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder> 
+          internalGetHeartbeatAckFieldBuilder() {
+        if (heartbeatAckBuilder_ == null) {
+          if (!(kindCase_ == 10)) {
+            kind_ = ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+          }
+          heartbeatAckBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHeartbeat, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder, ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder>(
+                  (ebonygw.wire.SharesProtocol.SharesHeartbeat) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 10;
+        onChanged();
+        return heartbeatAckBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesEnvelope)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesEnvelope)
+    private static final ebonygw.wire.SharesProtocol.SharesEnvelope DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesEnvelope();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesEnvelope getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesEnvelope>
+        PARSER = new com.google.protobuf.AbstractParser<SharesEnvelope>() {
+      @java.lang.Override
+      public SharesEnvelope parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesEnvelope> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesEnvelope> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesEnvelope getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesAskOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesAsk)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 tokens = 2;</code>
+     * @return The tokens.
+     */
+    long getTokens();
+
+    /**
+     * <code>uint64 loan = 3;</code>
+     * @return The loan.
+     */
+    long getLoan();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesAsk}
+   */
+  public static final class SharesAsk extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesAsk)
+      SharesAskOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesAsk");
+    }
+    // Use SharesAsk.newBuilder() to construct.
+    private SharesAsk(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesAsk() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesAsk.class, ebonygw.wire.SharesProtocol.SharesAsk.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 2;
+    private long tokens_ = 0L;
+    /**
+     * <code>uint64 tokens = 2;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+
+    public static final int LOAN_FIELD_NUMBER = 3;
+    private long loan_ = 0L;
+    /**
+     * <code>uint64 loan = 3;</code>
+     * @return The loan.
+     */
+    @java.lang.Override
+    public long getLoan() {
+      return loan_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (tokens_ != 0L) {
+        output.writeUInt64(2, tokens_);
+      }
+      if (loan_ != 0L) {
+        output.writeUInt64(3, loan_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (tokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, tokens_);
+      }
+      if (loan_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, loan_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesAsk)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesAsk other = (ebonygw.wire.SharesProtocol.SharesAsk) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (getLoan()
+          != other.getLoan()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
+      hash = (37 * hash) + LOAN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLoan());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesAsk prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesAsk}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesAsk)
+        ebonygw.wire.SharesProtocol.SharesAskOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesAsk.class, ebonygw.wire.SharesProtocol.SharesAsk.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesAsk.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        tokens_ = 0L;
+        loan_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAsk getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesAsk.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAsk build() {
+        ebonygw.wire.SharesProtocol.SharesAsk result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAsk buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesAsk result = new ebonygw.wire.SharesProtocol.SharesAsk(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesAsk result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.tokens_ = tokens_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.loan_ = loan_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesAsk) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesAsk)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesAsk other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesAsk.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
+        }
+        if (other.getLoan() != 0L) {
+          setLoan(other.getLoan());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                tokens_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                loan_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long tokens_ ;
+      /**
+       * <code>uint64 tokens = 2;</code>
+       * @return The tokens.
+       */
+      @java.lang.Override
+      public long getTokens() {
+        return tokens_;
+      }
+      /**
+       * <code>uint64 tokens = 2;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(long value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 tokens = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        tokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long loan_ ;
+      /**
+       * <code>uint64 loan = 3;</code>
+       * @return The loan.
+       */
+      @java.lang.Override
+      public long getLoan() {
+        return loan_;
+      }
+      /**
+       * <code>uint64 loan = 3;</code>
+       * @param value The loan to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLoan(long value) {
+
+        loan_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 loan = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLoan() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        loan_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesAsk)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesAsk)
+    private static final ebonygw.wire.SharesProtocol.SharesAsk DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesAsk();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAsk getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesAsk>
+        PARSER = new com.google.protobuf.AbstractParser<SharesAsk>() {
+      @java.lang.Override
+      public SharesAsk parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesAsk> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesAsk> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAsk getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesGrantOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesGrant)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 loan = 2;</code>
+     * @return The loan.
+     */
+    long getLoan();
+
+    /**
+     * <code>uint64 tokens = 3;</code>
+     * @return The tokens.
+     */
+    long getTokens();
+
+    /**
+     * <code>uint64 retry_after_nanos = 4;</code>
+     * @return The retryAfterNanos.
+     */
+    long getRetryAfterNanos();
+
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @return A list containing the holders.
+     */
+    java.util.List<java.lang.String>
+        getHoldersList();
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @return The count of holders.
+     */
+    int getHoldersCount();
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @param index The index of the element to return.
+     * @return The holders at the given index.
+     */
+    java.lang.String getHolders(int index);
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the holders at the given index.
+     */
+    com.google.protobuf.ByteString
+        getHoldersBytes(int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesGrant}
+   */
+  public static final class SharesGrant extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesGrant)
+      SharesGrantOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesGrant");
+    }
+    // Use SharesGrant.newBuilder() to construct.
+    private SharesGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesGrant() {
+      customer_ = "";
+      holders_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesGrant_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesGrant_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesGrant_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesGrant.class, ebonygw.wire.SharesProtocol.SharesGrant.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int LOAN_FIELD_NUMBER = 2;
+    private long loan_ = 0L;
+    /**
+     * <code>uint64 loan = 2;</code>
+     * @return The loan.
+     */
+    @java.lang.Override
+    public long getLoan() {
+      return loan_;
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 3;
+    private long tokens_ = 0L;
+    /**
+     * <code>uint64 tokens = 3;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+
+    public static final int RETRY_AFTER_NANOS_FIELD_NUMBER = 4;
+    private long retryAfterNanos_ = 0L;
+    /**
+     * <code>uint64 retry_after_nanos = 4;</code>
+     * @return The retryAfterNanos.
+     */
+    @java.lang.Override
+    public long getRetryAfterNanos() {
+      return retryAfterNanos_;
+    }
+
+    public static final int HOLDERS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList holders_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @return A list containing the holders.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHoldersList() {
+      return holders_;
+    }
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @return The count of holders.
+     */
+    public int getHoldersCount() {
+      return holders_.size();
+    }
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @param index The index of the element to return.
+     * @return The holders at the given index.
+     */
+    public java.lang.String getHolders(int index) {
+      return holders_.get(index);
+    }
+    /**
+     * <code>repeated string holders = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the holders at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHoldersBytes(int index) {
+      return holders_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (loan_ != 0L) {
+        output.writeUInt64(2, loan_);
+      }
+      if (tokens_ != 0L) {
+        output.writeUInt64(3, tokens_);
+      }
+      if (retryAfterNanos_ != 0L) {
+        output.writeUInt64(4, retryAfterNanos_);
+      }
+      for (int i = 0; i < holders_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, holders_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (loan_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, loan_);
+      }
+      if (tokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, tokens_);
+      }
+      if (retryAfterNanos_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, retryAfterNanos_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < holders_.size(); i++) {
+          dataSize += computeStringSizeNoTag(holders_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getHoldersList().size();
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesGrant)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesGrant other = (ebonygw.wire.SharesProtocol.SharesGrant) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getLoan()
+          != other.getLoan()) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (getRetryAfterNanos()
+          != other.getRetryAfterNanos()) return false;
+      if (!getHoldersList()
+          .equals(other.getHoldersList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + LOAN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLoan());
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
+      hash = (37 * hash) + RETRY_AFTER_NANOS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRetryAfterNanos());
+      if (getHoldersCount() > 0) {
+        hash = (37 * hash) + HOLDERS_FIELD_NUMBER;
+        hash = (53 * hash) + getHoldersList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesGrant parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesGrant prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesGrant}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesGrant)
+        ebonygw.wire.SharesProtocol.SharesGrantOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesGrant_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesGrant_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesGrant.class, ebonygw.wire.SharesProtocol.SharesGrant.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesGrant.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        loan_ = 0L;
+        tokens_ = 0L;
+        retryAfterNanos_ = 0L;
+        holders_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesGrant_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesGrant getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesGrant build() {
+        ebonygw.wire.SharesProtocol.SharesGrant result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesGrant buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesGrant result = new ebonygw.wire.SharesProtocol.SharesGrant(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesGrant result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.loan_ = loan_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.tokens_ = tokens_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.retryAfterNanos_ = retryAfterNanos_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          holders_.makeImmutable();
+          result.holders_ = holders_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesGrant) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesGrant)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesGrant other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesGrant.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getLoan() != 0L) {
+          setLoan(other.getLoan());
+        }
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
+        }
+        if (other.getRetryAfterNanos() != 0L) {
+          setRetryAfterNanos(other.getRetryAfterNanos());
+        }
+        if (!other.holders_.isEmpty()) {
+          if (holders_.isEmpty()) {
+            holders_ = other.holders_;
+            bitField0_ |= 0x00000010;
+          } else {
+            ensureHoldersIsMutable();
+            holders_.addAll(other.holders_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                loan_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                tokens_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                retryAfterNanos_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 42: {
+                ensureHoldersIsMutable();
+                holders_.add(input.readStringRequireUtf8());
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long loan_ ;
+      /**
+       * <code>uint64 loan = 2;</code>
+       * @return The loan.
+       */
+      @java.lang.Override
+      public long getLoan() {
+        return loan_;
+      }
+      /**
+       * <code>uint64 loan = 2;</code>
+       * @param value The loan to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLoan(long value) {
+
+        loan_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 loan = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLoan() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        loan_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long tokens_ ;
+      /**
+       * <code>uint64 tokens = 3;</code>
+       * @return The tokens.
+       */
+      @java.lang.Override
+      public long getTokens() {
+        return tokens_;
+      }
+      /**
+       * <code>uint64 tokens = 3;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(long value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 tokens = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        tokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long retryAfterNanos_ ;
+      /**
+       * <code>uint64 retry_after_nanos = 4;</code>
+       * @return The retryAfterNanos.
+       */
+      @java.lang.Override
+      public long getRetryAfterNanos() {
+        return retryAfterNanos_;
+      }
+      /**
+       * <code>uint64 retry_after_nanos = 4;</code>
+       * @param value The retryAfterNanos to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRetryAfterNanos(long value) {
+
+        retryAfterNanos_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 retry_after_nanos = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRetryAfterNanos() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        retryAfterNanos_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList holders_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureHoldersIsMutable() {
+        if (!holders_.isModifiable()) {
+          holders_ = new com.google.protobuf.LazyStringArrayList(holders_);
+        }
+        bitField0_ |= 0x00000010;
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @return A list containing the holders.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getHoldersList() {
+        holders_.makeImmutable();
+        return holders_;
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @return The count of holders.
+       */
+      public int getHoldersCount() {
+        return holders_.size();
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @param index The index of the element to return.
+       * @return The holders at the given index.
+       */
+      public java.lang.String getHolders(int index) {
+        return holders_.get(index);
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the holders at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getHoldersBytes(int index) {
+        return holders_.getByteString(index);
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @param index The index to set the value at.
+       * @param value The holders to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHolders(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureHoldersIsMutable();
+        holders_.set(index, value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @param value The holders to add.
+       * @return This builder for chaining.
+       */
+      public Builder addHolders(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureHoldersIsMutable();
+        holders_.add(value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @param values The holders to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllHolders(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureHoldersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, holders_);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHolders() {
+        holders_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string holders = 5;</code>
+       * @param value The bytes of the holders to add.
+       * @return This builder for chaining.
+       */
+      public Builder addHoldersBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureHoldersIsMutable();
+        holders_.add(value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesGrant)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesGrant)
+    private static final ebonygw.wire.SharesProtocol.SharesGrant DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesGrant();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesGrant getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesGrant>
+        PARSER = new com.google.protobuf.AbstractParser<SharesGrant>() {
+      @java.lang.Override
+      public SharesGrant parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesGrant> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesGrant> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesGrant getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesReturnOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesReturn)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 loan = 2;</code>
+     * @return The loan.
+     */
+    long getLoan();
+
+    /**
+     * <code>uint64 returned_total = 3;</code>
+     * @return The returnedTotal.
+     */
+    long getReturnedTotal();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesReturn}
+   */
+  public static final class SharesReturn extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesReturn)
+      SharesReturnOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesReturn");
+    }
+    // Use SharesReturn.newBuilder() to construct.
+    private SharesReturn(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesReturn() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesReturn_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesReturn_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesReturn_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesReturn.class, ebonygw.wire.SharesProtocol.SharesReturn.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int LOAN_FIELD_NUMBER = 2;
+    private long loan_ = 0L;
+    /**
+     * <code>uint64 loan = 2;</code>
+     * @return The loan.
+     */
+    @java.lang.Override
+    public long getLoan() {
+      return loan_;
+    }
+
+    public static final int RETURNED_TOTAL_FIELD_NUMBER = 3;
+    private long returnedTotal_ = 0L;
+    /**
+     * <code>uint64 returned_total = 3;</code>
+     * @return The returnedTotal.
+     */
+    @java.lang.Override
+    public long getReturnedTotal() {
+      return returnedTotal_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (loan_ != 0L) {
+        output.writeUInt64(2, loan_);
+      }
+      if (returnedTotal_ != 0L) {
+        output.writeUInt64(3, returnedTotal_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (loan_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, loan_);
+      }
+      if (returnedTotal_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, returnedTotal_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesReturn)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesReturn other = (ebonygw.wire.SharesProtocol.SharesReturn) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getLoan()
+          != other.getLoan()) return false;
+      if (getReturnedTotal()
+          != other.getReturnedTotal()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + LOAN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLoan());
+      hash = (37 * hash) + RETURNED_TOTAL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getReturnedTotal());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesReturn parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesReturn prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesReturn}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesReturn)
+        ebonygw.wire.SharesProtocol.SharesReturnOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesReturn_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesReturn_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesReturn.class, ebonygw.wire.SharesProtocol.SharesReturn.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesReturn.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        loan_ = 0L;
+        returnedTotal_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesReturn_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesReturn getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesReturn build() {
+        ebonygw.wire.SharesProtocol.SharesReturn result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesReturn buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesReturn result = new ebonygw.wire.SharesProtocol.SharesReturn(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesReturn result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.loan_ = loan_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.returnedTotal_ = returnedTotal_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesReturn) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesReturn)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesReturn other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesReturn.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getLoan() != 0L) {
+          setLoan(other.getLoan());
+        }
+        if (other.getReturnedTotal() != 0L) {
+          setReturnedTotal(other.getReturnedTotal());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                loan_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                returnedTotal_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long loan_ ;
+      /**
+       * <code>uint64 loan = 2;</code>
+       * @return The loan.
+       */
+      @java.lang.Override
+      public long getLoan() {
+        return loan_;
+      }
+      /**
+       * <code>uint64 loan = 2;</code>
+       * @param value The loan to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLoan(long value) {
+
+        loan_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 loan = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLoan() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        loan_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long returnedTotal_ ;
+      /**
+       * <code>uint64 returned_total = 3;</code>
+       * @return The returnedTotal.
+       */
+      @java.lang.Override
+      public long getReturnedTotal() {
+        return returnedTotal_;
+      }
+      /**
+       * <code>uint64 returned_total = 3;</code>
+       * @param value The returnedTotal to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReturnedTotal(long value) {
+
+        returnedTotal_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 returned_total = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReturnedTotal() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        returnedTotal_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesReturn)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesReturn)
+    private static final ebonygw.wire.SharesProtocol.SharesReturn DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesReturn();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesReturn getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesReturn>
+        PARSER = new com.google.protobuf.AbstractParser<SharesReturn>() {
+      @java.lang.Override
+      public SharesReturn parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesReturn> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesReturn> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesReturn getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesHolderOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesHolder)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string id = 1;</code>
+     * @return The id.
+     */
+    java.lang.String getId();
+    /**
+     * <code>string id = 1;</code>
+     * @return The bytes for id.
+     */
+    com.google.protobuf.ByteString
+        getIdBytes();
+
+    /**
+     * <code>fixed64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <pre>
+     * Whether no other process could end its lease by silence.
+     * </pre>
+     *
+     * <code>bool alone = 3;</code>
+     * @return The alone.
+     */
+    boolean getAlone();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesHolder}
+   */
+  public static final class SharesHolder extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesHolder)
+      SharesHolderOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesHolder");
+    }
+    // Use SharesHolder.newBuilder() to construct.
+    private SharesHolder(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesHolder() {
+      id_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolder_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolder_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolder_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesHolder.class, ebonygw.wire.SharesProtocol.SharesHolder.Builder.class);
+    }
+
+    public static final int ID_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object id_ = "";
+    /**
+     * <code>string id = 1;</code>
+     * @return The id.
+     */
+    @java.lang.Override
+    public java.lang.String getId() {
+      java.lang.Object ref = id_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        id_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string id = 1;</code>
+     * @return The bytes for id.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdBytes() {
+      java.lang.Object ref = id_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        id_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>fixed64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int ALONE_FIELD_NUMBER = 3;
+    private boolean alone_ = false;
+    /**
+     * <pre>
+     * Whether no other process could end its lease by silence.
+     * </pre>
+     *
+     * <code>bool alone = 3;</code>
+     * @return The alone.
+     */
+    @java.lang.Override
+    public boolean getAlone() {
+      return alone_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, id_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeFixed64(2, incarnation_);
+      }
+      if (alone_ != false) {
+        output.writeBool(3, alone_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, id_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, incarnation_);
+      }
+      if (alone_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, alone_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesHolder)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesHolder other = (ebonygw.wire.SharesProtocol.SharesHolder) obj;
+
+      if (!getId()
+          .equals(other.getId())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getAlone()
+          != other.getAlone()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ID_FIELD_NUMBER;
+      hash = (53 * hash) + getId().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + ALONE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAlone());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolder parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesHolder prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesHolder}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesHolder)
+        ebonygw.wire.SharesProtocol.SharesHolderOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolder_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolder_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesHolder.class, ebonygw.wire.SharesProtocol.SharesHolder.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesHolder.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        id_ = "";
+        incarnation_ = 0L;
+        alone_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolder_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHolder getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHolder build() {
+        ebonygw.wire.SharesProtocol.SharesHolder result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHolder buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesHolder result = new ebonygw.wire.SharesProtocol.SharesHolder(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesHolder result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.id_ = id_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.alone_ = alone_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesHolder) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesHolder)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesHolder other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance()) return this;
+        if (!other.getId().isEmpty()) {
+          id_ = other.id_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getAlone() != false) {
+          setAlone(other.getAlone());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                id_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                incarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 24: {
+                alone_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object id_ = "";
+      /**
+       * <code>string id = 1;</code>
+       * @return The id.
+       */
+      public java.lang.String getId() {
+        java.lang.Object ref = id_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          id_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string id = 1;</code>
+       * @return The bytes for id.
+       */
+      public com.google.protobuf.ByteString
+          getIdBytes() {
+        java.lang.Object ref = id_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          id_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string id = 1;</code>
+       * @param value The id to set.
+       * @return This builder for chaining.
+       */
+      public Builder setId(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        id_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearId() {
+        id_ = getDefaultInstance().getId();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string id = 1;</code>
+       * @param value The bytes for id to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        id_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>fixed64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>fixed64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean alone_ ;
+      /**
+       * <pre>
+       * Whether no other process could end its lease by silence.
+       * </pre>
+       *
+       * <code>bool alone = 3;</code>
+       * @return The alone.
+       */
+      @java.lang.Override
+      public boolean getAlone() {
+        return alone_;
+      }
+      /**
+       * <pre>
+       * Whether no other process could end its lease by silence.
+       * </pre>
+       *
+       * <code>bool alone = 3;</code>
+       * @param value The alone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAlone(boolean value) {
+
+        alone_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether no other process could end its lease by silence.
+       * </pre>
+       *
+       * <code>bool alone = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAlone() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        alone_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesHolder)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesHolder)
+    private static final ebonygw.wire.SharesProtocol.SharesHolder DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesHolder();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolder getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesHolder>
+        PARSER = new com.google.protobuf.AbstractParser<SharesHolder>() {
+      @java.lang.Override
+      public SharesHolder parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesHolder> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesHolder> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolder getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesAdoptOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesAdopt)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint32 shard = 1;</code>
+     * @return The shard.
+     */
+    int getShard();
+
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>.ebonygw.SharesHolder owner = 3;</code>
+     * @return Whether the owner field is set.
+     */
+    boolean hasOwner();
+    /**
+     * <code>.ebonygw.SharesHolder owner = 3;</code>
+     * @return The owner.
+     */
+    ebonygw.wire.SharesProtocol.SharesHolder getOwner();
+    /**
+     * <code>.ebonygw.SharesHolder owner = 3;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getOwnerOrBuilder();
+
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> 
+        getHoldersList();
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolder getHolders(int index);
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    int getHoldersCount();
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+        getHoldersOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getHoldersOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesAdopt}
+   */
+  public static final class SharesAdopt extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesAdopt)
+      SharesAdoptOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesAdopt");
+    }
+    // Use SharesAdopt.newBuilder() to construct.
+    private SharesAdopt(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesAdopt() {
+      holders_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopt_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopt_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopt_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesAdopt.class, ebonygw.wire.SharesProtocol.SharesAdopt.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int SHARD_FIELD_NUMBER = 1;
+    private int shard_ = 0;
+    /**
+     * <code>uint32 shard = 1;</code>
+     * @return The shard.
+     */
+    @java.lang.Override
+    public int getShard() {
+      return shard_;
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int OWNER_FIELD_NUMBER = 3;
+    private ebonygw.wire.SharesProtocol.SharesHolder owner_;
+    /**
+     * <code>.ebonygw.SharesHolder owner = 3;</code>
+     * @return Whether the owner field is set.
+     */
+    @java.lang.Override
+    public boolean hasOwner() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.ebonygw.SharesHolder owner = 3;</code>
+     * @return The owner.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolder getOwner() {
+      return owner_ == null ? ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+    }
+    /**
+     * <code>.ebonygw.SharesHolder owner = 3;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getOwnerOrBuilder() {
+      return owner_ == null ? ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+    }
+
+    public static final int HOLDERS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> holders_;
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> getHoldersList() {
+      return holders_;
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+        getHoldersOrBuilderList() {
+      return holders_;
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public int getHoldersCount() {
+      return holders_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolder getHolders(int index) {
+      return holders_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getHoldersOrBuilder(
+        int index) {
+      return holders_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (shard_ != 0) {
+        output.writeUInt32(1, shard_);
+      }
+      if (epoch_ != 0L) {
+        output.writeUInt64(2, epoch_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(3, getOwner());
+      }
+      for (int i = 0; i < holders_.size(); i++) {
+        output.writeMessage(4, holders_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (shard_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, shard_);
+      }
+      if (epoch_ != 0L) {
