+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, epoch_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, getOwner());
+      }
+
+          {
+            final int count = holders_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(holders_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesAdopt)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesAdopt other = (ebonygw.wire.SharesProtocol.SharesAdopt) obj;
+
+      if (getShard()
+          != other.getShard()) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (hasOwner() != other.hasOwner()) return false;
+      if (hasOwner()) {
+        if (!getOwner()
+            .equals(other.getOwner())) return false;
+      }
+      if (!getHoldersList()
+          .equals(other.getHoldersList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SHARD_FIELD_NUMBER;
+      hash = (53 * hash) + getShard();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEpoch());
+      if (hasOwner()) {
+        hash = (37 * hash) + OWNER_FIELD_NUMBER;
+        hash = (53 * hash) + getOwner().hashCode();
+      }
+      if (getHoldersCount() > 0) {
+        hash = (37 * hash) + HOLDERS_FIELD_NUMBER;
+        hash = (53 * hash) + getHoldersList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopt parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesAdopt prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesAdopt}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesAdopt)
+        ebonygw.wire.SharesProtocol.SharesAdoptOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopt_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopt_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesAdopt.class, ebonygw.wire.SharesProtocol.SharesAdopt.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesAdopt.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetOwnerFieldBuilder();
+          internalGetHoldersFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        shard_ = 0;
+        epoch_ = 0L;
+        owner_ = null;
+        if (ownerBuilder_ != null) {
+          ownerBuilder_.dispose();
+          ownerBuilder_ = null;
+        }
+        if (holdersBuilder_ == null) {
+          holders_ = java.util.Collections.emptyList();
+        } else {
+          holders_ = null;
+          holdersBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopt_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopt getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopt build() {
+        ebonygw.wire.SharesProtocol.SharesAdopt result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopt buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesAdopt result = new ebonygw.wire.SharesProtocol.SharesAdopt(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.SharesProtocol.SharesAdopt result) {
+        if (holdersBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            holders_ = java.util.Collections.unmodifiableList(holders_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.holders_ = holders_;
+        } else {
+          result.holders_ = holdersBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesAdopt result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.shard_ = shard_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.epoch_ = epoch_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.owner_ = ownerBuilder_ == null
+              ? owner_
+              : ownerBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesAdopt) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesAdopt)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesAdopt other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesAdopt.getDefaultInstance()) return this;
+        if (other.getShard() != 0) {
+          setShard(other.getShard());
+        }
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (other.hasOwner()) {
+          mergeOwner(other.getOwner());
+        }
+        if (holdersBuilder_ == null) {
+          if (!other.holders_.isEmpty()) {
+            if (holders_.isEmpty()) {
+              holders_ = other.holders_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureHoldersIsMutable();
+              holders_.addAll(other.holders_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.holders_.isEmpty()) {
+            if (holdersBuilder_.isEmpty()) {
+              holdersBuilder_.dispose();
+              holdersBuilder_ = null;
+              holders_ = other.holders_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              holdersBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetHoldersFieldBuilder() : null;
+            } else {
+              holdersBuilder_.addAllMessages(other.holders_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                shard_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                input.readMessage(
+                    internalGetOwnerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 34: {
+                ebonygw.wire.SharesProtocol.SharesHolder m =
+                    input.readMessage(
+                        ebonygw.wire.SharesProtocol.SharesHolder.parser(),
+                        extensionRegistry);
+                if (holdersBuilder_ == null) {
+                  ensureHoldersIsMutable();
+                  holders_.add(m);
+                } else {
+                  holdersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int shard_ ;
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @return The shard.
+       */
+      @java.lang.Override
+      public int getShard() {
+        return shard_;
+      }
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @param value The shard to set.
+       * @return This builder for chaining.
+       */
+      public Builder setShard(int value) {
+
+        shard_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearShard() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        shard_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private ebonygw.wire.SharesProtocol.SharesHolder owner_;
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> ownerBuilder_;
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       * @return Whether the owner field is set.
+       */
+      public boolean hasOwner() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       * @return The owner.
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder getOwner() {
+        if (ownerBuilder_ == null) {
+          return owner_ == null ? ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+        } else {
+          return ownerBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      public Builder setOwner(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (ownerBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          owner_ = value;
+        } else {
+          ownerBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      public Builder setOwner(
+          ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (ownerBuilder_ == null) {
+          owner_ = builderForValue.build();
+        } else {
+          ownerBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      public Builder mergeOwner(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (ownerBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0) &&
+            owner_ != null &&
+            owner_ != ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance()) {
+            getOwnerBuilder().mergeFrom(value);
+          } else {
+            owner_ = value;
+          }
+        } else {
+          ownerBuilder_.mergeFrom(value);
+        }
+        if (owner_ != null) {
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      public Builder clearOwner() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        owner_ = null;
+        if (ownerBuilder_ != null) {
+          ownerBuilder_.dispose();
+          ownerBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder getOwnerBuilder() {
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return internalGetOwnerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getOwnerOrBuilder() {
+        if (ownerBuilder_ != null) {
+          return ownerBuilder_.getMessageOrBuilder();
+        } else {
+          return owner_ == null ?
+              ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+          internalGetOwnerFieldBuilder() {
+        if (ownerBuilder_ == null) {
+          ownerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder>(
+                  getOwner(),
+                  getParentForChildren(),
+                  isClean());
+          owner_ = null;
+        }
+        return ownerBuilder_;
+      }
+
+      private java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> holders_ =
+        java.util.Collections.emptyList();
+      private void ensureHoldersIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          holders_ = new java.util.ArrayList<ebonygw.wire.SharesProtocol.SharesHolder>(holders_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> holdersBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> getHoldersList() {
+        if (holdersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(holders_);
+        } else {
+          return holdersBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public int getHoldersCount() {
+        if (holdersBuilder_ == null) {
+          return holders_.size();
+        } else {
+          return holdersBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder getHolders(int index) {
+        if (holdersBuilder_ == null) {
+          return holders_.get(index);
+        } else {
+          return holdersBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder setHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (holdersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldersIsMutable();
+          holders_.set(index, value);
+          onChanged();
+        } else {
+          holdersBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder setHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          holdersBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (holdersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldersIsMutable();
+          holders_.add(value);
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (holdersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldersIsMutable();
+          holders_.add(index, value);
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(
+          ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.add(builderForValue.build());
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addAllHolders(
+          java.lang.Iterable<? extends ebonygw.wire.SharesProtocol.SharesHolder> values) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, holders_);
+          onChanged();
+        } else {
+          holdersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder clearHolders() {
+        if (holdersBuilder_ == null) {
+          holders_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          holdersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder removeHolders(int index) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.remove(index);
+          onChanged();
+        } else {
+          holdersBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder getHoldersBuilder(
+          int index) {
+        return internalGetHoldersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getHoldersOrBuilder(
+          int index) {
+        if (holdersBuilder_ == null) {
+          return holders_.get(index);  } else {
+          return holdersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+           getHoldersOrBuilderList() {
+        if (holdersBuilder_ != null) {
+          return holdersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(holders_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder addHoldersBuilder() {
+        return internalGetHoldersFieldBuilder().addBuilder(
+            ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder addHoldersBuilder(
+          int index) {
+        return internalGetHoldersFieldBuilder().addBuilder(
+            index, ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder.Builder> 
+           getHoldersBuilderList() {
+        return internalGetHoldersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+          internalGetHoldersFieldBuilder() {
+        if (holdersBuilder_ == null) {
+          holdersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder>(
+                  holders_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          holders_ = null;
+        }
+        return holdersBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesAdopt)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesAdopt)
+    private static final ebonygw.wire.SharesProtocol.SharesAdopt DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesAdopt();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopt getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesAdopt>
+        PARSER = new com.google.protobuf.AbstractParser<SharesAdopt>() {
+      @java.lang.Override
+      public SharesAdopt parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesAdopt> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesAdopt> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAdopt getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesHoldingOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesHolding)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 rate = 2;</code>
+     * @return The rate.
+     */
+    long getRate();
+
+    /**
+     * <code>uint64 capacity = 3;</code>
+     * @return The capacity.
+     */
+    long getCapacity();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesHolding}
+   */
+  public static final class SharesHolding extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesHolding)
+      SharesHoldingOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesHolding");
+    }
+    // Use SharesHolding.newBuilder() to construct.
+    private SharesHolding(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesHolding() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolding_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolding_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolding_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesHolding.class, ebonygw.wire.SharesProtocol.SharesHolding.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int RATE_FIELD_NUMBER = 2;
+    private long rate_ = 0L;
+    /**
+     * <code>uint64 rate = 2;</code>
+     * @return The rate.
+     */
+    @java.lang.Override
+    public long getRate() {
+      return rate_;
+    }
+
+    public static final int CAPACITY_FIELD_NUMBER = 3;
+    private long capacity_ = 0L;
+    /**
+     * <code>uint64 capacity = 3;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public long getCapacity() {
+      return capacity_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (rate_ != 0L) {
+        output.writeUInt64(2, rate_);
+      }
+      if (capacity_ != 0L) {
+        output.writeUInt64(3, capacity_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (rate_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, rate_);
+      }
+      if (capacity_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, capacity_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesHolding)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesHolding other = (ebonygw.wire.SharesProtocol.SharesHolding) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getRate()
+          != other.getRate()) return false;
+      if (getCapacity()
+          != other.getCapacity()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + RATE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRate());
+      hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCapacity());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHolding parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesHolding prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesHolding}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesHolding)
+        ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolding_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolding_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesHolding.class, ebonygw.wire.SharesProtocol.SharesHolding.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesHolding.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        rate_ = 0L;
+        capacity_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHolding_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHolding getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesHolding.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHolding build() {
+        ebonygw.wire.SharesProtocol.SharesHolding result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHolding buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesHolding result = new ebonygw.wire.SharesProtocol.SharesHolding(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesHolding result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.rate_ = rate_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.capacity_ = capacity_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesHolding) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesHolding)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesHolding other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesHolding.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRate() != 0L) {
+          setRate(other.getRate());
+        }
+        if (other.getCapacity() != 0L) {
+          setCapacity(other.getCapacity());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                rate_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                capacity_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long rate_ ;
+      /**
+       * <code>uint64 rate = 2;</code>
+       * @return The rate.
+       */
+      @java.lang.Override
+      public long getRate() {
+        return rate_;
+      }
+      /**
+       * <code>uint64 rate = 2;</code>
+       * @param value The rate to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRate(long value) {
+
+        rate_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 rate = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRate() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        rate_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long capacity_ ;
+      /**
+       * <code>uint64 capacity = 3;</code>
+       * @return The capacity.
+       */
+      @java.lang.Override
+      public long getCapacity() {
+        return capacity_;
+      }
+      /**
+       * <code>uint64 capacity = 3;</code>
+       * @param value The capacity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCapacity(long value) {
+
+        capacity_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 capacity = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCapacity() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        capacity_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesHolding)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesHolding)
+    private static final ebonygw.wire.SharesProtocol.SharesHolding DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesHolding();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHolding getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesHolding>
+        PARSER = new com.google.protobuf.AbstractParser<SharesHolding>() {
+      @java.lang.Override
+      public SharesHolding parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesHolding> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesHolding> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolding getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesAdoptedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesAdopted)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint32 shard = 1;</code>
+     * @return The shard.
+     */
+    int getShard();
+
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    java.util.List<ebonygw.wire.SharesProtocol.SharesHolding> 
+        getHoldingsList();
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolding getHoldings(int index);
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    int getHoldingsCount();
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder> 
+        getHoldingsOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder getHoldingsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesAdopted}
+   */
+  public static final class SharesAdopted extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesAdopted)
+      SharesAdoptedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesAdopted");
+    }
+    // Use SharesAdopted.newBuilder() to construct.
+    private SharesAdopted(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesAdopted() {
+      holdings_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopted_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopted_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopted_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesAdopted.class, ebonygw.wire.SharesProtocol.SharesAdopted.Builder.class);
+    }
+
+    public static final int SHARD_FIELD_NUMBER = 1;
+    private int shard_ = 0;
+    /**
+     * <code>uint32 shard = 1;</code>
+     * @return The shard.
+     */
+    @java.lang.Override
+    public int getShard() {
+      return shard_;
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int HOLDINGS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.SharesProtocol.SharesHolding> holdings_;
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.SharesProtocol.SharesHolding> getHoldingsList() {
+      return holdings_;
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder> 
+        getHoldingsOrBuilderList() {
+      return holdings_;
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    @java.lang.Override
+    public int getHoldingsCount() {
+      return holdings_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolding getHoldings(int index) {
+      return holdings_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder getHoldingsOrBuilder(
+        int index) {
+      return holdings_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (shard_ != 0) {
+        output.writeUInt32(1, shard_);
+      }
+      if (epoch_ != 0L) {
+        output.writeUInt64(2, epoch_);
+      }
+      for (int i = 0; i < holdings_.size(); i++) {
+        output.writeMessage(3, holdings_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (shard_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, shard_);
+      }
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, epoch_);
+      }
+
+          {
+            final int count = holdings_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(holdings_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesAdopted)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesAdopted other = (ebonygw.wire.SharesProtocol.SharesAdopted) obj;
+
+      if (getShard()
+          != other.getShard()) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (!getHoldingsList()
+          .equals(other.getHoldingsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SHARD_FIELD_NUMBER;
+      hash = (53 * hash) + getShard();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEpoch());
+      if (getHoldingsCount() > 0) {
+        hash = (37 * hash) + HOLDINGS_FIELD_NUMBER;
+        hash = (53 * hash) + getHoldingsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAdopted parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesAdopted prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesAdopted}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesAdopted)
+        ebonygw.wire.SharesProtocol.SharesAdoptedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopted_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopted_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesAdopted.class, ebonygw.wire.SharesProtocol.SharesAdopted.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesAdopted.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        shard_ = 0;
+        epoch_ = 0L;
+        if (holdingsBuilder_ == null) {
+          holdings_ = java.util.Collections.emptyList();
+        } else {
+          holdings_ = null;
+          holdingsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAdopted_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopted getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopted build() {
+        ebonygw.wire.SharesProtocol.SharesAdopted result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAdopted buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesAdopted result = new ebonygw.wire.SharesProtocol.SharesAdopted(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.SharesProtocol.SharesAdopted result) {
+        if (holdingsBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            holdings_ = java.util.Collections.unmodifiableList(holdings_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.holdings_ = holdings_;
+        } else {
+          result.holdings_ = holdingsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesAdopted result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.shard_ = shard_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.epoch_ = epoch_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesAdopted) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesAdopted)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesAdopted other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesAdopted.getDefaultInstance()) return this;
+        if (other.getShard() != 0) {
+          setShard(other.getShard());
+        }
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (holdingsBuilder_ == null) {
+          if (!other.holdings_.isEmpty()) {
+            if (holdings_.isEmpty()) {
+              holdings_ = other.holdings_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureHoldingsIsMutable();
+              holdings_.addAll(other.holdings_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.holdings_.isEmpty()) {
+            if (holdingsBuilder_.isEmpty()) {
+              holdingsBuilder_.dispose();
+              holdingsBuilder_ = null;
+              holdings_ = other.holdings_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              holdingsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetHoldingsFieldBuilder() : null;
+            } else {
+              holdingsBuilder_.addAllMessages(other.holdings_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                shard_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                ebonygw.wire.SharesProtocol.SharesHolding m =
+                    input.readMessage(
+                        ebonygw.wire.SharesProtocol.SharesHolding.parser(),
+                        extensionRegistry);
+                if (holdingsBuilder_ == null) {
+                  ensureHoldingsIsMutable();
+                  holdings_.add(m);
+                } else {
+                  holdingsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int shard_ ;
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @return The shard.
+       */
+      @java.lang.Override
+      public int getShard() {
+        return shard_;
+      }
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @param value The shard to set.
+       * @return This builder for chaining.
+       */
+      public Builder setShard(int value) {
+
+        shard_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearShard() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        shard_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<ebonygw.wire.SharesProtocol.SharesHolding> holdings_ =
+        java.util.Collections.emptyList();
+      private void ensureHoldingsIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          holdings_ = new java.util.ArrayList<ebonygw.wire.SharesProtocol.SharesHolding>(holdings_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolding, ebonygw.wire.SharesProtocol.SharesHolding.Builder, ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder> holdingsBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolding> getHoldingsList() {
+        if (holdingsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(holdings_);
+        } else {
+          return holdingsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public int getHoldingsCount() {
+        if (holdingsBuilder_ == null) {
+          return holdings_.size();
+        } else {
+          return holdingsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolding getHoldings(int index) {
+        if (holdingsBuilder_ == null) {
+          return holdings_.get(index);
+        } else {
+          return holdingsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder setHoldings(
+          int index, ebonygw.wire.SharesProtocol.SharesHolding value) {
+        if (holdingsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldingsIsMutable();
+          holdings_.set(index, value);
+          onChanged();
+        } else {
+          holdingsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder setHoldings(
+          int index, ebonygw.wire.SharesProtocol.SharesHolding.Builder builderForValue) {
+        if (holdingsBuilder_ == null) {
+          ensureHoldingsIsMutable();
+          holdings_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          holdingsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder addHoldings(ebonygw.wire.SharesProtocol.SharesHolding value) {
+        if (holdingsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldingsIsMutable();
+          holdings_.add(value);
+          onChanged();
+        } else {
+          holdingsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder addHoldings(
+          int index, ebonygw.wire.SharesProtocol.SharesHolding value) {
+        if (holdingsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldingsIsMutable();
+          holdings_.add(index, value);
+          onChanged();
+        } else {
+          holdingsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder addHoldings(
+          ebonygw.wire.SharesProtocol.SharesHolding.Builder builderForValue) {
+        if (holdingsBuilder_ == null) {
+          ensureHoldingsIsMutable();
+          holdings_.add(builderForValue.build());
+          onChanged();
+        } else {
+          holdingsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder addHoldings(
+          int index, ebonygw.wire.SharesProtocol.SharesHolding.Builder builderForValue) {
+        if (holdingsBuilder_ == null) {
+          ensureHoldingsIsMutable();
+          holdings_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          holdingsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder addAllHoldings(
+          java.lang.Iterable<? extends ebonygw.wire.SharesProtocol.SharesHolding> values) {
+        if (holdingsBuilder_ == null) {
+          ensureHoldingsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, holdings_);
+          onChanged();
+        } else {
+          holdingsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder clearHoldings() {
+        if (holdingsBuilder_ == null) {
+          holdings_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          holdingsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public Builder removeHoldings(int index) {
+        if (holdingsBuilder_ == null) {
+          ensureHoldingsIsMutable();
+          holdings_.remove(index);
+          onChanged();
+        } else {
+          holdingsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolding.Builder getHoldingsBuilder(
+          int index) {
+        return internalGetHoldingsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder getHoldingsOrBuilder(
+          int index) {
+        if (holdingsBuilder_ == null) {
+          return holdings_.get(index);  } else {
+          return holdingsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder> 
+           getHoldingsOrBuilderList() {
+        if (holdingsBuilder_ != null) {
+          return holdingsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(holdings_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolding.Builder addHoldingsBuilder() {
+        return internalGetHoldingsFieldBuilder().addBuilder(
+            ebonygw.wire.SharesProtocol.SharesHolding.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolding.Builder addHoldingsBuilder(
+          int index) {
+        return internalGetHoldingsFieldBuilder().addBuilder(
+            index, ebonygw.wire.SharesProtocol.SharesHolding.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.SharesHolding holdings = 3;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolding.Builder> 
+           getHoldingsBuilderList() {
+        return internalGetHoldingsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolding, ebonygw.wire.SharesProtocol.SharesHolding.Builder, ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder> 
+          internalGetHoldingsFieldBuilder() {
+        if (holdingsBuilder_ == null) {
+          holdingsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHolding, ebonygw.wire.SharesProtocol.SharesHolding.Builder, ebonygw.wire.SharesProtocol.SharesHoldingOrBuilder>(
+                  holdings_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          holdings_ = null;
+        }
+        return holdingsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesAdopted)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesAdopted)
+    private static final ebonygw.wire.SharesProtocol.SharesAdopted DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesAdopted();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAdopted getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesAdopted>
+        PARSER = new com.google.protobuf.AbstractParser<SharesAdopted>() {
+      @java.lang.Override
+      public SharesAdopted parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesAdopted> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesAdopted> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAdopted getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesAssignOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesAssign)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>uint64 version = 3;</code>
+     * @return The version.
+     */
+    long getVersion();
+
+    /**
+     * <code>uint64 rate = 4;</code>
+     * @return The rate.
+     */
+    long getRate();
+
+    /**
+     * <code>uint64 capacity = 5;</code>
+     * @return The capacity.
+     */
+    long getCapacity();
+
+    /**
+     * <code>uint64 tokens = 6;</code>
+     * @return The tokens.
+     */
+    long getTokens();
+
+    /**
+     * <code>uint64 settings_revision = 7;</code>
+     * @return The settingsRevision.
+     */
+    long getSettingsRevision();
+
+    /**
+     * <code>uint64 customer_rate = 8;</code>
+     * @return The customerRate.
+     */
+    long getCustomerRate();
+
+    /**
+     * <code>uint64 customer_burst = 9;</code>
+     * @return The customerBurst.
+     */
+    long getCustomerBurst();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesAssign}
+   */
+  public static final class SharesAssign extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesAssign)
+      SharesAssignOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesAssign");
+    }
+    // Use SharesAssign.newBuilder() to construct.
+    private SharesAssign(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesAssign() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssign_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssign_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssign_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesAssign.class, ebonygw.wire.SharesProtocol.SharesAssign.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 3;
+    private long version_ = 0L;
+    /**
+     * <code>uint64 version = 3;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    public static final int RATE_FIELD_NUMBER = 4;
+    private long rate_ = 0L;
+    /**
+     * <code>uint64 rate = 4;</code>
+     * @return The rate.
+     */
+    @java.lang.Override
+    public long getRate() {
+      return rate_;
+    }
+
+    public static final int CAPACITY_FIELD_NUMBER = 5;
+    private long capacity_ = 0L;
+    /**
+     * <code>uint64 capacity = 5;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public long getCapacity() {
+      return capacity_;
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 6;
+    private long tokens_ = 0L;
+    /**
+     * <code>uint64 tokens = 6;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+
+    public static final int SETTINGS_REVISION_FIELD_NUMBER = 7;
+    private long settingsRevision_ = 0L;
+    /**
+     * <code>uint64 settings_revision = 7;</code>
+     * @return The settingsRevision.
+     */
+    @java.lang.Override
+    public long getSettingsRevision() {
+      return settingsRevision_;
+    }
+
+    public static final int CUSTOMER_RATE_FIELD_NUMBER = 8;
+    private long customerRate_ = 0L;
+    /**
+     * <code>uint64 customer_rate = 8;</code>
+     * @return The customerRate.
+     */
+    @java.lang.Override
+    public long getCustomerRate() {
+      return customerRate_;
+    }
+
+    public static final int CUSTOMER_BURST_FIELD_NUMBER = 9;
+    private long customerBurst_ = 0L;
+    /**
+     * <code>uint64 customer_burst = 9;</code>
+     * @return The customerBurst.
+     */
+    @java.lang.Override
+    public long getCustomerBurst() {
+      return customerBurst_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (epoch_ != 0L) {
+        output.writeUInt64(2, epoch_);
+      }
+      if (version_ != 0L) {
+        output.writeUInt64(3, version_);
+      }
+      if (rate_ != 0L) {
+        output.writeUInt64(4, rate_);
+      }
+      if (capacity_ != 0L) {
+        output.writeUInt64(5, capacity_);
+      }
+      if (tokens_ != 0L) {
+        output.writeUInt64(6, tokens_);
+      }
+      if (settingsRevision_ != 0L) {
+        output.writeUInt64(7, settingsRevision_);
+      }
+      if (customerRate_ != 0L) {
+        output.writeUInt64(8, customerRate_);
+      }
+      if (customerBurst_ != 0L) {
+        output.writeUInt64(9, customerBurst_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, epoch_);
+      }
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, version_);
+      }
+      if (rate_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, rate_);
+      }
+      if (capacity_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, capacity_);
+      }
+      if (tokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, tokens_);
+      }
+      if (settingsRevision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(7, settingsRevision_);
+      }
+      if (customerRate_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(8, customerRate_);
+      }
+      if (customerBurst_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(9, customerBurst_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesAssign)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesAssign other = (ebonygw.wire.SharesProtocol.SharesAssign) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (getRate()
+          != other.getRate()) return false;
+      if (getCapacity()
+          != other.getCapacity()) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (getSettingsRevision()
+          != other.getSettingsRevision()) return false;
+      if (getCustomerRate()
+          != other.getCustomerRate()) return false;
+      if (getCustomerBurst()
+          != other.getCustomerBurst()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEpoch());
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      hash = (37 * hash) + RATE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRate());
+      hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCapacity());
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
+      hash = (37 * hash) + SETTINGS_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSettingsRevision());
+      hash = (37 * hash) + CUSTOMER_RATE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCustomerRate());
+      hash = (37 * hash) + CUSTOMER_BURST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCustomerBurst());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssign parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesAssign prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesAssign}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesAssign)
+        ebonygw.wire.SharesProtocol.SharesAssignOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssign_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssign_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesAssign.class, ebonygw.wire.SharesProtocol.SharesAssign.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesAssign.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        epoch_ = 0L;
+        version_ = 0L;
+        rate_ = 0L;
+        capacity_ = 0L;
+        tokens_ = 0L;
+        settingsRevision_ = 0L;
+        customerRate_ = 0L;
+        customerBurst_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssign_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssign getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssign build() {
+        ebonygw.wire.SharesProtocol.SharesAssign result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssign buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesAssign result = new ebonygw.wire.SharesProtocol.SharesAssign(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesAssign result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.epoch_ = epoch_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.rate_ = rate_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.capacity_ = capacity_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.tokens_ = tokens_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.settingsRevision_ = settingsRevision_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.customerRate_ = customerRate_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.customerBurst_ = customerBurst_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesAssign) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesAssign)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesAssign other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesAssign.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        if (other.getRate() != 0L) {
+          setRate(other.getRate());
+        }
+        if (other.getCapacity() != 0L) {
+          setCapacity(other.getCapacity());
+        }
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
+        }
+        if (other.getSettingsRevision() != 0L) {
+          setSettingsRevision(other.getSettingsRevision());
+        }
+        if (other.getCustomerRate() != 0L) {
+          setCustomerRate(other.getCustomerRate());
+        }
+        if (other.getCustomerBurst() != 0L) {
+          setCustomerBurst(other.getCustomerBurst());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                version_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                rate_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                capacity_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                tokens_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 56: {
+                settingsRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                customerRate_ = input.readUInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                customerBurst_ = input.readUInt64();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long version_ ;
+      /**
+       * <code>uint64 version = 3;</code>
+       * @return The version.
+       */
+      @java.lang.Override
+      public long getVersion() {
+        return version_;
+      }
+      /**
+       * <code>uint64 version = 3;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        version_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long rate_ ;
+      /**
+       * <code>uint64 rate = 4;</code>
+       * @return The rate.
+       */
+      @java.lang.Override
+      public long getRate() {
+        return rate_;
+      }
+      /**
+       * <code>uint64 rate = 4;</code>
+       * @param value The rate to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRate(long value) {
+
+        rate_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 rate = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRate() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        rate_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long capacity_ ;
+      /**
+       * <code>uint64 capacity = 5;</code>
+       * @return The capacity.
+       */
+      @java.lang.Override
+      public long getCapacity() {
+        return capacity_;
+      }
+      /**
+       * <code>uint64 capacity = 5;</code>
+       * @param value The capacity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCapacity(long value) {
+
+        capacity_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 capacity = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCapacity() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        capacity_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long tokens_ ;
+      /**
+       * <code>uint64 tokens = 6;</code>
+       * @return The tokens.
+       */
+      @java.lang.Override
+      public long getTokens() {
+        return tokens_;
+      }
+      /**
+       * <code>uint64 tokens = 6;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(long value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 tokens = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        tokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long settingsRevision_ ;
+      /**
+       * <code>uint64 settings_revision = 7;</code>
+       * @return The settingsRevision.
+       */
+      @java.lang.Override
+      public long getSettingsRevision() {
+        return settingsRevision_;
+      }
+      /**
+       * <code>uint64 settings_revision = 7;</code>
+       * @param value The settingsRevision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSettingsRevision(long value) {
+
+        settingsRevision_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 settings_revision = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSettingsRevision() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        settingsRevision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long customerRate_ ;
+      /**
+       * <code>uint64 customer_rate = 8;</code>
+       * @return The customerRate.
+       */
+      @java.lang.Override
+      public long getCustomerRate() {
+        return customerRate_;
+      }
+      /**
+       * <code>uint64 customer_rate = 8;</code>
+       * @param value The customerRate to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerRate(long value) {
+
+        customerRate_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 customer_rate = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomerRate() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        customerRate_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long customerBurst_ ;
+      /**
+       * <code>uint64 customer_burst = 9;</code>
+       * @return The customerBurst.
+       */
+      @java.lang.Override
+      public long getCustomerBurst() {
+        return customerBurst_;
+      }
+      /**
+       * <code>uint64 customer_burst = 9;</code>
+       * @param value The customerBurst to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBurst(long value) {
+
+        customerBurst_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 customer_burst = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomerBurst() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        customerBurst_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesAssign)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesAssign)
+    private static final ebonygw.wire.SharesProtocol.SharesAssign DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesAssign();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssign getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesAssign>
+        PARSER = new com.google.protobuf.AbstractParser<SharesAssign>() {
+      @java.lang.Override
+      public SharesAssign parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesAssign> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesAssign> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAssign getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesAssignedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesAssigned)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>uint64 version = 3;</code>
+     * @return The version.
+     */
+    long getVersion();
+
+    /**
+     * <code>uint64 rate = 4;</code>
+     * @return The rate.
+     */
+    long getRate();
+
+    /**
+     * <code>uint64 capacity = 5;</code>
+     * @return The capacity.
+     */
+    long getCapacity();
+
+    /**
+     * <code>uint64 returned = 6;</code>
+     * @return The returned.
+     */
+    long getReturned();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesAssigned}
+   */
+  public static final class SharesAssigned extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesAssigned)
+      SharesAssignedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesAssigned");
+    }
+    // Use SharesAssigned.newBuilder() to construct.
+    private SharesAssigned(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesAssigned() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssigned_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssigned_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssigned_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesAssigned.class, ebonygw.wire.SharesProtocol.SharesAssigned.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 3;
+    private long version_ = 0L;
+    /**
+     * <code>uint64 version = 3;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    public static final int RATE_FIELD_NUMBER = 4;
+    private long rate_ = 0L;
+    /**
+     * <code>uint64 rate = 4;</code>
+     * @return The rate.
+     */
+    @java.lang.Override
+    public long getRate() {
+      return rate_;
+    }
+
+    public static final int CAPACITY_FIELD_NUMBER = 5;
+    private long capacity_ = 0L;
+    /**
+     * <code>uint64 capacity = 5;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public long getCapacity() {
+      return capacity_;
+    }
+
+    public static final int RETURNED_FIELD_NUMBER = 6;
+    private long returned_ = 0L;
+    /**
+     * <code>uint64 returned = 6;</code>
+     * @return The returned.
+     */
+    @java.lang.Override
+    public long getReturned() {
+      return returned_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (epoch_ != 0L) {
+        output.writeUInt64(2, epoch_);
+      }
+      if (version_ != 0L) {
+        output.writeUInt64(3, version_);
+      }
+      if (rate_ != 0L) {
+        output.writeUInt64(4, rate_);
+      }
+      if (capacity_ != 0L) {
+        output.writeUInt64(5, capacity_);
+      }
+      if (returned_ != 0L) {
+        output.writeUInt64(6, returned_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, epoch_);
+      }
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, version_);
+      }
+      if (rate_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, rate_);
+      }
+      if (capacity_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, capacity_);
+      }
+      if (returned_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, returned_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesAssigned)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesAssigned other = (ebonygw.wire.SharesProtocol.SharesAssigned) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (getRate()
+          != other.getRate()) return false;
+      if (getCapacity()
+          != other.getCapacity()) return false;
+      if (getReturned()
+          != other.getReturned()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEpoch());
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      hash = (37 * hash) + RATE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRate());
+      hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCapacity());
+      hash = (37 * hash) + RETURNED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getReturned());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesAssigned parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesAssigned prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesAssigned}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesAssigned)
+        ebonygw.wire.SharesProtocol.SharesAssignedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssigned_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssigned_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesAssigned.class, ebonygw.wire.SharesProtocol.SharesAssigned.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesAssigned.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        epoch_ = 0L;
+        version_ = 0L;
+        rate_ = 0L;
+        capacity_ = 0L;
+        returned_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAssigned_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssigned getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssigned build() {
+        ebonygw.wire.SharesProtocol.SharesAssigned result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesAssigned buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesAssigned result = new ebonygw.wire.SharesProtocol.SharesAssigned(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesAssigned result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.epoch_ = epoch_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.rate_ = rate_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.capacity_ = capacity_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.returned_ = returned_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesAssigned) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesAssigned)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesAssigned other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesAssigned.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        if (other.getRate() != 0L) {
+          setRate(other.getRate());
+        }
+        if (other.getCapacity() != 0L) {
+          setCapacity(other.getCapacity());
+        }
+        if (other.getReturned() != 0L) {
+          setReturned(other.getReturned());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                version_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                rate_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                capacity_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                returned_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long version_ ;
+      /**
+       * <code>uint64 version = 3;</code>
+       * @return The version.
+       */
+      @java.lang.Override
+      public long getVersion() {
+        return version_;
+      }
+      /**
+       * <code>uint64 version = 3;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        version_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long rate_ ;
+      /**
+       * <code>uint64 rate = 4;</code>
+       * @return The rate.
+       */
+      @java.lang.Override
+      public long getRate() {
+        return rate_;
+      }
+      /**
+       * <code>uint64 rate = 4;</code>
+       * @param value The rate to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRate(long value) {
+
+        rate_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 rate = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRate() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        rate_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long capacity_ ;
+      /**
+       * <code>uint64 capacity = 5;</code>
+       * @return The capacity.
+       */
+      @java.lang.Override
+      public long getCapacity() {
+        return capacity_;
+      }
+      /**
+       * <code>uint64 capacity = 5;</code>
+       * @param value The capacity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCapacity(long value) {
+
+        capacity_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 capacity = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCapacity() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        capacity_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long returned_ ;
+      /**
+       * <code>uint64 returned = 6;</code>
+       * @return The returned.
+       */
+      @java.lang.Override
+      public long getReturned() {
+        return returned_;
+      }
+      /**
+       * <code>uint64 returned = 6;</code>
+       * @param value The returned to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReturned(long value) {
+
+        returned_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 returned = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReturned() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        returned_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesAssigned)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesAssigned)
+    private static final ebonygw.wire.SharesProtocol.SharesAssigned DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesAssigned();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesAssigned getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesAssigned>
+        PARSER = new com.google.protobuf.AbstractParser<SharesAssigned>() {
+      @java.lang.Override
+      public SharesAssigned parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesAssigned> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesAssigned> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesAssigned getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesDemandOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesDemand)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <code>uint64 rate = 2;</code>
+     * @return The rate.
+     */
+    long getRate();
+
+    /**
+     * <code>uint64 backlog = 3;</code>
+     * @return The backlog.
+     */
+    long getBacklog();
+
+    /**
+     * <code>uint64 largest = 4;</code>
+     * @return The largest.
+     */
+    long getLargest();
+
+    /**
+     * <code>uint64 level = 5;</code>
+     * @return The level.
+     */
+    long getLevel();
+
+    /**
+     * <code>bool leaving = 6;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesDemand}
+   */
+  public static final class SharesDemand extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesDemand)
+      SharesDemandOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesDemand");
+    }
+    // Use SharesDemand.newBuilder() to construct.
+    private SharesDemand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesDemand() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesDemand_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesDemand_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesDemand_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesDemand.class, ebonygw.wire.SharesProtocol.SharesDemand.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int RATE_FIELD_NUMBER = 2;
+    private long rate_ = 0L;
+    /**
+     * <code>uint64 rate = 2;</code>
+     * @return The rate.
+     */
+    @java.lang.Override
+    public long getRate() {
+      return rate_;
+    }
+
+    public static final int BACKLOG_FIELD_NUMBER = 3;
+    private long backlog_ = 0L;
+    /**
+     * <code>uint64 backlog = 3;</code>
+     * @return The backlog.
+     */
+    @java.lang.Override
+    public long getBacklog() {
+      return backlog_;
+    }
+
+    public static final int LARGEST_FIELD_NUMBER = 4;
+    private long largest_ = 0L;
+    /**
+     * <code>uint64 largest = 4;</code>
+     * @return The largest.
+     */
+    @java.lang.Override
+    public long getLargest() {
+      return largest_;
+    }
+
+    public static final int LEVEL_FIELD_NUMBER = 5;
+    private long level_ = 0L;
+    /**
+     * <code>uint64 level = 5;</code>
+     * @return The level.
+     */
+    @java.lang.Override
+    public long getLevel() {
+      return level_;
+    }
+
+    public static final int LEAVING_FIELD_NUMBER = 6;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 6;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (rate_ != 0L) {
+        output.writeUInt64(2, rate_);
+      }
+      if (backlog_ != 0L) {
+        output.writeUInt64(3, backlog_);
+      }
+      if (largest_ != 0L) {
+        output.writeUInt64(4, largest_);
+      }
+      if (level_ != 0L) {
+        output.writeUInt64(5, level_);
+      }
+      if (leaving_ != false) {
+        output.writeBool(6, leaving_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (rate_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, rate_);
+      }
+      if (backlog_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, backlog_);
+      }
+      if (largest_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, largest_);
+      }
+      if (level_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, level_);
+      }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, leaving_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesDemand)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesDemand other = (ebonygw.wire.SharesProtocol.SharesDemand) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getRate()
+          != other.getRate()) return false;
+      if (getBacklog()
+          != other.getBacklog()) return false;
+      if (getLargest()
+          != other.getLargest()) return false;
+      if (getLevel()
+          != other.getLevel()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + RATE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRate());
+      hash = (37 * hash) + BACKLOG_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getBacklog());
+      hash = (37 * hash) + LARGEST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLargest());
+      hash = (37 * hash) + LEVEL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLevel());
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesDemand parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesDemand prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesDemand}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesDemand)
+        ebonygw.wire.SharesProtocol.SharesDemandOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesDemand_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesDemand_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesDemand.class, ebonygw.wire.SharesProtocol.SharesDemand.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesDemand.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        rate_ = 0L;
+        backlog_ = 0L;
+        largest_ = 0L;
+        level_ = 0L;
+        leaving_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesDemand_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesDemand getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesDemand build() {
+        ebonygw.wire.SharesProtocol.SharesDemand result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesDemand buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesDemand result = new ebonygw.wire.SharesProtocol.SharesDemand(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesDemand result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.rate_ = rate_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.backlog_ = backlog_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.largest_ = largest_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.level_ = level_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.leaving_ = leaving_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesDemand) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesDemand)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesDemand other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesDemand.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRate() != 0L) {
+          setRate(other.getRate());
+        }
+        if (other.getBacklog() != 0L) {
+          setBacklog(other.getBacklog());
+        }
+        if (other.getLargest() != 0L) {
+          setLargest(other.getLargest());
+        }
+        if (other.getLevel() != 0L) {
+          setLevel(other.getLevel());
+        }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                rate_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                backlog_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                largest_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                level_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long rate_ ;
+      /**
+       * <code>uint64 rate = 2;</code>
+       * @return The rate.
+       */
+      @java.lang.Override
+      public long getRate() {
+        return rate_;
+      }
+      /**
+       * <code>uint64 rate = 2;</code>
+       * @param value The rate to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRate(long value) {
+
+        rate_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 rate = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRate() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        rate_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long backlog_ ;
+      /**
+       * <code>uint64 backlog = 3;</code>
+       * @return The backlog.
+       */
+      @java.lang.Override
+      public long getBacklog() {
+        return backlog_;
+      }
+      /**
+       * <code>uint64 backlog = 3;</code>
+       * @param value The backlog to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBacklog(long value) {
+
+        backlog_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 backlog = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBacklog() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        backlog_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long largest_ ;
+      /**
+       * <code>uint64 largest = 4;</code>
+       * @return The largest.
+       */
+      @java.lang.Override
+      public long getLargest() {
+        return largest_;
+      }
+      /**
+       * <code>uint64 largest = 4;</code>
+       * @param value The largest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLargest(long value) {
+
+        largest_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 largest = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLargest() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        largest_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long level_ ;
+      /**
+       * <code>uint64 level = 5;</code>
+       * @return The level.
+       */
+      @java.lang.Override
+      public long getLevel() {
+        return level_;
+      }
+      /**
+       * <code>uint64 level = 5;</code>
+       * @param value The level to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLevel(long value) {
+
+        level_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 level = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLevel() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        level_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 6;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 6;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesDemand)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesDemand)
+    private static final ebonygw.wire.SharesProtocol.SharesDemand DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesDemand();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesDemand getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesDemand>
+        PARSER = new com.google.protobuf.AbstractParser<SharesDemand>() {
+      @java.lang.Override
+      public SharesDemand parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesDemand> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesDemand> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesDemand getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesHeartbeatOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesHeartbeat)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint32 shard = 1;</code>
+     * @return The shard.
+     */
+    int getShard();
+
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>fixed64 sent_nanos = 3;</code>
+     * @return The sentNanos.
+     */
+    long getSentNanos();
+  }
+  /**
+   * Protobuf type {@code ebonygw.SharesHeartbeat}
+   */
+  public static final class SharesHeartbeat extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesHeartbeat)
+      SharesHeartbeatOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesHeartbeat");
+    }
+    // Use SharesHeartbeat.newBuilder() to construct.
+    private SharesHeartbeat(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesHeartbeat() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHeartbeat_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHeartbeat_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHeartbeat_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesHeartbeat.class, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder.class);
+    }
+
+    public static final int SHARD_FIELD_NUMBER = 1;
+    private int shard_ = 0;
+    /**
+     * <code>uint32 shard = 1;</code>
+     * @return The shard.
+     */
+    @java.lang.Override
+    public int getShard() {
+      return shard_;
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int SENT_NANOS_FIELD_NUMBER = 3;
+    private long sentNanos_ = 0L;
+    /**
+     * <code>fixed64 sent_nanos = 3;</code>
+     * @return The sentNanos.
+     */
+    @java.lang.Override
+    public long getSentNanos() {
+      return sentNanos_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (shard_ != 0) {
+        output.writeUInt32(1, shard_);
+      }
+      if (epoch_ != 0L) {
+        output.writeUInt64(2, epoch_);
+      }
+      if (sentNanos_ != 0L) {
+        output.writeFixed64(3, sentNanos_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (shard_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, shard_);
+      }
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, epoch_);
+      }
+      if (sentNanos_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(3, sentNanos_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesHeartbeat)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.SharesProtocol.SharesHeartbeat other = (ebonygw.wire.SharesProtocol.SharesHeartbeat) obj;
+
+      if (getShard()
+          != other.getShard()) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (getSentNanos()
+          != other.getSentNanos()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SHARD_FIELD_NUMBER;
+      hash = (53 * hash) + getShard();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEpoch());
+      hash = (37 * hash) + SENT_NANOS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSentNanos());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesHeartbeat prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.SharesHeartbeat}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesHeartbeat)
+        ebonygw.wire.SharesProtocol.SharesHeartbeatOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHeartbeat_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHeartbeat_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesHeartbeat.class, ebonygw.wire.SharesProtocol.SharesHeartbeat.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesHeartbeat.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        shard_ = 0;
+        epoch_ = 0L;
+        sentNanos_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesHeartbeat_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat build() {
+        ebonygw.wire.SharesProtocol.SharesHeartbeat result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesHeartbeat buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesHeartbeat result = new ebonygw.wire.SharesProtocol.SharesHeartbeat(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesHeartbeat result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.shard_ = shard_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.epoch_ = epoch_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sentNanos_ = sentNanos_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesHeartbeat) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesHeartbeat)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesHeartbeat other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesHeartbeat.getDefaultInstance()) return this;
+        if (other.getShard() != 0) {
+          setShard(other.getShard());
+        }
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (other.getSentNanos() != 0L) {
+          setSentNanos(other.getSentNanos());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                shard_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 25: {
+                sentNanos_ = input.readFixed64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int shard_ ;
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @return The shard.
+       */
+      @java.lang.Override
+      public int getShard() {
+        return shard_;
+      }
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @param value The shard to set.
+       * @return This builder for chaining.
+       */
+      public Builder setShard(int value) {
+
+        shard_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 shard = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearShard() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        shard_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sentNanos_ ;
+      /**
+       * <code>fixed64 sent_nanos = 3;</code>
+       * @return The sentNanos.
+       */
+      @java.lang.Override
+      public long getSentNanos() {
+        return sentNanos_;
+      }
+      /**
+       * <code>fixed64 sent_nanos = 3;</code>
+       * @param value The sentNanos to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSentNanos(long value) {
+
+        sentNanos_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 sent_nanos = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSentNanos() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sentNanos_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesHeartbeat)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesHeartbeat)
+    private static final ebonygw.wire.SharesProtocol.SharesHeartbeat DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesHeartbeat();
+    }
+
+    public static ebonygw.wire.SharesProtocol.SharesHeartbeat getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SharesHeartbeat>
+        PARSER = new com.google.protobuf.AbstractParser<SharesHeartbeat>() {
+      @java.lang.Override
+      public SharesHeartbeat parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SharesHeartbeat> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SharesHeartbeat> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHeartbeat getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SharesOwnerRecordOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.SharesOwnerRecord)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 epoch = 1;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>.ebonygw.SharesHolder owner = 2;</code>
+     * @return Whether the owner field is set.
+     */
+    boolean hasOwner();
+    /**
+     * <code>.ebonygw.SharesHolder owner = 2;</code>
+     * @return The owner.
+     */
+    ebonygw.wire.SharesProtocol.SharesHolder getOwner();
+    /**
