+     * <code>.ebonygw.SharesHolder owner = 2;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getOwnerOrBuilder();
+
+    /**
+     * <code>fixed64 nonce = 3;</code>
+     * @return The nonce.
+     */
+    long getNonce();
+
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> 
+        getHoldersList();
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolder getHolders(int index);
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    int getHoldersCount();
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+        getHoldersOrBuilderList();
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getHoldersOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> 
+        getUnresolvedList();
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolder getUnresolved(int index);
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    int getUnresolvedCount();
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+        getUnresolvedOrBuilderList();
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getUnresolvedOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Value of the key of a shard's owner in the key-value service.
+   * </pre>
+   *
+   * Protobuf type {@code ebonygw.SharesOwnerRecord}
+   */
+  public static final class SharesOwnerRecord extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.SharesOwnerRecord)
+      SharesOwnerRecordOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SharesOwnerRecord");
+    }
+    // Use SharesOwnerRecord.newBuilder() to construct.
+    private SharesOwnerRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SharesOwnerRecord() {
+      holders_ = java.util.Collections.emptyList();
+      unresolved_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesOwnerRecord_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesOwnerRecord_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesOwnerRecord_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.SharesProtocol.SharesOwnerRecord.class, ebonygw.wire.SharesProtocol.SharesOwnerRecord.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int EPOCH_FIELD_NUMBER = 1;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 1;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int OWNER_FIELD_NUMBER = 2;
+    private ebonygw.wire.SharesProtocol.SharesHolder owner_;
+    /**
+     * <code>.ebonygw.SharesHolder owner = 2;</code>
+     * @return Whether the owner field is set.
+     */
+    @java.lang.Override
+    public boolean hasOwner() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.ebonygw.SharesHolder owner = 2;</code>
+     * @return The owner.
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolder getOwner() {
+      return owner_ == null ? ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+    }
+    /**
+     * <code>.ebonygw.SharesHolder owner = 2;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getOwnerOrBuilder() {
+      return owner_ == null ? ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+    }
+
+    public static final int NONCE_FIELD_NUMBER = 3;
+    private long nonce_ = 0L;
+    /**
+     * <code>fixed64 nonce = 3;</code>
+     * @return The nonce.
+     */
+    @java.lang.Override
+    public long getNonce() {
+      return nonce_;
+    }
+
+    public static final int HOLDERS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> holders_;
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> getHoldersList() {
+      return holders_;
+    }
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+        getHoldersOrBuilderList() {
+      return holders_;
+    }
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public int getHoldersCount() {
+      return holders_.size();
+    }
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolder getHolders(int index) {
+      return holders_.get(index);
+    }
+    /**
+     * <pre>
+     * Processes that may hold shares in this epoch.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getHoldersOrBuilder(
+        int index) {
+      return holders_.get(index);
+    }
+
+    public static final int UNRESOLVED_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> unresolved_;
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> getUnresolvedList() {
+      return unresolved_;
+    }
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+        getUnresolvedOrBuilderList() {
+      return unresolved_;
+    }
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    @java.lang.Override
+    public int getUnresolvedCount() {
+      return unresolved_.size();
+    }
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolder getUnresolved(int index) {
+      return unresolved_.get(index);
+    }
+    /**
+     * <pre>
+     * Further processes that may still hold shares of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getUnresolvedOrBuilder(
+        int index) {
+      return unresolved_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      if (epoch_ != 0L) {
+        output.writeUInt64(1, epoch_);
       }
-      if (tokens_ != 0L) {
-        output.writeUInt64(2, tokens_);
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getOwner());
+      }
+      if (nonce_ != 0L) {
+        output.writeFixed64(3, nonce_);
+      }
+      for (int i = 0; i < holders_.size(); i++) {
+        output.writeMessage(4, holders_.get(i));
+      }
+      for (int i = 0; i < unresolved_.size(); i++) {
+        output.writeMessage(5, unresolved_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, epoch_);
       }
-      if (tokens_ != 0L) {
+      if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, tokens_);
+          .computeMessageSize(2, getOwner());
+      }
+      if (nonce_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(3, nonce_);
       }
+
+          {
+            final int count = holders_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(holders_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = unresolved_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(unresolved_.get(i));
+            }
+            size += 1 * count;
+          }
       return size;
     }
     @java.lang.Override
@@ -858,15 +12164,24 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesAsk)) {
+      if (!(obj instanceof ebonygw.wire.SharesProtocol.SharesOwnerRecord)) {
         return super.equals(obj);
       }
-      ebonygw.wire.SharesProtocol.SharesAsk other = (ebonygw.wire.SharesProtocol.SharesAsk) obj;
+      ebonygw.wire.SharesProtocol.SharesOwnerRecord other = (ebonygw.wire.SharesProtocol.SharesOwnerRecord) obj;
 
-      if (!getCustomer()
-          .equals(other.getCustomer())) return false;
-      if (getTokens()
-          != other.getTokens()) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (hasOwner() != other.hasOwner()) return false;
+      if (hasOwner()) {
+        if (!getOwner()
+            .equals(other.getOwner())) return false;
+      }
+      if (getNonce()
+          != other.getNonce()) return false;
+      if (!getHoldersList()
+          .equals(other.getHoldersList())) return false;
+      if (!getUnresolvedList()
+          .equals(other.getUnresolvedList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -878,54 +12193,67 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
-      hash = (53 * hash) + getCustomer().hashCode();
-      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getTokens());
+          getEpoch());
+      if (hasOwner()) {
+        hash = (37 * hash) + OWNER_FIELD_NUMBER;
+        hash = (53 * hash) + getOwner().hashCode();
+      }
+      hash = (37 * hash) + NONCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNonce());
+      if (getHoldersCount() > 0) {
+        hash = (37 * hash) + HOLDERS_FIELD_NUMBER;
+        hash = (53 * hash) + getHoldersList().hashCode();
+      }
+      if (getUnresolvedCount() > 0) {
+        hash = (37 * hash) + UNRESOLVED_FIELD_NUMBER;
+        hash = (53 * hash) + getUnresolvedList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(byte[] data)
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -933,26 +12261,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseDelimitedFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.SharesProtocol.SharesAsk parseFrom(
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -965,7 +12293,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesAsk prototype) {
+    public static Builder newBuilder(ebonygw.wire.SharesProtocol.SharesOwnerRecord prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -981,274 +12309,1112 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.SharesAsk}
+     * <pre>
+     * Value of the key of a shard's owner in the key-value service.
+     * </pre>
+     *
+     * Protobuf type {@code ebonygw.SharesOwnerRecord}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.SharesAsk)
-        ebonygw.wire.SharesProtocol.SharesAskOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.SharesOwnerRecord)
+        ebonygw.wire.SharesProtocol.SharesOwnerRecordOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesOwnerRecord_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesOwnerRecord_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.SharesProtocol.SharesOwnerRecord.class, ebonygw.wire.SharesProtocol.SharesOwnerRecord.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.SharesProtocol.SharesOwnerRecord.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetOwnerFieldBuilder();
+          internalGetHoldersFieldBuilder();
+          internalGetUnresolvedFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        epoch_ = 0L;
+        owner_ = null;
+        if (ownerBuilder_ != null) {
+          ownerBuilder_.dispose();
+          ownerBuilder_ = null;
+        }
+        nonce_ = 0L;
+        if (holdersBuilder_ == null) {
+          holders_ = java.util.Collections.emptyList();
+        } else {
+          holders_ = null;
+          holdersBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        if (unresolvedBuilder_ == null) {
+          unresolved_ = java.util.Collections.emptyList();
+        } else {
+          unresolved_ = null;
+          unresolvedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesOwnerRecord_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesOwnerRecord getDefaultInstanceForType() {
+        return ebonygw.wire.SharesProtocol.SharesOwnerRecord.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesOwnerRecord build() {
+        ebonygw.wire.SharesProtocol.SharesOwnerRecord result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.SharesProtocol.SharesOwnerRecord buildPartial() {
+        ebonygw.wire.SharesProtocol.SharesOwnerRecord result = new ebonygw.wire.SharesProtocol.SharesOwnerRecord(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.SharesProtocol.SharesOwnerRecord result) {
+        if (holdersBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            holders_ = java.util.Collections.unmodifiableList(holders_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.holders_ = holders_;
+        } else {
+          result.holders_ = holdersBuilder_.build();
+        }
+        if (unresolvedBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            unresolved_ = java.util.Collections.unmodifiableList(unresolved_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.unresolved_ = unresolved_;
+        } else {
+          result.unresolved_ = unresolvedBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesOwnerRecord result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.epoch_ = epoch_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.owner_ = ownerBuilder_ == null
+              ? owner_
+              : ownerBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.nonce_ = nonce_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.SharesProtocol.SharesOwnerRecord) {
+          return mergeFrom((ebonygw.wire.SharesProtocol.SharesOwnerRecord)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesOwnerRecord other) {
+        if (other == ebonygw.wire.SharesProtocol.SharesOwnerRecord.getDefaultInstance()) return this;
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (other.hasOwner()) {
+          mergeOwner(other.getOwner());
+        }
+        if (other.getNonce() != 0L) {
+          setNonce(other.getNonce());
+        }
+        if (holdersBuilder_ == null) {
+          if (!other.holders_.isEmpty()) {
+            if (holders_.isEmpty()) {
+              holders_ = other.holders_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureHoldersIsMutable();
+              holders_.addAll(other.holders_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.holders_.isEmpty()) {
+            if (holdersBuilder_.isEmpty()) {
+              holdersBuilder_.dispose();
+              holdersBuilder_ = null;
+              holders_ = other.holders_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              holdersBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetHoldersFieldBuilder() : null;
+            } else {
+              holdersBuilder_.addAllMessages(other.holders_);
+            }
+          }
+        }
+        if (unresolvedBuilder_ == null) {
+          if (!other.unresolved_.isEmpty()) {
+            if (unresolved_.isEmpty()) {
+              unresolved_ = other.unresolved_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensureUnresolvedIsMutable();
+              unresolved_.addAll(other.unresolved_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.unresolved_.isEmpty()) {
+            if (unresolvedBuilder_.isEmpty()) {
+              unresolvedBuilder_.dispose();
+              unresolvedBuilder_ = null;
+              unresolved_ = other.unresolved_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              unresolvedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetUnresolvedFieldBuilder() : null;
+            } else {
+              unresolvedBuilder_.addAllMessages(other.unresolved_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                input.readMessage(
+                    internalGetOwnerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 25: {
+                nonce_ = input.readFixed64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              case 34: {
+                ebonygw.wire.SharesProtocol.SharesHolder m =
+                    input.readMessage(
+                        ebonygw.wire.SharesProtocol.SharesHolder.parser(),
+                        extensionRegistry);
+                if (holdersBuilder_ == null) {
+                  ensureHoldersIsMutable();
+                  holders_.add(m);
+                } else {
+                  holdersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              case 42: {
+                ebonygw.wire.SharesProtocol.SharesHolder m =
+                    input.readMessage(
+                        ebonygw.wire.SharesProtocol.SharesHolder.parser(),
+                        extensionRegistry);
+                if (unresolvedBuilder_ == null) {
+                  ensureUnresolvedIsMutable();
+                  unresolved_.add(m);
+                } else {
+                  unresolvedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
+      private int bitField0_;
 
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 1;</code>
+       * @return The epoch.
+       */
       @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                ebonygw.wire.SharesProtocol.SharesAsk.class, ebonygw.wire.SharesProtocol.SharesAsk.Builder.class);
+      public long getEpoch() {
+        return epoch_;
       }
+      /**
+       * <code>uint64 epoch = 1;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
 
-      // Construct using ebonygw.wire.SharesProtocol.SharesAsk.newBuilder()
-      private Builder() {
-
+        epoch_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        epoch_ = 0L;
+        onChanged();
+        return this;
       }
 
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-
+      private ebonygw.wire.SharesProtocol.SharesHolder owner_;
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> ownerBuilder_;
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       * @return Whether the owner field is set.
+       */
+      public boolean hasOwner() {
+        return ((bitField0_ & 0x00000002) != 0);
       }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        customer_ = "";
-        tokens_ = 0L;
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       * @return The owner.
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder getOwner() {
+        if (ownerBuilder_ == null) {
+          return owner_ == null ? ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+        } else {
+          return ownerBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      public Builder setOwner(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (ownerBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          owner_ = value;
+        } else {
+          ownerBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      public Builder setOwner(
+          ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (ownerBuilder_ == null) {
+          owner_ = builderForValue.build();
+        } else {
+          ownerBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      public Builder mergeOwner(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (ownerBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            owner_ != null &&
+            owner_ != ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance()) {
+            getOwnerBuilder().mergeFrom(value);
+          } else {
+            owner_ = value;
+          }
+        } else {
+          ownerBuilder_.mergeFrom(value);
+        }
+        if (owner_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      public Builder clearOwner() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        owner_ = null;
+        if (ownerBuilder_ != null) {
+          ownerBuilder_.dispose();
+          ownerBuilder_ = null;
+        }
+        onChanged();
         return this;
       }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder getOwnerBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return internalGetOwnerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getOwnerOrBuilder() {
+        if (ownerBuilder_ != null) {
+          return ownerBuilder_.getMessageOrBuilder();
+        } else {
+          return owner_ == null ?
+              ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance() : owner_;
+        }
+      }
+      /**
+       * <code>.ebonygw.SharesHolder owner = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+          internalGetOwnerFieldBuilder() {
+        if (ownerBuilder_ == null) {
+          ownerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder>(
+                  getOwner(),
+                  getParentForChildren(),
+                  isClean());
+          owner_ = null;
+        }
+        return ownerBuilder_;
+      }
 
+      private long nonce_ ;
+      /**
+       * <code>fixed64 nonce = 3;</code>
+       * @return The nonce.
+       */
       @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return ebonygw.wire.SharesProtocol.internal_static_ebonygw_SharesAsk_descriptor;
+      public long getNonce() {
+        return nonce_;
       }
+      /**
+       * <code>fixed64 nonce = 3;</code>
+       * @param value The nonce to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNonce(long value) {
 
-      @java.lang.Override
-      public ebonygw.wire.SharesProtocol.SharesAsk getDefaultInstanceForType() {
-        return ebonygw.wire.SharesProtocol.SharesAsk.getDefaultInstance();
+        nonce_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 nonce = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNonce() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        nonce_ = 0L;
+        onChanged();
+        return this;
       }
 
-      @java.lang.Override
-      public ebonygw.wire.SharesProtocol.SharesAsk build() {
-        ebonygw.wire.SharesProtocol.SharesAsk result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
-        }
-        return result;
+      private java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> holders_ =
+        java.util.Collections.emptyList();
+      private void ensureHoldersIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          holders_ = new java.util.ArrayList<ebonygw.wire.SharesProtocol.SharesHolder>(holders_);
+          bitField0_ |= 0x00000008;
+         }
       }
 
-      @java.lang.Override
-      public ebonygw.wire.SharesProtocol.SharesAsk buildPartial() {
-        ebonygw.wire.SharesProtocol.SharesAsk result = new ebonygw.wire.SharesProtocol.SharesAsk(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> holdersBuilder_;
+
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> getHoldersList() {
+        if (holdersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(holders_);
+        } else {
+          return holdersBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public int getHoldersCount() {
+        if (holdersBuilder_ == null) {
+          return holders_.size();
+        } else {
+          return holdersBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder getHolders(int index) {
+        if (holdersBuilder_ == null) {
+          return holders_.get(index);
+        } else {
+          return holdersBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder setHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (holdersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldersIsMutable();
+          holders_.set(index, value);
+          onChanged();
+        } else {
+          holdersBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder setHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          holdersBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (holdersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldersIsMutable();
+          holders_.add(value);
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (holdersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureHoldersIsMutable();
+          holders_.add(index, value);
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(
+          ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.add(builderForValue.build());
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addHolders(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          holdersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder addAllHolders(
+          java.lang.Iterable<? extends ebonygw.wire.SharesProtocol.SharesHolder> values) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, holders_);
+          onChanged();
+        } else {
+          holdersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder clearHolders() {
+        if (holdersBuilder_ == null) {
+          holders_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          holdersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public Builder removeHolders(int index) {
+        if (holdersBuilder_ == null) {
+          ensureHoldersIsMutable();
+          holders_.remove(index);
+          onChanged();
+        } else {
+          holdersBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder getHoldersBuilder(
+          int index) {
+        return internalGetHoldersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getHoldersOrBuilder(
+          int index) {
+        if (holdersBuilder_ == null) {
+          return holders_.get(index);  } else {
+          return holdersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+           getHoldersOrBuilderList() {
+        if (holdersBuilder_ != null) {
+          return holdersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(holders_);
+        }
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder addHoldersBuilder() {
+        return internalGetHoldersFieldBuilder().addBuilder(
+            ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder addHoldersBuilder(
+          int index) {
+        return internalGetHoldersFieldBuilder().addBuilder(
+            index, ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Processes that may hold shares in this epoch.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder holders = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder.Builder> 
+           getHoldersBuilderList() {
+        return internalGetHoldersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+          internalGetHoldersFieldBuilder() {
+        if (holdersBuilder_ == null) {
+          holdersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder>(
+                  holders_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          holders_ = null;
+        }
+        return holdersBuilder_;
       }
 
-      private void buildPartial0(ebonygw.wire.SharesProtocol.SharesAsk result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.customer_ = customer_;
+      private java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> unresolved_ =
+        java.util.Collections.emptyList();
+      private void ensureUnresolvedIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          unresolved_ = new java.util.ArrayList<ebonygw.wire.SharesProtocol.SharesHolder>(unresolved_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> unresolvedBuilder_;
+
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder> getUnresolvedList() {
+        if (unresolvedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(unresolved_);
+        } else {
+          return unresolvedBuilder_.getMessageList();
         }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.tokens_ = tokens_;
+      }
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public int getUnresolvedCount() {
+        if (unresolvedBuilder_ == null) {
+          return unresolved_.size();
+        } else {
+          return unresolvedBuilder_.getCount();
         }
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.SharesProtocol.SharesAsk) {
-          return mergeFrom((ebonygw.wire.SharesProtocol.SharesAsk)other);
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder getUnresolved(int index) {
+        if (unresolvedBuilder_ == null) {
+          return unresolved_.get(index);
         } else {
-          super.mergeFrom(other);
-          return this;
+          return unresolvedBuilder_.getMessage(index);
         }
       }
-
-      public Builder mergeFrom(ebonygw.wire.SharesProtocol.SharesAsk other) {
-        if (other == ebonygw.wire.SharesProtocol.SharesAsk.getDefaultInstance()) return this;
-        if (!other.getCustomer().isEmpty()) {
-          customer_ = other.customer_;
-          bitField0_ |= 0x00000001;
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public Builder setUnresolved(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (unresolvedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUnresolvedIsMutable();
+          unresolved_.set(index, value);
           onChanged();
+        } else {
+          unresolvedBuilder_.setMessage(index, value);
         }
-        if (other.getTokens() != 0L) {
-          setTokens(other.getTokens());
+        return this;
+      }
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public Builder setUnresolved(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (unresolvedBuilder_ == null) {
+          ensureUnresolvedIsMutable();
+          unresolved_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          unresolvedBuilder_.setMessage(index, builderForValue.build());
         }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
         return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public Builder addUnresolved(ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (unresolvedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUnresolvedIsMutable();
+          unresolved_.add(value);
+          onChanged();
+        } else {
+          unresolvedBuilder_.addMessage(value);
+        }
+        return this;
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        java.util.Objects.requireNonNull(extensionRegistry);
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                customer_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 10
-              case 16: {
-                tokens_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public Builder addUnresolved(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder value) {
+        if (unresolvedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUnresolvedIsMutable();
+          unresolved_.add(index, value);
           onChanged();
-        } // finally
+        } else {
+          unresolvedBuilder_.addMessage(index, value);
+        }
         return this;
       }
-      private int bitField0_;
-
-      private java.lang.Object customer_ = "";
       /**
-       * <code>string customer = 1;</code>
-       * @return The customer.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public java.lang.String getCustomer() {
-        java.lang.Object ref = customer_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          customer_ = s;
-          return s;
+      public Builder addUnresolved(
+          ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (unresolvedBuilder_ == null) {
+          ensureUnresolvedIsMutable();
+          unresolved_.add(builderForValue.build());
+          onChanged();
         } else {
-          return (java.lang.String) ref;
+          unresolvedBuilder_.addMessage(builderForValue.build());
         }
+        return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @return The bytes for customer.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public com.google.protobuf.ByteString
-          getCustomerBytes() {
-        java.lang.Object ref = customer_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          customer_ = b;
-          return b;
+      public Builder addUnresolved(
+          int index, ebonygw.wire.SharesProtocol.SharesHolder.Builder builderForValue) {
+        if (unresolvedBuilder_ == null) {
+          ensureUnresolvedIsMutable();
+          unresolved_.add(index, builderForValue.build());
+          onChanged();
         } else {
-          return (com.google.protobuf.ByteString) ref;
+          unresolvedBuilder_.addMessage(index, builderForValue.build());
         }
+        return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @param value The customer to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public Builder setCustomer(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        customer_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      public Builder addAllUnresolved(
+          java.lang.Iterable<? extends ebonygw.wire.SharesProtocol.SharesHolder> values) {
+        if (unresolvedBuilder_ == null) {
+          ensureUnresolvedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, unresolved_);
+          onChanged();
+        } else {
+          unresolvedBuilder_.addAllMessages(values);
+        }
         return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public Builder clearCustomer() {
-        customer_ = getDefaultInstance().getCustomer();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
+      public Builder clearUnresolved() {
+        if (unresolvedBuilder_ == null) {
+          unresolved_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          unresolvedBuilder_.clear();
+        }
         return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @param value The bytes for customer to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public Builder setCustomerBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        customer_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      public Builder removeUnresolved(int index) {
+        if (unresolvedBuilder_ == null) {
+          ensureUnresolvedIsMutable();
+          unresolved_.remove(index);
+          onChanged();
+        } else {
+          unresolvedBuilder_.remove(index);
+        }
         return this;
       }
-
-      private long tokens_ ;
       /**
-       * <code>uint64 tokens = 2;</code>
-       * @return The tokens.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      @java.lang.Override
-      public long getTokens() {
-        return tokens_;
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder getUnresolvedBuilder(
+          int index) {
+        return internalGetUnresolvedFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>uint64 tokens = 2;</code>
-       * @param value The tokens to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public Builder setTokens(long value) {
-
-        tokens_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
+      public ebonygw.wire.SharesProtocol.SharesHolderOrBuilder getUnresolvedOrBuilder(
+          int index) {
+        if (unresolvedBuilder_ == null) {
+          return unresolved_.get(index);  } else {
+          return unresolvedBuilder_.getMessageOrBuilder(index);
+        }
       }
       /**
-       * <code>uint64 tokens = 2;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
        */
-      public Builder clearTokens() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        tokens_ = 0L;
-        onChanged();
-        return this;
+      public java.util.List<? extends ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+           getUnresolvedOrBuilderList() {
+        if (unresolvedBuilder_ != null) {
+          return unresolvedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(unresolved_);
+        }
+      }
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder addUnresolvedBuilder() {
+        return internalGetUnresolvedFieldBuilder().addBuilder(
+            ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public ebonygw.wire.SharesProtocol.SharesHolder.Builder addUnresolvedBuilder(
+          int index) {
+        return internalGetUnresolvedFieldBuilder().addBuilder(
+            index, ebonygw.wire.SharesProtocol.SharesHolder.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Further processes that may still hold shares of earlier epochs.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.SharesHolder unresolved = 5;</code>
+       */
+      public java.util.List<ebonygw.wire.SharesProtocol.SharesHolder.Builder> 
+           getUnresolvedBuilderList() {
+        return internalGetUnresolvedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder> 
+          internalGetUnresolvedFieldBuilder() {
+        if (unresolvedBuilder_ == null) {
+          unresolvedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.SharesProtocol.SharesHolder, ebonygw.wire.SharesProtocol.SharesHolder.Builder, ebonygw.wire.SharesProtocol.SharesHolderOrBuilder>(
+                  unresolved_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          unresolved_ = null;
+        }
+        return unresolvedBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.SharesAsk)
+      // @@protoc_insertion_point(builder_scope:ebonygw.SharesOwnerRecord)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.SharesAsk)
-    private static final ebonygw.wire.SharesProtocol.SharesAsk DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.SharesOwnerRecord)
+    private static final ebonygw.wire.SharesProtocol.SharesOwnerRecord DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesAsk();
+      DEFAULT_INSTANCE = new ebonygw.wire.SharesProtocol.SharesOwnerRecord();
     }
 
-    public static ebonygw.wire.SharesProtocol.SharesAsk getDefaultInstance() {
+    public static ebonygw.wire.SharesProtocol.SharesOwnerRecord getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<SharesAsk>
-        PARSER = new com.google.protobuf.AbstractParser<SharesAsk>() {
+    private static final com.google.protobuf.Parser<SharesOwnerRecord>
+        PARSER = new com.google.protobuf.AbstractParser<SharesOwnerRecord>() {
       @java.lang.Override
-      public SharesAsk parsePartialFrom(
+      public SharesOwnerRecord parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1267,17 +13433,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<SharesAsk> parser() {
+    public static com.google.protobuf.Parser<SharesOwnerRecord> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<SharesAsk> getParserForType() {
+    public com.google.protobuf.Parser<SharesOwnerRecord> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.SharesProtocol.SharesAsk getDefaultInstanceForType() {
+    public ebonygw.wire.SharesProtocol.SharesOwnerRecord getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -1293,6 +13459,61 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_SharesAsk_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesGrant_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesGrant_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesReturn_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesReturn_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesHolder_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesHolder_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesAdopt_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesAdopt_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesHolding_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesHolding_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesAdopted_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesAdopted_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesAssign_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesAssign_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesAssigned_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesAssigned_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesDemand_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesDemand_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesHeartbeat_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesHeartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_SharesOwnerRecord_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_SharesOwnerRecord_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -1302,11 +13523,51 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014shares.proto\022\007ebonygw\";\n\016SharesEnvelop" +
-      "e\022!\n\003ask\030\001 \001(\0132\022.ebonygw.SharesAskH\000B\006\n\004" +
-      "kind\"-\n\tSharesAsk\022\020\n\010customer\030\001 \001(\t\022\016\n\006t" +
-      "okens\030\002 \001(\004B\036\n\014ebonygw.wireB\016SharesProto" +
-      "colb\006proto3"
+      "\n\014shares.proto\022\007ebonygw\"\301\003\n\016SharesEnvelo" +
+      "pe\022!\n\003ask\030\001 \001(\0132\022.ebonygw.SharesAskH\000\022%\n" +
+      "\005grant\030\002 \001(\0132\024.ebonygw.SharesGrantH\000\022*\n\t" +
+      "give_back\030\003 \001(\0132\025.ebonygw.SharesReturnH\000" +
+      "\022%\n\005adopt\030\004 \001(\0132\024.ebonygw.SharesAdoptH\000\022" +
+      ")\n\007adopted\030\005 \001(\0132\026.ebonygw.SharesAdopted" +
+      "H\000\022\'\n\006assign\030\006 \001(\0132\025.ebonygw.SharesAssig" +
+      "nH\000\022+\n\010assigned\030\007 \001(\0132\027.ebonygw.SharesAs" +
+      "signedH\000\022\'\n\006demand\030\010 \001(\0132\025.ebonygw.Share" +
+      "sDemandH\000\022-\n\theartbeat\030\t \001(\0132\030.ebonygw.S" +
+      "haresHeartbeatH\000\0221\n\rheartbeat_ack\030\n \001(\0132" +
+      "\030.ebonygw.SharesHeartbeatH\000B\006\n\004kind\";\n\tS" +
+      "haresAsk\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
+      "(\004\022\014\n\004loan\030\003 \001(\004\"i\n\013SharesGrant\022\020\n\010custo" +
+      "mer\030\001 \001(\t\022\014\n\004loan\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\004\022" +
+      "\031\n\021retry_after_nanos\030\004 \001(\004\022\017\n\007holders\030\005 " +
+      "\003(\t\"F\n\014SharesReturn\022\020\n\010customer\030\001 \001(\t\022\014\n" +
+      "\004loan\030\002 \001(\004\022\026\n\016returned_total\030\003 \001(\004\">\n\014S" +
+      "haresHolder\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\006\022\r\n\005alone\030\003 \001(\010\"y\n\013SharesAdopt\022\r\n\005sh" +
+      "ard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022$\n\005owner\030\003 \001(\0132" +
+      "\025.ebonygw.SharesHolder\022&\n\007holders\030\004 \003(\0132" +
+      "\025.ebonygw.SharesHolder\"A\n\rSharesHolding\022" +
+      "\020\n\010customer\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\020\n\010capac" +
+      "ity\030\003 \001(\004\"W\n\rSharesAdopted\022\r\n\005shard\030\001 \001(" +
+      "\r\022\r\n\005epoch\030\002 \001(\004\022(\n\010holdings\030\003 \003(\0132\026.ebo" +
+      "nygw.SharesHolding\"\272\001\n\014SharesAssign\022\020\n\010c" +
+      "ustomer\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007version\030" +
+      "\003 \001(\004\022\014\n\004rate\030\004 \001(\004\022\020\n\010capacity\030\005 \001(\004\022\016\n" +
+      "\006tokens\030\006 \001(\004\022\031\n\021settings_revision\030\007 \001(\004" +
+      "\022\025\n\rcustomer_rate\030\010 \001(\004\022\026\n\016customer_burs" +
+      "t\030\t \001(\004\"t\n\016SharesAssigned\022\020\n\010customer\030\001 " +
+      "\001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007version\030\003 \001(\004\022\014\n\004r" +
+      "ate\030\004 \001(\004\022\020\n\010capacity\030\005 \001(\004\022\020\n\010returned\030" +
+      "\006 \001(\004\"p\n\014SharesDemand\022\020\n\010customer\030\001 \001(\t\022" +
+      "\014\n\004rate\030\002 \001(\004\022\017\n\007backlog\030\003 \001(\004\022\017\n\007larges" +
+      "t\030\004 \001(\004\022\r\n\005level\030\005 \001(\004\022\017\n\007leaving\030\006 \001(\010\"" +
+      "C\n\017SharesHeartbeat\022\r\n\005shard\030\001 \001(\r\022\r\n\005epo" +
+      "ch\030\002 \001(\004\022\022\n\nsent_nanos\030\003 \001(\006\"\252\001\n\021SharesO" +
+      "wnerRecord\022\r\n\005epoch\030\001 \001(\004\022$\n\005owner\030\002 \001(\013" +
+      "2\025.ebonygw.SharesHolder\022\r\n\005nonce\030\003 \001(\006\022&" +
+      "\n\007holders\030\004 \003(\0132\025.ebonygw.SharesHolder\022)" +
+      "\n\nunresolved\030\005 \003(\0132\025.ebonygw.SharesHolde" +
+      "rB\036\n\014ebonygw.wireB\016SharesProtocolb\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -1317,13 +13578,79 @@
     internal_static_ebonygw_SharesEnvelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_SharesEnvelope_descriptor,
-        new java.lang.String[] { "Ask", "Kind", });
+        new java.lang.String[] { "Ask", "Grant", "GiveBack", "Adopt", "Adopted", "Assign", "Assigned", "Demand", "Heartbeat", "HeartbeatAck", "Kind", });
     internal_static_ebonygw_SharesAsk_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_SharesAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_SharesAsk_descriptor,
-        new java.lang.String[] { "Customer", "Tokens", });
+        new java.lang.String[] { "Customer", "Tokens", "Loan", });
+    internal_static_ebonygw_SharesGrant_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_ebonygw_SharesGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesGrant_descriptor,
+        new java.lang.String[] { "Customer", "Loan", "Tokens", "RetryAfterNanos", "Holders", });
+    internal_static_ebonygw_SharesReturn_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_ebonygw_SharesReturn_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesReturn_descriptor,
+        new java.lang.String[] { "Customer", "Loan", "ReturnedTotal", });
+    internal_static_ebonygw_SharesHolder_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_ebonygw_SharesHolder_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesHolder_descriptor,
+        new java.lang.String[] { "Id", "Incarnation", "Alone", });
+    internal_static_ebonygw_SharesAdopt_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_ebonygw_SharesAdopt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesAdopt_descriptor,
+        new java.lang.String[] { "Shard", "Epoch", "Owner", "Holders", });
+    internal_static_ebonygw_SharesHolding_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_ebonygw_SharesHolding_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesHolding_descriptor,
+        new java.lang.String[] { "Customer", "Rate", "Capacity", });
+    internal_static_ebonygw_SharesAdopted_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_ebonygw_SharesAdopted_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesAdopted_descriptor,
+        new java.lang.String[] { "Shard", "Epoch", "Holdings", });
+    internal_static_ebonygw_SharesAssign_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_ebonygw_SharesAssign_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesAssign_descriptor,
+        new java.lang.String[] { "Customer", "Epoch", "Version", "Rate", "Capacity", "Tokens", "SettingsRevision", "CustomerRate", "CustomerBurst", });
+    internal_static_ebonygw_SharesAssigned_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_ebonygw_SharesAssigned_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesAssigned_descriptor,
+        new java.lang.String[] { "Customer", "Epoch", "Version", "Rate", "Capacity", "Returned", });
+    internal_static_ebonygw_SharesDemand_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_ebonygw_SharesDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesDemand_descriptor,
+        new java.lang.String[] { "Customer", "Rate", "Backlog", "Largest", "Level", "Leaving", });
+    internal_static_ebonygw_SharesHeartbeat_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_ebonygw_SharesHeartbeat_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesHeartbeat_descriptor,
+        new java.lang.String[] { "Shard", "Epoch", "SentNanos", });
+    internal_static_ebonygw_SharesOwnerRecord_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_ebonygw_SharesOwnerRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_SharesOwnerRecord_descriptor,
+        new java.lang.String[] { "Epoch", "Owner", "Nonce", "Holders", "Unresolved", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
