--- a/src/main/java/ebonygw/bench/BenchCommand.java
+++ b/src/main/java/ebonygw/bench/BenchCommand.java
@@ -1,5 +1,6 @@
 package ebonygw.bench;
 
+import ebonygw.bench.placement.PlacementBench;
 import ebonygw.bench.shares.SharesBench;
 import ebonygw.cli.Command;
 import java.io.PrintStream;
@@ -23,6 +24,7 @@
 
     private static Map<String, Command> experiments() {
         Map<String, Command> experiments = new TreeMap<>();
+        experiments.put("placement", new PlacementBench());
         experiments.put("shares", new SharesBench());
         return experiments;
     }
