--- /dev/null
+++ b/src/main/java/ebonygw/access/package-info.java
@@ -0,0 +1,2 @@
+/** Who may run what: one set of rules for entry and target processes. */
+package ebonygw.access;
