--- a/src/main/java/ebonygw/EntryEffect.java
+++ b/src/main/java/ebonygw/EntryEffect.java
@@ -6,6 +6,7 @@
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.Refusal;
+import ebonygw.settings.ChangeOutcome;
 import java.util.Map;
 import java.util.Set;
 
@@ -44,6 +45,14 @@
     record AnswerStarted(long exchange, int status, Map<String, String> headers)
             implements EntryEffect {}
 
+    /**
+     * Tells what became of a change of the settings.
+     *
+     * @param ticket number under which it was submitted
+     * @param outcome the outcome
+     */
+    record ChangeSettled(long ticket, ChangeOutcome outcome) implements EntryEffect {}
+
     /** The process may end now, with exit status 0. */
     record Exit() implements EntryEffect {}
 
--- a/src/main/java/ebonygw/EntryEvent.java
+++ b/src/main/java/ebonygw/EntryEvent.java
@@ -5,6 +5,7 @@
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.CallerRequest;
+import ebonygw.settings.SettingsChange;
 
 /** Everything that can happen to an {@link EntryNode}. */
 public sealed interface EntryEvent {
@@ -31,6 +32,14 @@
      */
     record CallerTook(long exchange, int parts) implements EntryEvent {}
 
+    /**
+     * An operator submitted a change of the settings.
+     *
+     * @param ticket number that its outcome will carry, unique in the process
+     * @param change the change
+     */
+    record ChangeSubmitted(long ticket, SettingsChange change) implements EntryEvent {}
+
     /**
      * A new host list was read from the platform.
      *
--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -23,7 +23,9 @@
 import ebonygw.settings.SettingsMessage;
 import ebonygw.settings.SettingsReplica;
 import ebonygw.settings.SettingsReplicaOptions;
+import ebonygw.settings.SettingsState;
 import ebonygw.settings.SettingsView;
+import ebonygw.settings.SettingsWriter;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -46,6 +48,7 @@
     private final EntryNodeOptions mOptions;
     private final EntryOutbox mOut = new EntryOutbox();
     private final SettingsReplica mSettings;
+    private final SettingsWriter mWriter;
     private final ProcessMembership mProcess;
     private final Membership mMembership;
     private final StopPlan mStop;
@@ -86,6 +89,7 @@
                         mRouter,
                         new RetryPolicy(RetryOptions.defaults()),
                         mOut);
+        mWriter = new SettingsWriter(mSettings, mRequests::uses);
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers, free of secrets. */
@@ -124,6 +128,8 @@
             onPeerDown(down.peer(), down.incarnation(), nowNanos);
         } else if (event instanceof EntryEvent.KeyValueReplied replied) {
             onKeyValue(replied.callId(), replied.reply(), nowNanos);
+        } else if (event instanceof EntryEvent.ChangeSubmitted submitted) {
+            mWriter.submit(submitted.ticket(), submitted.change(), nowNanos, mOut);
         } else if (event instanceof EntryEvent.HostsListed listed) {
             mMembership.onHostList(listed.hosts(), nowNanos);
         } else if (event instanceof EntryEvent.StopAsked) {
@@ -139,6 +145,11 @@
         return mSettings.ready() && !mStop.isStopping();
     }
 
+    /** Returns the settings in force here with their tree and log; an immutable value. */
+    public SettingsState settingsState() {
+        return mSettings.state();
+    }
+
     /** Returns the settings in force here; an immutable value. */
     public SettingsView settings() {
         return mSettings.view();
@@ -154,7 +165,8 @@
 
     private void onKeyValue(long callId, KeyValueReply reply, long nowNanos) {
         boolean known =
-                mSettings.onKeyValueReply(callId, reply, nowNanos, mOut)
+                mWriter.onKeyValueReply(callId, reply, nowNanos, mOut)
+                        || mSettings.onKeyValueReply(callId, reply, nowNanos, mOut)
                         || mProcess.onReply(callId, reply, nowNanos)
                         || mShares.onKeyValueReply(callId, reply, nowNanos, mOut);
         if (!known) {
@@ -214,6 +226,7 @@
     private void onTick(long nowNanos) {
         mProcess.onTick(nowNanos, mOut);
         mSettings.onTick(nowNanos, mOut);
+        mWriter.onTick(nowNanos, mOut);
         mShares.onTick(nowNanos, mOut);
         mRequests.tick(nowNanos);
         if (mStop.isStopping() && !mExited) {
@@ -223,6 +236,10 @@
 
     /** Passes on what the event has changed. */
     private void publish(long nowNanos) {
+        for (SettingsWriter.Settled settled : mWriter.drain()) {
+            mOut.effect(new EntryEffect.ChangeSettled(settled.ticket(), settled.outcome()));
+        }
+        mRequests.admissions(nowNanos);
         long revision = mSettings.view().revision();
         if (revision != mSettingsRevision && mSettings.ready()) {
             mSettingsRevision = revision;
--- a/src/main/java/ebonygw/EntryRequests.java
+++ b/src/main/java/ebonygw/EntryRequests.java
@@ -10,6 +10,7 @@
 import ebonygw.admission.ShareNode;
 import ebonygw.membership.Member;
 import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
 import ebonygw.request.CallerRequest;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
@@ -78,6 +79,13 @@
         mOut = out;
     }
 
+    /** Goes on with requests whose admission has been decided since. */
+    void admissions(long nowNanos) {
+        for (AdmissionDecision decision : mShares.decisions()) {
+            onAdmission(decision, nowNanos);
+        }
+    }
+
     /** Takes a caller's request. */
     void ask(long number, CallerRequest request, boolean ready, long nowNanos) {
         mCounts.mAsked++;
@@ -190,9 +198,6 @@
 
     /** Time has passed. */
     void tick(long nowNanos) {
-        for (AdmissionDecision decision : mShares.decisions()) {
-            onAdmission(decision, nowNanos);
-        }
         retryParked(nowNanos);
         expire(nowNanos);
     }
@@ -207,6 +212,12 @@
         }
     }
 
+    /** Returns whether an open request runs, or is to run, on an adapter version. */
+    boolean uses(AdapterVersion version) {
+        return mByNumber.values().stream()
+                .anyMatch(exchange -> exchange.mWork.adapter().equals(Optional.of(version)));
+    }
+
     private void admit(Exchange exchange, long nowNanos) {
         Admission admission =
                 mShares.admit(
