Keep an adapter in use while its engine may still run a given-up attempt

Cause: a cancelled or broken call ended the use of its adapter at once, while the engine may go on with it, so that the adapter could be evicted in use. Now it stays in use until a later report shows that nothing but awaited work runs, the engine restarts, or long after its deadline.

--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -63,6 +63,7 @@
     private long mReportSequence;
     private long mLastReportNanos = Long.MIN_VALUE / 2;
     private long mSettingsRevision = -1;
+    private long mEngineStartedAtNanos = Long.MIN_VALUE;
     private boolean mReachable;
     private boolean mExited;
 
@@ -275,6 +276,9 @@
 
     private void onReport(TargetEvent.EngineReported report, long nowNanos) {
         mReachable = true;
+        boolean restarted = report.startedAtNanos() != mEngineStartedAtNanos;
+        mEngineStartedAtNanos = report.startedAtNanos();
+        mRuns.onReport(report.running() + report.queued(), restarted, nowNanos);
         mScheduler.onEngineReport(
                 report.slots(),
                 report.maxBatch(),
--- a/src/main/java/ebonygw/TargetRuns.java
+++ b/src/main/java/ebonygw/TargetRuns.java
@@ -39,6 +39,7 @@
     private final Map<Long, Run> mCalls = new HashMap<>();
     private final SeenRequests mSeen = new SeenRequests(SEEN_WINDOW);
     private final TargetCounts mCounts = new TargetCounts();
+    private final LingeringRuns mLingering = new LingeringRuns();
     private long mNextCall = 1;
     private boolean mStopping;
 
@@ -74,7 +75,11 @@
             return;
         }
         mCounts.mFailed++;
-        mScheduler.onFinished(run.mWork, UNKNOWN_TOKENS, 0, nowNanos);
+        if (refusal.verdict() == Verdict.NOT_RUN || run.mWork.adapter().isEmpty()) {
+            ended(run.mWork, nowNanos);
+        } else {
+            mLingering.add(run.mWork, run.mDeadlineNanos, nowNanos);
+        }
         fail(run, refusal);
     }
 
@@ -123,6 +128,7 @@
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("open", mRuns.size());
         dump.put("running", mCalls.size());
+        dump.put("lingering", mLingering.size());
         dump.put("counts", mCounts.toMap());
         return dump;
     }
@@ -157,6 +163,21 @@
         }
     }
 
+    /**
+     * Takes a report of the engine.
+     *
+     * @param running requests that it runs
+     * @param restarted whether it has restarted since the last report
+     * @param nowNanos the present time
+     */
+    void onReport(int running, boolean restarted, long nowNanos) {
+        if (restarted) {
+            mLingering.onRestart(work -> ended(work, nowNanos));
+        } else {
+            mLingering.onReport(running, mCalls.size(), nowNanos, work -> ended(work, nowNanos));
+        }
+    }
+
     /** Refuses an attempt that has not been sent to the target. */
     void refuse(Work work, Refusal refusal) {
         Run run = mRuns.get(AttemptId.of(work));
@@ -177,7 +198,7 @@
     void start(Work work, BiFunction<Long, Long, Optional<Refusal>> authority, long nowNanos) {
         Run run = mRuns.get(AttemptId.of(work));
         if (run == null) {
-            mScheduler.onFinished(work, UNKNOWN_TOKENS, 0, nowNanos);
+            ended(work, nowNanos);
             return;
         }
         Optional<Refusal> refusal =
@@ -185,7 +206,7 @@
                         .apply(run.mDeadlineNanos - nowNanos, nowNanos)
                         .or(() -> AccessRules.check(mView.get(), Grant.of(work), nowNanos));
         if (refusal.isPresent()) {
-            mScheduler.onFinished(work, UNKNOWN_TOKENS, 0, nowNanos);
+            ended(work, nowNanos);
             refuse(work, refusal.get());
             return;
         }
@@ -203,6 +224,7 @@
 
     /** Time has passed: cancels calls whose deadline is over. */
     void tick(long nowNanos) {
+        mLingering.onTick(nowNanos, work -> ended(work, nowNanos));
         List<Run> late = new ArrayList<>();
         for (Run run : mCalls.values()) {
             if (!run.mCancelled && nowNanos >= run.mDeadlineNanos) {
@@ -236,6 +258,11 @@
         return Optional.empty();
     }
 
+    /** Frees what an attempt without a whole answer held at the target. */
+    private void ended(Work work, long nowNanos) {
+        mScheduler.onFinished(work, UNKNOWN_TOKENS, 0, nowNanos);
+    }
+
     private void fail(Run run, Refusal refusal) {
         Work work = run.mWork;
         mRuns.remove(AttemptId.of(work));
