--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -83,6 +83,7 @@
         mAuthority = authority(options, random.split());
         mScheduler = new TargetScheduler(SchedulerOptions.defaults());
         mRuns = new TargetRuns(options, mSettings::view, mScheduler, mOut);
+        mReachable = !options.model();
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers, free of secrets. */
