Authority over a target: properties with paused, cut-off, restarted claimants and a faulty service

Cause: two claimants must never act on a target together. Wire form of the digest and updates of members; the codec of members stands once, in MemberValues.

--- a/src/main/java/ebonygw/membership/MembershipOptions.java
+++ b/src/main/java/ebonygw/membership/MembershipOptions.java
@@ -23,7 +23,7 @@
         long digestNanos,
         long removalNanos) {
     private static final long HEARTBEAT_NANOS = Duration.ofSeconds(1).toNanos();
-    private static final long SUSPECT_AFTER_NANOS = Duration.ofMillis(3500).toNanos();
+    private static final long SUSPECT_AFTER_NANOS = Duration.ofMillis(2500).toNanos();
     private static final long GOSSIP_NANOS = Duration.ofMillis(100).toNanos();
     private static final long DIGEST_NANOS = Duration.ofSeconds(20).toNanos();
     private static final long REMOVAL_NANOS = Duration.ofSeconds(30).toNanos();
--- a/src/main/java/ebonygw/membership/PresenceReader.java
+++ b/src/main/java/ebonygw/membership/PresenceReader.java
@@ -4,6 +4,7 @@
 import ebonygw.keyvalue.KeyValueCall;
 import ebonygw.keyvalue.KeyValueReply;
 import ebonygw.keyvalue.KeyValueReply.Entry;
+import ebonygw.log.LogLine;
 import ebonygw.protocol.NodeId;
 import ebonygw.protocol.Outbox;
 import java.util.ArrayList;
@@ -142,8 +143,7 @@
                 mMembership.onLeases(List.of(), List.of(id(entry)), nowNanos);
             } else {
                 mRegistered.add(id(entry));
-                mMembership.onLeases(
-                        List.of(MemberValues.read(entry.value())), List.of(), nowNanos);
+                mMembership.onLeases(members(List.of(entry)), List.of(), nowNanos);
             }
         }
     }
@@ -179,6 +179,18 @@
         return nowNanos >= mNextLonelyNanos && !mMembership.hasLinks();
     }
 
+    private static List<Member> members(List<Entry> entries) {
+        List<Member> members = new ArrayList<>();
+        for (Entry entry : entries) {
+            try {
+                members.add(MemberValues.read(entry.value()));
+            } catch (IllegalArgumentException e) {
+                LogLine.of("presence_malformed").with("key", entry.key()).with("cause", e).warn();
+            }
+        }
+        return members;
+    }
+
     private void read(KeyValueReply reply, long nowNanos) {
         if (!(reply instanceof KeyValueReply.Found found)) {
             mBudget.failed(nowNanos);
@@ -189,12 +201,8 @@
             mRevision = found.revision();
             mSeen.clear();
         }
-        List<Member> present = new ArrayList<>();
-        for (Entry entry : found.entries()) {
-            mSeen.add(id(entry));
-            present.add(MemberValues.read(entry.value()));
-        }
-        mMembership.onLeases(present, List.of(), nowNanos);
+        found.entries().forEach(entry -> mSeen.add(id(entry)));
+        mMembership.onLeases(members(found.entries()), List.of(), nowNanos);
         if (found.more() && !found.entries().isEmpty()) {
             mNextKey = found.entries().get(found.entries().size() - 1).key() + '\0';
             return;
--- a/src/main/java/ebonygw/membership/TargetAuthority.java
+++ b/src/main/java/ebonygw/membership/TargetAuthority.java
@@ -6,9 +6,11 @@
 import ebonygw.keyvalue.KeyValueCall.Write;
 import ebonygw.keyvalue.KeyValueReply;
 import ebonygw.keyvalue.KeyValueReply.Entry;
+import ebonygw.log.LogLine;
 import ebonygw.protocol.Outbox;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -185,6 +187,15 @@
         return nowNanos + mLease.options().lengthened(longestNanos) < mLease.safeUntilNanos();
     }
 
+    private static Optional<Member> holder(Entry entry) {
+        try {
+            return Optional.of(MemberValues.read(entry.value()));
+        } catch (IllegalArgumentException e) {
+            LogLine.of("authority_malformed").with("key", entry.key()).with("cause", e).warn();
+            return Optional.empty();
+        }
+    }
+
     /** Holds the authority; the former's last order is waited out unless the former is this one. */
     private void hold(long token, long leaseId, boolean formerIsSelf, long nowNanos) {
         boolean continues = mOptions.hostExclusive() && (mToken != 0 || formerIsSelf);
@@ -244,12 +255,14 @@
             return;
         }
         Entry entry = found.entries().get(0);
-        Member holder = MemberValues.read(entry.value());
-        if (isOwn(holder) && entry.leaseId() == mLease.id()) {
+        Optional<Member> holder = holder(entry);
+        boolean own = holder.filter(this::isOwn).isPresent();
+        if (own && entry.leaseId() == mLease.id()) {
             hold(entry.modRevision(), entry.leaseId(), true, nowNanos);
-        } else if (isOwn(holder) || mOptions.hostExclusive() && isOnThisHost(holder)) {
+        } else if (own
+                || mOptions.hostExclusive() && holder.filter(this::isOnThisHost).isPresent()) {
             mReplaceRevision = entry.modRevision();
-            mReplacesOwn = isOwn(holder);
+            mReplacesOwn = own;
         } else {
             lose();
             mNextClaimNanos = nowNanos + POLL_NANOS + mRandom.nextLong(POLL_NANOS);
--- a/src/main/java/ebonygw/peer/Link.java
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import ebonygw.log.LogLine;
 import ebonygw.membership.Member;
+import ebonygw.membership.MemberValues;
 import ebonygw.protocol.Message;
 import ebonygw.wire.PeerProtocol.Envelope;
 import io.netty.channel.Channel;
@@ -206,7 +207,7 @@
         if (envelope.getHello().getProtocolVersion() < MemberCodec.PROTOCOL_VERSION) {
             throw new IllegalArgumentException("protocol version missing");
         }
-        Member peer = MemberCodec.decode(envelope.getHello().getSelf());
+        Member peer = MemberValues.fromWire(envelope.getHello().getSelf());
         if (mExpected.isPresent() && !mExpected.get().id().equals(peer.id())) {
             close("other_process", peer.id().name());
             return;
--- a/src/main/java/ebonygw/peer/MemberCodec.java
+++ b/src/main/java/ebonygw/peer/MemberCodec.java
@@ -1,12 +1,8 @@
 package ebonygw.peer;
 
-import ebonygw.membership.Member;
 import ebonygw.membership.MemberMessage;
-import ebonygw.membership.MemberState;
-import ebonygw.membership.Role;
-import ebonygw.protocol.Locality;
+import ebonygw.membership.MemberValues;
 import ebonygw.protocol.Message;
-import ebonygw.protocol.NodeId;
 import ebonygw.request.AdapterVersion;
 import ebonygw.wire.PeerProtocol;
 import ebonygw.wire.PeerProtocol.Envelope;
@@ -20,43 +16,13 @@
 
     MemberCodec() {}
 
-    /**
-     * Reads a process.
-     *
-     * @throws IllegalArgumentException if its name is missing or its role or state unknown
-     */
-    static Member decode(PeerProtocol.Member member) {
-        return new Member(
-                new NodeId(member.getId()),
-                member.getIncarnation(),
-                constant(Role.values(), member.getRole(), "role"),
-                constant(MemberState.values(), member.getState(), "state"),
-                new Locality(member.getRegion(), member.getDataCenter()),
-                member.getAddress(),
-                member.getServes());
-    }
-
-    /** Writes a process. */
-    static PeerProtocol.Member encode(Member member) {
-        return PeerProtocol.Member.newBuilder()
-                .setId(member.id().name())
-                .setIncarnation(member.incarnation())
-                .setRole(member.role().ordinal() + 1)
-                .setState(member.state().ordinal() + 1)
-                .setRegion(member.locality().region())
-                .setDataCenter(member.locality().dataCenter())
-                .setAddress(member.address())
-                .setServes(member.serves())
-                .build();
-    }
-
     @Override
     public Optional<Message> decode(Envelope envelope) {
         switch (envelope.getKindCase()) {
             case HELLO:
                 return Optional.of(
                         new MemberMessage.Hello(
-                                decode(envelope.getHello().getSelf()),
+                                MemberValues.fromWire(envelope.getHello().getSelf()),
                                 envelope.getHello().getSettingsRevision()));
             case HEARTBEAT:
                 return Optional.of(
@@ -65,6 +31,16 @@
                                 envelope.getHeartbeat().getSettingsRevision()));
             case REPORT:
                 return Optional.of(report(envelope.getReport()));
+            case DIGEST:
+                return Optional.of(
+                        new MemberMessage.MemberDigest(envelope.getDigest().getBucketsList()));
+            case UPDATES:
+                return Optional.of(
+                        new MemberMessage.MemberUpdates(
+                                envelope.getUpdates().getMembersList().stream()
+                                        .map(MemberValues::fromWire)
+                                        .toList(),
+                                envelope.getUpdates().getNews()));
             default:
                 return Optional.empty();
         }
@@ -75,7 +51,7 @@
         Envelope.Builder envelope = Envelope.newBuilder();
         if (message instanceof MemberMessage.Hello hello) {
             envelope.getHelloBuilder()
-                    .setSelf(encode(hello.self()))
+                    .setSelf(MemberValues.toWire(hello.self()))
                     .setSettingsRevision(hello.settingsRevision())
                     .setProtocolVersion(PROTOCOL_VERSION);
         } else if (message instanceof MemberMessage.Heartbeat heartbeat) {
@@ -84,19 +60,19 @@
                     .setSettingsRevision(heartbeat.settingsRevision());
         } else if (message instanceof MemberMessage.TargetReport report) {
             envelope.setReport(report(report));
+        } else if (message instanceof MemberMessage.MemberDigest digest) {
+            envelope.getDigestBuilder().addAllBuckets(digest.buckets());
+        } else if (message instanceof MemberMessage.MemberUpdates updates) {
+            envelope.getUpdatesBuilder().setNews(updates.news());
+            updates.members().stream()
+                    .map(MemberValues::toWire)
+                    .forEach(envelope.getUpdatesBuilder()::addMembers);
         } else {
             return Optional.empty();
         }
         return Optional.of(envelope.build());
     }
 
-    private static <T> T constant(T[] constants, int number, String what) {
-        if (number < 1 || number > constants.length) {
-            throw new IllegalArgumentException("unknown " + what + ": " + number);
-        }
-        return constants[number - 1];
-    }
-
     private static PeerProtocol.TargetReport report(MemberMessage.TargetReport report) {
         PeerProtocol.TargetReport.Builder builder =
                 PeerProtocol.TargetReport.newBuilder()
--- /dev/null
+++ b/src/test/java/ebonygw/membership/ProcessLeaseTest.java
@@ -0,0 +1,70 @@
+package ebonygw.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.keyvalue.CallIds;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueReply;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class ProcessLeaseTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long T0 = 1_000 * SECOND;
+    private static final long TIME_TO_LIVE = 10;
+    private static final long SAFE_NANOS = TIME_TO_LIVE * SECOND * 999 / 1_000;
+
+    private final RecordingOutbox mOut = new RecordingOutbox();
+    private final Random mRandom = new Random(1);
+    private final ProcessLease mLease =
+            new ProcessLease(
+                    new LeaseOptions(TIME_TO_LIVE, 1_000, 3 * SECOND),
+                    new CallIds(3),
+                    new ServiceBudget(10, 5, 2 * SECOND, mRandom),
+                    mRandom);
+
+    @Test
+    void safeTimeCountsFromTheSendingOfTheCallAndAllowsForDrift() {
+        mLease.onTick(T0, mOut);
+        mLease.onReply(
+                mOut.lastCallId(), new KeyValueReply.Lease(7, TIME_TO_LIVE), T0 + 2 * SECOND);
+        assertThat(mLease.id()).isEqualTo(7);
+        assertThat(mLease.safeUntilNanos()).isEqualTo(T0 + SAFE_NANOS);
+    }
+
+    @Test
+    void renewalThatFailsOrIsLateLengthensNothing() {
+        grant();
+        long renewalNanos = T0 + 4 * SECOND;
+        mLease.onTick(renewalNanos, mOut);
+        long renewal = mOut.lastCallId();
+        assertThat(mOut.lastCall()).isEqualTo(new KeyValueCall.LeaseKeepAlive(7));
+        mLease.onTick(renewalNanos + 4 * SECOND, mOut);
+        mLease.onReply(renewal, new KeyValueReply.Lease(7, TIME_TO_LIVE), renewalNanos + SECOND);
+        assertThat(mLease.safeUntilNanos()).isEqualTo(T0 + SAFE_NANOS);
+    }
+
+    @Test
+    void lapsedLeaseIsReplacedByAnotherOne() {
+        grant();
+        mLease.onTick(T0 + 4 * SECOND, mOut);
+        mLease.onReply(mOut.lastCallId(), new KeyValueReply.Lease(7, 0), T0 + 4 * SECOND);
+        assertThat(mLease.id()).isZero();
+        assertThat(mLease.safeUntilNanos()).isLessThan(T0);
+        mLease.onTick(T0 + 5 * SECOND, mOut);
+        assertThat(mOut.lastCall()).isEqualTo(new KeyValueCall.LeaseGrant(TIME_TO_LIVE));
+    }
+
+    @Test
+    void renewalsOfTheWholeFleetStayWithinTheirPartOfTheService() {
+        int processes = 12_800;
+        LeaseOptions options = LeaseOptions.forFleetOf(processes);
+        double renewalsPerSecond = processes / (options.renewalNanos() / (double) SECOND);
+        assertThat(renewalsPerSecond).isLessThanOrEqualTo(LeaseOptions.FLEET_RENEWALS_PER_SECOND);
+    }
+
+    private void grant() {
+        mLease.onTick(T0, mOut);
+        mLease.onReply(mOut.lastCallId(), new KeyValueReply.Lease(7, TIME_TO_LIVE), T0);
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/membership/TargetAuthorityProperties.java
@@ -0,0 +1,195 @@
+package ebonygw.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.keyvalue.FaultyKeyValue;
+import ebonygw.keyvalue.KeyValueFaults;
+import ebonygw.keyvalue.MemoryKeyValue;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+
+/** Two claimants of one target, the key-value service, and an engine that obeys everyone. */
+class TargetAuthorityProperties {
+    private static final long MILLI = 1_000_000L;
+    private static final long STEP_NANOS = 100 * MILLI;
+    private static final long START_NANOS = 1_000_000_000_000L;
+    private static final long LONGEST_REQUEST_NANOS = 8_000 * MILLI;
+
+    /** What happens before some time passes. */
+    enum Fault {
+        NONE,
+        PAUSE,
+        RESUME,
+        CUT_OFF,
+        REJOIN,
+        RESTART,
+        DOWN,
+        SLOW,
+        LOSING,
+        HEALTHY
+    }
+
+    record Step(Fault fault, boolean first, int millis) {}
+
+    record Order(String by, long token, long fromNanos, long untilNanos) {}
+
+    @Property(tries = 150, seed = "6101", shrinking = ShrinkingMode.BOUNDED)
+    void ordersOfTwoClaimantsNeverInterleaveAtAnEngineThatIgnoresTokens(
+            @ForAll("steps") List<Step> steps, @ForAll long seed) {
+        Engine engine = run(steps, seed, false);
+        for (Order earlier : engine.mOrders) {
+            for (Order later : engine.mOrders) {
+                if (!earlier.by().equals(later.by()) && later.fromNanos() >= earlier.fromNanos()) {
+                    assertThat(later.fromNanos())
+                            .as("%s then %s", earlier, later)
+                            .isGreaterThanOrEqualTo(earlier.untilNanos());
+                    assertThat(later.token()).isGreaterThan(earlier.token());
+                }
+            }
+        }
+    }
+
+    @Property(tries = 150, seed = "6102", shrinking = ShrinkingMode.BOUNDED)
+    void noClaimantGivesOrdersWhileARequestOfAnotherRuns(
+            @ForAll("steps") List<Step> steps, @ForAll long seed) {
+        Engine engine = run(steps, seed, false);
+        for (Order request : engine.mRequests) {
+            for (Order order : engine.mOrders) {
+                if (!request.by().equals(order.by())) {
+                    boolean apart =
+                            order.fromNanos() >= request.untilNanos()
+                                    || order.untilNanos() <= request.fromNanos();
+                    assertThat(apart).as("%s and %s", request, order).isTrue();
+                }
+            }
+        }
+    }
+
+    @Property(tries = 60, seed = "6103", shrinking = ShrinkingMode.BOUNDED)
+    void oneClaimantHoldsTheTargetSoonAfterAllFaultsEnd(
+            @ForAll("steps") List<Step> steps, @ForAll long seed) {
+        Engine engine = run(steps, seed, false);
+        engine.heal();
+        long fromNanos = engine.mNowNanos;
+        engine.pass(30_000, new Random(seed));
+        Set<String> orderers = new HashSet<>();
+        for (Order order : engine.mOrders) {
+            if (order.fromNanos() > fromNanos) {
+                orderers.add(order.by());
+            }
+        }
+        assertThat(orderers).isNotEmpty();
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<Step> step =
+                Combinators.combine(
+                                Arbitraries.of(Fault.class),
+                                Arbitraries.of(true, false),
+                                Arbitraries.integers().between(50, 14_000))
+                        .as(Step::new);
+        return step.list().ofMinSize(5).ofMaxSize(25);
+    }
+
+    private static Engine run(List<Step> steps, long seed, boolean checksTokens) {
+        Random random = new Random(seed);
+        Engine engine = new Engine(random, checksTokens);
+        for (Step step : steps) {
+            engine.apply(step);
+            engine.pass(step.millis(), random);
+        }
+        return engine;
+    }
+
+    /** The engine with its claimants; it carries out whatever it is told. */
+    private static final class Engine {
+        private final List<Order> mOrders = new ArrayList<>();
+        private final List<Order> mRequests = new ArrayList<>();
+        private final FaultyKeyValue mService;
+        private final Claimant mFirst;
+        private final Claimant mSecond;
+        private long mNowNanos = START_NANOS;
+
+        Engine(Random random, boolean checksTokens) {
+            mService = new FaultyKeyValue(new MemoryKeyValue(), random);
+            mFirst = new Claimant("a", mService, checksTokens, 900, random);
+            mSecond = new Claimant("b", mService, checksTokens, -900, random);
+        }
+
+        void apply(Step step) {
+            Claimant claimant = step.first() ? mFirst : mSecond;
+            switch (step.fault()) {
+                case PAUSE -> claimant.mPaused = true;
+                case RESUME -> {
+                    claimant.mPaused = false;
+                    act(claimant, new Random(step.millis()));
+                }
+                case CUT_OFF -> claimant.mCutOff = true;
+                case REJOIN -> claimant.mCutOff = false;
+                case RESTART -> claimant.restart();
+                case DOWN -> mService.faults(KeyValueFaults.DOWN);
+                case SLOW ->
+                        mService.faults(new KeyValueFaults(false, 300 * MILLI, 900 * MILLI, 5));
+                case LOSING -> mService.faults(new KeyValueFaults(false, 0, 20 * MILLI, 60));
+                case HEALTHY -> mService.faults(KeyValueFaults.NONE);
+                default -> {}
+            }
+        }
+
+        void heal() {
+            mService.faults(KeyValueFaults.NONE);
+            for (Claimant claimant : List.of(mFirst, mSecond)) {
+                claimant.mPaused = false;
+                claimant.mCutOff = false;
+            }
+        }
+
+        void pass(int millis, Random random) {
+            long endNanos = mNowNanos + millis * MILLI;
+            while (mNowNanos < endNanos) {
+                mNowNanos += STEP_NANOS;
+                mService.advance(mNowNanos);
+                for (Claimant claimant : List.of(mFirst, mSecond)) {
+                    claimant.tick(mNowNanos);
+                    act(claimant, random);
+                }
+            }
+        }
+
+        private void act(Claimant claimant, Random random) {
+            if (claimant.mPaused) {
+                return;
+            }
+            long clockNanos = claimant.clock(mNowNanos);
+            long orderNanos = 1 + random.nextLong(Claimant.LONGEST_ORDER_NANOS);
+            OptionalLong token =
+                    claimant.mAuthority.tokenForOrder(Claimant.LONGEST_ORDER_NANOS, clockNanos);
+            token.ifPresent(
+                    value ->
+                            mOrders.add(
+                                    new Order(
+                                            claimant.id(),
+                                            value,
+                                            mNowNanos,
+                                            mNowNanos + orderNanos)));
+            if (claimant.mAuthority.mayRun(LONGEST_REQUEST_NANOS, clockNanos)) {
+                long untilNanos = mNowNanos + 1 + random.nextLong(LONGEST_REQUEST_NANOS);
+                mRequests.add(
+                        new Order(
+                                claimant.id(), claimant.mAuthority.token(), mNowNanos, untilNanos));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/membership/TargetAuthorityTest.java
@@ -0,0 +1,167 @@
+package ebonygw.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.keyvalue.CallIds;
+import ebonygw.keyvalue.FaultyKeyValue;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueFaults;
+import ebonygw.keyvalue.MemoryKeyValue;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.protocol.Outbox;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A process that excludes all others on its host, through outages, pauses and restarts. */
+class TargetAuthorityTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final long ORDER = 5 * SECOND;
+    private static final long TIME_TO_LIVE = 15;
+
+    private final Random mRandom = new Random(1);
+    private final FaultyKeyValue mService = new FaultyKeyValue(new MemoryKeyValue(), mRandom);
+    private long mNow = 1_000 * SECOND;
+    private ProcessLease mLease;
+    private TargetAuthority mAuthority;
+
+    @BeforeEach
+    void begin() {
+        start(1, "10.0.0.1:7000", false);
+        pass(10 * SECOND);
+    }
+
+    @Test
+    void holderRunsAndOrders() {
+        assertThat(mAuthority.mayRun(ORDER, mNow)).isTrue();
+        assertThat(mAuthority.tokenForOrder(ORDER, mNow)).hasValue(mAuthority.token());
+    }
+
+    @Test
+    void longOutageStopsOrdersToATargetThatIgnoresTokensButNotItsRequests() {
+        mService.faults(KeyValueFaults.DOWN);
+        pass(3_600 * SECOND);
+        assertThat(mAuthority.tokenForOrder(ORDER, mNow)).isEmpty();
+        assertThat(mAuthority.mayRun(ORDER, mNow)).isTrue();
+        mService.faults(KeyValueFaults.NONE);
+        pass(60 * SECOND);
+        assertThat(mAuthority.tokenForOrder(ORDER, mNow)).isPresent();
+    }
+
+    @Test
+    void longOutageStopsNeitherOrdersNorRequestsOfATargetThatChecksTokens() {
+        start(2, "10.0.0.1:7000", true);
+        pass(10 * SECOND);
+        mService.faults(KeyValueFaults.DOWN);
+        pass(3_600 * SECOND);
+        assertThat(mAuthority.tokenForOrder(ORDER, mNow)).isPresent();
+        assertThat(mAuthority.mayRun(ORDER, mNow)).isTrue();
+    }
+
+    @Test
+    void holderPausedPastItsLeaseOrdersAndRunsNothingUntilTheServiceAnswers() {
+        mService.faults(KeyValueFaults.DOWN);
+        mNow += 60 * SECOND;
+        assertThat(mAuthority.tokenForOrder(ORDER, mNow)).isEmpty();
+        assertThat(mAuthority.mayRun(ORDER, mNow)).isFalse();
+        pass(60 * SECOND);
+        assertThat(mAuthority.mayRun(ORDER, mNow)).isFalse();
+        mService.faults(KeyValueFaults.NONE);
+        pass(60 * SECOND);
+        assertThat(mAuthority.mayRun(ORDER, mNow)).isTrue();
+    }
+
+    @Test
+    void restartOnTheSameHostTakesOverWithoutTheLapseButWaitsForTheLastOrder() {
+        long former = mAuthority.token();
+        start(2, "10.0.0.1:7001", false);
+        pass(SECOND);
+        assertThat(mAuthority.token()).isGreaterThan(former);
+        assertThat(mAuthority.mayRun(0, mNow)).isFalse();
+        assertThat(mAuthority.tokenForOrder(0, mNow)).isEmpty();
+        pass(ORDER);
+        assertThat(mAuthority.mayRun(0, mNow)).isTrue();
+    }
+
+    @Test
+    void claimantOnAnotherHostWaitsForTheLapse() {
+        start(2, "10.0.0.2:7000", false);
+        pass(5 * SECOND);
+        assertThat(mAuthority.token()).isZero();
+        pass(40 * SECOND);
+        assertThat(mAuthority.mayRun(0, mNow)).isTrue();
+    }
+
+    @Test
+    void releaseLetsAnotherHostTakeOverAtOnce() {
+        mLease.release(mNow, outbox());
+        assertThat(mAuthority.tokenForOrder(0, mNow)).isEmpty();
+        start(2, "10.0.0.2:7000", false);
+        pass(5 * SECOND + ORDER);
+        assertThat(mAuthority.mayRun(0, mNow)).isTrue();
+    }
+
+    private Outbox outbox() {
+        ProcessLease lease = mLease;
+        TargetAuthority authority = mAuthority;
+        return new Outbox() {
+            @Override
+            public void keyValue(long callId, KeyValueCall call) {
+                mService.call(
+                        "c" + lease.hashCode(),
+                        callId,
+                        call,
+                        mNow,
+                        reply -> {
+                            if (!lease.onReply(callId, reply, mNow)) {
+                                authority.onReply(callId, reply, mNow);
+                            }
+                        });
+            }
+
+            @Override
+            public void send(NodeId to, Message message) {
+                throw new IllegalStateException("an authority sends no messages");
+            }
+        };
+    }
+
+    private void pass(long nanos) {
+        long end = mNow + nanos;
+        while (mNow < end) {
+            mNow += 100 * MILLI;
+            mService.advance(mNow);
+            mLease.onTick(mNow, outbox());
+            mAuthority.onTick(mNow, outbox());
+        }
+    }
+
+    private void start(long incarnation, String address, boolean checksTokens) {
+        ServiceBudget budget = new ServiceBudget(20, 5, 5 * SECOND, mRandom);
+        mLease =
+                new ProcessLease(
+                        new LeaseOptions(TIME_TO_LIVE, 1_000, SECOND),
+                        new CallIds(3),
+                        budget,
+                        mRandom);
+        Member self =
+                new Member(
+                        new NodeId("t" + incarnation),
+                        incarnation,
+                        Role.TARGET,
+                        MemberState.LIVE,
+                        new Locality("fes", "a"),
+                        address,
+                        "model");
+        mAuthority =
+                new TargetAuthority(
+                        new AuthorityOptions("engine", self, checksTokens, true, ORDER),
+                        mLease,
+                        new CallIds(4),
+                        budget,
+                        mRandom);
+    }
+}
