Membership: properties over faulty links, host list and service; lost links are forgotten after a while

Cause: a link that is not wanted any more left its process suspected for good. Change: the sign of a lost link lasts 30 seconds.

--- a/src/main/java/ebonygw/membership/MemberRecord.java
+++ b/src/main/java/ebonygw/membership/MemberRecord.java
@@ -1,6 +1,7 @@
 package ebonygw.membership;
 
 import ebonygw.protocol.NodeId;
+import java.util.concurrent.TimeUnit;
 
 /**
  * What this process knows of one other: its announced state, and the signs of links, host list and
@@ -13,10 +14,11 @@
  */
 final class MemberRecord {
     private static final long NEVER = Long.MIN_VALUE;
+    private static final long LINK_LOST_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private Member mAnnounced;
     private boolean mLinkUp;
-    private boolean mLinkLost;
+    private long mLinkLostNanos = NEVER;
     private long mHeardNanos = NEVER;
     private boolean mListedLeaving;
     private boolean mListed;
@@ -46,6 +48,14 @@
         return mAnnounced.id();
     }
 
+    /**
+     * Returns whether a link was lost lately; a link lost longer ago and not replaced may just not
+     * be wanted any more, and no work can go there anyway.
+     */
+    boolean isLinkLost(long nowNanos) {
+        return mLinkLostNanos != NEVER && nowNanos - mLinkLostNanos < LINK_LOST_NANOS;
+    }
+
     /** Returns whether all three sources agree that the process and its host are not there. */
     boolean isRemoved(long nowNanos, long removalNanos) {
         return mAbsentSinceNanos != NEVER
@@ -59,10 +69,10 @@
     }
 
     /** Notes that a link is lost. */
-    void linkDown(long incarnation) {
+    void linkDown(long incarnation, long nowNanos) {
         if (incarnation == mAnnounced.incarnation() && mLinkUp) {
             mLinkUp = false;
-            mLinkLost = true;
+            mLinkLostNanos = nowNanos;
         }
     }
 
@@ -70,7 +80,7 @@
     void linkUp(long incarnation, long nowNanos) {
         if (incarnation == mAnnounced.incarnation()) {
             mLinkUp = true;
-            mLinkLost = false;
+            mLinkLostNanos = NEVER;
             heard(incarnation, nowNanos);
         }
     }
@@ -144,7 +154,7 @@
         }
         boolean silent = mLinkUp && nowNanos - mHeardNanos > suspectAfterNanos;
         boolean lapsed = mLapsed && !mLinkUp;
-        return silent || mLinkLost || lapsed ? MemberState.SUSPECTED : MemberState.LIVE;
+        return silent || isLinkLost(nowNanos) || lapsed ? MemberState.SUSPECTED : MemberState.LIVE;
     }
 
     /** Notes that the host list does not name the host. */
@@ -160,7 +170,7 @@
         boolean leaves = leavingBefore && rank(other.state()) < rank(MemberState.LEAVING);
         mAnnounced = leaves ? other.withState(MemberState.LEAVING) : other;
         mLinkUp = false;
-        mLinkLost = false;
+        mLinkLostNanos = NEVER;
         mHeardNanos = NEVER;
         mRegistered = false;
         mLapsed = false;
--- a/src/main/java/ebonygw/membership/Membership.java
+++ b/src/main/java/ebonygw/membership/Membership.java
@@ -36,6 +36,7 @@
     private final MemberTable mTable = new MemberTable();
     private final Map<NodeId, Member> mVisible = new TreeMap<>();
     private final Set<NodeId> mLinked = new TreeSet<>();
+    private final Set<NodeId> mLinkLost = new TreeSet<>();
     private final Set<NodeId> mGossipPeers = new TreeSet<>();
     private final Set<NodeId> mUnlisted = new TreeSet<>();
     private final Map<NodeId, Long> mAwaitingHello = new TreeMap<>();
@@ -246,9 +247,10 @@
         mAwaitingHello.remove(peer, incarnation);
         Optional<MemberRecord> record = mTable.record(peer);
         if (record.isPresent() && record.get().announced().incarnation() == incarnation) {
-            record.get().linkDown(incarnation);
+            record.get().linkDown(incarnation, nowNanos);
             mLinked.remove(peer);
             mGossipPeers.remove(peer);
+            mLinkLost.add(peer);
             refresh(record.get(), nowNanos);
         }
     }
@@ -280,9 +282,9 @@
         }
         if (nowNanos >= mNextGossipNanos) {
             mNextGossipNanos = nowNanos + mOptions.gossipNanos();
-            for (NodeId peer : mLinked) {
-                refresh(peer, nowNanos);
-            }
+            mLinked.forEach(peer -> refresh(peer, nowNanos));
+            mLinkLost.forEach(peer -> refresh(peer, nowNanos));
+            mLinkLost.removeIf(peer -> !isLinkLost(peer, nowNanos));
             sendNews(out);
         }
         if (nowNanos >= mNextDigestNanos) {
@@ -347,6 +349,10 @@
         return (long) (nanos * factor);
     }
 
+    private boolean isLinkLost(NodeId id, long nowNanos) {
+        return mTable.record(id).filter(record -> record.isLinkLost(nowNanos)).isPresent();
+    }
+
     private void learn(Member member, NodeId from, boolean news, long nowNanos) {
         if (member.id().equals(mSelf.id())) {
             boolean greater = member.incarnation() > mSelf.incarnation();
--- /dev/null
+++ b/src/test/java/ebonygw/membership/MemberProcess.java
@@ -0,0 +1,91 @@
+package ebonygw.membership;
+
+import ebonygw.keyvalue.CallIds;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.protocol.Outbox;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/** One process of a {@link MemberFleet}: its membership, lease and presence. */
+final class MemberProcess implements Outbox {
+    final NodeId mId;
+    final Member mSelf;
+    final Membership mMembership;
+    final Map<NodeId, Long> mLinks = new TreeMap<>();
+    final Deque<Runnable> mInbox = new ArrayDeque<>();
+    boolean mPaused;
+    boolean mDead;
+    private final MemberFleet mFleet;
+    private final ProcessLease mLease;
+    private final Presence mPresence;
+    private final PresenceReader mReader;
+
+    MemberProcess(MemberFleet fleet, String name, String region, long incarnation, Random random) {
+        mFleet = fleet;
+        mId = new NodeId(name);
+        mSelf =
+                new Member(
+                        mId,
+                        incarnation,
+                        Role.TARGET,
+                        MemberState.JOINING,
+                        new Locality(region, "a"),
+                        "10.0.0.1:7000",
+                        "model");
+        mMembership = new Membership(MembershipOptions.of(mSelf), random);
+        ServiceBudget budget = new ServiceBudget(10, 5, 5_000_000_000L, random);
+        CallIds callIds = new CallIds(3);
+        mLease =
+                new ProcessLease(
+                        new LeaseOptions(15, 1_000, 1_000_000_000L), callIds, budget, random);
+        mPresence = new Presence(mMembership, mLease, callIds, budget);
+        mReader = new PresenceReader(mMembership, mLease, callIds, budget, random);
+    }
+
+    /** Returns whether this process would send new work to another one. */
+    boolean routesTo(MemberProcess other) {
+        boolean live =
+                mMembership
+                        .view()
+                        .member(other.mId)
+                        .filter(member -> member.state() == MemberState.LIVE)
+                        .filter(member -> member.incarnation() == other.mSelf.incarnation())
+                        .isPresent();
+        Long linked = mLinks.get(other.mId);
+        return live && linked != null && linked == other.mSelf.incarnation();
+    }
+
+    @Override
+    public void keyValue(long callId, KeyValueCall call) {
+        mFleet.call(this, callId, call);
+    }
+
+    @Override
+    public void send(NodeId to, Message message) {
+        mFleet.carry(this, to, message);
+    }
+
+    void reply(long callId, KeyValueReply reply, long nowNanos) {
+        if (!mLease.onReply(callId, reply, nowNanos)
+                && !mPresence.onReply(callId, reply, nowNanos)) {
+            mReader.onReply(callId, reply, nowNanos);
+        }
+    }
+
+    void tick(long nowNanos) {
+        while (!mInbox.isEmpty()) {
+            mInbox.poll().run();
+        }
+        mMembership.onTick(nowNanos, this);
+        mLease.onTick(nowNanos, this);
+        mPresence.onTick(nowNanos, this);
+        mReader.onTick(nowNanos, this);
+    }
+}
