Free a silent holder's share only after the owner's record was rewritten

Change: the share of a silent holder comes back only by a compare-and-swap of the owner's record made after the holder's lease had surely run out; each silent holder has its own time. A process that reaches fewer than half of an epoch's holders begins no new one.

--- a/src/main/java/ebonygw/admission/Borrower.java
+++ b/src/main/java/ebonygw/admission/Borrower.java
@@ -18,7 +18,7 @@
  */
 final class Borrower {
     /** For how long after its ask a loan may be used. */
-    static final long LOAN_NANOS = 2_000_000_000L;
+    static final long LOAN_NANOS = 1_000_000_000L;
 
     private static final long ASK_TIMEOUT_NANOS = 250_000_000L;
     private static final long FORGET_NANOS = 2 * LOAN_NANOS;
--- a/src/main/java/ebonygw/admission/Claim.java
+++ b/src/main/java/ebonygw/admission/Claim.java
@@ -49,14 +49,15 @@
         return current != null && current.mNonce == mNonce;
     }
 
-    /** Returns the record of the same epoch once nobody else can hold shares. */
-    Claim resolved() {
+    /** Returns the record of the same epoch in which fewer silent processes may hold shares. */
+    Claim resolved(Set<Holder> unresolved) {
         Claim claim = new Claim();
         claim.mEpoch = mEpoch;
         claim.mNonce = mNonce;
         claim.mOwner = mOwner;
         claim.mHolders.addAll(mHolders);
         claim.mAwaited.addAll(mAwaited);
+        claim.mUnresolved.addAll(unresolved);
         claim.mModRevision = mModRevision;
         claim.mResolves = true;
         return claim;
--- a/src/main/java/ebonygw/admission/Ledger.java
+++ b/src/main/java/ebonygw/admission/Ledger.java
@@ -48,6 +48,10 @@
         mUnknownCapacity = terms.burst();
     }
 
+    String customer() {
+        return mCustomer;
+    }
+
     /** Takes in what a holder holds at the start of an epoch. */
     void onAdopted(Holder holder, Holding holding, long nowNanos) {
         Account account = account(holder);
@@ -103,12 +107,18 @@
         resizePool(nowNanos);
     }
 
-    /** Takes free what was counted as held by processes that surely hold nothing any more. */
-    void settle(Set<Holder> holders, long tokens, long nowNanos) {
+    /** Takes free what was counted as held by all but the given processes. */
+    void retain(Set<Holder> holders, long nowNanos) {
+        if (mAccounts.keySet().retainAll(holders)) {
+            resizePool(nowNanos);
+        }
+    }
+
+    /** Takes free what was counted as held by processes that have not reported. */
+    void settle(long tokens, long nowNanos) {
         mSettled = true;
         mUnknownRate = 0;
         mUnknownCapacity = 0;
-        mAccounts.keySet().retainAll(holders);
         resizePool(nowNanos);
         mPool.add(tokens);
     }
--- a/src/main/java/ebonygw/admission/ShardLease.java
+++ b/src/main/java/ebonygw/admission/ShardLease.java
@@ -15,10 +15,10 @@
  */
 final class ShardLease {
     /** For how long a confirmed heartbeat gives the right to use shares. */
-    static final long LEASE_NANOS = 10_000_000_000L;
+    static final long LEASE_NANOS = 5_000_000_000L;
 
     private static final long BEAT_NANOS = 1_000_000_000L;
-    private static final long LATE_NANOS = 3_000_000_000L;
+    private static final long LATE_NANOS = 2_000_000_000L;
     private static final int WITNESSES = 2;
 
     private final int mShard;
--- a/src/main/java/ebonygw/admission/ShardOwner.java
+++ b/src/main/java/ebonygw/admission/ShardOwner.java
@@ -10,6 +10,7 @@
 import ebonygw.protocol.Outbox;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -34,7 +35,7 @@
     private static final long ADOPT_RESEND_NANOS = 200_000_000L;
     private static final long REBALANCE_NANOS = 200_000_000L;
     private static final long RETRY_NANOS = 1_000_000_000L;
-    private static final long SILENT_NANOS = 5_000_000_000L;
+    private static final long SILENT_NANOS = 3_000_000_000L;
     private static final long RANK_NANOS = 3_000_000_000L;
     private static final long SILENCE_ENDS_NANOS =
             Clocks.waitingOut(ShardLease.LEASE_NANOS + Clocks.waitingOut(Borrower.LOAN_NANOS));
@@ -46,12 +47,13 @@
     private final Function<String, Terms> mTerms;
     private final Map<String, Ledger> mLedgers = new LinkedHashMap<>();
     private final Set<Holder> mReported = new HashSet<>();
+    private final Map<Holder, Long> mExpiries = new HashMap<>();
 
     private boolean mOwning;
     private boolean mSettled;
     private boolean mFresh;
+    private boolean mUnsure;
     private Claim mRecord;
-    private long mAdoptedAt;
     private long mSettledAt;
     private long mAdoptSentAt;
     private long mRebalancedAt;
@@ -91,6 +93,12 @@
         return mLedgers.computeIfAbsent(customer, it -> newLedger(it, nowNanos));
     }
 
+    /** Returns the tokens that nobody holds, for a dump; null if this process does not own them. */
+    String free(String customer) {
+        Ledger ledger = mOwning ? mLedgers.get(customer) : null;
+        return ledger == null ? null : ledger.free();
+    }
+
     void onAdopted(Holder from, ShareMessage.Adopted adopted, long nowNanos) {
         if (!mOwning || adopted.epoch() != mRecord.mEpoch || !mRecord.mHolders.contains(from)) {
             return;
@@ -98,7 +106,6 @@
         if (!mReported.add(from)) {
             return;
         }
-        mAdoptedAt = nowNanos;
         Map<String, Holding> holdings = new LinkedHashMap<>();
         adopted.holdings().forEach(it -> holdings.put(it.customer(), it));
         holdings.keySet().forEach(customer -> ledger(customer, nowNanos));
@@ -139,6 +146,7 @@
             if (reply instanceof KeyValueReply.Committed committed && committed.succeeded()) {
                 onClaimed(mClaim, committed.revision(), nowNanos);
             } else {
+                mUnsure = true;
                 mNextTryAt = nowNanos + RETRY_NANOS / 4;
             }
             return true;
@@ -155,7 +163,8 @@
         mOwning = false;
         mLedgers.clear();
         mReported.clear();
-        mClaim = null;
+        mExpiries.clear();
+        mFresh = false;
     }
 
     void tick(boolean stopping, long nowNanos, Outbox out) {
@@ -166,7 +175,10 @@
             own(nowNanos, out);
         }
         boolean idle = mReadCall == 0 && mWriteCall == 0 && nowNanos >= mNextTryAt;
-        if (idle && (mOwning ? needsNewEpoch(nowNanos) : !stopping && isCandidate(nowNanos))) {
+        if (idle
+                && (mOwning
+                        ? mUnsure || needsNewEpoch(nowNanos)
+                        : !stopping && isCandidate(nowNanos))) {
             mReadCall = mCallIds.next();
             out.keyValue(mReadCall, new KeyValueCall.Range(KEY_PREFIX + mShard, "", 0));
         }
@@ -211,6 +223,21 @@
         return mPeers.silence(owner.id(), nowNanos) > SILENT_NANOS + rank;
     }
 
+    /** Returns whether most of an epoch's processes may run but cannot be reached. */
+    private boolean isMinority(Claim record) {
+        List<Holder> reachable = mPeers.reachable();
+        int with = 0;
+        int without = 0;
+        for (Holder holder : record.mHolders) {
+            if (reachable.contains(holder)) {
+                with++;
+            } else if (!mPeers.provenGone(holder)) {
+                without++;
+            }
+        }
+        return with < without;
+    }
+
     private boolean isSilent(Holder holder, long nowNanos) {
         if (mPeers.isSelf(holder)) {
             return false;
@@ -242,7 +269,7 @@
         Holding none = new Holding(customer, 0, 0);
         mReported.forEach(holder -> ledger.onAdopted(holder, none, nowNanos));
         if (mSettled) {
-            ledger.settle(mRecord.mHolders, firstTokens(terms, nowNanos), nowNanos);
+            ledger.settle(firstTokens(terms, nowNanos), nowNanos);
         }
         return ledger;
     }
@@ -258,21 +285,24 @@
 
     private void onClaimed(Claim claim, long modRevision, long nowNanos) {
         claim.mModRevision = modRevision;
-        mNextTryAt = nowNanos + 2 * RETRY_NANOS;
         if (claim.mResolves) {
-            mRecord = claim;
+            if (mOwning && claim.isInForce(mRecord)) {
+                onResolved(claim, nowNanos);
+            }
             return;
         }
+        mNextTryAt = nowNanos + 2 * RETRY_NANOS;
         if (!claim.mContinued) {
             mLedgers.clear();
+            mExpiries.clear();
         }
+        mExpiries.keySet().retainAll(claim.mUnresolved);
         mLedgers.values().forEach(Ledger::startEpoch);
         mOwning = true;
         mRecord = claim;
         mFresh = claim.mFresh || mFresh && claim.mContinued;
         mReported.clear();
         mSettled = false;
-        mAdoptedAt = nowNanos;
         mAdoptSentAt = 0;
         Logger.info(
                 "event=shares_epoch shard={} epoch={} holders={} unresolved={}",
@@ -297,13 +327,25 @@
             return;
         }
         if (mClaim != null && record.mNonce == mClaim.mNonce && !mClaim.isInForce(mRecord)) {
+            mUnsure = false;
             onClaimed(mClaim, entry.modRevision(), nowNanos);
             return;
         }
+        mUnsure = false;
         boolean mine = mPeers.isSelf(record.mOwner);
         if (mOwning && (!mine || record.mNonce != mRecord.mNonce)) {
             resign();
         }
+        if (mOwning) {
+            mRecord.mModRevision = entry.modRevision();
+            if (!needsNewEpoch(nowNanos)) {
+                return;
+            }
+        }
+        if (isMinority(record)) {
+            mNextTryAt = nowNanos + RETRY_NANOS;
+            return;
+        }
         boolean alive = !mine && mPeers.isLive(record.mOwner);
         boolean heard = mPeers.silence(record.mOwner.id(), nowNanos) <= SILENT_NANOS;
         boolean unheardOf = mLease.owner() == null || !mLease.owner().equals(record.mOwner);
@@ -326,8 +368,9 @@
                 }
             }
         }
-        if (!mSettled && isSettled(nowNanos)) {
-            settle(nowNanos, out);
+        if (!mSettled) {
+            startExpiries(nowNanos);
+            resolve(nowNanos, out);
         }
         if (nowNanos - mRebalancedAt >= REBALANCE_NANOS) {
             mRebalancedAt = nowNanos;
@@ -335,22 +378,6 @@
         }
     }
 
-    private boolean isSettled(long nowNanos) {
-        if (!mReported.containsAll(mRecord.mAwaited)) {
-            return false;
-        }
-        if (mRecord.mUnresolved.isEmpty()) {
-            return true;
-        }
-        int unproven = 0;
-        for (Holder holder : mRecord.mUnresolved) {
-            if (!mPeers.provenGone(holder)) {
-                unproven += holder.alone() ? 2 : 1;
-            }
-        }
-        return unproven <= 1 && nowNanos - mAdoptedAt >= SILENCE_ENDS_NANOS;
-    }
-
     private void rebalance(long nowNanos, Outbox out) {
         List<Holder> order = new ArrayList<>(mRecord.mHolders);
         Set<Holder> holders = new HashSet<>(mReported);
@@ -361,20 +388,66 @@
         }
     }
 
-    private void settle(long nowNanos, Outbox out) {
+    /**
+     * Takes free what silent processes held whose time has run out.
+     *
+     * <p>The record is written first: that it could be shows that no later epoch began before the
+     * silent ones' leases had run out, in which they could have been confirmed.
+     */
+    private void resolve(long nowNanos, Outbox out) {
+        if (!mReported.containsAll(mRecord.mAwaited)) {
+            return;
+        }
+        Set<Holder> silent = new HashSet<>(mRecord.mUnresolved);
+        silent.removeIf(it -> nowNanos >= mExpiries.getOrDefault(it, Long.MAX_VALUE));
+        boolean busy = mReadCall != 0 || mWriteCall != 0 || mUnsure || nowNanos < mNextTryAt;
+        if (silent.size() < mRecord.mUnresolved.size() && !busy) {
+            mClaim = mRecord.resolved(silent);
+            write(mClaim, mRecord.mModRevision, out);
+        }
+        if (mRecord.mUnresolved.isEmpty()) {
+            settle(nowNanos);
+        }
+    }
+
+    private void onResolved(Claim claim, long nowNanos) {
+        mRecord = claim;
+        Set<Holder> counted = new HashSet<>(claim.mHolders);
+        claim.mUnresolved.forEach(it -> counted.add(new Holder(it.id(), it.incarnation(), false)));
+        mLedgers.values().forEach(ledger -> ledger.retain(counted, nowNanos));
+    }
+
+    private void settle(long nowNanos) {
         mSettled = true;
         mSettledAt = nowNanos;
-        boolean fresh = mFresh;
-        mLedgers.forEach(
-                (customer, ledger) -> {
-                    long tokens =
-                            fresh && !ledger.wasSettled() ? mTerms.apply(customer).burst() : 0;
-                    ledger.settle(mRecord.mHolders, tokens, nowNanos);
-                });
-        if (!mRecord.mUnresolved.isEmpty() && mWriteCall == 0) {
-            Claim resolved = mRecord.resolved();
-            mClaim = resolved;
-            write(resolved, mRecord.mModRevision, out);
+        for (Ledger ledger : mLedgers.values()) {
+            boolean first = mFresh && !ledger.wasSettled();
+            ledger.settle(first ? mTerms.apply(ledger.customer()).burst() : 0, nowNanos);
+        }
+    }
+
+    /**
+     * Starts the time after which a silent process surely holds nothing.
+     *
+     * <p>It starts once every other process follows an epoch that does not name the silent one, so
+     * that nobody confirms its heartbeats any more. Two silent processes that may both run could
+     * confirm each other's, and one that was alone its own; their time does not start.
+     */
+    private void startExpiries(long nowNanos) {
+        if (!mReported.containsAll(mRecord.mAwaited)) {
+            return;
+        }
+        long expiry = nowNanos + SILENCE_ENDS_NANOS;
+        int running = 0;
+        for (Holder holder : mRecord.mUnresolved) {
+            boolean gone = mPeers.provenGone(holder);
+            running += gone ? 0 : 1;
+            running += !gone && holder.alone() ? 1 : 0;
+        }
+        for (Holder holder : mRecord.mUnresolved) {
+            if (running <= 1 || mPeers.provenGone(holder)) {
+                mExpiries.putIfAbsent(holder, expiry);
+            }
         }
     }
 
--- a/src/main/java/ebonygw/admission/ShareNode.java
+++ b/src/main/java/ebonygw/admission/ShareNode.java
@@ -333,9 +333,9 @@
         fields.put("level", bucket.level() / TokenBucket.UNITS_PER_TOKEN);
         fields.put("lent", bucket.reserved() / TokenBucket.UNITS_PER_TOKEN);
         fields.put("waiting", share.waiting());
-        Ledger ledger = mOwners[share.shard()].ledger(share.customer(), mNow);
-        if (ledger != null) {
-            fields.put("free", ledger.free());
+        String free = mOwners[share.shard()].free(share.customer());
+        if (free != null) {
+            fields.put("free", free);
         }
         return fields;
     }
--- a/src/main/java/ebonygw/bench/shares/Scenario.java
+++ b/src/main/java/ebonygw/bench/shares/Scenario.java
@@ -9,9 +9,13 @@
  * @param seconds for how long callers send requests
  * @param loads the customers' loads
  * @param arrival how requests spread over entry processes
- * @param faults whether processes, links and the key-value service fail
+ * @param faults kinds of faults that happen at random, empty for none
  */
-record Scenario(String name, int seconds, List<Load> loads, Arrival arrival, boolean faults) {
+record Scenario(String name, int seconds, List<Load> loads, Arrival arrival, List<Fault> faults) {
+    Scenario {
+        faults = List.copyOf(faults);
+    }
+
     /** How requests spread over entry processes. */
     enum Arrival {
         /** All to one process, which changes each second. */
@@ -20,6 +24,32 @@
         SKEWED
     }
 
+    /** Kinds of faults. */
+    enum Fault {
+        /** A process ends at once; a new one starts after a while. */
+        CRASH,
+        /** A process is stopped gracefully; a new one starts after a while. */
+        PLANNED_STOP,
+        /** A process does not run for less than a lease. */
+        SHORT_PAUSE,
+        /** A process does not run for up to several leases. */
+        LONG_PAUSE,
+        /** The key-value service fails; writes may take effect all the same. */
+        SERVICE_DOWN,
+        /** A host reaches no other, and in half of the cases not the service either. */
+        CUT_OFF,
+        /** Two hosts do not reach each other. */
+        CUT_PAIR,
+        /** A host does not reach the key-value service. */
+        CUT_FROM_SERVICE,
+        /** A process is replaced while it is paused, and wakes up later. */
+        PAUSED_AND_REPLACED,
+        /** A process ends while the key-value service is down. */
+        CRASH_WHILE_SERVICE_DOWN,
+        /** A customer's rate and burst are raised, lowered or removed. */
+        SETTINGS
+    }
+
     /**
      * One customer's requests.
      *
--- a/src/main/java/ebonygw/bench/shares/Traffic.java
+++ b/src/main/java/ebonygw/bench/shares/Traffic.java
@@ -16,6 +16,10 @@
     private final Outcome mOutcome = new Outcome();
     private final Map<String, IdealBucket> mIdeal = new HashMap<>();
     private final Map<String, OverrunChecker> mCheckers = new HashMap<>();
+    private final Map<String, Long> mRates = new HashMap<>();
+    private final Map<String, Long> mEntitledUntil = new HashMap<>();
+    private long mFrom;
+    private long mUntil;
     private long mLastTicket;
     private VirtualFleet mFleet;
 
@@ -30,6 +34,8 @@
 
     /** Logs a customer's limits from a true time on. */
     void limit(String customer, long at, long rate, long burst) {
+        entitle(customer, at);
+        mRates.put(customer, rate);
         mCheckers.get(customer).limit(at, rate, burst);
         mIdeal.computeIfAbsent(customer, it -> new IdealBucket()).limit(at, rate, burst);
     }
@@ -56,11 +62,11 @@
     /** Schedules the first request of each customer. */
     void start(VirtualFleet fleet, long from, long until) {
         mFleet = fleet;
+        mFrom = from;
+        mUntil = until;
         mOutcome.mMessages = 0;
         mOutcome.mHostSeconds = fleet.entries() * ((until - from) / (double) VirtualFleet.SECOND);
         for (Scenario.Load load : mScenario.loads()) {
-            double seconds = (until - from) / (double) VirtualFleet.SECOND;
-            mOutcome.customer(load.customer()).mEntitled = load.ratePerSecond() * seconds;
             next(load, from, until);
         }
     }
@@ -69,6 +75,7 @@
     Outcome finish(String run) {
         mCheckers.forEach(
                 (customer, checker) -> {
+                    entitle(customer, mUntil);
                     double excess = checker.worstExcess();
                     if (excess > 0) {
                         mOutcome.mOverruns++;
@@ -81,6 +88,16 @@
         return mOutcome;
     }
 
+    private void entitle(String customer, long until) {
+        long upTo = Math.min(until, mUntil);
+        long since = mEntitledUntil.getOrDefault(customer, mFrom);
+        if (upTo > since) {
+            double seconds = (upTo - since) / (double) VirtualFleet.SECOND;
+            mOutcome.customer(customer).mEntitled += seconds * mRates.get(customer);
+            mEntitledUntil.put(customer, upTo);
+        }
+    }
+
     private void arrive(Scenario.Load load) {
         long charged = Math.max(1, (long) (load.tokens() * (0.5 + mRandom.nextDouble())));
         long used = Math.max(1, (long) (charged * (0.5 + 0.5 * mRandom.nextDouble())));
--- a/src/main/java/ebonygw/bench/shares/VirtualFleet.java
+++ b/src/main/java/ebonygw/bench/shares/VirtualFleet.java
@@ -46,6 +46,7 @@
     private final boolean mLossy;
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
     private final List<Host> mHosts = new ArrayList<>();
+    private final List<Process> mProcesses = new ArrayList<>();
     private final VirtualKeyValue mKeyValue = new VirtualKeyValue();
     private final Map<Long, Request> mRequests = new HashMap<>();
     private final Set<Long> mLinks = new HashSet<>();
@@ -140,6 +141,7 @@
         on.mIncarnation++;
         Process process = new Process(on);
         on.mProcess = process;
+        mProcesses.add(process);
         process.mAlive = true;
         tellMembers();
         if (mSettings != null) {
@@ -159,6 +161,12 @@
         mNow = untilNanos;
     }
 
+    /** Returns whether the process of that name and incarnation runs. */
+    boolean isRunning(String process) {
+        return mProcesses.stream()
+                .anyMatch(it -> it.mAlive && process.equals(it.mHost.mId + "#" + it.mStartedAs));
+    }
+
     /** Makes the key-value service fail for a time. */
     void serviceDown(long nanos) {
         mServiceDownUntil = Math.max(mServiceDownUntil, mNow + nanos);
