--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,5 +1,7 @@
 package ebonygw.cli;
 
+import ebonygw.operator.KeysCommand;
+import ebonygw.operator.SettingsCommand;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +42,8 @@
 
     private static Map<String, Command> commands() {
         Map<String, Command> commands = new TreeMap<>();
+        commands.put("keys", new KeysCommand());
+        commands.put("settings", new SettingsCommand());
         return commands;
     }
 }
--- /dev/null
+++ b/src/main/java/ebonygw/operator/AdminJson.java
@@ -0,0 +1,197 @@
+package ebonygw.operator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import ebonygw.settings.ChangeOutcome;
+import ebonygw.settings.ChangeRecord;
+import ebonygw.settings.Edit;
+import ebonygw.settings.EffectiveChange;
+import ebonygw.settings.Explanation;
+import ebonygw.settings.IssuedKey;
+import ebonygw.settings.Reason;
+import ebonygw.settings.SettingsJson;
+import ebonygw.settings.SettingsState;
+import ebonygw.settings.SettingsTree;
+import ebonygw.settings.TreeDifference;
+import ebonygw.settings.TreeNode;
+import io.undertow.util.StatusCodes;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** The JSON form of the administration API's replies. */
+final class AdminJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_EFFECTS = 200;
+
+    private AdminJson() {}
+
+    static ObjectNode difference(long from, long to, List<TreeDifference> differences) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("from", from);
+        json.put("to", to);
+        ArrayNode list = json.putArray("differences");
+        for (TreeDifference difference : differences) {
+            ObjectNode item = list.addObject();
+            item.put("node", difference.node().toString());
+            item.put("what", difference.what());
+            difference.before().ifPresent(text -> item.put("before", text));
+            difference.after().ifPresent(text -> item.put("after", text));
+        }
+        return json;
+    }
+
+    static AdminReply error(int status, String code, String detail) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("outcome", code);
+        json.put("detail", detail);
+        return new AdminReply(status, json);
+    }
+
+    static ObjectNode explanation(Explanation explanation) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("node", explanation.node().toString());
+        json.put("field", explanation.field().word());
+        json.set("value", SettingsJson.writeValue(explanation.value()));
+        json.put("unit", explanation.field().unit());
+        json.put("origin", explanation.origin().map(Object::toString).orElse("default"));
+        json.put("revision", explanation.revision());
+        return json;
+    }
+
+    static ObjectNode key(IssuedKey key) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("keyId", key.settings().keyId());
+        json.put("customer", key.settings().customer());
+        long ends = key.settings().endsAtEpochMillis();
+        json.put("ends", ends == Long.MAX_VALUE ? "never" : Instant.ofEpochMilli(ends).toString());
+        json.put("issuedAtRevision", key.issuedAtRevision());
+        json.put("withdrawnAtRevision", key.withdrawnAtRevision());
+        return json;
+    }
+
+    static ObjectNode node(SettingsTree tree, TreeNode node) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("node", node.key().toString());
+        if (node.parent() != null) {
+            json.put("parent", node.parent().toString());
+        }
+        ObjectNode own = json.putObject("fields");
+        new TreeMap<>(node.fields())
+                .forEach(
+                        (field, setting) ->
+                                own.set(field.word(), SettingsJson.writeValue(setting.value())));
+        ObjectNode effective = json.putObject("effective");
+        for (ebonygw.settings.Field field : ebonygw.settings.Field.values()) {
+            if (field.users().contains(node.key().kind())) {
+                effective.set(
+                        field.word(),
+                        SettingsJson.writeValue(tree.explain(node.key(), field).value()));
+            }
+        }
+        return json;
+    }
+
+    static AdminReply outcome(String changeId, ChangeOutcome outcome) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("id", changeId);
+        if (outcome instanceof ChangeOutcome.Accepted accepted) {
+            json.put("outcome", "accepted");
+            json.put("revision", accepted.revision());
+            return new AdminReply(StatusCodes.OK, json);
+        }
+        if (outcome instanceof ChangeOutcome.Conflict conflict) {
+            json.put("outcome", "conflict");
+            json.put("mayHaveTakenEffect", false);
+            json.put("base", conflict.baseRevision());
+            ArrayNode others = json.putArray("others");
+            conflict.others().forEach(other -> others.add(record(other)));
+            return new AdminReply(StatusCodes.CONFLICT, json);
+        }
+        if (outcome instanceof ChangeOutcome.Refused refused) {
+            json.put("outcome", "refused");
+            json.put("mayHaveTakenEffect", false);
+            reasons(refused.reasons(), json.putArray("reasons"));
+            return new AdminReply(StatusCodes.UNPROCESSABLE_ENTITY, json);
+        }
+        ChangeOutcome.Unavailable lost = (ChangeOutcome.Unavailable) outcome;
+        json.put("outcome", "unavailable");
+        json.put("mayHaveTakenEffect", lost.mayHaveTakenEffect());
+        json.put(
+                "detail",
+                lost.mayHaveTakenEffect()
+                        ? "the change may have taken effect; ask for its status by its id, or"
+                                + " submit it again with the same id: "
+                                + lost.detail()
+                        : "nothing was changed: " + lost.detail());
+        return new AdminReply(StatusCodes.SERVICE_UNAVAILABLE, json);
+    }
+
+    static ObjectNode preview(SettingsState.Preview preview) {
+        ObjectNode json = MAPPER.createObjectNode();
+        ChangeRecord record = preview.logged().record();
+        json.put("outcome", "dryRun");
+        json.put("revision", record.revision());
+        List<EffectiveChange> effects = preview.effects();
+        Set<String> customers = new TreeSet<>();
+        boolean everybody = false;
+        for (EffectiveChange effect : effects) {
+            everybody |= effect.customer().isEmpty();
+            if (!effect.customer().isEmpty()) {
+                customers.add(effect.customer());
+            }
+        }
+        ArrayNode keys = json.putArray("keys");
+        for (Edit edit : record.change().edits()) {
+            if (edit instanceof Edit.IssueKey issue) {
+                customers.add(issue.key().customer());
+                keys.add("issued " + issue.key().keyId());
+            } else if (edit instanceof Edit.WithdrawKey withdraw) {
+                keys.add("withdrawn " + withdraw.keyId());
+            }
+        }
+        json.put("mayAffectEveryCustomer", everybody);
+        ArrayNode names = json.putArray("customers");
+        customers.forEach(names::add);
+        json.put("effectCount", effects.size());
+        ArrayNode list = json.putArray("effects");
+        effects.stream().limit(MAX_EFFECTS).forEach(effect -> list.add(effect(effect)));
+        return json;
+    }
+
+    static void reasons(Collection<Reason> reasons, ArrayNode into) {
+        for (Reason reason : reasons) {
+            into.addObject().put("subject", reason.subject()).put("detail", reason.detail());
+        }
+    }
+
+    static ObjectNode record(ChangeRecord record) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("revision", record.revision());
+        json.put("id", record.change().id());
+        json.put("author", record.change().author());
+        json.put("comment", record.change().comment());
+        json.put("at", Instant.ofEpochMilli(record.change().atEpochMillis()).toString());
+        json.put("revertible", record.revertible());
+        ArrayNode edits = SettingsJson.writeEdits(record.change().edits());
+        json.put("editCount", edits.size());
+        ArrayNode shown = json.putArray("edits");
+        for (int i = 0; i < Math.min(MAX_EFFECTS, edits.size()); i++) {
+            shown.add(edits.get(i));
+        }
+        return json;
+    }
+
+    private static ObjectNode effect(EffectiveChange effect) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("node", effect.node().toString());
+        json.put("customer", effect.customer());
+        effect.before().ifPresent(old -> json.set("before", MAPPER.valueToTree(old)));
+        effect.after().ifPresent(now -> json.set("after", MAPPER.valueToTree(now)));
+        return json;
+    }
+}
