--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,6 +1,8 @@
 package ebonygw.cli;
 
 import ebonygw.bench.BenchCommand;
+import ebonygw.operator.KeysCommand;
+import ebonygw.operator.SettingsCommand;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +46,8 @@
         commands.put("bench", new BenchCommand());
         commands.put("check", new CheckCommand());
         commands.put("dump", new DumpCommand());
+        commands.put("keys", new KeysCommand());
+        commands.put("settings", new SettingsCommand());
         return commands;
     }
 }
