--- /dev/null
+++ b/src/main/java/ebonygw/bench/links/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the links between processes on the loopback address. */
+package ebonygw.bench.links;
