--- a/src/main/java/ebonygw/bench/BenchCommand.java
+++ b/src/main/java/ebonygw/bench/BenchCommand.java
@@ -1,5 +1,6 @@
 package ebonygw.bench;
 
+import ebonygw.bench.links.LinksBench;
 import ebonygw.bench.placement.PlacementBench;
 import ebonygw.bench.shares.SharesBench;
 import ebonygw.cli.Command;
@@ -24,6 +25,7 @@
 
     private static Map<String, Command> experiments() {
         Map<String, Command> experiments = new TreeMap<>();
+        experiments.put("links", new LinksBench());
         experiments.put("placement", new PlacementBench());
         experiments.put("shares", new SharesBench());
         return experiments;
--- a/src/main/java/ebonygw/bench/links/BenchPeer.java
+++ b/src/main/java/ebonygw/bench/links/BenchPeer.java
@@ -12,6 +12,7 @@
     private final CountDownLatch mUp = new CountDownLatch(1);
     private volatile Consumer<Message> mEcho = message -> {};
     private volatile long mCount;
+    private volatile boolean mDown;
 
     BenchPeer() {}
 
@@ -21,6 +22,9 @@
             if (Thread.interrupted()) {
                 throw new InterruptedException();
             }
+            if (mDown) {
+                throw new IllegalStateException("the link was lost");
+            }
             Thread.onSpinWait();
         }
     }
@@ -37,7 +41,7 @@
 
     @Override
     public void down(NodeId peer, long incarnation) {
-        throw new IllegalStateException("the link is lost");
+        mDown = true;
     }
 
     /** Sets what is done with each message to come. */
--- a/src/main/java/ebonygw/peer/PeerCodec.java
+++ b/src/main/java/ebonygw/peer/PeerCodec.java
@@ -15,14 +15,16 @@
     private final List<FamilyCodec> mFamilies;
 
     /**
-     * Creates a codec of the request and member messages and further families.
+     * Creates a codec of our own families of messages and further ones.
      *
-     * @param further codecs of further families
+     * @param further codecs of further families, usually none
      */
     public PeerCodec(List<FamilyCodec> further) {
         List<FamilyCodec> families = new ArrayList<>();
         families.add(new RequestCodec());
         families.add(new MemberCodec());
+        families.add(new SettingsFamilyCodec());
+        families.add(new SharesFamilyCodec());
         families.addAll(further);
         mFamilies = List.copyOf(families);
     }
