--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,6 +1,9 @@
 package ebonygw.cli;
 
 import ebonygw.bench.BenchCommand;
+import ebonygw.process.EntryProcess;
+import ebonygw.process.FlagParser;
+import ebonygw.process.TargetProcess;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +47,20 @@
         commands.put("bench", new BenchCommand());
         commands.put("check", new CheckCommand());
         commands.put("dump", new DumpCommand());
+        commands.put(
+                "entry",
+                new ProcessCommand<>(
+                        "entry",
+                        FlagParser::ofEntry,
+                        settings -> EntryProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
+        commands.put(
+                "target",
+                new ProcessCommand<>(
+                        "target",
+                        FlagParser::ofTarget,
+                        settings -> TargetProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
         return commands;
     }
 }
--- a/src/main/java/ebonygw/process/CommonFlags.java
+++ b/src/main/java/ebonygw/process/CommonFlags.java
@@ -72,6 +72,12 @@
             usage = "events that may wait for the control thread, a power of two")
     private int mControlRing = 16_384;
 
+    @Option(
+            name = "--fleet-size",
+            metaVar = "PROCESSES",
+            usage = "about how many processes the fleet has; sets the pace of key-value calls")
+    private int mFleetSize = 100;
+
     /** Creates flags with their defaults. */
     CommonFlags() {}
 
@@ -82,6 +88,7 @@
             reader.address("--peer-address", mPeerAddress);
         }
         reader.bounds("--stop-timeout", mStopTimeoutSeconds, 1, 3_600);
+        reader.bounds("--fleet-size", mFleetSize, 1, 1_000_000);
         reader.bounds("--control-ring", mControlRing, 64, 1 << 20);
         if (Integer.bitCount(mControlRing) != 1) {
             reader.fault("--control-ring: not a power of two: " + mControlRing);
@@ -97,7 +104,8 @@
                 reader.urls("--host-list", mHostList).stream().findFirst().orElse(NO_URL),
                 peerTls(reader),
                 TimeUnit.SECONDS.toNanos(mStopTimeoutSeconds),
-                mControlRing);
+                mControlRing,
+                mFleetSize);
     }
 
     private Optional<PeerTls> peerTls(FlagReader reader) {
--- a/src/main/java/ebonygw/process/CommonSettings.java
+++ b/src/main/java/ebonygw/process/CommonSettings.java
@@ -19,6 +19,7 @@
  * @param peerTls certificates for links, empty for links without encryption
  * @param stopTimeoutNanos longest time of a graceful stop
  * @param controlRing events that may wait for the control thread, a power of two
+ * @param fleetSize about how many processes the fleet has
  */
 public record CommonSettings(
         String id,
@@ -29,7 +30,8 @@
         URI hostList,
         Optional<PeerTls> peerTls,
         long stopTimeoutNanos,
-        int controlRing) {
+        int controlRing,
+        int fleetSize) {
     /** Creates settings. */
     public CommonSettings {
         keyValue = List.copyOf(keyValue);
--- a/src/main/java/ebonygw/process/EntryFlags.java
+++ b/src/main/java/ebonygw/process/EntryFlags.java
@@ -1,8 +1,11 @@
 package ebonygw.process;
 
+import ebonygw.admission.Resource;
 import ebonygw.tls.ServerTls;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLContext;
 import org.kohsuke.args4j.Option;
 
@@ -38,6 +41,30 @@
             usage = "most target processes that it keeps links to")
     private int mMaxLinks = 64;
 
+    @Option(
+            name = "--accept-time",
+            metaVar = "SECONDS",
+            usage = "how long new requests are still taken after a stop was asked for")
+    private int mAcceptSeconds = 2;
+
+    @Option(
+            name = "--weight-store",
+            metaVar = "NAME",
+            usage = "weight store whose loads are divided among the targets, none if not set")
+    private String mWeightStore;
+
+    @Option(
+            name = "--weight-store-loads",
+            metaVar = "COUNT",
+            usage = "most loads in flight at the weight store over the whole fleet")
+    private int mWeightStoreLoads = 8;
+
+    @Option(
+            name = "--weight-store-longest",
+            metaVar = "SECONDS",
+            usage = "after how long a load that was not reported as ended counts as ended")
+    private int mWeightStoreLongestSeconds = 60;
+
     /** Creates flags with their defaults. */
     public EntryFlags() {}
 
@@ -47,6 +74,9 @@
         reader.bounds("--max-body", mMaxBodyBytes, 1, 16 << 20);
         reader.bounds("--io-threads", mIoThreads, 1, 256);
         reader.bounds("--max-links", mMaxLinks, 1, 65_536);
+        reader.bounds("--accept-time", mAcceptSeconds, 0, 60);
+        reader.bounds("--weight-store-loads", mWeightStoreLoads, 1, 1_000_000);
+        reader.bounds("--weight-store-longest", mWeightStoreLongestSeconds, 1, 3_600);
         return new EntrySettings(
                 common(reader),
                 reader.address("--caller-address", mCallerAddress),
@@ -54,7 +84,9 @@
                 mMaxRequests,
                 mMaxBodyBytes,
                 mIoThreads,
-                mMaxLinks);
+                mMaxLinks,
+                TimeUnit.SECONDS.toNanos(mAcceptSeconds),
+                weightStores());
     }
 
     private Optional<SSLContext> callerTls(FlagReader reader) {
@@ -69,4 +101,12 @@
                 "--caller-certificate",
                 () -> ServerTls.context(Path.of(mCallerCertificate), Path.of(mCallerKey)));
     }
+
+    private List<Resource> weightStores() {
+        if (mWeightStore == null) {
+            return List.of();
+        }
+        long longest = TimeUnit.SECONDS.toNanos(mWeightStoreLongestSeconds);
+        return List.of(new Resource(mWeightStore, 0, mWeightStoreLoads, longest));
+    }
 }
--- a/src/main/java/ebonygw/process/EntryProcess.java
+++ b/src/main/java/ebonygw/process/EntryProcess.java
@@ -9,14 +9,13 @@
 import ebonygw.membership.Member;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Role;
-import ebonygw.peer.FamilyCodec;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.security.SecureRandom;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -37,8 +36,7 @@
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private long mNowNanos;
 
-    private EntryProcess(
-            EntrySettings settings, List<FamilyCodec> families, Map<String, HttpHandler> operators)
+    private EntryProcess(EntrySettings settings, Map<String, HttpHandler> operators)
             throws IOException {
         CommonSettings common = settings.common();
         Member self =
@@ -50,7 +48,7 @@
                         common.locality(),
                         common.peerAddress(),
                         "");
-        mShell = new ProcessShell<>(common, self, families, new EntryEvents(), operators);
+        mShell = new ProcessShell<>(common, self, new EntryEvents(), operators);
         mRuntime = mShell.runtime();
         mTimes = new RequestTimes(mShell.metrics().registry());
         mCallers =
@@ -59,11 +57,27 @@
                         new CallerDecisions(this::post, mShell::ready, mShell::settings));
     }
 
+    /**
+     * Starts a process with the node of its settings.
+     *
+     * @param settings its settings
+     * @param operators handlers of the operators' listener by prefix of the path
+     * @return the process, which listens
+     * @throws IOException if a client cannot be created
+     * @throws IllegalStateException if an address cannot be listened on
+     */
+    public static EntryProcess start(EntrySettings settings, Map<String, HttpHandler> operators)
+            throws IOException {
+        return start(
+                settings,
+                operators,
+                self -> Nodes.entry(settings, self, new SecureRandom().nextLong()));
+    }
+
     /**
      * Starts a process.
      *
      * @param settings its settings
-     * @param families codecs of the messages beside those of requests and members
      * @param operators handlers of the operators' listener by prefix of the path
      * @param node makes the node of this process
      * @return the process, which listens
@@ -72,11 +86,10 @@
      */
     public static EntryProcess start(
             EntrySettings settings,
-            List<FamilyCodec> families,
             Map<String, HttpHandler> operators,
             Function<Member, NodeDriver<EntryEvent, EntryEffect>> node)
             throws IOException {
-        EntryProcess process = new EntryProcess(settings, families, operators);
+        EntryProcess process = new EntryProcess(settings, operators);
         try {
             process.start(node.apply(process.mRuntime.self()));
         } catch (IllegalStateException cannotListen) {
--- a/src/main/java/ebonygw/process/EntrySettings.java
+++ b/src/main/java/ebonygw/process/EntrySettings.java
@@ -1,6 +1,8 @@
 package ebonygw.process;
 
+import ebonygw.admission.Resource;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import javax.net.ssl.SSLContext;
 
@@ -14,6 +16,8 @@
  * @param maxBodyBytes longest body of a request
  * @param ioThreads threads that read from and write to callers
  * @param maxLinks most target processes that it keeps links to
+ * @param acceptNanos how long new requests are still taken after a stop was asked for
+ * @param weightStores weight stores whose loads are divided among the targets
  */
 public record EntrySettings(
         CommonSettings common,
@@ -22,4 +26,11 @@
         int maxRequests,
         int maxBodyBytes,
         int ioThreads,
-        int maxLinks) {}
+        int maxLinks,
+        long acceptNanos,
+        List<Resource> weightStores) {
+    /** Creates settings. */
+    public EntrySettings {
+        weightStores = List.copyOf(weightStores);
+    }
+}
--- a/src/main/java/ebonygw/process/NodeRuntime.java
+++ b/src/main/java/ebonygw/process/NodeRuntime.java
@@ -4,7 +4,6 @@
 import ebonygw.log.LogLine;
 import ebonygw.membership.HostList;
 import ebonygw.membership.Member;
-import ebonygw.peer.FamilyCodec;
 import ebonygw.peer.PeerCodec;
 import ebonygw.peer.PeerListener;
 import ebonygw.peer.PeerOptions;
@@ -49,7 +48,6 @@
      *
      * @param settings the settings of the process
      * @param self this process without its incarnation
-     * @param families codecs of further families of messages
      * @param keyValue carries key-value calls
      * @param events makes the common events
      * @param handler handles each event on the control thread
@@ -57,7 +55,6 @@
     NodeRuntime(
             CommonSettings settings,
             Member self,
-            List<FamilyCodec> families,
             KeyValueCaller keyValue,
             NodeEvents<E> events,
             ControlLoop.Handler<E> handler) {
@@ -83,7 +80,7 @@
                 new PeerTransport(
                         incarnated,
                         PeerOptions.defaults(),
-                        new PeerCodec(families),
+                        new PeerCodec(List.of()),
                         settings.peerTls(),
                         new Random(mStartedAtNanos),
                         new Links());
--- a/src/main/java/ebonygw/process/ProcessRunner.java
+++ b/src/main/java/ebonygw/process/ProcessRunner.java
@@ -12,7 +12,7 @@
  * logged then.
  */
 public final class ProcessRunner {
-    private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private final RunningProcess mProcess;
     private final long mStopTimeoutNanos;
--- a/src/main/java/ebonygw/process/ProcessShell.java
+++ b/src/main/java/ebonygw/process/ProcessShell.java
@@ -6,13 +6,11 @@
 import ebonygw.keyvalue.KeyValueClientOptions;
 import ebonygw.log.LogLine;
 import ebonygw.membership.Member;
-import ebonygw.peer.FamilyCodec;
 import ebonygw.settings.SettingsView;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -46,7 +44,6 @@
      *
      * @param settings the settings
      * @param self this process without its incarnation
-     * @param families codecs of further families of messages
      * @param events makes the common events
      * @param further handlers of the operators' listener by prefix of the path
      * @throws IOException if a client cannot be created
@@ -54,13 +51,11 @@
     ProcessShell(
             CommonSettings settings,
             Member self,
-            List<FamilyCodec> families,
             NodeEvents<E> events,
             Map<String, HttpHandler> further)
             throws IOException {
         mKeyValue = new KeyValueClient(KeyValueClientOptions.of(settings.keyValue()));
-        mRuntime =
-                new NodeRuntime<>(settings, self, families, mKeyValue::call, events, this::handle);
+        mRuntime = new NodeRuntime<>(settings, self, mKeyValue::call, events, this::handle);
         mHosts = hosts(settings.hostList());
         mOperatorAddress = settings.operatorAddress();
         mOperators =
--- a/src/main/java/ebonygw/process/TargetFlags.java
+++ b/src/main/java/ebonygw/process/TargetFlags.java
@@ -31,6 +31,17 @@
             usage = "the engine does not refuse orders with an old fencing token")
     private boolean mIgnoresFencing;
 
+    @Option(
+            name = "--reachable-elsewhere",
+            usage = "other hosts than this one can reach the target too")
+    private boolean mReachableElsewhere;
+
+    @Option(
+            name = "--weight-store",
+            metaVar = "NAME",
+            usage = "weight store that the engine loads from, none if its loads are not divided")
+    private String mWeightStore = "";
+
     @Option(
             name = "--max-queue",
             metaVar = "COUNT",
@@ -66,6 +77,8 @@
                 reader.text("--serves", mServes),
                 mKind.equals(ENGINE),
                 !mIgnoresFencing,
+                !mReachableElsewhere,
+                mWeightStore,
                 mMaxQueue,
                 mConcurrency,
                 TimeUnit.SECONDS.toNanos(mOrderTimeoutSeconds));
--- a/src/main/java/ebonygw/process/TargetProcess.java
+++ b/src/main/java/ebonygw/process/TargetProcess.java
@@ -6,7 +6,6 @@
 import ebonygw.membership.Member;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Role;
-import ebonygw.peer.FamilyCodec;
 import ebonygw.protocol.NodeId;
 import ebonygw.target.EngineClient;
 import ebonygw.target.PlainServiceClient;
@@ -15,7 +14,7 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.security.SecureRandom;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
@@ -31,8 +30,7 @@
     private final TargetClient mTarget;
     private final AtomicBoolean mClosed = new AtomicBoolean();
 
-    private TargetProcess(
-            TargetSettings settings, List<FamilyCodec> families, Map<String, HttpHandler> operators)
+    private TargetProcess(TargetSettings settings, Map<String, HttpHandler> operators)
             throws IOException {
         CommonSettings common = settings.common();
         Member self =
@@ -44,16 +42,32 @@
                         common.locality(),
                         common.peerAddress(),
                         settings.serves());
-        mShell = new ProcessShell<>(common, self, families, new TargetEvents(), operators);
+        mShell = new ProcessShell<>(common, self, new TargetEvents(), operators);
         mRuntime = mShell.runtime();
         mTarget = client(settings);
     }
 
+    /**
+     * Starts a process with the node of its settings.
+     *
+     * @param settings its settings
+     * @param operators handlers of the operators' listener by prefix of the path
+     * @return the process, which listens
+     * @throws IOException if a client cannot be created
+     * @throws IllegalStateException if an address cannot be listened on
+     */
+    public static TargetProcess start(TargetSettings settings, Map<String, HttpHandler> operators)
+            throws IOException {
+        return start(
+                settings,
+                operators,
+                self -> Nodes.target(settings, self, new SecureRandom().nextLong()));
+    }
+
     /**
      * Starts a process.
      *
      * @param settings its settings
-     * @param families codecs of the messages beside those of requests and members
      * @param operators handlers of the operators' listener by prefix of the path
      * @param node makes the node of this process
      * @return the process, which listens
@@ -62,11 +76,10 @@
      */
     public static TargetProcess start(
             TargetSettings settings,
-            List<FamilyCodec> families,
             Map<String, HttpHandler> operators,
             Function<Member, NodeDriver<TargetEvent, TargetEffect>> node)
             throws IOException {
-        TargetProcess process = new TargetProcess(settings, families, operators);
+        TargetProcess process = new TargetProcess(settings, operators);
         try {
             process.mShell.start(node.apply(process.mRuntime.self()), process::apply);
             process.mTarget.start();
--- a/src/test/java/ebonygw/process/EntryProcessTest.java
+++ b/src/test/java/ebonygw/process/EntryProcessTest.java
@@ -38,7 +38,7 @@
     @BeforeEach
     void start() throws Exception {
         Logs.bind();
-        mProcess = EntryProcess.start(settings("127.0.0.1:0"), List.of(), Map.of(), this::node);
+        mProcess = EntryProcess.start(settings("127.0.0.1:0"), Map.of(), this::node);
     }
 
     @AfterEach
@@ -97,8 +97,7 @@
     @Test
     void anAddressThatIsTakenIsAClearError() {
         String taken = "127.0.0.1:" + mProcess.callerAddress().getPort();
-        assertThatThrownBy(
-                        () -> EntryProcess.start(settings(taken), List.of(), Map.of(), this::node))
+        assertThatThrownBy(() -> EntryProcess.start(settings(taken), Map.of(), this::node))
                 .isInstanceOf(IllegalStateException.class)
                 .hasMessageContaining("cannot listen for callers");
     }
