--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -3,6 +3,9 @@
 import ebonygw.bench.BenchCommand;
 import ebonygw.operator.KeysCommand;
 import ebonygw.operator.SettingsCommand;
+import ebonygw.process.EntryProcess;
+import ebonygw.process.FlagParser;
+import ebonygw.process.TargetProcess;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +49,17 @@
         commands.put("bench", new BenchCommand());
         commands.put("check", new CheckCommand());
         commands.put("dump", new DumpCommand());
+                        "entry",
+                        "target",
+                        FlagParser::ofEntry,
+                        FlagParser::ofTarget,
+                        settings -> EntryProcess.start(settings, Map.of()),
+                        settings -> TargetProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
+                "entry",
+                "target",
+                new ProcessCommand<>(
+        commands.put(
         commands.put("keys", new KeysCommand());
         commands.put("settings", new SettingsCommand());
         return commands;
