--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -3,6 +3,7 @@
 import ebonygw.EntryEffect;
 import ebonygw.EntryEvent;
 import ebonygw.http.ConnectionWatch;
+import ebonygw.log.LogLine;
 import ebonygw.request.Refusal;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -102,11 +103,11 @@
     private void broken(Refusal refusal) {
         mEnd = true;
         mBroken = true;
-        Logger.info(
-                "event=answer_broken request={} code={} run={}",
-                mRequestId,
-                refusal.code(),
-                refusal.verdict());
+        LogLine.of("answer_broken")
+                .with("request", mRequestId)
+                .with("code", refusal.code())
+                .with("run", refusal.verdict())
+                .info();
         if (mStreamed) {
             String event = "event: error\ndata: " + ErrorBodies.json(refusal, mRequestId) + "\n\n";
             mUnsent.add(ByteBuffer.wrap(event.getBytes(StandardCharsets.UTF_8)));
--- a/src/main/java/ebonygw/caller/CallerServer.java
+++ b/src/main/java/ebonygw/caller/CallerServer.java
@@ -65,6 +65,7 @@
                 Undertow.builder()
                         .setIoThreads(options.ioThreads())
                         .setWorkerThreads(1)
+                        .setWorkerOption(Options.WORKER_NAME, "callers")
                         .setSocketOption(Options.TCP_NODELAY, true)
                         .setServerOption(UndertowOptions.DECODE_URL, false)
                         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, options.maxHeaderBytes())
--- a/src/main/java/ebonygw/hostlist/HostListClient.java
+++ b/src/main/java/ebonygw/hostlist/HostListClient.java
@@ -4,11 +4,11 @@
 import ebonygw.http.HttpClientOptions;
 import ebonygw.http.HttpRequest;
 import ebonygw.http.WholeAnswer;
+import ebonygw.log.LogLine;
 import ebonygw.membership.HostList;
 import java.io.IOException;
 import java.util.Objects;
 import java.util.function.Consumer;
-import org.tinylog.Logger;
 
 /**
  * Polls the platform's host list.
@@ -45,7 +45,7 @@
             throw new IllegalArgumentException("the interval must be positive");
         }
         mIntervalNanos = intervalNanos;
-        mClient = new HttpClient(options);
+        mClient = new HttpClient("host-list-client", options);
     }
 
     @Override
@@ -69,7 +69,7 @@
         if (answer.ok()) {
             read(answer);
         } else {
-            Logger.warn("event=host_list_unavailable cause=\"{}\"", answer.fault());
+            LogLine.of("host_list_unavailable").with("cause", answer.fault()).warn();
         }
         mClient.after(mIntervalNanos, this::start);
     }
@@ -79,7 +79,7 @@
         try {
             list = HostListJson.read(answer.body());
         } catch (IOException cause) {
-            Logger.warn("event=host_list_malformed cause=\"{}\"", cause);
+            LogLine.of("host_list_malformed").with("cause", cause).warn();
             return;
         }
         mHosts.accept(list);
--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -5,10 +5,12 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Objects;
@@ -39,6 +41,7 @@
     private boolean mDone;
     private boolean mPaused;
     private boolean mSent;
+    private boolean mFramed;
 
     HttpCall(HttpClient client, HttpRequest request, long timeoutNanos, HttpAnswerSink sink) {
         mClient = client;
@@ -127,6 +130,16 @@
         return true;
     }
 
+    /** Returns whether more than the connection's end tells that an answer is whole. */
+    private boolean framed(ClientResponse response) {
+        int status = response.getResponseCode();
+        return response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                || response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
+                || status == StatusCodes.NO_CONTENT
+                || status == StatusCodes.NOT_MODIFIED
+                || mRequest.method().equals("HEAD");
+    }
+
     private void lost(IOException cause) {
         if (mDone) {
             return;
@@ -187,15 +200,20 @@
             return;
         }
         mStarted = true;
+        ClientResponse response = exchange.getResponse();
+        mFramed = framed(response);
         mSink.started(
-                exchange.getResponse().getResponseCode(),
-                HttpHeaders.endToEnd(exchange.getResponse().getResponseHeaders()));
+                response.getResponseCode(), HttpHeaders.endToEnd(response.getResponseHeaders()));
         mAnswer = exchange.getResponseChannel();
         mAnswer.getReadSetter().set(this::read);
         read(mAnswer);
     }
 
     private void whole() {
+        if (!mFramed) {
+            abort(HttpFailure.Kind.BROKEN, "the answer's end is not known");
+            return;
+        }
         if (finish()) {
             mSink.ended();
             if (!mSent) {
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -45,11 +46,13 @@
     /**
      * Creates a client with an IO thread of its own.
      *
+     * @param name name of the IO thread
      * @param options the options
-     * @throws NullPointerException if {@code options} is null
+     * @throws NullPointerException if an argument is null
      * @throws IOException if the IO thread cannot be started
      */
-    public HttpClient(HttpClientOptions options) throws IOException {
+    public HttpClient(String name, HttpClientOptions options) throws IOException {
+        Objects.requireNonNull(name, "name");
         mOptions = Objects.requireNonNull(options, "options");
         InetSocketAddress server = options.server();
         mHost = server.getHostString() + ":" + server.getPort();
@@ -62,7 +65,7 @@
                                         .set(Options.WORKER_TASK_CORE_THREADS, 0)
                                         .set(Options.WORKER_TASK_MAX_THREADS, 1)
                                         .set(Options.THREAD_DAEMON, true)
-                                        .set(Options.WORKER_NAME, "http-client-" + mHost)
+                                        .set(Options.WORKER_NAME, name)
                                         .getMap());
         mThread = mWorker.getIoThread();
     }
@@ -166,7 +169,7 @@
             mWaiting.poll()
                     .failed(new HttpFailure(HttpFailure.Kind.CANCELLED, false, "client closed"));
         }
-        mIdle.forEach(HttpClient::abort);
+        List.copyOf(mIdle).forEach(HttpClient::abort);
         mWorker.shutdown();
     }
 
--- a/src/main/java/ebonygw/standin/StandInServer.java
+++ b/src/main/java/ebonygw/standin/StandInServer.java
@@ -25,6 +25,7 @@
                 Undertow.builder()
                         .setIoThreads(1)
                         .setWorkerThreads(1)
+                        .setWorkerOption(Options.WORKER_NAME, "stand-in")
                         .setSocketOption(Options.TCP_NODELAY, true)
                         .setServerOption(UndertowOptions.DECODE_URL, false)
                         .addHttpListener(port, address)
--- a/src/main/java/ebonygw/target/EngineClient.java
+++ b/src/main/java/ebonygw/target/EngineClient.java
@@ -10,6 +10,7 @@
 import ebonygw.http.HttpRequest;
 import ebonygw.http.WholeAnswer;
 import ebonygw.json.JsonFields;
+import ebonygw.log.LogLine;
 import ebonygw.request.AdapterVersion;
 import ebonygw.request.Payload;
 import ebonygw.request.Refusal;
@@ -20,7 +21,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
-import org.tinylog.Logger;
 
 /**
  * A client of a model engine with an OpenAI-compatible interface.
@@ -50,7 +50,7 @@
             throws IOException {
         mOptions = Objects.requireNonNull(options, "options");
         mEvents = Objects.requireNonNull(events, "events");
-        mClient = new HttpClient(options.calls());
+        mClient = new HttpClient("engine-client", options.calls());
         mCalls = new TargetCalls(mClient, events);
     }
 
@@ -99,7 +99,7 @@
         try {
             body = body(call.work());
         } catch (IOException cause) {
-            Logger.warn("event=bad_body request={} cause=\"{}\"", call.work().id(), cause);
+            LogLine.of("bad_body").with("request", call.work().id()).with("cause", cause).warn();
             mEvents.accept(
                     new TargetEvent.AnswerFailed(
                             call.call(),
@@ -157,7 +157,7 @@
         try {
             return EngineReports.read(answer.body());
         } catch (IOException cause) {
-            Logger.warn("event=bad_load_report cause=\"{}\"", cause);
+            LogLine.of("bad_load_report").with("cause", cause).warn();
             return new TargetEvent.EngineUnreachable();
         }
     }
--- a/src/main/java/ebonygw/target/PlainServiceClient.java
+++ b/src/main/java/ebonygw/target/PlainServiceClient.java
@@ -27,7 +27,7 @@
     public PlainServiceClient(TargetClientOptions options, Consumer<TargetEvent> events)
             throws IOException {
         Objects.requireNonNull(events, "events");
-        mClient = new HttpClient(options.calls());
+        mClient = new HttpClient("service-client", options.calls());
         mCalls = new TargetCalls(mClient, events);
     }
 
--- /dev/null
+++ b/src/test/java/ebonygw/http/HttpClientTest.java
@@ -0,0 +1,204 @@
+package ebonygw.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+    private static final long GUARD_NANOS = 20_000_000_000L;
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private final BlockingQueue<Object> mHeard = new LinkedBlockingQueue<>();
+    private ServerSocket mServer;
+    private HttpClient mClient;
+
+    @BeforeEach
+    void open() throws IOException {
+        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        client(GUARD_NANOS, 4);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        mClient.close();
+        mServer.close();
+    }
+
+    @Test
+    void connectionsAreUsedAgain() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket socket = mServer.accept();
+        reply(socket, OK);
+        assertThat(heard(3)).containsExactly(200, "ok", "end");
+        send(HttpRequest.of("GET", "/b"));
+        reply(socket, OK);
+        assertThat(heard(3)).containsExactly(200, "ok", "end");
+    }
+
+    @Test
+    void aConnectionThatTheServerClosedIsNotUsedAgain() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket first = mServer.accept();
+        reply(first, OK.replace("Content", "Connection: close\r\nContent"));
+        assertThat(heard(3)).containsExactly(200, "ok", "end");
+        first.close();
+        send(HttpRequest.of("GET", "/b"));
+        reply(mServer.accept(), OK);
+        assertThat(heard(3)).containsExactly(200, "ok", "end");
+    }
+
+    @Test
+    void anAnswerShorterThanItsLengthIsBroken() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket socket = mServer.accept();
+        reply(socket, OK.replace("ok", "o"));
+        socket.close();
+        assertThat(heard(2)).containsExactly(200, "o");
+        assertFailure(HttpFailure.Kind.BROKEN, true);
+    }
+
+    @Test
+    void anAnswerWhoseLastChunkIsMissingIsBroken() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket socket = mServer.accept();
+        reply(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+        socket.close();
+        assertThat(heard(2)).containsExactly(200, "ok");
+        assertFailure(HttpFailure.Kind.BROKEN, true);
+    }
+
+    @Test
+    void anAnswerThatOnlyItsConnectionEndsIsNotKnownToBeWhole() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket socket = mServer.accept();
+        reply(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok");
+        socket.close();
+        assertThat(heard(2)).containsExactly(200, "ok");
+        assertFailure(HttpFailure.Kind.BROKEN, true);
+    }
+
+    @Test
+    void aServerThatAnswersNothingRunsIntoTheTimeLimit() throws Exception {
+        mClient.send(HttpRequest.of("GET", "/a"), 50_000_000L, new Recorder());
+        assertFailure(HttpFailure.Kind.TIMEOUT, true);
+        assertThat(mServer.accept().getInputStream().readAllBytes()).isNotEmpty();
+    }
+
+    @Test
+    void textThatIsNoHttpIsALostCall() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        reply(mServer.accept(), "GARBAGE\r\n\r\n");
+        assertFailure(HttpFailure.Kind.LOST, true);
+    }
+
+    @Test
+    void callsBeyondTheBoundAreRefusedUnsent() throws Exception {
+        client(GUARD_NANOS, 1);
+        send(HttpRequest.of("GET", "/a"));
+        mServer.accept();
+        for (int call = 0; call < 3; call++) {
+            send(HttpRequest.of("GET", "/b"));
+        }
+        assertFailure(HttpFailure.Kind.OVERLOADED, false);
+    }
+
+    @Test
+    void aClosedClientFailsItsCalls() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket socket = mServer.accept();
+        socket.getInputStream().read();
+        mClient.close();
+        assertThat(heard(1).get(0)).isInstanceOf(HttpFailure.class);
+        send(HttpRequest.of("GET", "/b"));
+        assertFailure(HttpFailure.Kind.CANCELLED, false);
+    }
+
+    @Test
+    void fieldsOfOneConnectionDoNotPass() {
+        HeaderMap headers = new HeaderMap();
+        headers.put(new HttpString("Connection"), "x-one, Close");
+        headers.put(new HttpString("X-One"), "1");
+        headers.put(new HttpString("Transfer-Encoding"), "chunked");
+        headers.add(new HttpString("X-Two"), "2").add(new HttpString("X-Two"), "3");
+        assertThat(HttpHeaders.endToEnd(headers)).containsExactly(Map.entry("x-two", "2, 3"));
+    }
+
+    private void assertFailure(HttpFailure.Kind kind, boolean sent) throws InterruptedException {
+        HttpFailure failure = (HttpFailure) heard(1).get(0);
+        assertThat(failure.kind()).isEqualTo(kind);
+        assertThat(failure.sent()).isEqualTo(sent);
+    }
+
+    private void client(long connectTimeoutNanos, int connections) throws IOException {
+        if (mClient != null) {
+            mClient.close();
+        }
+        InetSocketAddress address = (InetSocketAddress) mServer.getLocalSocketAddress();
+        mClient =
+                new HttpClient(
+                        "test",
+                        new HttpClientOptions(address, connections, 1, connectTimeoutNanos));
+    }
+
+    private List<Object> heard(int count) throws InterruptedException {
+        List<Object> heard = new ArrayList<>();
+        for (int turn = 0; turn < count; turn++) {
+            Object next = mHeard.poll(GUARD_NANOS, TimeUnit.NANOSECONDS);
+            assertThat(next).isNotNull();
+            heard.add(next);
+        }
+        return heard;
+    }
+
+    private static void reply(Socket socket, String text) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) socket.getInputStream().read());
+        }
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void send(HttpRequest request) {
+        mClient.send(request, GUARD_NANOS, new Recorder());
+    }
+
+    /** Records what it hears. */
+    private final class Recorder implements HttpAnswerSink {
+        @Override
+        public void ended() {
+            mHeard.add("end");
+        }
+
+        @Override
+        public void failed(HttpFailure failure) {
+            mHeard.add(failure);
+        }
+
+        @Override
+        public void part(ByteString data) {
+            mHeard.add(data.toStringUtf8());
+        }
+
+        @Override
+        public void started(int status, Map<String, String> headers) {
+            mHeard.add(status);
+        }
+    }
+}
