--- a/src/main/java/ebonygw/EntryRequests.java
+++ b/src/main/java/ebonygw/EntryRequests.java
@@ -61,7 +61,6 @@
     private final PriorityQueue<Deadline> mDeadlines = new PriorityQueue<>();
     private final EntryCounts mCounts = new EntryCounts();
     private List<Exchange> mParked = new ArrayList<>();
-    private long mNextSequence = 1;
     private boolean mStopping;
 
     EntryRequests(
@@ -484,7 +483,7 @@
                 request.timeoutNanos() > 0
                         ? Math.min(request.timeoutNanos(), route.timeoutNanos())
                         : route.timeoutNanos();
-        Work work = work(request, resolved);
+        Work work = work(number, request, resolved);
         Exchange exchange = new Exchange(number, resolved, work, nowNanos, nowNanos + timeout);
         mByNumber.put(number, exchange);
         mBySequence.put(work.id().sequence(), exchange);
@@ -600,11 +599,11 @@
         return decision instanceof RetryDecision.TryElsewhere;
     }
 
-    private Work work(CallerRequest request, ResolvedRequest resolved) {
+    private Work work(long number, CallerRequest request, ResolvedRequest resolved) {
         Member self = mOptions.self();
         RouteSettings route = resolved.route();
         boolean plain = route.model().isEmpty();
-        RequestId id = new RequestId(self.id(), self.incarnation(), mNextSequence++);
+        RequestId id = new RequestId(self.id(), self.incarnation(), number);
         return new Work(
                 id,
                 1,
