--- a/src/test/java/ebonygw/caller/CallerServerTest.java
+++ b/src/test/java/ebonygw/caller/CallerServerTest.java
@@ -12,6 +12,7 @@
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -231,6 +232,40 @@
         assertNothingFurther();
     }
 
+    @Test
+    void whatIsNotHttpClosesTheConnectionWithoutATrace() throws Exception {
+        caller(OPTIONS).close();
+        String longField = "GET /live HTTP/1.1\r\nHost: h\r\nX: " + "x".repeat(20_000) + "\r\n\r\n";
+        for (String text : List.of("GARBAGE\r\n\r\n", "GET\0 / HTTP/1.1\r\n\r\n", longField)) {
+            try (RawCaller caller = new RawCaller(mServer.address())) {
+                caller.send(text);
+                String rest = caller.rest();
+                assertThat(rest).doesNotContain("Exception", "at io.", "200 OK");
+            }
+        }
+    }
+
+    @Test
+    void anUnfinishedHeaderIsDroppedAfterItsTimeLimit() throws Exception {
+        try (RawCaller caller = caller(OPTIONS.withTimeouts(50_000_000L, SECOND_NANOS))) {
+            caller.send("POST /v1/completions HTTP/1.1\r\nHost:");
+            assertThat(caller.rest()).isEmpty();
+        }
+    }
+
+    @Test
+    void aStoppingProcessAsksItsCallersToConnectElsewhere() throws Exception {
+        mReady = false;
+        try (RawCaller caller = caller(OPTIONS)) {
+            caller.send(RawCaller.post("/v1/completions", AUTH, PROMPT));
+            answer(asked().exchange(), "last");
+            RawCaller.Answer answer = caller.answer();
+            assertThat(answer.head()).contains("connection: close");
+            assertThat(answer.body()).isEqualTo("last");
+            assertThat(caller.rest()).isEmpty();
+        }
+    }
+
     @Test
     void theKeyIsHashedAndNoCredentialIsPassedOn() throws Exception {
         try (RawCaller caller = caller(OPTIONS)) {
