--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -63,6 +63,7 @@
     private long mReportSequence;
     private long mLastReportNanos = Long.MIN_VALUE / 2;
     private long mSettingsRevision = -1;
+    private long mEngineStartedAtNanos = Long.MIN_VALUE;
     private boolean mReachable;
     private boolean mExited;
 
@@ -82,6 +83,7 @@
         mAuthority = authority(options, random.split());
         mScheduler = new TargetScheduler(SchedulerOptions.defaults());
         mRuns = new TargetRuns(options, mSettings::view, mScheduler, mOut);
+        mReachable = !options.model();
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers, free of secrets. */
@@ -275,6 +277,9 @@
 
     private void onReport(TargetEvent.EngineReported report, long nowNanos) {
         mReachable = true;
+        boolean restarted = report.startedAtNanos() != mEngineStartedAtNanos;
+        mEngineStartedAtNanos = report.startedAtNanos();
+        mRuns.onReport(report.running() + report.queued(), restarted, nowNanos);
         mScheduler.onEngineReport(
                 report.slots(),
                 report.maxBatch(),
