Answers of unknown length are chunked on connections that end after them

Cause: where a connection is not kept alive, as while stopping, Undertow marks the end of an answer without a known length by closing the connection, so a caller cannot tell a broken answer from a whole one. Seen as an occasional failure of aStoppingProcessAsksItsCallersToConnectElsewhere, which depends on whether the parts come before the end. Change: the transfer coding is set explicitly.

--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -37,6 +37,9 @@
         void released(CallerExchange exchange);
     }
 
+    /** Set on every answer of unknown length, so that its end differs from the connection's. */
+    private static final String CHUNKED = "chunked";
+
     private static final int MAX_GATHERED = 64;
 
     private final long mNumber;
@@ -252,6 +255,8 @@
                 if (mEnd && !mBroken) {
                     long length = mUnsent.stream().mapToLong(ByteBuffer::remaining).sum();
                     mExchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
+                } else if (mExchange.isHttp11()) {
+                    mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
                 }
                 mChannel = mExchange.getResponseChannel();
                 mChannel.getWriteSetter().set(channel -> write());
--- a/src/test/java/ebonygw/caller/CallerServerTest.java
+++ b/src/test/java/ebonygw/caller/CallerServerTest.java
@@ -13,6 +13,7 @@
 import ebonygw.request.Verdict;
 import java.io.IOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -266,6 +267,21 @@
         }
     }
 
+    @Test
+    void aStoppingProcessMarksTheEndOfAnAnswerWhoseLengthItDidNotKnow() throws Exception {
+        mReady = false;
+        try (RawCaller caller = caller(OPTIONS)) {
+            caller.send(RawCaller.post("/v1/completions", AUTH, PROMPT));
+            long exchange = asked().exchange();
+            start(exchange);
+            part(exchange, "first");
+            String head = caller.until("first\r\n");
+            assertThat(head.toLowerCase(Locale.ROOT)).contains("transfer-encoding: chunked");
+            mServer.apply(new EntryEffect.AnswerEnded(exchange));
+            assertThat(caller.rest()).isEqualTo("0\r\n\r\n");
+        }
+    }
+
     @Test
     void theKeyIsHashedAndNoCredentialIsPassedOn() throws Exception {
         try (RawCaller caller = caller(OPTIONS)) {
