--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -161,10 +161,10 @@
         if (mReleased) {
             return;
         }
+        release();
         if (!mEnd) {
             mOwner.post(new EntryEvent.CallerGone(mNumber));
         }
-        release();
     }
 
     private void handle(EntryEffect effect) {
