--- /dev/null
+++ b/src/main/java/ebonygw/cli/DevCommand.java
@@ -0,0 +1,132 @@
+package ebonygw.cli;
+
+import ebonygw.dev.DevFleet;
+import ebonygw.dev.DevPlatform;
+import ebonygw.dev.DevSettings;
+import ebonygw.log.Logs;
+import ebonygw.process.ProcessRunner;
+import ebonygw.process.SettingsException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+
+/** Runs a fleet with stand-ins on the loopback address for a first look. */
+final class DevCommand implements Command {
+    private static final String CUSTOMER = "harbourside";
+    private static final int KEY_BYTES = 16;
+    private static final long STOP_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    @Override
+    public int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
+        Logs.bind();
+        Flags flags = new Flags();
+        CmdLineParser parser =
+                new CmdLineParser(flags, ParserProperties.defaults().withShowDefaults(true));
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException malformed) {
+            err.println("dev: " + malformed.getMessage());
+            return USAGE;
+        }
+        if (flags.mHelp) {
+            parser.printUsage(out);
+            return OK;
+        }
+        if (flags.mEngines < 1 || flags.mSeconds < 0) {
+            err.println("dev: --engines must be at least 1 and --seconds at least 0");
+            return USAGE;
+        }
+        return run(flags, out, err);
+    }
+
+    private static String newKey(SecureRandom random) {
+        byte[] bytes = new byte[KEY_BYTES];
+        random.nextBytes(bytes);
+        return "dev-" + HexFormat.of().formatHex(bytes);
+    }
+
+    private static void print(DevFleet fleet, String key, PrintStream out) {
+        String callers = "http://127.0.0.1:" + fleet.entry().callerAddress().getPort();
+        String operators = "127.0.0.1:" + fleet.entry().operatorAddress().getPort();
+        out.println("callers:   " + callers);
+        out.println("operators: http://" + operators + " (/metrics, /dump, /ready)");
+        out.println("key:       " + key + " (customer " + CUSTOMER + ")");
+        out.println("try:");
+        out.println(
+                "  curl -sS "
+                        + callers
+                        + "/v1/completions -H 'Authorization: Bearer "
+                        + key
+                        + "' -H 'Content-Type: application/json' -d '{\"model\":\""
+                        + DevSettings.ADAPTER
+                        + "1\",\"prompt\":\"Collections this week\",\"max_tokens\":16,"
+                        + "\"stream\":true}'");
+        out.println(
+                "  curl -sS "
+                        + callers
+                        + "/routes/"
+                        + DevSettings.SERVICE
+                        + "/pickups -H 'Authorization: Bearer "
+                        + key
+                        + "' -H 'Idempotency-Key: pickup-1' -d 'kerb 7'");
+        out.println("  java -jar target/ebonygw.jar dump --address " + operators);
+        out.flush();
+    }
+
+    private static int run(Flags flags, PrintStream out, PrintStream err) throws Exception {
+        SecureRandom random = new SecureRandom();
+        String key = newKey(random);
+        byte[] hash =
+                MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+        DevFleet fleet;
+        try {
+            DevPlatform platform = new DevPlatform(flags.mEngines, random.nextLong());
+            fleet = new DevFleet(platform, flags.mCallerAddress, flags.mOperatorAddress);
+        } catch (SettingsException | IllegalStateException unusable) {
+            err.println("dev: " + unusable.getMessage());
+            return USAGE;
+        }
+        fleet.settle(CUSTOMER, HexFormat.of().formatHex(hash));
+        print(fleet, key, out);
+        if (flags.mSeconds == 0) {
+            return ProcessRunner.run(fleet, STOP_TIMEOUT_NANOS);
+        }
+        TimeUnit.SECONDS.sleep(flags.mSeconds);
+        return ProcessRunner.stop(fleet, STOP_TIMEOUT_NANOS);
+    }
+
+    /** The command's flags. */
+    private static final class Flags {
+        @Option(
+                name = "--caller-address",
+                metaVar = "IP:PORT",
+                usage = "where to listen for callers, port 0 for any free one")
+        private String mCallerAddress = "127.0.0.1:8080";
+
+        @Option(
+                name = "--operator-address",
+                metaVar = "IP:PORT",
+                usage = "where the entry answers operators, port 0 for any free one")
+        private String mOperatorAddress = "127.0.0.1:7401";
+
+        @Option(name = "--engines", metaVar = "COUNT", usage = "model engines")
+        private int mEngines = 3;
+
+        @Option(
+                name = "--seconds",
+                metaVar = "SECONDS",
+                usage = "end after this time, 0 to run until stopped")
+        private int mSeconds;
+
+        @Option(name = "--help", usage = "print this text")
+        private boolean mHelp;
+    }
+}
--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -46,6 +46,7 @@
         Map<String, Command> commands = new TreeMap<>();
         commands.put("bench", new BenchCommand());
         commands.put("check", new CheckCommand());
+        commands.put("dev", new DevCommand());
         commands.put("dump", new DumpCommand());
         commands.put(
                 "entry",
--- /dev/null
+++ b/src/main/java/ebonygw/dev/DevPlatform.java
@@ -0,0 +1,101 @@
+package ebonygw.dev;
+
+import ebonygw.membership.HostList;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberState;
+import ebonygw.standin.EngineStandIn;
+import ebonygw.standin.EngineStandInOptions;
+import ebonygw.standin.HostListStandIn;
+import ebonygw.standin.KeyValueStandIn;
+import ebonygw.standin.PlainServiceStandIn;
+import ebonygw.standin.WeightStoreStandIn;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Stand-ins of the platform and of the targets on the loopback address.
+ *
+ * <p>Thread-safe.
+ */
+public final class DevPlatform implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final double LOADS_PER_SECOND = 3;
+    private static final long LOAD_NANOS = 250_000_000L;
+    private static final int FULL_SPEED_LOADS = 8;
+    private static final long SERVICE_NANOS = 5_000_000L;
+
+    private final KeyValueStandIn mKeyValue;
+    private final HostListStandIn mHosts = new HostListStandIn(LOOPBACK, 0);
+    private final List<EngineStandIn> mEngines = new ArrayList<>();
+    private final PlainServiceStandIn mService =
+            new PlainServiceStandIn(LOOPBACK, 0, SERVICE_NANOS);
+    private final Map<String, Member> mListed = new LinkedHashMap<>();
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param engines how many model engines
+     * @param seed seed of the key-value service's faults
+     */
+    public DevPlatform(int engines, long seed) {
+        mKeyValue = new KeyValueStandIn(new InetSocketAddress(LOOPBACK, 0), seed);
+        mHosts.start();
+        mService.start();
+        WeightStoreStandIn store =
+                new WeightStoreStandIn(LOADS_PER_SECOND, LOAD_NANOS, FULL_SPEED_LOADS);
+        for (int i = 0; i < engines; i++) {
+            EngineStandIn engine = new EngineStandIn(EngineStandInOptions.local(), store);
+            engine.start();
+            mEngines.add(engine);
+        }
+    }
+
+    @Override
+    public void close() {
+        mEngines.forEach(EngineStandIn::stop);
+        mService.stop();
+        mHosts.stop();
+        mKeyValue.close();
+    }
+
+    /** Returns the model engines. */
+    public List<EngineStandIn> engines() {
+        return List.copyOf(mEngines);
+    }
+
+    /** Returns the flags that point a process at the key-value service and the host list. */
+    public List<String> flags() {
+        return List.of(
+                "--key-value=" + mKeyValue.endpoint(),
+                "--host-list=http://" + text(mHosts.address()) + "/hosts");
+    }
+
+    /** Returns the host list. */
+    public HostListStandIn hosts() {
+        return mHosts;
+    }
+
+    /** Returns the key-value service. */
+    public KeyValueStandIn keyValue() {
+        return mKeyValue;
+    }
+
+    /** Adds a process to the host list as live, or replaces it. */
+    public synchronized void list(Member process) {
+        mListed.put(process.id().name(), process.withState(MemberState.LIVE));
+        mHosts.hosts(new HostList(mListed.values().stream().map(HostList.Host::new).toList()));
+    }
+
+    /** Returns the plain service. */
+    public PlainServiceStandIn service() {
+        return mService;
+    }
+
+    /** Returns an address as {@code ip:port}. */
+    static String text(InetSocketAddress address) {
+        return LOOPBACK + ":" + address.getPort();
+    }
+}
--- a/src/main/java/ebonygw/peer/Link.java
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -185,8 +185,9 @@
             if (mClosed) {
                 continue;
             }
-            mChannel.write(mTransport.codec().encode(message), mChannel.voidPromise());
-            mSent++;
+            if (!write(message)) {
+                continue;
+            }
             unflushed++;
             if (unflushed == FLUSH_MESSAGES || !mChannel.isWritable()) {
                 flush();
@@ -235,4 +236,17 @@
             mTransport.listener().message(mPeer.id(), mPeer.incarnation(), message.get());
         }
     }
+
+    private boolean write(Message message) {
+        Envelope envelope;
+        try {
+            envelope = mTransport.codec().encode(message);
+        } catch (IllegalArgumentException unknown) {
+            LogLine.of("message_unsendable").with("detail", unknown.getMessage()).error();
+            return false;
+        }
+        mChannel.write(envelope, mChannel.voidPromise());
+        mSent++;
+        return true;
+    }
 }
--- a/src/main/java/ebonygw/peer/MemberCodec.java
+++ b/src/main/java/ebonygw/peer/MemberCodec.java
@@ -65,6 +65,16 @@
                                 envelope.getHeartbeat().getSettingsRevision()));
             case REPORT:
                 return Optional.of(report(envelope.getReport()));
+            case DIGEST:
+                return Optional.of(
+                        new MemberMessage.MemberDigest(envelope.getDigest().getBucketsList()));
+            case UPDATES:
+                return Optional.of(
+                        new MemberMessage.MemberUpdates(
+                                envelope.getUpdates().getMembersList().stream()
+                                        .map(MemberCodec::decode)
+                                        .toList(),
+                                envelope.getUpdates().getNews()));
             default:
                 return Optional.empty();
         }
@@ -84,6 +94,12 @@
                     .setSettingsRevision(heartbeat.settingsRevision());
         } else if (message instanceof MemberMessage.TargetReport report) {
             envelope.setReport(report(report));
+        } else if (message instanceof MemberMessage.MemberDigest digest) {
+            envelope.getDigestBuilder().addAllBuckets(digest.buckets());
+        } else if (message instanceof MemberMessage.MemberUpdates updates) {
+            envelope.getUpdatesBuilder().setNews(updates.news());
+            updates.members()
+                    .forEach(member -> envelope.getUpdatesBuilder().addMembers(encode(member)));
         } else {
             return Optional.empty();
         }
--- a/src/main/java/ebonygw/peer/PeerTransport.java
+++ b/src/main/java/ebonygw/peer/PeerTransport.java
@@ -189,7 +189,7 @@
             mListener.down(peer.id(), peer.incarnation());
             dialAgain(peer.id());
         }
-        link.expected().ifPresent(expected -> dialAgain(expected.id()));
+        link.expected().ifPresent(expected -> dialEnded(expected.id(), link));
     }
 
     /** Returns the codec. */
@@ -267,11 +267,12 @@
 
     private void dial(Dialer dialer) {
         dialer.mScheduled = false;
-        if (mDialers.get(dialer.mMember.id()) != dialer || dialer.mDialling || isServed(dialer)) {
+        boolean wanted = mDialers.get(dialer.mMember.id()) == dialer;
+        if (!wanted || dialer.mDialled != null || isServed(dialer)) {
             return;
         }
-        dialer.mDialling = true;
         Link link = new Link(this, Optional.of(dialer.mMember));
+        dialer.mDialled = link;
         Bootstrap bootstrap = new Bootstrap().group(mLoop).channel(NioSocketChannel.class);
         bootstrap.option(ChannelOption.TCP_NODELAY, true);
         bootstrap.option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark());
@@ -293,8 +294,7 @@
         if (dialer == null || mClosing) {
             return;
         }
-        dialer.mDialling = false;
-        if (dialer.mScheduled || isServed(dialer)) {
+        if (dialer.mScheduled || dialer.mDialled != null || isServed(dialer)) {
             return;
         }
         if (dialer.mUpSinceNanos != 0 && System.nanoTime() - dialer.mUpSinceNanos > STEADY_NANOS) {
@@ -312,6 +312,25 @@
         mLoop.schedule(() -> dial(dialer), wait, TimeUnit.NANOSECONDS);
     }
 
+    private void dialEnded(NodeId id, Link link) {
+        Dialer dialer = mDialers.get(id);
+        if (dialer != null && dialer.mDialled == link) {
+            dialer.mDialled = null;
+            dialAgain(id);
+        }
+    }
+
+    /** Dials a new process; of two that dial each other, the one with the greater name waits. */
+    private void dialFirst(Dialer dialer) {
+        if (mSelf.id().compareTo(dialer.mMember.id()) < 0) {
+            dial(dialer);
+        } else {
+            dialer.mScheduled = true;
+            long wait = mOptions.backoffFirstNanos();
+            mLoop.schedule(() -> dial(dialer), wait, TimeUnit.NANOSECONDS);
+        }
+    }
+
     private ChannelInitializer<SocketChannel> initializer(Supplier<Link> links) {
         return new ChannelInitializer<>() {
             @Override
@@ -364,8 +383,8 @@
             ids.add(member.id());
             Dialer dialer = mDialers.computeIfAbsent(member.id(), id -> new Dialer(member));
             dialer.mMember = member;
-            if (!dialer.mScheduled) {
-                dial(dialer);
+            if (!dialer.mScheduled && dialer.mDialled == null && !isServed(dialer)) {
+                dialFirst(dialer);
             }
         }
         mDialers.keySet().retainAll(ids);
@@ -384,7 +403,7 @@
     /** The attempts to connect to one wanted process. */
     private static final class Dialer {
         private Member mMember;
-        private boolean mDialling;
+        private Link mDialled;
         private boolean mScheduled;
         private int mFailures;
         private long mUpSinceNanos;
--- a/src/main/java/ebonygw/process/EntryProcess.java
+++ b/src/main/java/ebonygw/process/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import ebonygw.EntryEffect;
 import ebonygw.EntryEvent;
+import ebonygw.EntryNode;
 import ebonygw.caller.CallerDecisions;
 import ebonygw.caller.CallerOptions;
 import ebonygw.caller.CallerServer;
@@ -12,14 +13,22 @@
 import ebonygw.protocol.NodeId;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
+import ebonygw.settings.ChangeOutcome;
+import ebonygw.settings.SettingsChange;
+import ebonygw.settings.SettingsState;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * An entry process: its node with the transports around it.
@@ -34,6 +43,9 @@
     private final CallerServer mCallers;
     private final RequestTimes mTimes;
     private final AtomicBoolean mClosed = new AtomicBoolean();
+    private final AtomicLong mTickets = new AtomicLong();
+    private final Map<Long, CompletableFuture<ChangeOutcome>> mChanges = new ConcurrentHashMap<>();
+    private volatile Supplier<SettingsState> mSettingsState = () -> SettingsState.EMPTY;
     private long mNowNanos;
 
     private EntryProcess(EntrySettings settings, Map<String, HttpHandler> operators)
@@ -68,10 +80,17 @@
      */
     public static EntryProcess start(EntrySettings settings, Map<String, HttpHandler> operators)
             throws IOException {
-        return start(
-                settings,
-                operators,
-                self -> Nodes.entry(settings, self, new SecureRandom().nextLong()));
+        AtomicReference<EntryNode> made = new AtomicReference<>();
+        EntryProcess process =
+                start(
+                        settings,
+                        operators,
+                        self -> {
+                            made.set(Nodes.entry(settings, self, new SecureRandom().nextLong()));
+                            return Nodes.driver(made.get());
+                        });
+        process.mSettingsState = made.get()::settingsState;
+        return process;
     }
 
     /**
@@ -91,7 +110,7 @@
             throws IOException {
         EntryProcess process = new EntryProcess(settings, operators);
         try {
-            process.start(node.apply(process.mRuntime.self()));
+            process.run(node.apply(process.mRuntime.self()));
         } catch (IllegalStateException cannotListen) {
             process.close();
             throw cannotListen;
@@ -148,6 +167,24 @@
         return mRuntime.self();
     }
 
+    /** Returns the settings in force here with their tree and log. */
+    public SettingsState settingsState() {
+        return mSettingsState.get();
+    }
+
+    /**
+     * Submits a change of the settings.
+     *
+     * @return completes with its outcome; never, if the process ends before
+     */
+    public CompletableFuture<ChangeOutcome> submit(SettingsChange change) {
+        long ticket = mTickets.incrementAndGet();
+        CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
+        mChanges.put(ticket, outcome);
+        mRuntime.loop().put(new EntryEvent.ChangeSubmitted(ticket, change));
+        return outcome;
+    }
+
     private static CallerOptions callerOptions(EntrySettings settings, Member self) {
         InetSocketAddress address = settings.callerAddress();
         CallerOptions usual =
@@ -182,6 +219,8 @@
             mRuntime.links(links.members());
         } else if (effect instanceof EntryEffect.Log log) {
             mRuntime.log(log.event(), log.fields());
+        } else if (effect instanceof EntryEffect.ChangeSettled settled) {
+            settle(settled);
         } else if (effect instanceof EntryEffect.Exit) {
             mRuntime.exit();
         } else {
@@ -199,7 +238,7 @@
         }
     }
 
-    private void start(NodeDriver<EntryEvent, EntryEffect> node) {
+    private void run(NodeDriver<EntryEvent, EntryEffect> node) {
         NodeDriver.Handler<EntryEvent, EntryEffect> timed =
                 (event, nowNanos, effects) -> {
                     mNowNanos = nowNanos;
@@ -211,4 +250,11 @@
         Listeners.start(mCallers::start, "callers");
         LogLine.of("callers_welcome").with("address", callerAddress()).info();
     }
+
+    private void settle(EntryEffect.ChangeSettled settled) {
+        CompletableFuture<ChangeOutcome> outcome = mChanges.remove(settled.ticket());
+        if (outcome != null) {
+            outcome.complete(settled.outcome());
+        }
+    }
 }
--- a/src/main/java/ebonygw/process/Nodes.java
+++ b/src/main/java/ebonygw/process/Nodes.java
@@ -14,6 +14,11 @@
 final class Nodes {
     private Nodes() {}
 
+    /** Returns a node as the process around it sees it. */
+    static NodeDriver<EntryEvent, EntryEffect> driver(EntryNode node) {
+        return new NodeDriver<>(node::handle, node::dump, node::ready, node::settings);
+    }
+
     /**
      * Returns the node of an entry process.
      *
@@ -21,22 +26,19 @@
      * @param self the process with its incarnation and address
      * @param seed seed of its random decisions
      */
-    static NodeDriver<EntryEvent, EntryEffect> entry(
-            EntrySettings settings, Member self, long seed) {
+    static EntryNode entry(EntrySettings settings, Member self, long seed) {
         EntryNodeOptions usual = EntryNodeOptions.defaults(self, seed);
-        EntryNode node =
-                new EntryNode(
-                        new EntryNodeOptions(
-                                self,
-                                settings.maxRequests(),
-                                usual.credit(),
-                                settings.maxLinks(),
-                                settings.common().fleetSize(),
-                                settings.weightStores(),
-                                settings.acceptNanos(),
-                                settings.common().stopTimeoutNanos(),
-                                seed));
-        return new NodeDriver<>(node::handle, node::dump, node::ready, node::settings);
+        return new EntryNode(
+                new EntryNodeOptions(
+                        self,
+                        settings.maxRequests(),
+                        usual.credit(),
+                        settings.maxLinks(),
+                        settings.common().fleetSize(),
+                        settings.weightStores(),
+                        settings.acceptNanos(),
+                        settings.common().stopTimeoutNanos(),
+                        seed));
     }
 
     /**
--- a/src/main/java/ebonygw/process/ProcessRunner.java
+++ b/src/main/java/ebonygw/process/ProcessRunner.java
@@ -39,8 +39,16 @@
         return runner.end(true);
     }
 
-    /** Stops gracefully, or reports what remained; returns the exit status. */
-    static int stop(RunningProcess process, long stopTimeoutNanos) throws InterruptedException {
+    /**
+     * Stops a process gracefully, or reports what remained.
+     *
+     * @param process the process
+     * @param stopTimeoutNanos longest time that its node takes to stop
+     * @return the exit status
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public static int stop(RunningProcess process, long stopTimeoutNanos)
+            throws InterruptedException {
         process.askStop();
         boolean graceful = process.awaitExit(stopTimeoutNanos + GRACE_NANOS);
         return new ProcessRunner(process, stopTimeoutNanos).end(graceful);
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -75,6 +75,36 @@
      */
     ebonygw.wire.PeerProtocol.TargetReportOrBuilder getReportOrBuilder();
 
+    /**
+     * <code>.ebonygw.MemberDigest digest = 4;</code>
+     * @return Whether the digest field is set.
+     */
+    boolean hasDigest();
+    /**
+     * <code>.ebonygw.MemberDigest digest = 4;</code>
+     * @return The digest.
+     */
+    ebonygw.wire.PeerProtocol.MemberDigest getDigest();
+    /**
+     * <code>.ebonygw.MemberDigest digest = 4;</code>
+     */
+    ebonygw.wire.PeerProtocol.MemberDigestOrBuilder getDigestOrBuilder();
+
+    /**
+     * <code>.ebonygw.MemberUpdates updates = 5;</code>
+     * @return Whether the updates field is set.
+     */
+    boolean hasUpdates();
+    /**
+     * <code>.ebonygw.MemberUpdates updates = 5;</code>
+     * @return The updates.
+     */
+    ebonygw.wire.PeerProtocol.MemberUpdates getUpdates();
+    /**
+     * <code>.ebonygw.MemberUpdates updates = 5;</code>
+     */
+    ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder getUpdatesOrBuilder();
+
     /**
      * <code>.ebonygw.Run run = 10;</code>
      * @return Whether the run field is set.
@@ -263,6 +293,8 @@
       HELLO(1),
       HEARTBEAT(2),
       REPORT(3),
+      DIGEST(4),
+      UPDATES(5),
       RUN(10),
       HEAD(11),
       BODY(12),
@@ -292,6 +324,8 @@
           case 1: return HELLO;
           case 2: return HEARTBEAT;
           case 3: return REPORT;
+          case 4: return DIGEST;
+          case 5: return UPDATES;
           case 10: return RUN;
           case 11: return HEAD;
           case 12: return BODY;
@@ -409,6 +443,68 @@
       return ebonygw.wire.PeerProtocol.TargetReport.getDefaultInstance();
     }
 
+    public static final int DIGEST_FIELD_NUMBER = 4;
+    /**
+     * <code>.ebonygw.MemberDigest digest = 4;</code>
+     * @return Whether the digest field is set.
+     */
+    @java.lang.Override
+    public boolean hasDigest() {
+      return kindCase_ == 4;
+    }
+    /**
+     * <code>.ebonygw.MemberDigest digest = 4;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberDigest getDigest() {
+      if (kindCase_ == 4) {
+         return (ebonygw.wire.PeerProtocol.MemberDigest) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.MemberDigest digest = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberDigestOrBuilder getDigestOrBuilder() {
+      if (kindCase_ == 4) {
+         return (ebonygw.wire.PeerProtocol.MemberDigest) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+    }
+
+    public static final int UPDATES_FIELD_NUMBER = 5;
+    /**
+     * <code>.ebonygw.MemberUpdates updates = 5;</code>
+     * @return Whether the updates field is set.
+     */
+    @java.lang.Override
+    public boolean hasUpdates() {
+      return kindCase_ == 5;
+    }
+    /**
+     * <code>.ebonygw.MemberUpdates updates = 5;</code>
+     * @return The updates.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberUpdates getUpdates() {
+      if (kindCase_ == 5) {
+         return (ebonygw.wire.PeerProtocol.MemberUpdates) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.MemberUpdates updates = 5;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder getUpdatesOrBuilder() {
+      if (kindCase_ == 5) {
+         return (ebonygw.wire.PeerProtocol.MemberUpdates) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+    }
+
     public static final int RUN_FIELD_NUMBER = 10;
     /**
      * <code>.ebonygw.Run run = 10;</code>
@@ -711,6 +807,12 @@
       if (kindCase_ == 3) {
         output.writeMessage(3, (ebonygw.wire.PeerProtocol.TargetReport) kind_);
       }
+      if (kindCase_ == 4) {
+        output.writeMessage(4, (ebonygw.wire.PeerProtocol.MemberDigest) kind_);
+      }
+      if (kindCase_ == 5) {
+        output.writeMessage(5, (ebonygw.wire.PeerProtocol.MemberUpdates) kind_);
+      }
       if (kindCase_ == 10) {
         output.writeMessage(10, (ebonygw.wire.PeerProtocol.Run) kind_);
       }
@@ -754,6 +856,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (ebonygw.wire.PeerProtocol.TargetReport) kind_);
       }
+      if (kindCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (ebonygw.wire.PeerProtocol.MemberDigest) kind_);
+      }
+      if (kindCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (ebonygw.wire.PeerProtocol.MemberUpdates) kind_);
+      }
       if (kindCase_ == 10) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(10, (ebonygw.wire.PeerProtocol.Run) kind_);
@@ -828,6 +938,14 @@
           if (!getReport()
               .equals(other.getReport())) return false;
           break;
+        case 4:
+          if (!getDigest()
+              .equals(other.getDigest())) return false;
+          break;
+        case 5:
+          if (!getUpdates()
+              .equals(other.getUpdates())) return false;
+          break;
         case 10:
           if (!getRun()
               .equals(other.getRun())) return false;
@@ -891,6 +1009,14 @@
           hash = (37 * hash) + REPORT_FIELD_NUMBER;
           hash = (53 * hash) + getReport().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+          hash = (53 * hash) + getDigest().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + UPDATES_FIELD_NUMBER;
+          hash = (53 * hash) + getUpdates().hashCode();
+          break;
         case 10:
           hash = (37 * hash) + RUN_FIELD_NUMBER;
           hash = (53 * hash) + getRun().hashCode();
@@ -1070,6 +1196,12 @@
         if (reportBuilder_ != null) {
           reportBuilder_.clear();
         }
+        if (digestBuilder_ != null) {
+          digestBuilder_.clear();
+        }
+        if (updatesBuilder_ != null) {
+          updatesBuilder_.clear();
+        }
         if (runBuilder_ != null) {
           runBuilder_.clear();
         }
@@ -1150,6 +1282,14 @@
             reportBuilder_ != null) {
           result.kind_ = reportBuilder_.build();
         }
+        if (kindCase_ == 4 &&
+            digestBuilder_ != null) {
+          result.kind_ = digestBuilder_.build();
+        }
+        if (kindCase_ == 5 &&
+            updatesBuilder_ != null) {
+          result.kind_ = updatesBuilder_.build();
+        }
         if (kindCase_ == 10 &&
             runBuilder_ != null) {
           result.kind_ = runBuilder_.build();
@@ -1213,6 +1353,14 @@
             mergeReport(other.getReport());
             break;
           }
+          case DIGEST: {
+            mergeDigest(other.getDigest());
+            break;
+          }
+          case UPDATES: {
+            mergeUpdates(other.getUpdates());
+            break;
+          }
           case RUN: {
             mergeRun(other.getRun());
             break;
@@ -1298,6 +1446,20 @@
                 kindCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetDigestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetUpdatesFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 5;
+                break;
+              } // case 42
               case 82: {
                 input.readMessage(
                     internalGetRunFieldBuilder().getBuilder(),
@@ -1813,6 +1975,286 @@
         return reportBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.MemberDigest, ebonygw.wire.PeerProtocol.MemberDigest.Builder, ebonygw.wire.PeerProtocol.MemberDigestOrBuilder> digestBuilder_;
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       * @return Whether the digest field is set.
+       */
+      @java.lang.Override
+      public boolean hasDigest() {
+        return kindCase_ == 4;
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       * @return The digest.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberDigest getDigest() {
+        if (digestBuilder_ == null) {
+          if (kindCase_ == 4) {
+            return (ebonygw.wire.PeerProtocol.MemberDigest) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+        } else {
+          if (kindCase_ == 4) {
+            return digestBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      public Builder setDigest(ebonygw.wire.PeerProtocol.MemberDigest value) {
+        if (digestBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          digestBuilder_.setMessage(value);
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      public Builder setDigest(
+          ebonygw.wire.PeerProtocol.MemberDigest.Builder builderForValue) {
+        if (digestBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          digestBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      public Builder mergeDigest(ebonygw.wire.PeerProtocol.MemberDigest value) {
+        if (digestBuilder_ == null) {
+          if (kindCase_ == 4 &&
+              kind_ != ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.MemberDigest.newBuilder((ebonygw.wire.PeerProtocol.MemberDigest) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 4) {
+            digestBuilder_.mergeFrom(value);
+          } else {
+            digestBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      public Builder clearDigest() {
+        if (digestBuilder_ == null) {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          digestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.MemberDigest.Builder getDigestBuilder() {
+        return internalGetDigestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberDigestOrBuilder getDigestOrBuilder() {
+        if ((kindCase_ == 4) && (digestBuilder_ != null)) {
+          return digestBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 4) {
+            return (ebonygw.wire.PeerProtocol.MemberDigest) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.MemberDigest digest = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.MemberDigest, ebonygw.wire.PeerProtocol.MemberDigest.Builder, ebonygw.wire.PeerProtocol.MemberDigestOrBuilder> 
+          internalGetDigestFieldBuilder() {
+        if (digestBuilder_ == null) {
+          if (!(kindCase_ == 4)) {
+            kind_ = ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+          }
+          digestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.MemberDigest, ebonygw.wire.PeerProtocol.MemberDigest.Builder, ebonygw.wire.PeerProtocol.MemberDigestOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.MemberDigest) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 4;
+        onChanged();
+        return digestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.MemberUpdates, ebonygw.wire.PeerProtocol.MemberUpdates.Builder, ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder> updatesBuilder_;
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       * @return Whether the updates field is set.
+       */
+      @java.lang.Override
+      public boolean hasUpdates() {
+        return kindCase_ == 5;
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       * @return The updates.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberUpdates getUpdates() {
+        if (updatesBuilder_ == null) {
+          if (kindCase_ == 5) {
+            return (ebonygw.wire.PeerProtocol.MemberUpdates) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+        } else {
+          if (kindCase_ == 5) {
+            return updatesBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      public Builder setUpdates(ebonygw.wire.PeerProtocol.MemberUpdates value) {
+        if (updatesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          updatesBuilder_.setMessage(value);
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      public Builder setUpdates(
+          ebonygw.wire.PeerProtocol.MemberUpdates.Builder builderForValue) {
+        if (updatesBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          updatesBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      public Builder mergeUpdates(ebonygw.wire.PeerProtocol.MemberUpdates value) {
+        if (updatesBuilder_ == null) {
+          if (kindCase_ == 5 &&
+              kind_ != ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.MemberUpdates.newBuilder((ebonygw.wire.PeerProtocol.MemberUpdates) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 5) {
+            updatesBuilder_.mergeFrom(value);
+          } else {
+            updatesBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      public Builder clearUpdates() {
+        if (updatesBuilder_ == null) {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          updatesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      public ebonygw.wire.PeerProtocol.MemberUpdates.Builder getUpdatesBuilder() {
+        return internalGetUpdatesFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder getUpdatesOrBuilder() {
+        if ((kindCase_ == 5) && (updatesBuilder_ != null)) {
+          return updatesBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 5) {
+            return (ebonygw.wire.PeerProtocol.MemberUpdates) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.MemberUpdates updates = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.MemberUpdates, ebonygw.wire.PeerProtocol.MemberUpdates.Builder, ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder> 
+          internalGetUpdatesFieldBuilder() {
+        if (updatesBuilder_ == null) {
+          if (!(kindCase_ == 5)) {
+            kind_ = ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+          }
+          updatesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.MemberUpdates, ebonygw.wire.PeerProtocol.MemberUpdates.Builder, ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.MemberUpdates) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 5;
+        onChanged();
+        return updatesBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           ebonygw.wire.PeerProtocol.Run, ebonygw.wire.PeerProtocol.Run.Builder, ebonygw.wire.PeerProtocol.RunOrBuilder> runBuilder_;
       /**
@@ -3147,12 +3589,20 @@
     long getIncarnation();
 
     /**
+     * <pre>
+     * 1 entry, 2 target.
+     * </pre>
+     *
      * <code>int32 role = 3;</code>
      * @return The role.
      */
     int getRole();
 
     /**
+     * <pre>
+     * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+     * </pre>
+     *
      * <code>int32 state = 4;</code>
      * @return The state.
      */
@@ -3306,6 +3756,10 @@
     public static final int ROLE_FIELD_NUMBER = 3;
     private int role_ = 0;
     /**
+     * <pre>
+     * 1 entry, 2 target.
+     * </pre>
+     *
      * <code>int32 role = 3;</code>
      * @return The role.
      */
@@ -3317,6 +3771,10 @@
     public static final int STATE_FIELD_NUMBER = 4;
     private int state_ = 0;
     /**
+     * <pre>
+     * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+     * </pre>
+     *
      * <code>int32 state = 4;</code>
      * @return The state.
      */
@@ -4049,6 +4507,10 @@
 
       private int role_ ;
       /**
+       * <pre>
+       * 1 entry, 2 target.
+       * </pre>
+       *
        * <code>int32 role = 3;</code>
        * @return The role.
        */
@@ -4057,6 +4519,10 @@
         return role_;
       }
       /**
+       * <pre>
+       * 1 entry, 2 target.
+       * </pre>
+       *
        * <code>int32 role = 3;</code>
        * @param value The role to set.
        * @return This builder for chaining.
@@ -4069,6 +4535,10 @@
         return this;
       }
       /**
+       * <pre>
+       * 1 entry, 2 target.
+       * </pre>
+       *
        * <code>int32 role = 3;</code>
        * @return This builder for chaining.
        */
@@ -4081,6 +4551,10 @@
 
       private int state_ ;
       /**
+       * <pre>
+       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+       * </pre>
+       *
        * <code>int32 state = 4;</code>
        * @return The state.
        */
@@ -4089,6 +4563,10 @@
         return state_;
       }
       /**
+       * <pre>
+       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+       * </pre>
+       *
        * <code>int32 state = 4;</code>
        * @param value The state to set.
        * @return This builder for chaining.
@@ -4101,6 +4579,10 @@
         return this;
       }
       /**
+       * <pre>
+       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+       * </pre>
+       *
        * <code>int32 state = 4;</code>
        * @return This builder for chaining.
        */
@@ -5332,44 +5814,1179 @@
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.Heartbeat prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.Heartbeat}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.Heartbeat)
+        ebonygw.wire.PeerProtocol.HeartbeatOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Heartbeat_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Heartbeat_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.Heartbeat.class, ebonygw.wire.PeerProtocol.Heartbeat.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.Heartbeat.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        sequence_ = 0L;
+        settingsRevision_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Heartbeat_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Heartbeat getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.Heartbeat.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Heartbeat build() {
+        ebonygw.wire.PeerProtocol.Heartbeat result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Heartbeat buildPartial() {
+        ebonygw.wire.PeerProtocol.Heartbeat result = new ebonygw.wire.PeerProtocol.Heartbeat(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.Heartbeat result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.settingsRevision_ = settingsRevision_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.Heartbeat) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.Heartbeat)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.Heartbeat other) {
+        if (other == ebonygw.wire.PeerProtocol.Heartbeat.getDefaultInstance()) return this;
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (other.getSettingsRevision() != 0L) {
+          setSettingsRevision(other.getSettingsRevision());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                settingsRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long sequence_ ;
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long settingsRevision_ ;
+      /**
+       * <code>uint64 settings_revision = 2;</code>
+       * @return The settingsRevision.
+       */
+      @java.lang.Override
+      public long getSettingsRevision() {
+        return settingsRevision_;
+      }
+      /**
+       * <code>uint64 settings_revision = 2;</code>
+       * @param value The settingsRevision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSettingsRevision(long value) {
+
+        settingsRevision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 settings_revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSettingsRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        settingsRevision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.Heartbeat)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.Heartbeat)
+    private static final ebonygw.wire.PeerProtocol.Heartbeat DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.Heartbeat();
+    }
+
+    public static ebonygw.wire.PeerProtocol.Heartbeat getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Heartbeat>
+        PARSER = new com.google.protobuf.AbstractParser<Heartbeat>() {
+      @java.lang.Override
+      public Heartbeat parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Heartbeat> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Heartbeat> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Heartbeat getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface MemberDigestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.MemberDigest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return A list containing the buckets.
+     */
+    java.util.List<java.lang.Long> getBucketsList();
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return The count of buckets.
+     */
+    int getBucketsCount();
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
+     */
+    long getBuckets(int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.MemberDigest}
+   */
+  public static final class MemberDigest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.MemberDigest)
+      MemberDigestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "MemberDigest");
+    }
+    // Use MemberDigest.newBuilder() to construct.
+    private MemberDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private MemberDigest() {
+      buckets_ = emptyLongList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
+    }
+
+    public static final int BUCKETS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList buckets_ =
+        emptyLongList();
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return A list containing the buckets.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getBucketsList() {
+      return buckets_;
+    }
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return The count of buckets.
+     */
+    public int getBucketsCount() {
+      return buckets_.size();
+    }
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
+     */
+    public long getBuckets(int index) {
+      return buckets_.getLong(index);
+    }
+    private int bucketsMemoizedSerializedSize = -1;
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (getBucketsList().size() > 0) {
+        output.writeUInt32NoTag(10);
+        output.writeUInt32NoTag(bucketsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < buckets_.size(); i++) {
+        output.writeFixed64NoTag(buckets_.getLong(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      {
+        int dataSize = 0;
+        dataSize = 8 * getBucketsList().size();
+        size += dataSize;
+        if (!getBucketsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        bucketsMemoizedSerializedSize = dataSize;
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.MemberDigest)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.MemberDigest other = (ebonygw.wire.PeerProtocol.MemberDigest) obj;
+
+      if (!getBucketsList()
+          .equals(other.getBucketsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getBucketsCount() > 0) {
+        hash = (37 * hash) + BUCKETS_FIELD_NUMBER;
+        hash = (53 * hash) + getBucketsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.MemberDigest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.MemberDigest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.MemberDigest)
+        ebonygw.wire.PeerProtocol.MemberDigestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.MemberDigest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        buckets_ = emptyLongList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberDigest build() {
+        ebonygw.wire.PeerProtocol.MemberDigest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.MemberDigest buildPartial() {
+        ebonygw.wire.PeerProtocol.MemberDigest result = new ebonygw.wire.PeerProtocol.MemberDigest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.MemberDigest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          buckets_.makeImmutable();
+          result.buckets_ = buckets_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.MemberDigest) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.MemberDigest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.MemberDigest other) {
+        if (other == ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance()) return this;
+        if (!other.buckets_.isEmpty()) {
+          if (buckets_.isEmpty()) {
+            buckets_ = other.buckets_;
+            buckets_.makeImmutable();
+            bitField0_ |= 0x00000001;
+          } else {
+            ensureBucketsIsMutable();
+            buckets_.addAll(other.buckets_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                long v = input.readFixed64();
+                ensureBucketsIsMutable();
+                buckets_.addLong(v);
+                break;
+              } // case 9
+              case 10: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureBucketsIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  buckets_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private com.google.protobuf.Internal.LongList buckets_ = emptyLongList();
+      private void ensureBucketsIsMutable() {
+        if (!buckets_.isModifiable()) {
+          buckets_ = makeMutableCopy(buckets_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      private void ensureBucketsIsMutable(int capacity) {
+        if (!buckets_.isModifiable()) {
+          buckets_ = makeMutableCopy(buckets_, capacity);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @return A list containing the buckets.
+       */
+      public java.util.List<java.lang.Long>
+          getBucketsList() {
+        buckets_.makeImmutable();
+        return buckets_;
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @return The count of buckets.
+       */
+      public int getBucketsCount() {
+        return buckets_.size();
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param index The index of the element to return.
+       * @return The buckets at the given index.
+       */
+      public long getBuckets(int index) {
+        return buckets_.getLong(index);
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The buckets to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBuckets(
+          int index, long value) {
+
+        ensureBucketsIsMutable();
+        buckets_.setLong(index, value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param value The buckets to add.
+       * @return This builder for chaining.
+       */
+      public Builder addBuckets(long value) {
+
+        ensureBucketsIsMutable();
+        buckets_.addLong(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param values The buckets to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllBuckets(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureBucketsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, buckets_);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBuckets() {
+        buckets_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.MemberDigest)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.MemberDigest)
+    private static final ebonygw.wire.PeerProtocol.MemberDigest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberDigest();
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MemberDigest>
+        PARSER = new com.google.protobuf.AbstractParser<MemberDigest>() {
+      @java.lang.Override
+      public MemberDigest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MemberDigest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MemberDigest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface MemberUpdatesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.MemberUpdates)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.Member> 
+        getMembersList();
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.Member getMembers(int index);
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    int getMembersCount();
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+        getMembersOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
+        int index);
+
+    /**
+     * <code>bool news = 2;</code>
+     * @return The news.
+     */
+    boolean getNews();
+  }
+  /**
+   * Protobuf type {@code ebonygw.MemberUpdates}
+   */
+  public static final class MemberUpdates extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.MemberUpdates)
+      MemberUpdatesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "MemberUpdates");
+    }
+    // Use MemberUpdates.newBuilder() to construct.
+    private MemberUpdates(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private MemberUpdates() {
+      members_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.MemberUpdates.class, ebonygw.wire.PeerProtocol.MemberUpdates.Builder.class);
+    }
+
+    public static final int MEMBERS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.Member> members_;
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.Member> getMembersList() {
+      return members_;
+    }
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+        getMembersOrBuilderList() {
+      return members_;
+    }
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public int getMembersCount() {
+      return members_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Member getMembers(int index) {
+      return members_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.Member members = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
+        int index) {
+      return members_.get(index);
+    }
+
+    public static final int NEWS_FIELD_NUMBER = 2;
+    private boolean news_ = false;
+    /**
+     * <code>bool news = 2;</code>
+     * @return The news.
+     */
+    @java.lang.Override
+    public boolean getNews() {
+      return news_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < members_.size(); i++) {
+        output.writeMessage(1, members_.get(i));
+      }
+      if (news_ != false) {
+        output.writeBool(2, news_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+
+          {
+            final int count = members_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(members_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (news_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, news_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.MemberUpdates)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.MemberUpdates other = (ebonygw.wire.PeerProtocol.MemberUpdates) obj;
+
+      if (!getMembersList()
+          .equals(other.getMembersList())) return false;
+      if (getNews()
+          != other.getNews()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getMembersCount() > 0) {
+        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getMembersList().hashCode();
+      }
+      hash = (37 * hash) + NEWS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getNews());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -5377,26 +6994,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.Heartbeat parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -5409,7 +7026,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.Heartbeat prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.MemberUpdates prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -5425,26 +7042,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.Heartbeat}
+     * Protobuf type {@code ebonygw.MemberUpdates}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.Heartbeat)
-        ebonygw.wire.PeerProtocol.HeartbeatOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.MemberUpdates)
+        ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Heartbeat_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Heartbeat_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.Heartbeat.class, ebonygw.wire.PeerProtocol.Heartbeat.Builder.class);
+                ebonygw.wire.PeerProtocol.MemberUpdates.class, ebonygw.wire.PeerProtocol.MemberUpdates.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.Heartbeat.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.MemberUpdates.newBuilder()
       private Builder() {
 
       }
@@ -5458,25 +7075,31 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        sequence_ = 0L;
-        settingsRevision_ = 0L;
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
+        } else {
+          members_ = null;
+          membersBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        news_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Heartbeat_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.Heartbeat getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.Heartbeat.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.Heartbeat build() {
-        ebonygw.wire.PeerProtocol.Heartbeat result = buildPartial();
+      public ebonygw.wire.PeerProtocol.MemberUpdates build() {
+        ebonygw.wire.PeerProtocol.MemberUpdates result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -5484,40 +7107,73 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.Heartbeat buildPartial() {
-        ebonygw.wire.PeerProtocol.Heartbeat result = new ebonygw.wire.PeerProtocol.Heartbeat(this);
+      public ebonygw.wire.PeerProtocol.MemberUpdates buildPartial() {
+        ebonygw.wire.PeerProtocol.MemberUpdates result = new ebonygw.wire.PeerProtocol.MemberUpdates(this);
+        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.Heartbeat result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.sequence_ = sequence_;
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.MemberUpdates result) {
+        if (membersBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            members_ = java.util.Collections.unmodifiableList(members_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.members_ = members_;
+        } else {
+          result.members_ = membersBuilder_.build();
         }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.MemberUpdates result) {
+        int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.settingsRevision_ = settingsRevision_;
+          result.news_ = news_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.Heartbeat) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.Heartbeat)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.MemberUpdates) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.MemberUpdates)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.Heartbeat other) {
-        if (other == ebonygw.wire.PeerProtocol.Heartbeat.getDefaultInstance()) return this;
-        if (other.getSequence() != 0L) {
-          setSequence(other.getSequence());
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.MemberUpdates other) {
+        if (other == ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance()) return this;
+        if (membersBuilder_ == null) {
+          if (!other.members_.isEmpty()) {
+            if (members_.isEmpty()) {
+              members_ = other.members_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureMembersIsMutable();
+              members_.addAll(other.members_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.members_.isEmpty()) {
+            if (membersBuilder_.isEmpty()) {
+              membersBuilder_.dispose();
+              membersBuilder_ = null;
+              members_ = other.members_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              membersBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetMembersFieldBuilder() : null;
+            } else {
+              membersBuilder_.addAllMessages(other.members_);
+            }
+          }
         }
-        if (other.getSettingsRevision() != 0L) {
-          setSettingsRevision(other.getSettingsRevision());
+        if (other.getNews() != false) {
+          setNews(other.getNews());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -5543,13 +7199,21 @@
               case 0:
                 done = true;
                 break;
-              case 8: {
-                sequence_ = input.readUInt64();
-                bitField0_ |= 0x00000001;
+              case 10: {
+                ebonygw.wire.PeerProtocol.Member m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.Member.parser(),
+                        extensionRegistry);
+                if (membersBuilder_ == null) {
+                  ensureMembersIsMutable();
+                  members_.add(m);
+                } else {
+                  membersBuilder_.addMessage(m);
+                }
                 break;
-              } // case 8
+              } // case 10
               case 16: {
-                settingsRevision_ = input.readUInt64();
+                news_ = input.readBool();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
@@ -5570,87 +7234,289 @@
       }
       private int bitField0_;
 
-      private long sequence_ ;
+      private java.util.List<ebonygw.wire.PeerProtocol.Member> members_ =
+        java.util.Collections.emptyList();
+      private void ensureMembersIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          members_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Member>(members_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> membersBuilder_;
+
       /**
-       * <code>uint64 sequence = 1;</code>
-       * @return The sequence.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      @java.lang.Override
-      public long getSequence() {
-        return sequence_;
+      public java.util.List<ebonygw.wire.PeerProtocol.Member> getMembersList() {
+        if (membersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(members_);
+        } else {
+          return membersBuilder_.getMessageList();
+        }
       }
       /**
-       * <code>uint64 sequence = 1;</code>
-       * @param value The sequence to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder setSequence(long value) {
-
-        sequence_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      public int getMembersCount() {
+        if (membersBuilder_ == null) {
+          return members_.size();
+        } else {
+          return membersBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member getMembers(int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);
+        } else {
+          return membersBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder setMembers(
+          int index, ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.set(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.setMessage(index, value);
+        }
         return this;
       }
       /**
-       * <code>uint64 sequence = 1;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder clearSequence() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        sequence_ = 0L;
-        onChanged();
+      public Builder setMembers(
+          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.add(value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          int index, ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.add(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addAllMembers(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Member> values) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, members_);
+          onChanged();
+        } else {
+          membersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder clearMembers() {
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          membersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder removeMembers(int index) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.remove(index);
+          onChanged();
+        } else {
+          membersBuilder_.remove(index);
+        }
         return this;
       }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member.Builder getMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
+          int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);  } else {
+          return membersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+           getMembersOrBuilderList() {
+        if (membersBuilder_ != null) {
+          return membersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(members_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder() {
+        return internalGetMembersFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Member.Builder> 
+           getMembersBuilderList() {
+        return internalGetMembersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+          internalGetMembersFieldBuilder() {
+        if (membersBuilder_ == null) {
+          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder>(
+                  members_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          members_ = null;
+        }
+        return membersBuilder_;
+      }
 
-      private long settingsRevision_ ;
+      private boolean news_ ;
       /**
-       * <code>uint64 settings_revision = 2;</code>
-       * @return The settingsRevision.
+       * <code>bool news = 2;</code>
+       * @return The news.
        */
       @java.lang.Override
-      public long getSettingsRevision() {
-        return settingsRevision_;
+      public boolean getNews() {
+        return news_;
       }
       /**
-       * <code>uint64 settings_revision = 2;</code>
-       * @param value The settingsRevision to set.
+       * <code>bool news = 2;</code>
+       * @param value The news to set.
        * @return This builder for chaining.
        */
-      public Builder setSettingsRevision(long value) {
+      public Builder setNews(boolean value) {
 
-        settingsRevision_ = value;
+        news_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 settings_revision = 2;</code>
+       * <code>bool news = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSettingsRevision() {
+      public Builder clearNews() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        settingsRevision_ = 0L;
+        news_ = false;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.Heartbeat)
+      // @@protoc_insertion_point(builder_scope:ebonygw.MemberUpdates)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.Heartbeat)
-    private static final ebonygw.wire.PeerProtocol.Heartbeat DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.MemberUpdates)
+    private static final ebonygw.wire.PeerProtocol.MemberUpdates DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.Heartbeat();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberUpdates();
     }
 
-    public static ebonygw.wire.PeerProtocol.Heartbeat getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Heartbeat>
-        PARSER = new com.google.protobuf.AbstractParser<Heartbeat>() {
+    private static final com.google.protobuf.Parser<MemberUpdates>
+        PARSER = new com.google.protobuf.AbstractParser<MemberUpdates>() {
       @java.lang.Override
-      public Heartbeat parsePartialFrom(
+      public MemberUpdates parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -5669,17 +7535,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Heartbeat> parser() {
+    public static com.google.protobuf.Parser<MemberUpdates> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Heartbeat> getParserForType() {
+    public com.google.protobuf.Parser<MemberUpdates> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.Heartbeat getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -16990,6 +18856,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_Heartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberDigest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberUpdates_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_AdapterVersion_descriptor;
   private static final 
@@ -17055,59 +18931,63 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\300\003\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\224\004\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
-      "nygw.TargetReportH\000\022\033\n\003run\030\n \001(\0132\014.ebony" +
-      "gw.RunH\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022" +
-      "\035\n\004body\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r " +
-      "\001(\0132\014.ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.eb" +
-      "onygw.FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw" +
-      ".CancelH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.Cred" +
-      "itH\000\022-\n\010settings\030\036 \001(\0132\031.ebonygw.Setting" +
-      "sEnvelopeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.Sh" +
-      "aresEnvelopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005" +
-      "\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_" +
-      "center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030" +
-      "\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.M" +
-      "ember\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020prot" +
-      "ocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010seque" +
-      "nce\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004\"2\n\016" +
-      "AdapterVersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007versi" +
-      "on\030\002 \001(\t\"\302\001\n\014TargetReport\022\020\n\010sequence\030\001 " +
-      "\001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013" +
-      "concurrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004" +
-      "\022)\n\010resident\030\006 \003(\0132\027.ebonygw.AdapterVers" +
-      "ion\022(\n\007loading\030\007 \003(\0132\027.ebonygw.AdapterVe" +
-      "rsion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Head" +
-      "er\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run\022" +
-      "\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attem" +
-      "pt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006key_id\030\004 \001" +
-      "(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.ebo" +
-      "nygw.AdapterVersion\022\022\n\nidempotent\030\007 \001(\010\022" +
-      "\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(\004" +
-      "\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001(" +
-      "\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004p" +
-      "ath\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebonygw.Hea" +
-      "der\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(\004" +
-      "\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022.e" +
-      "bonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006sta" +
-      "tus\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebonygw.Hea" +
-      "der\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reques" +
-      "tId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004d" +
-      "ata\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw.R" +
-      "equestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004" +
-      "\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001" +
-      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
-      "\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006deta" +
-      "il\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004\"9\n\006C" +
-      "ancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
-      "\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022.e" +
-      "bonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005par" +
-      "ts\030\003 \001(\rB\034\n\014ebonygw.wireB\014PeerProtocolb\006" +
-      "proto3"
+      "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
+      "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
+      "ebonygw.MemberUpdatesH\000\022\033\n\003run\030\n \001(\0132\014.e" +
+      "bonygw.RunH\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.Hea" +
+      "dH\000\022\035\n\004body\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003en" +
+      "d\030\r \001(\0132\014.ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132" +
+      "\017.ebonygw.FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebo" +
+      "nygw.CancelH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw." +
+      "CreditH\000\022-\n\010settings\030\036 \001(\0132\031.ebonygw.Set" +
+      "tingsEnvelopeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonyg" +
+      "w.SharesEnvelopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n" +
+      "\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003" +
+      " \001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013d" +
+      "ata_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006ser" +
+      "ves\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebony" +
+      "gw.Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020" +
+      "protocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010s" +
+      "equence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004" +
+      "\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMem" +
+      "berUpdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Me" +
+      "mber\022\014\n\004news\030\002 \001(\010\"2\n\016AdapterVersion\022\017\n\007" +
+      "adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\302\001\n\014Targe" +
+      "tReport\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001" +
+      "(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022" +
+      "\025\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\013" +
+      "2\027.ebonygw.AdapterVersion\022(\n\007loading\030\007 \003" +
+      "(\0132\027.ebonygw.AdapterVersion\"A\n\tRequestId" +
+      "\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010" +
+      "sequence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r" +
+      "\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebon" +
+      "ygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010custom" +
+      "er\030\003 \001(\t\022\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022" +
+      "(\n\007adapter\030\006 \001(\0132\027.ebonygw.AdapterVersio" +
+      "n\022\022\n\nidempotent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022" +
+      "\025\n\rprompt_tokens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001" +
+      "(\004\022\023\n\013prefix_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(" +
+      "\010\022\016\n\006method\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007heade" +
+      "rs\030\017 \003(\0132\017.ebonygw.Header\022\014\n\004body\030\020 \001(\014\022" +
+      "\025\n\rtimeout_nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i" +
+      "\n\004Head\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017" +
+      "\n\007attempt\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007heade" +
+      "rs\030\004 \003(\0132\017.ebonygw.Header\"T\n\004Body\022\036\n\002id\030" +
+      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
+      "(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036" +
+      "\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attemp" +
+      "t\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 " +
+      "\001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Req" +
+      "uestId\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n" +
+      "\007verdict\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_" +
+      "after_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132" +
+      "\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006" +
+      "Credit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017" +
+      "\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\rB\034\n\014ebonyg" +
+      "w.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -17120,7 +19000,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -17139,68 +19019,80 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Heartbeat_descriptor,
         new java.lang.String[] { "Sequence", "SettingsRevision", });
-    internal_static_ebonygw_AdapterVersion_descriptor =
+    internal_static_ebonygw_MemberDigest_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_ebonygw_MemberDigest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_MemberDigest_descriptor,
+        new java.lang.String[] { "Buckets", });
+    internal_static_ebonygw_MemberUpdates_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_ebonygw_MemberUpdates_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_MemberUpdates_descriptor,
+        new java.lang.String[] { "Members", "News", });
+    internal_static_ebonygw_AdapterVersion_descriptor =
+      getDescriptor().getMessageType(6);
     internal_static_ebonygw_AdapterVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterVersion_descriptor,
         new java.lang.String[] { "Adapter", "Version", });
     internal_static_ebonygw_TargetReport_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_ebonygw_TargetReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetReport_descriptor,
         new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", "Resident", "Loading", });
     internal_static_ebonygw_RequestId_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_ebonygw_RequestId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_RequestId_descriptor,
         new java.lang.String[] { "Entry", "Incarnation", "Sequence", });
     internal_static_ebonygw_Header_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_ebonygw_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_ebonygw_Run_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_ebonygw_Run_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Run_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Customer", "KeyId", "Route", "Adapter", "Idempotent", "Priority", "PromptTokens", "MaxTokens", "PrefixHash", "Streamed", "Method", "Path", "Headers", "Body", "TimeoutNanos", "Credit", });
     internal_static_ebonygw_Head_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_ebonygw_Head_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Head_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Status", "Headers", });
     internal_static_ebonygw_Body_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_ebonygw_Body_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Body_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Index", "Data", });
     internal_static_ebonygw_End_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_ebonygw_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_End_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Parts", "TokensUsed", });
     internal_static_ebonygw_Failed_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_ebonygw_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Failed_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Code", "Verdict", "Detail", "RetryAfterNanos", });
     internal_static_ebonygw_Cancel_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_ebonygw_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Cancel_descriptor,
         new java.lang.String[] { "Id", "Attempt", });
     internal_static_ebonygw_Credit_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_ebonygw_Credit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Credit_descriptor,
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -142,6 +142,8 @@
                 new RequestMessage.Credit(id, attempt, random.nextInt(100)),
                 new MemberMessage.Hello(member, number(random)),
                 new MemberMessage.Heartbeat(number(random), number(random)),
+                new MemberMessage.MemberDigest(List.of(random.nextLong(), random.nextLong())),
+                new MemberMessage.MemberUpdates(List.of(member, member), random.nextBoolean()),
                 new MemberMessage.TargetReport(
                         number(random),
                         random.nextInt(9),
