--- a/src/main/java/ebonygw/cli/DevCommand.java
+++ b/src/main/java/ebonygw/cli/DevCommand.java
@@ -94,7 +94,13 @@
             err.println("dev: " + unusable.getMessage());
             return USAGE;
         }
-        fleet.settle(CUSTOMER, HexFormat.of().formatHex(hash));
+        try {
+            fleet.settle(CUSTOMER, HexFormat.of().formatHex(hash));
+        } catch (IllegalStateException stuck) {
+            err.println("dev: " + stuck.getMessage());
+            fleet.close();
+            return FAILED;
+        }
         print(fleet, key, out);
         if (flags.mSeconds == 0) {
             return ProcessRunner.run(fleet, STOP_TIMEOUT_NANOS);
--- a/src/main/java/ebonygw/dev/DevFleet.java
+++ b/src/main/java/ebonygw/dev/DevFleet.java
@@ -64,8 +64,8 @@
      */
     public void settle(String customer, String keyHash) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SETTLE_SECONDS);
-        await(end, mEntry::ready, "the entry is not ready");
         submit(customer, keyHash);
+        await(end, mEntry::ready, "the entry is not ready");
         for (TargetProcess target : mTargets) {
             await(end, target::ready, "not ready: " + target.self().id());
         }
--- a/src/main/java/ebonygw/process/EntryProcess.java
+++ b/src/main/java/ebonygw/process/EntryProcess.java
@@ -248,7 +248,7 @@
         mShell.start(
                 new NodeDriver<>(timed, node.dump(), node.ready(), node.settings()), this::apply);
         Listeners.start(mCallers::start, "callers");
-        LogLine.of("callers_welcome").with("address", callerAddress()).info();
+        LogLine.of("listening_for_callers").with("address", callerAddress()).info();
     }
 
     private void settle(EntryEffect.ChangeSettled settled) {
