--- a/src/main/java/ebonygw/operator/AdminApi.java
+++ b/src/main/java/ebonygw/operator/AdminApi.java
@@ -253,6 +253,7 @@
             case "/v1/history" -> history(query);
             case "/v1/diff" -> diff(query);
             case "/v1/keys" -> keys(query);
+            case "/v1/staged" -> ok(AdminJson.staged(mState.get()));
             default -> AdminJson.error(StatusCodes.NOT_FOUND, "unknown", "no such path");
         };
     }
--- a/src/main/java/ebonygw/operator/AdminArguments.java
+++ b/src/main/java/ebonygw/operator/AdminArguments.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -45,6 +46,14 @@
                             + " one of the entry process)")
     private Long mBase;
 
+    @Option(
+            name = "--stage",
+            metaVar = "PLACES",
+            usage =
+                    "put the change in force there first: regions or REGION/DATACENTRE, with"
+                            + " commas")
+    private String mStage = "";
+
     @Option(name = "--id", metaVar = "ID", usage = "identifier of the change, to submit it again")
     private String mId = "";
 
@@ -118,6 +127,11 @@
         return mId;
     }
 
+    /** Returns the places to stage a change in, empty for all at once. */
+    Set<String> stage() {
+        return mStage.isEmpty() ? Set.of() : Set.of(mStage.split(","));
+    }
+
     /**
      * Returns a word of the command.
      *
--- a/src/main/java/ebonygw/operator/AdminJson.java
+++ b/src/main/java/ebonygw/operator/AdminJson.java
@@ -186,6 +186,22 @@
         return json;
     }
 
+    static ObjectNode staged(SettingsState state) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("pending", state.tree().staged().isPresent());
+        state.tree()
+                .staged()
+                .ifPresent(
+                        staged -> {
+                            ArrayNode where = json.putArray("where");
+                            new TreeSet<>(staged.where()).forEach(where::add);
+                            json.put("held", staged.held());
+                            json.put("revision", staged.revision());
+                            json.set("edits", SettingsJson.writeEdits(staged.edits()));
+                        });
+        return json;
+    }
+
     private static ObjectNode effect(EffectiveChange effect) {
         ObjectNode json = MAPPER.createObjectNode();
         json.put("node", effect.node().toString());
--- a/src/main/java/ebonygw/operator/SettingsCommand.java
+++ b/src/main/java/ebonygw/operator/SettingsCommand.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import ebonygw.settings.Edit;
 import ebonygw.settings.Field;
@@ -34,6 +33,11 @@
                   diff [FROM [TO]]         what differs between two revisions
                   history [COUNT]          the newest changes
                   revert REVISION          take a change back, as a new change
+                  staged                   the staged change that is pending
+                  promote                  put the staged change in force everywhere
+                  hold                     put the staged change out of force for now
+                  resume                   put a held staged change in force again
+                  abandon                  drop the staged change
                   status ID                whether a change is in the log
                 NODE is KIND/NAME, such as customer/parish\
                 """);
@@ -65,6 +69,11 @@
                                     value(field(arguments), arguments.word(3, "VALUE"))));
             case "unset" -> edit(arguments, new Edit.Clear(node(arguments), field(arguments)));
             case "apply" -> apply(arguments);
+            case "staged" -> get("/v1/staged");
+            case "promote" -> staged(arguments, new Edit.Promote());
+            case "hold" -> staged(arguments, new Edit.Hold());
+            case "resume" -> staged(arguments, new Edit.Resume());
+            case "abandon" -> staged(arguments, new Edit.Abandon());
             case "revert" ->
                     post(
                             "/v1/revert",
@@ -90,15 +99,20 @@
         } else {
             body.set("edits", file);
         }
-        ArrayNode edits = SettingsJson.writeEdits(SettingsJson.readEdits(body.path("edits")));
-        body.set("edits", edits);
+        return changes(arguments, body, SettingsJson.readEdits(body.path("edits")));
+    }
+
+    private static Request changes(AdminArguments arguments, ObjectNode body, List<Edit> edits) {
+        List<Edit> sent =
+                arguments.stage().isEmpty()
+                        ? edits
+                        : List.of(new Edit.Stage(arguments.stage(), edits));
+        body.set("edits", SettingsJson.writeEdits(sent));
         return post("/v1/changes", body);
     }
 
     private static Request edit(AdminArguments arguments, Edit edit) {
-        ObjectNode body = change(arguments);
-        body.set("edits", SettingsJson.writeEdits(List.of(edit)));
-        return post("/v1/changes", body);
+        return changes(arguments, change(arguments), List.of(edit));
     }
 
     private static Field field(AdminArguments arguments) {
@@ -126,6 +140,12 @@
         return parameter + Long.parseLong(arguments.word(index, "number"));
     }
 
+    private static Request staged(AdminArguments arguments, Edit edit) {
+        ObjectNode body = change(arguments);
+        body.set("edits", SettingsJson.writeEdits(List.of(edit)));
+        return post("/v1/changes", body);
+    }
+
     private static FieldValue value(Field field, String text) {
         FieldValue sample = field.defaultValue();
         if (sample instanceof FieldValue.Whole) {
--- a/src/main/java/ebonygw/settings/Edit.java
+++ b/src/main/java/ebonygw/settings/Edit.java
@@ -1,9 +1,14 @@
 package ebonygw.settings;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One step of a change of the tree; the steps of a change apply in order. */
 public sealed interface Edit {
+    /** Drops the staged edits. */
+    record Abandon() implements Edit {}
+
     /**
      * Creates a node.
      *
@@ -18,6 +23,9 @@
         }
     }
 
+    /** Puts the staged edits out of force for now. */
+    record Hold() implements Edit {}
+
     /**
      * Issues a caller's key.
      *
@@ -33,6 +41,9 @@
      */
     record Move(NodeKey node, NodeKey parent) implements Edit {}
 
+    /** Puts the staged edits in force everywhere. */
+    record Promote() implements Edit {}
+
     /**
      * Removes a node that has no children and no live keys.
      *
@@ -40,6 +51,23 @@
      */
     record Remove(NodeKey node) implements Edit {}
 
+    /** Puts held staged edits in force again where they were staged. */
+    record Resume() implements Edit {}
+
+    /**
+     * Puts edits in force in a part of the fleet first.
+     *
+     * @param where regions, and data centres as {@code region/dataCenter}
+     * @param edits edits that only set or clear fields
+     */
+    record Stage(Set<String> where, List<Edit> edits) implements Edit {
+        /** Creates the edit. */
+        public Stage {
+            where = Set.copyOf(where);
+            edits = List.copyOf(edits);
+        }
+    }
+
     /**
      * Sets a field of a node.
      *
--- a/src/main/java/ebonygw/settings/NodeKey.java
+++ b/src/main/java/ebonygw/settings/NodeKey.java
@@ -25,6 +25,11 @@
         }
     }
 
+    /** Returns whether a name is allowed. */
+    public static boolean allowed(String name) {
+        return NAME.matcher(name).matches();
+    }
+
     /**
      * Reads the form {@code kind/name}.
      *
--- a/src/main/java/ebonygw/settings/Reversal.java
+++ b/src/main/java/ebonygw/settings/Reversal.java
@@ -64,7 +64,7 @@
         if (edit instanceof Edit.WithdrawKey withdraw) {
             return "key/" + withdraw.keyId();
         }
-        throw new IllegalArgumentException("unknown edit " + edit);
+        return "staged";
     }
 
     private static Set<String> subjects(List<Edit> edits) {
--- a/src/main/java/ebonygw/settings/SettingsJson.java
+++ b/src/main/java/ebonygw/settings/SettingsJson.java
@@ -208,6 +208,15 @@
             }
             case "unset" -> new Edit.Clear(node(json), field(required(json, "field")));
             case "issueKey" -> new Edit.IssueKey(readKey(json));
+            case "stage" -> {
+                Set<String> where = new HashSet<>();
+                json.path("where").forEach(place -> where.add(place.asText()));
+                yield new Edit.Stage(where, readStaged(json.path("edits")));
+            }
+            case "promote" -> new Edit.Promote();
+            case "hold" -> new Edit.Hold();
+            case "resume" -> new Edit.Resume();
+            case "abandon" -> new Edit.Abandon();
             case "withdrawKey" -> new Edit.WithdrawKey(required(json, "key"));
             default -> throw new IllegalArgumentException("unknown op " + operation);
         };
@@ -225,6 +234,12 @@
         return fields;
     }
 
+    private static List<Edit> readStaged(JsonNode json) {
+        List<Edit> edits = new ArrayList<>();
+        json.forEach(edit -> edits.add(readEdit(edit)));
+        return edits;
+    }
+
     private static String required(JsonNode json, String name) {
         JsonNode value = json.path(name);
         if (!value.isTextual() || value.asText().isEmpty()) {
@@ -260,6 +275,19 @@
             writeKey(issue.key(), json);
         } else if (edit instanceof Edit.WithdrawKey withdraw) {
             json.put("op", "withdrawKey").put("key", withdraw.keyId());
+        } else if (edit instanceof Edit.Stage stage) {
+            json.put("op", "stage");
+            ArrayNode where = json.putArray("where");
+            new TreeSet<>(stage.where()).forEach(where::add);
+            json.set("edits", writeEdits(stage.edits()));
+        } else if (edit instanceof Edit.Promote) {
+            json.put("op", "promote");
+        } else if (edit instanceof Edit.Hold) {
+            json.put("op", "hold");
+        } else if (edit instanceof Edit.Resume) {
+            json.put("op", "resume");
+        } else if (edit instanceof Edit.Abandon) {
+            json.put("op", "abandon");
         }
         return json;
     }
--- a/src/main/java/ebonygw/settings/SettingsReplica.java
+++ b/src/main/java/ebonygw/settings/SettingsReplica.java
@@ -28,6 +28,7 @@
     private final PeerFeed mPeers;
     private final ServiceFeed mService;
     private volatile SettingsState mState = SettingsState.EMPTY;
+    private volatile SettingsView mView = SettingsState.EMPTY.view();
     private boolean mReady;
     private long mFirstPeerNanos;
     private String mFault = "";
@@ -108,9 +109,9 @@
         return mState;
     }
 
-    /** Returns the effective settings. */
+    /** Returns the effective settings in force in this process. */
     public SettingsView view() {
-        return mState.view();
+        return mView;
     }
 
     /** Returns whether this process reads the key-value service for the others at present. */
@@ -181,6 +182,7 @@
 
     private void publish(SettingsState next, NodeId source, Outbox out) {
         mState = next;
+        mView = next.viewAt(mOptions.place());
         mFault = "";
         mPeers.offer(source, out);
     }
--- a/src/main/java/ebonygw/settings/SettingsReplicaOptions.java
+++ b/src/main/java/ebonygw/settings/SettingsReplicaOptions.java
@@ -1,6 +1,7 @@
 package ebonygw.settings;
 
 import ebonygw.keyvalue.CallIds;
+import ebonygw.protocol.Locality;
 import ebonygw.protocol.NodeId;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
@@ -9,6 +10,7 @@
  * Options of a {@link SettingsReplica}.
  *
  * @param self name of the process
+ * @param place where it runs, null if staged changes are never in force in it
  * @param callIds source of identifiers of key-value calls
  * @param random seeded generator, for the times of attempts
  * @param watchers how many processes of the fleet read the key-value service
@@ -17,6 +19,7 @@
  */
 public record SettingsReplicaOptions(
         NodeId self,
+        Locality place,
         CallIds callIds,
         RandomGenerator random,
         int watchers,
@@ -43,10 +46,16 @@
         }
     }
 
-    /** Returns the usual options of a process. */
+    /** Returns the usual options of a process in which staged changes are never in force. */
     public static SettingsReplicaOptions of(NodeId self, RandomGenerator random) {
+        return of(self, null, random);
+    }
+
+    /** Returns the usual options of a process. */
+    public static SettingsReplicaOptions of(NodeId self, Locality place, RandomGenerator random) {
         return new SettingsReplicaOptions(
                 self,
+                place,
                 new CallIds(CALL_OWNER),
                 random,
                 DEFAULT_WATCHERS,
--- a/src/main/java/ebonygw/settings/SettingsSnapshot.java
+++ b/src/main/java/ebonygw/settings/SettingsSnapshot.java
@@ -41,6 +41,7 @@
             json.writeStringField("lastId", state.lastId());
             writeNodes(state.tree(), json);
             writeKeys(state.tree(), json);
+            writeStaged(state.tree(), json);
             json.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("memory could not be written", e);
@@ -118,7 +119,7 @@
                 json.path("r").asLong());
     }
 
-    private static SettingsTree readTree(JsonNode json) {
+    private static SettingsTree readTree(JsonNode json) throws IOException {
         SettingsTree tree = SettingsTree.EMPTY;
         Map<Object, Object> shared = new HashMap<>();
         for (JsonNode node : json.path("nodes")) {
@@ -132,7 +133,17 @@
                                     key.path("issued").asLong(),
                                     key.path("withdrawn").asLong()));
         }
-        return tree;
+        JsonNode staged = json.path("staged");
+        if (!staged.isObject()) {
+            return tree;
+        }
+        Edit.Stage stage = (Edit.Stage) SettingsJson.readEdits(staged.path("stage")).get(0);
+        return tree.withStaged(
+                new StagedEdits(
+                        stage.where(),
+                        stage.edits(),
+                        staged.path("held").asBoolean(),
+                        staged.path("revision").asLong()));
     }
 
     @SuppressWarnings("unchecked")
@@ -178,4 +189,18 @@
         }
         json.writeEndArray();
     }
+
+    private static void writeStaged(SettingsTree tree, JsonGenerator json) throws IOException {
+        if (tree.staged().isEmpty()) {
+            return;
+        }
+        StagedEdits staged = tree.staged().get();
+        json.writeObjectFieldStart("staged");
+        json.writeBooleanField("held", staged.held());
+        json.writeNumberField("revision", staged.revision());
+        json.writeFieldName("stage");
+        json.writeTree(
+                SettingsJson.writeEdits(List.of(new Edit.Stage(staged.where(), staged.edits()))));
+        json.writeEndObject();
+    }
 }
--- a/src/main/java/ebonygw/settings/SettingsState.java
+++ b/src/main/java/ebonygw/settings/SettingsState.java
@@ -1,5 +1,6 @@
 package ebonygw.settings;
 
+import ebonygw.protocol.Locality;
 import ebonygw.request.AdapterVersion;
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
@@ -24,7 +25,7 @@
             new SettingsState(0, "", SettingsTree.EMPTY, EffectiveView.EMPTY, Vector.empty(), 0);
 
     private static final int MAX_HISTORY = 1024;
-    private static final int MAX_HISTORY_BYTES = 8 * 1024 * 1024;
+    private static final int MAX_HISTORY_BYTES = 1024 * 1024;
 
     private final long mRevision;
     private final String mLastId;
@@ -143,6 +144,10 @@
         reasons.addAll(
                 new CombinationChecks(editor.tree(), view, inUse)
                         .check(compiler.changes(), editor.touched()));
+        List<EffectiveChange> effects = new ArrayList<>(compiler.changes());
+        if (editor.reasons().isEmpty()) {
+            previewStaged(change, editor.tree(), view, reasons, effects, inUse);
+        }
         ChangeRecord record =
                 new ChangeRecord(
                         mRevision + 1, mLastId, change, editor.undo(), editor.revertible());
@@ -158,7 +163,7 @@
         if (!reasons.isEmpty()) {
             return Either.left(reasons);
         }
-        return Either.right(new Preview(logged, List.copyOf(compiler.changes())));
+        return Either.right(new Preview(logged, effects));
     }
 
     /** Returns the revision, 0 before the first change. */
@@ -171,11 +176,23 @@
         return mTree;
     }
 
-    /** Returns the effective view. */
+    /** Returns the effective view where no staged change is in force. */
     public SettingsView view() {
         return mView;
     }
 
+    /** Returns the effective view at a place, with a staged change that is in force there. */
+    public SettingsView viewAt(Locality place) {
+        Optional<StagedEdits> staged = mTree.staged().filter(edits -> edits.inForceAt(place));
+        if (staged.isEmpty()) {
+            return mView;
+        }
+        TreeEditor editor = new TreeEditor(mTree, mRevision);
+        editor.apply(staged.get().edits());
+        return new EffectiveCompiler(mView, editor.tree())
+                .compile(mRevision, editor.touched(), editor.touchedKeys());
+    }
+
     /**
      * Returns the tree as it was at an earlier revision, without what became of keys since.
      *
@@ -194,11 +211,39 @@
         return Optional.of(tree);
     }
 
+    /** Judges the edits that a change stages as if they were in force everywhere. */
+    private static void previewStaged(
+            SettingsChange change,
+            SettingsTree tree,
+            EffectiveView view,
+            List<Reason> reasons,
+            List<EffectiveChange> effects,
+            Predicate<AdapterVersion> inUse) {
+        if (change.edits().stream().noneMatch(Edit.Stage.class::isInstance)
+                || tree.staged().isEmpty()) {
+            return;
+        }
+        TreeEditor editor = new TreeEditor(tree, view.revision());
+        editor.apply(tree.staged().get().edits());
+        EffectiveCompiler compiler = new EffectiveCompiler(view, editor.tree());
+        EffectiveView staged =
+                compiler.compile(view.revision(), editor.touched(), editor.touchedKeys());
+        reasons.addAll(
+                new CombinationChecks(editor.tree(), staged, inUse)
+                        .check(compiler.changes(), editor.touched()));
+        effects.addAll(compiler.changes());
+    }
+
     /**
      * What a change would do.
      *
      * @param logged the change as it would stand in the log
      * @param effects how the effective settings would differ
      */
-    public record Preview(LoggedChange logged, List<EffectiveChange> effects) {}
+    public record Preview(LoggedChange logged, List<EffectiveChange> effects) {
+        /** Creates a preview. */
+        public Preview {
+            effects = List.copyOf(effects);
+        }
+    }
 }
--- a/src/main/java/ebonygw/settings/SettingsTree.java
+++ b/src/main/java/ebonygw/settings/SettingsTree.java
@@ -16,19 +16,22 @@
 public final class SettingsTree {
     /** The tree without any node. */
     public static final SettingsTree EMPTY =
-            new SettingsTree(HashMap.empty(), HashMap.empty(), HashMap.empty());
+            new SettingsTree(HashMap.empty(), HashMap.empty(), HashMap.empty(), null);
 
     private final HashMap<NodeKey, TreeNode> mNodes;
     private final HashMap<Branch, HashSet<NodeKey>> mChildren;
     private final HashMap<String, IssuedKey> mKeys;
+    private final StagedEdits mStaged;
 
     private SettingsTree(
             HashMap<NodeKey, TreeNode> nodes,
             HashMap<Branch, HashSet<NodeKey>> children,
-            HashMap<String, IssuedKey> keys) {
+            HashMap<String, IssuedKey> keys,
+            StagedEdits staged) {
         mNodes = nodes;
         mChildren = children;
         mKeys = keys;
+        mStaged = staged;
     }
 
     /** Returns the nearest ancestor of a kind, the node itself included; empty if none. */
@@ -99,6 +102,11 @@
         return mNodes.size();
     }
 
+    /** Returns the staged edits, held or not; empty if none are pending. */
+    public Optional<StagedEdits> staged() {
+        return Optional.ofNullable(mStaged);
+    }
+
     /** Returns the effective value of a field. */
     FieldValue effective(NodeKey key, Field field) {
         for (TreeNode node = orNull(key); node != null; node = orNull(node.parent())) {
@@ -152,7 +160,7 @@
 
     /** Returns the tree with a key added or replaced. */
     SettingsTree with(IssuedKey key) {
-        return new SettingsTree(mNodes, mChildren, mKeys.put(key.settings().keyId(), key));
+        return new SettingsTree(mNodes, mChildren, mKeys.put(key.settings().keyId(), key), mStaged);
     }
 
     /** Returns the tree with a node added or replaced. */
@@ -162,12 +170,17 @@
         if (old == null || !Objects.equals(old.parent(), node.parent())) {
             children = attach(detach(children, old), node);
         }
-        return new SettingsTree(mNodes.put(node.key(), node), children, mKeys);
+        return new SettingsTree(mNodes.put(node.key(), node), children, mKeys, mStaged);
+    }
+
+    /** Returns the tree with other staged edits, null for none. */
+    SettingsTree withStaged(StagedEdits staged) {
+        return new SettingsTree(mNodes, mChildren, mKeys, staged);
     }
 
     /** Returns the tree without a node, which must have no children. */
     SettingsTree without(NodeKey key) {
-        return new SettingsTree(mNodes.remove(key), detach(mChildren, orNull(key)), mKeys);
+        return new SettingsTree(mNodes.remove(key), detach(mChildren, orNull(key)), mKeys, mStaged);
     }
 
     private static HashMap<Branch, HashSet<NodeKey>> attach(
--- a/src/main/java/ebonygw/settings/TreeEditor.java
+++ b/src/main/java/ebonygw/settings/TreeEditor.java
@@ -26,6 +26,7 @@
 final class TreeEditor {
     private static final Set<NodeKind> ALL_KINDS = EnumSet.allOf(NodeKind.class);
     private static final int HASH_LENGTH = 64;
+    private static final String STAGED = "staged";
 
     private final long mRevision;
     private final List<Reason> mReasons = new ArrayList<>();
@@ -91,6 +92,24 @@
             issue(issue.key());
         } else if (edit instanceof WithdrawKey withdraw) {
             withdraw(withdraw.keyId());
+        } else if (edit instanceof Edit.Stage stage) {
+            stage(stage);
+        } else if (edit instanceof Edit.Promote) {
+            promote();
+        } else if (edit instanceof Edit.Hold) {
+            hold(true);
+        } else if (edit instanceof Edit.Resume) {
+            hold(false);
+        } else if (edit instanceof Edit.Abandon) {
+            abandon();
+        }
+    }
+
+    private void abandon() {
+        Optional<StagedEdits> staged = staged();
+        if (staged.isPresent()) {
+            mUndo.push(new Edit.Stage(staged.get().where(), staged.get().edits()));
+            mTree = mTree.withStaged(null);
         }
     }
 
@@ -142,6 +161,19 @@
         return node;
     }
 
+    private void hold(boolean held) {
+        Optional<StagedEdits> staged = staged();
+        if (staged.isEmpty()) {
+            return;
+        }
+        if (staged.get().held() == held) {
+            reason(STAGED, held ? "is held already" : "is not held");
+            return;
+        }
+        mUndo.push(held ? new Edit.Resume() : new Edit.Hold());
+        mTree = mTree.withStaged(staged.get().withHeld(held));
+    }
+
     private void issue(KeySettings key) {
         if (mTree.issuedKey(key.keyId()).isPresent()) {
             reason("key/" + key.keyId(), "was issued before");
@@ -187,6 +219,19 @@
         touch(edit.node(), ALL_KINDS);
     }
 
+    private void promote() {
+        Optional<StagedEdits> staged = staged();
+        if (staged.isEmpty()) {
+            return;
+        }
+        if (staged.get().held()) {
+            reason(STAGED, "is held; resume or abandon it first");
+            return;
+        }
+        mTree = mTree.withStaged(null);
+        apply(staged.get().edits());
+    }
+
     private void reason(NodeKey subject, String detail) {
         reason(subject.toString(), detail);
     }
@@ -204,6 +249,10 @@
             reason(key, "has children; remove or move them first");
             return;
         }
+        if (mTree.staged().isPresent() && stagedNodes().contains(key)) {
+            reason(key, "a staged change is pending for it");
+            return;
+        }
         if (key.kind() == NodeKind.CUSTOMER && hasLiveKeys(key.name())) {
             reason(key, "has live keys; withdraw them first");
             return;
@@ -220,6 +269,70 @@
                 .anyMatch(key -> key.live() && key.settings().customer().equals(customer));
     }
 
+    private void stage(Edit.Stage stage) {
+        if (mTree.staged().isPresent()) {
+            reason(STAGED, "another staged change is pending; promote or abandon it first");
+            return;
+        }
+        int before = mReasons.size();
+        if (stage.where().isEmpty() || stage.edits().isEmpty()) {
+            reason(STAGED, "needs a place and edits");
+        }
+        for (String place : stage.where()) {
+            String region = place.split("/", 2)[0];
+            boolean known =
+                    NodeKey.allowed(region)
+                            && mTree.node(new NodeKey(NodeKind.REGION, region)).isPresent();
+            if (!known) {
+                reason(STAGED, "no such region: " + region);
+            }
+        }
+        stage.edits().forEach(this::checkStageable);
+        TreeEditor trial = new TreeEditor(mTree, mRevision);
+        trial.apply(stage.edits());
+        mReasons.addAll(trial.reasons());
+        if (mReasons.size() == before) {
+            mTree =
+                    mTree.withStaged(
+                            new StagedEdits(stage.where(), stage.edits(), false, mRevision));
+            mUndo.push(new Edit.Abandon());
+        }
+    }
+
+    private Set<NodeKey> stagedNodes() {
+        Set<NodeKey> nodes = new HashSet<>();
+        for (Edit edit : mTree.staged().orElseThrow().edits()) {
+            if (edit instanceof Assign assign) {
+                nodes.add(assign.node());
+            } else if (edit instanceof Clear clear) {
+                nodes.add(clear.node());
+            }
+        }
+        return nodes;
+    }
+
+    private Optional<StagedEdits> staged() {
+        Optional<StagedEdits> staged = mTree.staged();
+        if (staged.isEmpty()) {
+            reason(STAGED, "no staged change is pending");
+        }
+        return staged;
+    }
+
+    private void checkStageable(Edit edit) {
+        Field field = null;
+        if (edit instanceof Assign assign) {
+            field = assign.field();
+        } else if (edit instanceof Clear clear) {
+            field = clear.field();
+        }
+        if (field == null) {
+            reason(STAGED, "only fields can be set or cleared in stages");
+        } else if (field == Field.RATE || field == Field.BURST) {
+            reason(STAGED, field.word() + " holds over the whole fleet and cannot be staged");
+        }
+    }
+
     private void touch(NodeKey key, Set<NodeKind> kinds) {
         mTouched.computeIfAbsent(key, k -> EnumSet.noneOf(NodeKind.class)).addAll(kinds);
     }
--- a/src/test/java/ebonygw/settings/SettingsFleet.java
+++ b/src/test/java/ebonygw/settings/SettingsFleet.java
@@ -7,6 +7,7 @@
 import ebonygw.keyvalue.KeyValueCall;
 import ebonygw.keyvalue.KeyValueReply;
 import ebonygw.keyvalue.MemoryKeyValue;
+import ebonygw.protocol.Locality;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.protocol.Outbox;
@@ -272,7 +273,13 @@
             mReplica =
                     new SettingsReplica(
                             new SettingsReplicaOptions(
-                                    mId, new ebonygw.keyvalue.CallIds(1), mRandom, 2, 16, 8));
+                                    mId,
+                                    new Locality(mIndex % 2 == 0 ? "kingston" : "mobay", "a"),
+                                    new ebonygw.keyvalue.CallIds(1),
+                                    mRandom,
+                                    2,
+                                    16,
+                                    8));
             mWriter = new SettingsWriter(mReplica, version -> false);
             mSeenRevision = 0;
         }
