--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -49,19 +49,22 @@
         commands.put("bench", new BenchCommand());
         commands.put("check", new CheckCommand());
         commands.put("dump", new DumpCommand());
+        commands.put(
+                "entry",
+                new ProcessCommand<>(
                         "entry",
-                        "target",
                         FlagParser::ofEntry,
-                        FlagParser::ofTarget,
                         settings -> EntryProcess.start(settings, Map.of()),
-                        settings -> TargetProcess.start(settings, Map.of()),
                         settings -> settings.common().stopTimeoutNanos()));
-                "entry",
-                "target",
-                new ProcessCommand<>(
-        commands.put(
         commands.put("keys", new KeysCommand());
         commands.put("settings", new SettingsCommand());
+        commands.put(
+                "target",
+                new ProcessCommand<>(
+                        "target",
+                        FlagParser::ofTarget,
+                        settings -> TargetProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
         return commands;
     }
 }
