--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -3589,12 +3589,20 @@
     long getIncarnation();
 
     /**
+     * <pre>
+     * 1 entry, 2 target.
+     * </pre>
+     *
      * <code>int32 role = 3;</code>
      * @return The role.
      */
     int getRole();
 
     /**
+     * <pre>
+     * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+     * </pre>
+     *
      * <code>int32 state = 4;</code>
      * @return The state.
      */
@@ -3748,6 +3756,10 @@
     public static final int ROLE_FIELD_NUMBER = 3;
     private int role_ = 0;
     /**
+     * <pre>
+     * 1 entry, 2 target.
+     * </pre>
+     *
      * <code>int32 role = 3;</code>
      * @return The role.
      */
@@ -3759,6 +3771,10 @@
     public static final int STATE_FIELD_NUMBER = 4;
     private int state_ = 0;
     /**
+     * <pre>
+     * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+     * </pre>
+     *
      * <code>int32 state = 4;</code>
      * @return The state.
      */
@@ -4491,6 +4507,10 @@
 
       private int role_ ;
       /**
+       * <pre>
+       * 1 entry, 2 target.
+       * </pre>
+       *
        * <code>int32 role = 3;</code>
        * @return The role.
        */
@@ -4499,6 +4519,10 @@
         return role_;
       }
       /**
+       * <pre>
+       * 1 entry, 2 target.
+       * </pre>
+       *
        * <code>int32 role = 3;</code>
        * @param value The role to set.
        * @return This builder for chaining.
@@ -4511,6 +4535,10 @@
         return this;
       }
       /**
+       * <pre>
+       * 1 entry, 2 target.
+       * </pre>
+       *
        * <code>int32 role = 3;</code>
        * @return This builder for chaining.
        */
@@ -4523,6 +4551,10 @@
 
       private int state_ ;
       /**
+       * <pre>
+       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+       * </pre>
+       *
        * <code>int32 state = 4;</code>
        * @return The state.
        */
@@ -4531,6 +4563,10 @@
         return state_;
       }
       /**
+       * <pre>
+       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+       * </pre>
+       *
        * <code>int32 state = 4;</code>
        * @param value The state to set.
        * @return This builder for chaining.
@@ -4543,6 +4579,10 @@
         return this;
       }
       /**
+       * <pre>
+       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
+       * </pre>
+       *
        * <code>int32 state = 4;</code>
        * @return This builder for chaining.
        */
@@ -6127,41 +6167,34 @@
 
   }
 
-  public interface AdapterVersionOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterVersion)
+  public interface MemberDigestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.MemberDigest)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string adapter = 1;</code>
-     * @return The adapter.
-     */
-    java.lang.String getAdapter();
-    /**
-     * <code>string adapter = 1;</code>
-     * @return The bytes for adapter.
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return A list containing the buckets.
      */
-    com.google.protobuf.ByteString
-        getAdapterBytes();
-
+    java.util.List<java.lang.Long> getBucketsList();
     /**
-     * <code>string version = 2;</code>
-     * @return The version.
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return The count of buckets.
      */
-    java.lang.String getVersion();
+    int getBucketsCount();
     /**
-     * <code>string version = 2;</code>
-     * @return The bytes for version.
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
      */
-    com.google.protobuf.ByteString
-        getVersionBytes();
+    long getBuckets(int index);
   }
   /**
-   * Protobuf type {@code ebonygw.AdapterVersion}
+   * Protobuf type {@code ebonygw.MemberDigest}
    */
-  public static final class AdapterVersion extends
+  public static final class MemberDigest extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.AdapterVersion)
-      AdapterVersionOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.MemberDigest)
+      MemberDigestOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -6170,112 +6203,63 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "AdapterVersion");
+        "MemberDigest");
     }
-    // Use AdapterVersion.newBuilder() to construct.
-    private AdapterVersion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use MemberDigest.newBuilder() to construct.
+    private MemberDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private AdapterVersion() {
-      adapter_ = "";
-      version_ = "";
+    private MemberDigest() {
+      buckets_ = emptyLongList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
+              ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
     }
 
-    public static final int ADAPTER_FIELD_NUMBER = 1;
+    public static final int BUCKETS_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object adapter_ = "";
-    /**
-     * <code>string adapter = 1;</code>
-     * @return The adapter.
-     */
-    @java.lang.Override
-    public java.lang.String getAdapter() {
-      java.lang.Object ref = adapter_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        adapter_ = s;
-        return s;
-      }
-    }
+    private com.google.protobuf.Internal.LongList buckets_ =
+        emptyLongList();
     /**
-     * <code>string adapter = 1;</code>
-     * @return The bytes for adapter.
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return A list containing the buckets.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getAdapterBytes() {
-      java.lang.Object ref = adapter_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        adapter_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public java.util.List<java.lang.Long>
+        getBucketsList() {
+      return buckets_;
     }
-
-    public static final int VERSION_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object version_ = "";
     /**
-     * <code>string version = 2;</code>
-     * @return The version.
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return The count of buckets.
      */
-    @java.lang.Override
-    public java.lang.String getVersion() {
-      java.lang.Object ref = version_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        version_ = s;
-        return s;
-      }
+    public int getBucketsCount() {
+      return buckets_.size();
     }
     /**
-     * <code>string version = 2;</code>
-     * @return The bytes for version.
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getVersionBytes() {
-      java.lang.Object ref = version_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        version_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public long getBuckets(int index) {
+      return buckets_.getLong(index);
     }
+    private int bucketsMemoizedSerializedSize = -1;
 
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
@@ -6291,21 +6275,28 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, adapter_);
+      getSerializedSize();
+      if (getBucketsList().size() > 0) {
+        output.writeUInt32NoTag(10);
+        output.writeUInt32NoTag(bucketsMemoizedSerializedSize);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, version_);
+      for (int i = 0; i < buckets_.size(); i++) {
+        output.writeFixed64NoTag(buckets_.getLong(i));
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, adapter_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, version_);
+      {
+        int dataSize = 0;
+        dataSize = 8 * getBucketsList().size();
+        size += dataSize;
+        if (!getBucketsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        bucketsMemoizedSerializedSize = dataSize;
       }
       return size;
     }
@@ -6326,15 +6317,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterVersion)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.MemberDigest)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.AdapterVersion other = (ebonygw.wire.PeerProtocol.AdapterVersion) obj;
+      ebonygw.wire.PeerProtocol.MemberDigest other = (ebonygw.wire.PeerProtocol.MemberDigest) obj;
 
-      if (!getAdapter()
-          .equals(other.getAdapter())) return false;
-      if (!getVersion()
-          .equals(other.getVersion())) return false;
+      if (!getBucketsList()
+          .equals(other.getBucketsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6346,53 +6335,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
-      hash = (53 * hash) + getAdapter().hashCode();
-      hash = (37 * hash) + VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + getVersion().hashCode();
+      if (getBucketsCount() > 0) {
+        hash = (37 * hash) + BUCKETS_FIELD_NUMBER;
+        hash = (53 * hash) + getBucketsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -6400,26 +6389,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -6432,7 +6421,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterVersion prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.MemberDigest prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -6448,26 +6437,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.AdapterVersion}
+     * Protobuf type {@code ebonygw.MemberDigest}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterVersion)
-        ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.MemberDigest)
+        ebonygw.wire.PeerProtocol.MemberDigestOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
+                ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.AdapterVersion.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.MemberDigest.newBuilder()
       private Builder() {
 
       }
@@ -6481,25 +6470,24 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        adapter_ = "";
-        version_ = "";
+        buckets_ = emptyLongList();
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterVersion build() {
-        ebonygw.wire.PeerProtocol.AdapterVersion result = buildPartial();
+      public ebonygw.wire.PeerProtocol.MemberDigest build() {
+        ebonygw.wire.PeerProtocol.MemberDigest result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -6507,43 +6495,42 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterVersion buildPartial() {
-        ebonygw.wire.PeerProtocol.AdapterVersion result = new ebonygw.wire.PeerProtocol.AdapterVersion(this);
+      public ebonygw.wire.PeerProtocol.MemberDigest buildPartial() {
+        ebonygw.wire.PeerProtocol.MemberDigest result = new ebonygw.wire.PeerProtocol.MemberDigest(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterVersion result) {
+      private void buildPartial0(ebonygw.wire.PeerProtocol.MemberDigest result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.adapter_ = adapter_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.version_ = version_;
+          buckets_.makeImmutable();
+          result.buckets_ = buckets_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.AdapterVersion) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterVersion)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.MemberDigest) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.MemberDigest)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterVersion other) {
-        if (other == ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance()) return this;
-        if (!other.getAdapter().isEmpty()) {
-          adapter_ = other.adapter_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (!other.getVersion().isEmpty()) {
-          version_ = other.version_;
-          bitField0_ |= 0x00000002;
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.MemberDigest other) {
+        if (other == ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance()) return this;
+        if (!other.buckets_.isEmpty()) {
+          if (buckets_.isEmpty()) {
+            buckets_ = other.buckets_;
+            buckets_.makeImmutable();
+            bitField0_ |= 0x00000001;
+          } else {
+            ensureBucketsIsMutable();
+            buckets_.addAll(other.buckets_);
+          }
           onChanged();
         }
         this.mergeUnknownFields(other.getUnknownFields());
@@ -6570,16 +6557,23 @@
               case 0:
                 done = true;
                 break;
+              case 9: {
+                long v = input.readFixed64();
+                ensureBucketsIsMutable();
+                buckets_.addLong(v);
+                break;
+              } // case 9
               case 10: {
-                adapter_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000001;
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureBucketsIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  buckets_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
                 break;
               } // case 10
-              case 18: {
-                version_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 18
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6597,167 +6591,113 @@
       }
       private int bitField0_;
 
-      private java.lang.Object adapter_ = "";
-      /**
-       * <code>string adapter = 1;</code>
-       * @return The adapter.
-       */
-      public java.lang.String getAdapter() {
-        java.lang.Object ref = adapter_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          adapter_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
+      private com.google.protobuf.Internal.LongList buckets_ = emptyLongList();
+      private void ensureBucketsIsMutable() {
+        if (!buckets_.isModifiable()) {
+          buckets_ = makeMutableCopy(buckets_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      private void ensureBucketsIsMutable(int capacity) {
+        if (!buckets_.isModifiable()) {
+          buckets_ = makeMutableCopy(buckets_, capacity);
         }
+        bitField0_ |= 0x00000001;
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @return The bytes for adapter.
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @return A list containing the buckets.
        */
-      public com.google.protobuf.ByteString
-          getAdapterBytes() {
-        java.lang.Object ref = adapter_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          adapter_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      public java.util.List<java.lang.Long>
+          getBucketsList() {
+        buckets_.makeImmutable();
+        return buckets_;
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @param value The adapter to set.
-       * @return This builder for chaining.
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @return The count of buckets.
        */
-      public Builder setAdapter(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        adapter_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      public int getBucketsCount() {
+        return buckets_.size();
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @return This builder for chaining.
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param index The index of the element to return.
+       * @return The buckets at the given index.
        */
-      public Builder clearAdapter() {
-        adapter_ = getDefaultInstance().getAdapter();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
+      public long getBuckets(int index) {
+        return buckets_.getLong(index);
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @param value The bytes for adapter to set.
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The buckets to set.
        * @return This builder for chaining.
        */
-      public Builder setAdapterBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        adapter_ = value;
+      public Builder setBuckets(
+          int index, long value) {
+
+        ensureBucketsIsMutable();
+        buckets_.setLong(index, value);
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
-
-      private java.lang.Object version_ = "";
-      /**
-       * <code>string version = 2;</code>
-       * @return The version.
-       */
-      public java.lang.String getVersion() {
-        java.lang.Object ref = version_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          version_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string version = 2;</code>
-       * @return The bytes for version.
-       */
-      public com.google.protobuf.ByteString
-          getVersionBytes() {
-        java.lang.Object ref = version_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          version_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
       /**
-       * <code>string version = 2;</code>
-       * @param value The version to set.
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param value The buckets to add.
        * @return This builder for chaining.
        */
-      public Builder setVersion(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        version_ = value;
-        bitField0_ |= 0x00000002;
+      public Builder addBuckets(long value) {
+
+        ensureBucketsIsMutable();
+        buckets_.addLong(value);
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string version = 2;</code>
+       * <code>repeated fixed64 buckets = 1;</code>
+       * @param values The buckets to add.
        * @return This builder for chaining.
        */
-      public Builder clearVersion() {
-        version_ = getDefaultInstance().getVersion();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder addAllBuckets(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureBucketsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, buckets_);
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string version = 2;</code>
-       * @param value The bytes for version to set.
+       * <code>repeated fixed64 buckets = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder setVersionBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        version_ = value;
-        bitField0_ |= 0x00000002;
+      public Builder clearBuckets() {
+        buckets_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterVersion)
+      // @@protoc_insertion_point(builder_scope:ebonygw.MemberDigest)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.AdapterVersion)
-    private static final ebonygw.wire.PeerProtocol.AdapterVersion DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.MemberDigest)
+    private static final ebonygw.wire.PeerProtocol.MemberDigest DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterVersion();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberDigest();
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<AdapterVersion>
-        PARSER = new com.google.protobuf.AbstractParser<AdapterVersion>() {
+    private static final com.google.protobuf.Parser<MemberDigest>
+        PARSER = new com.google.protobuf.AbstractParser<MemberDigest>() {
       @java.lang.Override
-      public AdapterVersion parsePartialFrom(
+      public MemberDigest parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -6776,111 +6716,63 @@
       }
     };
 
-    public static com.google.protobuf.Parser<AdapterVersion> parser() {
+    public static com.google.protobuf.Parser<MemberDigest> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<AdapterVersion> getParserForType() {
+    public com.google.protobuf.Parser<MemberDigest> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface TargetReportOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.TargetReport)
+  public interface MemberUpdatesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.MemberUpdates)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>uint64 sequence = 1;</code>
-     * @return The sequence.
-     */
-    long getSequence();
-
-    /**
-     * <code>uint32 running = 2;</code>
-     * @return The running.
-     */
-    int getRunning();
-
-    /**
-     * <code>uint32 queued = 3;</code>
-     * @return The queued.
-     */
-    int getQueued();
-
-    /**
-     * <code>uint32 concurrency = 4;</code>
-     * @return The concurrency.
-     */
-    int getConcurrency();
-
-    /**
-     * <code>uint64 queued_tokens = 5;</code>
-     * @return The queuedTokens.
-     */
-    long getQueuedTokens();
-
-    /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
-    java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> 
-        getResidentList();
+    java.util.List<ebonygw.wire.PeerProtocol.Member> 
+        getMembersList();
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
-    ebonygw.wire.PeerProtocol.AdapterVersion getResident(int index);
+    ebonygw.wire.PeerProtocol.Member getMembers(int index);
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
-    int getResidentCount();
+    int getMembersCount();
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
-    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-        getResidentOrBuilderList();
+    java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+        getMembersOrBuilderList();
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
-    ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getResidentOrBuilder(
+    ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
         int index);
 
     /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> 
-        getLoadingList();
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    ebonygw.wire.PeerProtocol.AdapterVersion getLoading(int index);
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    int getLoadingCount();
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-        getLoadingOrBuilderList();
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     * <code>bool news = 2;</code>
+     * @return The news.
      */
-    ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getLoadingOrBuilder(
-        int index);
+    boolean getNews();
   }
   /**
-   * Protobuf type {@code ebonygw.TargetReport}
+   * Protobuf type {@code ebonygw.MemberUpdates}
    */
-  public static final class TargetReport extends
+  public static final class MemberUpdates extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.TargetReport)
-      TargetReportOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.MemberUpdates)
+      MemberUpdatesOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -6889,170 +6781,84 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "TargetReport");
+        "MemberUpdates");
     }
-    // Use TargetReport.newBuilder() to construct.
-    private TargetReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use MemberUpdates.newBuilder() to construct.
+    private MemberUpdates(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private TargetReport() {
-      resident_ = java.util.Collections.emptyList();
-      loading_ = java.util.Collections.emptyList();
+    private MemberUpdates() {
+      members_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.TargetReport.class, ebonygw.wire.PeerProtocol.TargetReport.Builder.class);
-    }
-
-    public static final int SEQUENCE_FIELD_NUMBER = 1;
-    private long sequence_ = 0L;
-    /**
-     * <code>uint64 sequence = 1;</code>
-     * @return The sequence.
-     */
-    @java.lang.Override
-    public long getSequence() {
-      return sequence_;
-    }
-
-    public static final int RUNNING_FIELD_NUMBER = 2;
-    private int running_ = 0;
-    /**
-     * <code>uint32 running = 2;</code>
-     * @return The running.
-     */
-    @java.lang.Override
-    public int getRunning() {
-      return running_;
-    }
-
-    public static final int QUEUED_FIELD_NUMBER = 3;
-    private int queued_ = 0;
-    /**
-     * <code>uint32 queued = 3;</code>
-     * @return The queued.
-     */
-    @java.lang.Override
-    public int getQueued() {
-      return queued_;
-    }
-
-    public static final int CONCURRENCY_FIELD_NUMBER = 4;
-    private int concurrency_ = 0;
-    /**
-     * <code>uint32 concurrency = 4;</code>
-     * @return The concurrency.
-     */
-    @java.lang.Override
-    public int getConcurrency() {
-      return concurrency_;
-    }
-
-    public static final int QUEUED_TOKENS_FIELD_NUMBER = 5;
-    private long queuedTokens_ = 0L;
-    /**
-     * <code>uint64 queued_tokens = 5;</code>
-     * @return The queuedTokens.
-     */
-    @java.lang.Override
-    public long getQueuedTokens() {
-      return queuedTokens_;
+              ebonygw.wire.PeerProtocol.MemberUpdates.class, ebonygw.wire.PeerProtocol.MemberUpdates.Builder.class);
     }
 
-    public static final int RESIDENT_FIELD_NUMBER = 6;
+    public static final int MEMBERS_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> resident_;
+    private java.util.List<ebonygw.wire.PeerProtocol.Member> members_;
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
     @java.lang.Override
-    public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getResidentList() {
-      return resident_;
+    public java.util.List<ebonygw.wire.PeerProtocol.Member> getMembersList() {
+      return members_;
     }
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
     @java.lang.Override
-    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-        getResidentOrBuilderList() {
-      return resident_;
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+        getMembersOrBuilderList() {
+      return members_;
     }
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
     @java.lang.Override
-    public int getResidentCount() {
-      return resident_.size();
+    public int getMembersCount() {
+      return members_.size();
     }
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterVersion getResident(int index) {
-      return resident_.get(index);
+    public ebonygw.wire.PeerProtocol.Member getMembers(int index) {
+      return members_.get(index);
     }
     /**
-     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     * <code>repeated .ebonygw.Member members = 1;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getResidentOrBuilder(
+    public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
         int index) {
-      return resident_.get(index);
+      return members_.get(index);
     }
 
-    public static final int LOADING_FIELD_NUMBER = 7;
-    @SuppressWarnings("serial")
-    private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> loading_;
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    @java.lang.Override
-    public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getLoadingList() {
-      return loading_;
-    }
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-        getLoadingOrBuilderList() {
-      return loading_;
-    }
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    @java.lang.Override
-    public int getLoadingCount() {
-      return loading_.size();
-    }
-    /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-     */
-    @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterVersion getLoading(int index) {
-      return loading_.get(index);
-    }
+    public static final int NEWS_FIELD_NUMBER = 2;
+    private boolean news_ = false;
     /**
-     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     * <code>bool news = 2;</code>
+     * @return The news.
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getLoadingOrBuilder(
-        int index) {
-      return loading_.get(index);
+    public boolean getNews() {
+      return news_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -7069,69 +6875,29 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (sequence_ != 0L) {
-        output.writeUInt64(1, sequence_);
-      }
-      if (running_ != 0) {
-        output.writeUInt32(2, running_);
-      }
-      if (queued_ != 0) {
-        output.writeUInt32(3, queued_);
-      }
-      if (concurrency_ != 0) {
-        output.writeUInt32(4, concurrency_);
+      for (int i = 0; i < members_.size(); i++) {
+        output.writeMessage(1, members_.get(i));
       }
-      if (queuedTokens_ != 0L) {
-        output.writeUInt64(5, queuedTokens_);
-      }
-      for (int i = 0; i < resident_.size(); i++) {
-        output.writeMessage(6, resident_.get(i));
-      }
-      for (int i = 0; i < loading_.size(); i++) {
-        output.writeMessage(7, loading_.get(i));
+      if (news_ != false) {
+        output.writeBool(2, news_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (sequence_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, sequence_);
-      }
-      if (running_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(2, running_);
-      }
-      if (queued_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, queued_);
-      }
-      if (concurrency_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(4, concurrency_);
-      }
-      if (queuedTokens_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(5, queuedTokens_);
-      }
-
-          {
-            final int count = resident_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(resident_.get(i));
-            }
-            size += 1 * count;
-          }
 
           {
-            final int count = loading_.size();
+            final int count = members_.size();
             for (int i = 0; i < count; i++) {
               size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(loading_.get(i));
+                .computeMessageSizeNoTag(members_.get(i));
             }
             size += 1 * count;
           }
+      if (news_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, news_);
+      }
       return size;
     }
     @java.lang.Override
@@ -7151,25 +6917,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.TargetReport)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.MemberUpdates)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.TargetReport other = (ebonygw.wire.PeerProtocol.TargetReport) obj;
+      ebonygw.wire.PeerProtocol.MemberUpdates other = (ebonygw.wire.PeerProtocol.MemberUpdates) obj;
 
-      if (getSequence()
-          != other.getSequence()) return false;
-      if (getRunning()
-          != other.getRunning()) return false;
-      if (getQueued()
-          != other.getQueued()) return false;
-      if (getConcurrency()
-          != other.getConcurrency()) return false;
-      if (getQueuedTokens()
-          != other.getQueuedTokens()) return false;
-      if (!getResidentList()
-          .equals(other.getResidentList())) return false;
-      if (!getLoadingList()
-          .equals(other.getLoadingList())) return false;
+      if (!getMembersList()
+          .equals(other.getMembersList())) return false;
+      if (getNews()
+          != other.getNews()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -7181,69 +6937,56 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getSequence());
-      hash = (37 * hash) + RUNNING_FIELD_NUMBER;
-      hash = (53 * hash) + getRunning();
-      hash = (37 * hash) + QUEUED_FIELD_NUMBER;
-      hash = (53 * hash) + getQueued();
-      hash = (37 * hash) + CONCURRENCY_FIELD_NUMBER;
-      hash = (53 * hash) + getConcurrency();
-      hash = (37 * hash) + QUEUED_TOKENS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getQueuedTokens());
-      if (getResidentCount() > 0) {
-        hash = (37 * hash) + RESIDENT_FIELD_NUMBER;
-        hash = (53 * hash) + getResidentList().hashCode();
-      }
-      if (getLoadingCount() > 0) {
-        hash = (37 * hash) + LOADING_FIELD_NUMBER;
-        hash = (53 * hash) + getLoadingList().hashCode();
+      if (getMembersCount() > 0) {
+        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getMembersList().hashCode();
       }
+      hash = (37 * hash) + NEWS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getNews());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -7251,26 +6994,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.TargetReport parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.TargetReport parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
+    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -7283,7 +7026,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.TargetReport prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.MemberUpdates prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -7299,26 +7042,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.TargetReport}
+     * Protobuf type {@code ebonygw.MemberUpdates}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.TargetReport)
-        ebonygw.wire.PeerProtocol.TargetReportOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.MemberUpdates)
+        ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.TargetReport.class, ebonygw.wire.PeerProtocol.TargetReport.Builder.class);
+                ebonygw.wire.PeerProtocol.MemberUpdates.class, ebonygw.wire.PeerProtocol.MemberUpdates.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.TargetReport.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.MemberUpdates.newBuilder()
       private Builder() {
 
       }
@@ -7332,42 +7075,31 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        sequence_ = 0L;
-        running_ = 0;
-        queued_ = 0;
-        concurrency_ = 0;
-        queuedTokens_ = 0L;
-        if (residentBuilder_ == null) {
-          resident_ = java.util.Collections.emptyList();
-        } else {
-          resident_ = null;
-          residentBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000020);
-        if (loadingBuilder_ == null) {
-          loading_ = java.util.Collections.emptyList();
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
         } else {
-          loading_ = null;
-          loadingBuilder_.clear();
+          members_ = null;
+          membersBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000001);
+        news_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.TargetReport getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.TargetReport.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.TargetReport build() {
-        ebonygw.wire.PeerProtocol.TargetReport result = buildPartial();
+      public ebonygw.wire.PeerProtocol.MemberUpdates build() {
+        ebonygw.wire.PeerProtocol.MemberUpdates result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -7375,132 +7107,73 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.TargetReport buildPartial() {
-        ebonygw.wire.PeerProtocol.TargetReport result = new ebonygw.wire.PeerProtocol.TargetReport(this);
+      public ebonygw.wire.PeerProtocol.MemberUpdates buildPartial() {
+        ebonygw.wire.PeerProtocol.MemberUpdates result = new ebonygw.wire.PeerProtocol.MemberUpdates(this);
         buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.TargetReport result) {
-        if (residentBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0)) {
-            resident_ = java.util.Collections.unmodifiableList(resident_);
-            bitField0_ = (bitField0_ & ~0x00000020);
-          }
-          result.resident_ = resident_;
-        } else {
-          result.resident_ = residentBuilder_.build();
-        }
-        if (loadingBuilder_ == null) {
-          if (((bitField0_ & 0x00000040) != 0)) {
-            loading_ = java.util.Collections.unmodifiableList(loading_);
-            bitField0_ = (bitField0_ & ~0x00000040);
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.MemberUpdates result) {
+        if (membersBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            members_ = java.util.Collections.unmodifiableList(members_);
+            bitField0_ = (bitField0_ & ~0x00000001);
           }
-          result.loading_ = loading_;
+          result.members_ = members_;
         } else {
-          result.loading_ = loadingBuilder_.build();
+          result.members_ = membersBuilder_.build();
         }
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.TargetReport result) {
+      private void buildPartial0(ebonygw.wire.PeerProtocol.MemberUpdates result) {
         int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.sequence_ = sequence_;
-        }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.running_ = running_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.queued_ = queued_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.concurrency_ = concurrency_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.queuedTokens_ = queuedTokens_;
+          result.news_ = news_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.TargetReport) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.TargetReport)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.MemberUpdates) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.MemberUpdates)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.TargetReport other) {
-        if (other == ebonygw.wire.PeerProtocol.TargetReport.getDefaultInstance()) return this;
-        if (other.getSequence() != 0L) {
-          setSequence(other.getSequence());
-        }
-        if (other.getRunning() != 0) {
-          setRunning(other.getRunning());
-        }
-        if (other.getQueued() != 0) {
-          setQueued(other.getQueued());
-        }
-        if (other.getConcurrency() != 0) {
-          setConcurrency(other.getConcurrency());
-        }
-        if (other.getQueuedTokens() != 0L) {
-          setQueuedTokens(other.getQueuedTokens());
-        }
-        if (residentBuilder_ == null) {
-          if (!other.resident_.isEmpty()) {
-            if (resident_.isEmpty()) {
-              resident_ = other.resident_;
-              bitField0_ = (bitField0_ & ~0x00000020);
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.MemberUpdates other) {
+        if (other == ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance()) return this;
+        if (membersBuilder_ == null) {
+          if (!other.members_.isEmpty()) {
+            if (members_.isEmpty()) {
+              members_ = other.members_;
+              bitField0_ = (bitField0_ & ~0x00000001);
             } else {
-              ensureResidentIsMutable();
-              resident_.addAll(other.resident_);
+              ensureMembersIsMutable();
+              members_.addAll(other.members_);
             }
             onChanged();
           }
         } else {
-          if (!other.resident_.isEmpty()) {
-            if (residentBuilder_.isEmpty()) {
-              residentBuilder_.dispose();
-              residentBuilder_ = null;
-              resident_ = other.resident_;
-              bitField0_ = (bitField0_ & ~0x00000020);
-              residentBuilder_ = 
+          if (!other.members_.isEmpty()) {
+            if (membersBuilder_.isEmpty()) {
+              membersBuilder_.dispose();
+              membersBuilder_ = null;
+              members_ = other.members_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              membersBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetResidentFieldBuilder() : null;
+                   internalGetMembersFieldBuilder() : null;
             } else {
-              residentBuilder_.addAllMessages(other.resident_);
+              membersBuilder_.addAllMessages(other.members_);
             }
           }
         }
-        if (loadingBuilder_ == null) {
-          if (!other.loading_.isEmpty()) {
-            if (loading_.isEmpty()) {
-              loading_ = other.loading_;
-              bitField0_ = (bitField0_ & ~0x00000040);
-            } else {
-              ensureLoadingIsMutable();
-              loading_.addAll(other.loading_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.loading_.isEmpty()) {
-            if (loadingBuilder_.isEmpty()) {
-              loadingBuilder_.dispose();
-              loadingBuilder_ = null;
-              loading_ = other.loading_;
-              bitField0_ = (bitField0_ & ~0x00000040);
-              loadingBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetLoadingFieldBuilder() : null;
-            } else {
-              loadingBuilder_.addAllMessages(other.loading_);
-            }
-          }
+        if (other.getNews() != false) {
+          setNews(other.getNews());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -7526,57 +7199,24 @@
               case 0:
                 done = true;
                 break;
-              case 8: {
-                sequence_ = input.readUInt64();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              case 16: {
-                running_ = input.readUInt32();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              case 24: {
-                queued_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 32: {
-                concurrency_ = input.readUInt32();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              case 40: {
-                queuedTokens_ = input.readUInt64();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
-              case 50: {
-                ebonygw.wire.PeerProtocol.AdapterVersion m =
+              case 10: {
+                ebonygw.wire.PeerProtocol.Member m =
                     input.readMessage(
-                        ebonygw.wire.PeerProtocol.AdapterVersion.parser(),
+                        ebonygw.wire.PeerProtocol.Member.parser(),
                         extensionRegistry);
-                if (residentBuilder_ == null) {
-                  ensureResidentIsMutable();
-                  resident_.add(m);
+                if (membersBuilder_ == null) {
+                  ensureMembersIsMutable();
+                  members_.add(m);
                 } else {
-                  residentBuilder_.addMessage(m);
+                  membersBuilder_.addMessage(m);
                 }
                 break;
-              } // case 50
-              case 58: {
-                ebonygw.wire.PeerProtocol.AdapterVersion m =
-                    input.readMessage(
-                        ebonygw.wire.PeerProtocol.AdapterVersion.parser(),
-                        extensionRegistry);
-                if (loadingBuilder_ == null) {
-                  ensureLoadingIsMutable();
-                  loading_.add(m);
-                } else {
-                  loadingBuilder_.addMessage(m);
-                }
+              } // case 10
+              case 16: {
+                news_ = input.readBool();
+                bitField0_ |= 0x00000002;
                 break;
-              } // case 58
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -7594,651 +7234,954 @@
       }
       private int bitField0_;
 
-      private long sequence_ ;
+      private java.util.List<ebonygw.wire.PeerProtocol.Member> members_ =
+        java.util.Collections.emptyList();
+      private void ensureMembersIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          members_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Member>(members_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> membersBuilder_;
+
       /**
-       * <code>uint64 sequence = 1;</code>
-       * @return The sequence.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      @java.lang.Override
-      public long getSequence() {
-        return sequence_;
+      public java.util.List<ebonygw.wire.PeerProtocol.Member> getMembersList() {
+        if (membersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(members_);
+        } else {
+          return membersBuilder_.getMessageList();
+        }
       }
       /**
-       * <code>uint64 sequence = 1;</code>
-       * @param value The sequence to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder setSequence(long value) {
-
-        sequence_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      public int getMembersCount() {
+        if (membersBuilder_ == null) {
+          return members_.size();
+        } else {
+          return membersBuilder_.getCount();
+        }
       }
       /**
-       * <code>uint64 sequence = 1;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder clearSequence() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        sequence_ = 0L;
-        onChanged();
-        return this;
+      public ebonygw.wire.PeerProtocol.Member getMembers(int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);
+        } else {
+          return membersBuilder_.getMessage(index);
+        }
       }
-
-      private int running_ ;
       /**
-       * <code>uint32 running = 2;</code>
-       * @return The running.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      @java.lang.Override
-      public int getRunning() {
-        return running_;
+      public Builder setMembers(
+          int index, ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.set(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.setMessage(index, value);
+        }
+        return this;
       }
       /**
-       * <code>uint32 running = 2;</code>
-       * @param value The running to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder setRunning(int value) {
-
-        running_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
+      public Builder setMembers(
+          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.setMessage(index, builderForValue.build());
+        }
         return this;
       }
       /**
-       * <code>uint32 running = 2;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder clearRunning() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        running_ = 0;
-        onChanged();
+      public Builder addMembers(ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.add(value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(value);
+        }
         return this;
       }
-
-      private int queued_ ;
       /**
-       * <code>uint32 queued = 3;</code>
-       * @return The queued.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      @java.lang.Override
-      public int getQueued() {
-        return queued_;
+      public Builder addMembers(
+          int index, ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.add(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, value);
+        }
+        return this;
       }
       /**
-       * <code>uint32 queued = 3;</code>
-       * @param value The queued to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder setQueued(int value) {
-
-        queued_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
+      public Builder addMembers(
+          ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(builderForValue.build());
+        }
         return this;
       }
       /**
-       * <code>uint32 queued = 3;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder clearQueued() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        queued_ = 0;
-        onChanged();
+      public Builder addMembers(
+          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, builderForValue.build());
+        }
         return this;
       }
-
-      private int concurrency_ ;
       /**
-       * <code>uint32 concurrency = 4;</code>
-       * @return The concurrency.
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      @java.lang.Override
-      public int getConcurrency() {
-        return concurrency_;
-      }
-      /**
-       * <code>uint32 concurrency = 4;</code>
-       * @param value The concurrency to set.
-       * @return This builder for chaining.
-       */
-      public Builder setConcurrency(int value) {
-
-        concurrency_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint32 concurrency = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearConcurrency() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        concurrency_ = 0;
-        onChanged();
-        return this;
-      }
-
-      private long queuedTokens_ ;
-      /**
-       * <code>uint64 queued_tokens = 5;</code>
-       * @return The queuedTokens.
-       */
-      @java.lang.Override
-      public long getQueuedTokens() {
-        return queuedTokens_;
-      }
-      /**
-       * <code>uint64 queued_tokens = 5;</code>
-       * @param value The queuedTokens to set.
-       * @return This builder for chaining.
-       */
-      public Builder setQueuedTokens(long value) {
-
-        queuedTokens_ = value;
-        bitField0_ |= 0x00000010;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 queued_tokens = 5;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearQueuedTokens() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        queuedTokens_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> resident_ =
-        java.util.Collections.emptyList();
-      private void ensureResidentIsMutable() {
-        if (!((bitField0_ & 0x00000020) != 0)) {
-          resident_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterVersion>(resident_);
-          bitField0_ |= 0x00000020;
-         }
-      }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> residentBuilder_;
-
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getResidentList() {
-        if (residentBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(resident_);
+      public Builder addAllMembers(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Member> values) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, members_);
+          onChanged();
         } else {
-          return residentBuilder_.getMessageList();
+          membersBuilder_.addAllMessages(values);
         }
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public int getResidentCount() {
-        if (residentBuilder_ == null) {
-          return resident_.size();
+      public Builder clearMembers() {
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
         } else {
-          return residentBuilder_.getCount();
+          membersBuilder_.clear();
         }
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterVersion getResident(int index) {
-        if (residentBuilder_ == null) {
-          return resident_.get(index);
+      public Builder removeMembers(int index) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.remove(index);
+          onChanged();
         } else {
-          return residentBuilder_.getMessage(index);
+          membersBuilder_.remove(index);
         }
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder setResident(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
-        if (residentBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureResidentIsMutable();
-          resident_.set(index, value);
-          onChanged();
-        } else {
-          residentBuilder_.setMessage(index, value);
-        }
-        return this;
+      public ebonygw.wire.PeerProtocol.Member.Builder getMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder setResident(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
-        if (residentBuilder_ == null) {
-          ensureResidentIsMutable();
-          resident_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          residentBuilder_.setMessage(index, builderForValue.build());
+      public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
+          int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);  } else {
+          return membersBuilder_.getMessageOrBuilder(index);
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder addResident(ebonygw.wire.PeerProtocol.AdapterVersion value) {
-        if (residentBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureResidentIsMutable();
-          resident_.add(value);
-          onChanged();
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+           getMembersOrBuilderList() {
+        if (membersBuilder_ != null) {
+          return membersBuilder_.getMessageOrBuilderList();
         } else {
-          residentBuilder_.addMessage(value);
+          return java.util.Collections.unmodifiableList(members_);
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder addResident(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
-        if (residentBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureResidentIsMutable();
-          resident_.add(index, value);
-          onChanged();
-        } else {
-          residentBuilder_.addMessage(index, value);
-        }
-        return this;
+      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder() {
+        return internalGetMembersFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder addResident(
-          ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
-        if (residentBuilder_ == null) {
-          ensureResidentIsMutable();
-          resident_.add(builderForValue.build());
-          onChanged();
-        } else {
-          residentBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
+      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>repeated .ebonygw.Member members = 1;</code>
        */
-      public Builder addResident(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
-        if (residentBuilder_ == null) {
-          ensureResidentIsMutable();
-          resident_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          residentBuilder_.addMessage(index, builderForValue.build());
+      public java.util.List<ebonygw.wire.PeerProtocol.Member.Builder> 
+           getMembersBuilderList() {
+        return internalGetMembersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+          internalGetMembersFieldBuilder() {
+        if (membersBuilder_ == null) {
+          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder>(
+                  members_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          members_ = null;
         }
-        return this;
+        return membersBuilder_;
       }
+
+      private boolean news_ ;
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>bool news = 2;</code>
+       * @return The news.
        */
-      public Builder addAllResident(
-          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterVersion> values) {
-        if (residentBuilder_ == null) {
-          ensureResidentIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, resident_);
-          onChanged();
-        } else {
-          residentBuilder_.addAllMessages(values);
-        }
-        return this;
+      @java.lang.Override
+      public boolean getNews() {
+        return news_;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>bool news = 2;</code>
+       * @param value The news to set.
+       * @return This builder for chaining.
        */
-      public Builder clearResident() {
-        if (residentBuilder_ == null) {
-          resident_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000020);
-          onChanged();
-        } else {
-          residentBuilder_.clear();
-        }
+      public Builder setNews(boolean value) {
+
+        news_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       * <code>bool news = 2;</code>
+       * @return This builder for chaining.
        */
-      public Builder removeResident(int index) {
-        if (residentBuilder_ == null) {
-          ensureResidentIsMutable();
-          resident_.remove(index);
-          onChanged();
-        } else {
-          residentBuilder_.remove(index);
-        }
+      public Builder clearNews() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        news_ = false;
+        onChanged();
         return this;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder getResidentBuilder(
-          int index) {
-        return internalGetResidentFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getResidentOrBuilder(
-          int index) {
-        if (residentBuilder_ == null) {
-          return resident_.get(index);  } else {
-          return residentBuilder_.getMessageOrBuilder(index);
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.MemberUpdates)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.MemberUpdates)
+    private static final ebonygw.wire.PeerProtocol.MemberUpdates DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberUpdates();
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MemberUpdates>
+        PARSER = new com.google.protobuf.AbstractParser<MemberUpdates>() {
+      @java.lang.Override
+      public MemberUpdates parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
         }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MemberUpdates> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MemberUpdates> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AdapterVersionOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterVersion)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The adapter.
+     */
+    java.lang.String getAdapter();
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The bytes for adapter.
+     */
+    com.google.protobuf.ByteString
+        getAdapterBytes();
+
+    /**
+     * <code>string version = 2;</code>
+     * @return The version.
+     */
+    java.lang.String getVersion();
+    /**
+     * <code>string version = 2;</code>
+     * @return The bytes for version.
+     */
+    com.google.protobuf.ByteString
+        getVersionBytes();
+  }
+  /**
+   * Protobuf type {@code ebonygw.AdapterVersion}
+   */
+  public static final class AdapterVersion extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.AdapterVersion)
+      AdapterVersionOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AdapterVersion");
+    }
+    // Use AdapterVersion.newBuilder() to construct.
+    private AdapterVersion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AdapterVersion() {
+      adapter_ = "";
+      version_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
+    }
+
+    public static final int ADAPTER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object adapter_ = "";
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The adapter.
+     */
+    @java.lang.Override
+    public java.lang.String getAdapter() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        adapter_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The bytes for adapter.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAdapterBytes() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        adapter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object version_ = "";
+    /**
+     * <code>string version = 2;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public java.lang.String getVersion() {
+      java.lang.Object ref = version_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        version_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string version = 2;</code>
+     * @return The bytes for version.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVersionBytes() {
+      java.lang.Object ref = version_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        version_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, adapter_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, version_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, adapter_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, version_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterVersion)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.AdapterVersion other = (ebonygw.wire.PeerProtocol.AdapterVersion) obj;
+
+      if (!getAdapter()
+          .equals(other.getAdapter())) return false;
+      if (!getVersion()
+          .equals(other.getVersion())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-           getResidentOrBuilderList() {
-        if (residentBuilder_ != null) {
-          return residentBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(resident_);
-        }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAdapter().hashCode();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getVersion().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterVersion prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.AdapterVersion}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterVersion)
+        ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addResidentBuilder() {
-        return internalGetResidentFieldBuilder().addBuilder(
-            ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addResidentBuilder(
-          int index) {
-        return internalGetResidentFieldBuilder().addBuilder(
-            index, ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
+
+      // Construct using ebonygw.wire.PeerProtocol.AdapterVersion.newBuilder()
+      private Builder() {
+
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
-       */
-      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion.Builder> 
-           getResidentBuilderList() {
-        return internalGetResidentFieldBuilder().getBuilderList();
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-          internalGetResidentFieldBuilder() {
-        if (residentBuilder_ == null) {
-          residentBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder>(
-                  resident_,
-                  ((bitField0_ & 0x00000020) != 0),
-                  getParentForChildren(),
-                  isClean());
-          resident_ = null;
-        }
-        return residentBuilder_;
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        adapter_ = "";
+        version_ = "";
+        return this;
       }
 
-      private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> loading_ =
-        java.util.Collections.emptyList();
-      private void ensureLoadingIsMutable() {
-        if (!((bitField0_ & 0x00000040) != 0)) {
-          loading_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterVersion>(loading_);
-          bitField0_ |= 0x00000040;
-         }
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
       }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> loadingBuilder_;
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance();
+      }
 
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getLoadingList() {
-        if (loadingBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(loading_);
-        } else {
-          return loadingBuilder_.getMessageList();
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterVersion build() {
+        ebonygw.wire.PeerProtocol.AdapterVersion result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
         }
+        return result;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public int getLoadingCount() {
-        if (loadingBuilder_ == null) {
-          return loading_.size();
-        } else {
-          return loadingBuilder_.getCount();
-        }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterVersion buildPartial() {
+        ebonygw.wire.PeerProtocol.AdapterVersion result = new ebonygw.wire.PeerProtocol.AdapterVersion(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public ebonygw.wire.PeerProtocol.AdapterVersion getLoading(int index) {
-        if (loadingBuilder_ == null) {
-          return loading_.get(index);
-        } else {
-          return loadingBuilder_.getMessage(index);
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterVersion result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.adapter_ = adapter_;
         }
-      }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public Builder setLoading(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
-        if (loadingBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureLoadingIsMutable();
-          loading_.set(index, value);
-          onChanged();
-        } else {
-          loadingBuilder_.setMessage(index, value);
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.version_ = version_;
         }
-        return this;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public Builder setLoading(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
-        if (loadingBuilder_ == null) {
-          ensureLoadingIsMutable();
-          loading_.set(index, builderForValue.build());
-          onChanged();
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.AdapterVersion) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterVersion)other);
         } else {
-          loadingBuilder_.setMessage(index, builderForValue.build());
+          super.mergeFrom(other);
+          return this;
         }
-        return this;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public Builder addLoading(ebonygw.wire.PeerProtocol.AdapterVersion value) {
-        if (loadingBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureLoadingIsMutable();
-          loading_.add(value);
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterVersion other) {
+        if (other == ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance()) return this;
+        if (!other.getAdapter().isEmpty()) {
+          adapter_ = other.adapter_;
+          bitField0_ |= 0x00000001;
           onChanged();
-        } else {
-          loadingBuilder_.addMessage(value);
         }
-        return this;
-      }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public Builder addLoading(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
-        if (loadingBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureLoadingIsMutable();
-          loading_.add(index, value);
+        if (!other.getVersion().isEmpty()) {
+          version_ = other.version_;
+          bitField0_ |= 0x00000002;
           onChanged();
-        } else {
-          loadingBuilder_.addMessage(index, value);
         }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public Builder addLoading(
-          ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
-        if (loadingBuilder_ == null) {
-          ensureLoadingIsMutable();
-          loading_.add(builderForValue.build());
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                adapter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                version_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
           onChanged();
-        } else {
-          loadingBuilder_.addMessage(builderForValue.build());
-        }
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private java.lang.Object adapter_ = "";
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string adapter = 1;</code>
+       * @return The adapter.
        */
-      public Builder addLoading(
-          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
-        if (loadingBuilder_ == null) {
-          ensureLoadingIsMutable();
-          loading_.add(index, builderForValue.build());
-          onChanged();
+      public java.lang.String getAdapter() {
+        java.lang.Object ref = adapter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          adapter_ = s;
+          return s;
         } else {
-          loadingBuilder_.addMessage(index, builderForValue.build());
+          return (java.lang.String) ref;
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string adapter = 1;</code>
+       * @return The bytes for adapter.
        */
-      public Builder addAllLoading(
-          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterVersion> values) {
-        if (loadingBuilder_ == null) {
-          ensureLoadingIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, loading_);
-          onChanged();
+      public com.google.protobuf.ByteString
+          getAdapterBytes() {
+        java.lang.Object ref = adapter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          adapter_ = b;
+          return b;
         } else {
-          loadingBuilder_.addAllMessages(values);
+          return (com.google.protobuf.ByteString) ref;
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string adapter = 1;</code>
+       * @param value The adapter to set.
+       * @return This builder for chaining.
        */
-      public Builder clearLoading() {
-        if (loadingBuilder_ == null) {
-          loading_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000040);
-          onChanged();
-        } else {
-          loadingBuilder_.clear();
-        }
+      public Builder setAdapter(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string adapter = 1;</code>
+       * @return This builder for chaining.
        */
-      public Builder removeLoading(int index) {
-        if (loadingBuilder_ == null) {
-          ensureLoadingIsMutable();
-          loading_.remove(index);
-          onChanged();
-        } else {
-          loadingBuilder_.remove(index);
-        }
+      public Builder clearAdapter() {
+        adapter_ = getDefaultInstance().getAdapter();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string adapter = 1;</code>
+       * @param value The bytes for adapter to set.
+       * @return This builder for chaining.
        */
-      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder getLoadingBuilder(
-          int index) {
-        return internalGetLoadingFieldBuilder().getBuilder(index);
+      public Builder setAdapterBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
+
+      private java.lang.Object version_ = "";
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string version = 2;</code>
+       * @return The version.
        */
-      public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getLoadingOrBuilder(
-          int index) {
-        if (loadingBuilder_ == null) {
-          return loading_.get(index);  } else {
-          return loadingBuilder_.getMessageOrBuilder(index);
+      public java.lang.String getVersion() {
+        java.lang.Object ref = version_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          version_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string version = 2;</code>
+       * @return The bytes for version.
        */
-      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-           getLoadingOrBuilderList() {
-        if (loadingBuilder_ != null) {
-          return loadingBuilder_.getMessageOrBuilderList();
+      public com.google.protobuf.ByteString
+          getVersionBytes() {
+        java.lang.Object ref = version_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          version_ = b;
+          return b;
         } else {
-          return java.util.Collections.unmodifiableList(loading_);
+          return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
-       */
-      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addLoadingBuilder() {
-        return internalGetLoadingFieldBuilder().addBuilder(
-            ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string version = 2;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
        */
-      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addLoadingBuilder(
-          int index) {
-        return internalGetLoadingFieldBuilder().addBuilder(
-            index, ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
+      public Builder setVersion(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+       * <code>string version = 2;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion.Builder> 
-           getLoadingBuilderList() {
-        return internalGetLoadingFieldBuilder().getBuilderList();
+      public Builder clearVersion() {
+        version_ = getDefaultInstance().getVersion();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
-          internalGetLoadingFieldBuilder() {
-        if (loadingBuilder_ == null) {
-          loadingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder>(
-                  loading_,
-                  ((bitField0_ & 0x00000040) != 0),
-                  getParentForChildren(),
-                  isClean());
-          loading_ = null;
-        }
-        return loadingBuilder_;
+      /**
+       * <code>string version = 2;</code>
+       * @param value The bytes for version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersionBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.TargetReport)
+      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterVersion)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.TargetReport)
-    private static final ebonygw.wire.PeerProtocol.TargetReport DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.AdapterVersion)
+    private static final ebonygw.wire.PeerProtocol.AdapterVersion DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.TargetReport();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterVersion();
     }
 
-    public static ebonygw.wire.PeerProtocol.TargetReport getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<TargetReport>
-        PARSER = new com.google.protobuf.AbstractParser<TargetReport>() {
+    private static final com.google.protobuf.Parser<AdapterVersion>
+        PARSER = new com.google.protobuf.AbstractParser<AdapterVersion>() {
       @java.lang.Override
-      public TargetReport parsePartialFrom(
+      public AdapterVersion parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -8257,50 +8200,111 @@
       }
     };
 
-    public static com.google.protobuf.Parser<TargetReport> parser() {
+    public static com.google.protobuf.Parser<AdapterVersion> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<TargetReport> getParserForType() {
+    public com.google.protobuf.Parser<AdapterVersion> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.TargetReport getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface MemberDigestOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.MemberDigest)
+  public interface TargetReportOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.TargetReport)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return A list containing the buckets.
+     * <code>uint64 sequence = 1;</code>
+     * @return The sequence.
      */
-    java.util.List<java.lang.Long> getBucketsList();
+    long getSequence();
+
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return The count of buckets.
+     * <code>uint32 running = 2;</code>
+     * @return The running.
      */
-    int getBucketsCount();
+    int getRunning();
+
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @param index The index of the element to return.
-     * @return The buckets at the given index.
+     * <code>uint32 queued = 3;</code>
+     * @return The queued.
      */
-    long getBuckets(int index);
+    int getQueued();
+
+    /**
+     * <code>uint32 concurrency = 4;</code>
+     * @return The concurrency.
+     */
+    int getConcurrency();
+
+    /**
+     * <code>uint64 queued_tokens = 5;</code>
+     * @return The queuedTokens.
+     */
+    long getQueuedTokens();
+
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> 
+        getResidentList();
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterVersion getResident(int index);
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    int getResidentCount();
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+        getResidentOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getResidentOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> 
+        getLoadingList();
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterVersion getLoading(int index);
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    int getLoadingCount();
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+        getLoadingOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getLoadingOrBuilder(
+        int index);
   }
   /**
-   * Protobuf type {@code ebonygw.MemberDigest}
+   * Protobuf type {@code ebonygw.TargetReport}
    */
-  public static final class MemberDigest extends
+  public static final class TargetReport extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.MemberDigest)
-      MemberDigestOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.TargetReport)
+      TargetReportOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -8309,63 +8313,171 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "MemberDigest");
+        "TargetReport");
     }
-    // Use MemberDigest.newBuilder() to construct.
-    private MemberDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use TargetReport.newBuilder() to construct.
+    private TargetReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private MemberDigest() {
-      buckets_ = emptyLongList();
+    private TargetReport() {
+      resident_ = java.util.Collections.emptyList();
+      loading_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.TargetReport.class, ebonygw.wire.PeerProtocol.TargetReport.Builder.class);
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 1;
+    private long sequence_ = 0L;
+    /**
+     * <code>uint64 sequence = 1;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int RUNNING_FIELD_NUMBER = 2;
+    private int running_ = 0;
+    /**
+     * <code>uint32 running = 2;</code>
+     * @return The running.
+     */
+    @java.lang.Override
+    public int getRunning() {
+      return running_;
+    }
+
+    public static final int QUEUED_FIELD_NUMBER = 3;
+    private int queued_ = 0;
+    /**
+     * <code>uint32 queued = 3;</code>
+     * @return The queued.
+     */
+    @java.lang.Override
+    public int getQueued() {
+      return queued_;
+    }
+
+    public static final int CONCURRENCY_FIELD_NUMBER = 4;
+    private int concurrency_ = 0;
+    /**
+     * <code>uint32 concurrency = 4;</code>
+     * @return The concurrency.
+     */
+    @java.lang.Override
+    public int getConcurrency() {
+      return concurrency_;
+    }
+
+    public static final int QUEUED_TOKENS_FIELD_NUMBER = 5;
+    private long queuedTokens_ = 0L;
+    /**
+     * <code>uint64 queued_tokens = 5;</code>
+     * @return The queuedTokens.
+     */
+    @java.lang.Override
+    public long getQueuedTokens() {
+      return queuedTokens_;
+    }
+
+    public static final int RESIDENT_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> resident_;
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getResidentList() {
+      return resident_;
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+        getResidentOrBuilderList() {
+      return resident_;
     }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
+    @java.lang.Override
+    public int getResidentCount() {
+      return resident_.size();
     }
-
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+    public ebonygw.wire.PeerProtocol.AdapterVersion getResident(int index) {
+      return resident_.get(index);
     }
-
+    /**
+     * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+     */
     @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
+    public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getResidentOrBuilder(
+        int index) {
+      return resident_.get(index);
     }
 
-    public static final int BUCKETS_FIELD_NUMBER = 1;
+    public static final int LOADING_FIELD_NUMBER = 7;
     @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList buckets_ =
-        emptyLongList();
+    private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> loading_;
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return A list containing the buckets.
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
      */
     @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getBucketsList() {
-      return buckets_;
+    public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getLoadingList() {
+      return loading_;
     }
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return The count of buckets.
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
      */
-    public int getBucketsCount() {
-      return buckets_.size();
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+        getLoadingOrBuilderList() {
+      return loading_;
     }
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @param index The index of the element to return.
-     * @return The buckets at the given index.
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
      */
-    public long getBuckets(int index) {
-      return buckets_.getLong(index);
+    @java.lang.Override
+    public int getLoadingCount() {
+      return loading_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterVersion getLoading(int index) {
+      return loading_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getLoadingOrBuilder(
+        int index) {
+      return loading_.get(index);
     }
-    private int bucketsMemoizedSerializedSize = -1;
 
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
@@ -8381,29 +8493,69 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      getSerializedSize();
-      if (getBucketsList().size() > 0) {
-        output.writeUInt32NoTag(10);
-        output.writeUInt32NoTag(bucketsMemoizedSerializedSize);
+      if (sequence_ != 0L) {
+        output.writeUInt64(1, sequence_);
       }
-      for (int i = 0; i < buckets_.size(); i++) {
-        output.writeFixed64NoTag(buckets_.getLong(i));
+      if (running_ != 0) {
+        output.writeUInt32(2, running_);
+      }
+      if (queued_ != 0) {
+        output.writeUInt32(3, queued_);
+      }
+      if (concurrency_ != 0) {
+        output.writeUInt32(4, concurrency_);
+      }
+      if (queuedTokens_ != 0L) {
+        output.writeUInt64(5, queuedTokens_);
+      }
+      for (int i = 0; i < resident_.size(); i++) {
+        output.writeMessage(6, resident_.get(i));
+      }
+      for (int i = 0; i < loading_.size(); i++) {
+        output.writeMessage(7, loading_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      {
-        int dataSize = 0;
-        dataSize = 8 * getBucketsList().size();
-        size += dataSize;
-        if (!getBucketsList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
-        }
-        bucketsMemoizedSerializedSize = dataSize;
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, sequence_);
+      }
+      if (running_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, running_);
+      }
+      if (queued_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, queued_);
+      }
+      if (concurrency_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, concurrency_);
       }
+      if (queuedTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, queuedTokens_);
+      }
+
+          {
+            final int count = resident_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(resident_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = loading_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(loading_.get(i));
+            }
+            size += 1 * count;
+          }
       return size;
     }
     @java.lang.Override
@@ -8423,13 +8575,25 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.MemberDigest)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.TargetReport)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.MemberDigest other = (ebonygw.wire.PeerProtocol.MemberDigest) obj;
+      ebonygw.wire.PeerProtocol.TargetReport other = (ebonygw.wire.PeerProtocol.TargetReport) obj;
 
-      if (!getBucketsList()
-          .equals(other.getBucketsList())) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (getRunning()
+          != other.getRunning()) return false;
+      if (getQueued()
+          != other.getQueued()) return false;
+      if (getConcurrency()
+          != other.getConcurrency()) return false;
+      if (getQueuedTokens()
+          != other.getQueuedTokens()) return false;
+      if (!getResidentList()
+          .equals(other.getResidentList())) return false;
+      if (!getLoadingList()
+          .equals(other.getLoadingList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8441,53 +8605,69 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      if (getBucketsCount() > 0) {
-        hash = (37 * hash) + BUCKETS_FIELD_NUMBER;
-        hash = (53 * hash) + getBucketsList().hashCode();
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+      hash = (53 * hash) + getRunning();
+      hash = (37 * hash) + QUEUED_FIELD_NUMBER;
+      hash = (53 * hash) + getQueued();
+      hash = (37 * hash) + CONCURRENCY_FIELD_NUMBER;
+      hash = (53 * hash) + getConcurrency();
+      hash = (37 * hash) + QUEUED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getQueuedTokens());
+      if (getResidentCount() > 0) {
+        hash = (37 * hash) + RESIDENT_FIELD_NUMBER;
+        hash = (53 * hash) + getResidentList().hashCode();
+      }
+      if (getLoadingCount() > 0) {
+        hash = (37 * hash) + LOADING_FIELD_NUMBER;
+        hash = (53 * hash) + getLoadingList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -8495,26 +8675,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.TargetReport parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.MemberDigest parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetReport parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -8527,7 +8707,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.MemberDigest prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.TargetReport prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -8543,26 +8723,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.MemberDigest}
+     * Protobuf type {@code ebonygw.TargetReport}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.MemberDigest)
-        ebonygw.wire.PeerProtocol.MemberDigestOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.TargetReport)
+        ebonygw.wire.PeerProtocol.TargetReportOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
+                ebonygw.wire.PeerProtocol.TargetReport.class, ebonygw.wire.PeerProtocol.TargetReport.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.MemberDigest.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.TargetReport.newBuilder()
       private Builder() {
 
       }
@@ -8576,24 +8756,42 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        buckets_ = emptyLongList();
+        sequence_ = 0L;
+        running_ = 0;
+        queued_ = 0;
+        concurrency_ = 0;
+        queuedTokens_ = 0L;
+        if (residentBuilder_ == null) {
+          resident_ = java.util.Collections.emptyList();
+        } else {
+          resident_ = null;
+          residentBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        if (loadingBuilder_ == null) {
+          loading_ = java.util.Collections.emptyList();
+        } else {
+          loading_ = null;
+          loadingBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetReport_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.TargetReport getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.TargetReport.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.MemberDigest build() {
-        ebonygw.wire.PeerProtocol.MemberDigest result = buildPartial();
+      public ebonygw.wire.PeerProtocol.TargetReport build() {
+        ebonygw.wire.PeerProtocol.TargetReport result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
