@@ -8601,1028 +8799,870 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.MemberDigest buildPartial() {
-        ebonygw.wire.PeerProtocol.MemberDigest result = new ebonygw.wire.PeerProtocol.MemberDigest(this);
+      public ebonygw.wire.PeerProtocol.TargetReport buildPartial() {
+        ebonygw.wire.PeerProtocol.TargetReport result = new ebonygw.wire.PeerProtocol.TargetReport(this);
+        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.MemberDigest result) {
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.TargetReport result) {
+        if (residentBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            resident_ = java.util.Collections.unmodifiableList(resident_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.resident_ = resident_;
+        } else {
+          result.resident_ = residentBuilder_.build();
+        }
+        if (loadingBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            loading_ = java.util.Collections.unmodifiableList(loading_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.loading_ = loading_;
+        } else {
+          result.loading_ = loadingBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.TargetReport result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          buckets_.makeImmutable();
-          result.buckets_ = buckets_;
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.running_ = running_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.queued_ = queued_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.concurrency_ = concurrency_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.queuedTokens_ = queuedTokens_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.MemberDigest) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.MemberDigest)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.TargetReport) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.TargetReport)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.MemberDigest other) {
-        if (other == ebonygw.wire.PeerProtocol.MemberDigest.getDefaultInstance()) return this;
-        if (!other.buckets_.isEmpty()) {
-          if (buckets_.isEmpty()) {
-            buckets_ = other.buckets_;
-            buckets_.makeImmutable();
-            bitField0_ |= 0x00000001;
-          } else {
-            ensureBucketsIsMutable();
-            buckets_.addAll(other.buckets_);
-          }
-          onChanged();
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.TargetReport other) {
+        if (other == ebonygw.wire.PeerProtocol.TargetReport.getDefaultInstance()) return this;
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
         }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
-        return this;
-      }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        java.util.Objects.requireNonNull(extensionRegistry);
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 9: {
-                long v = input.readFixed64();
-                ensureBucketsIsMutable();
-                buckets_.addLong(v);
-                break;
-              } // case 9
-              case 10: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                int alloc = length > 4096 ? 4096 : length;
-                ensureBucketsIsMutable(alloc / 8);
-                while (input.getBytesUntilLimit() > 0) {
-                  buckets_.addLong(input.readFixed64());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 10
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
-
-      private com.google.protobuf.Internal.LongList buckets_ = emptyLongList();
-      private void ensureBucketsIsMutable() {
-        if (!buckets_.isModifiable()) {
-          buckets_ = makeMutableCopy(buckets_);
+        if (other.getRunning() != 0) {
+          setRunning(other.getRunning());
         }
-        bitField0_ |= 0x00000001;
-      }
-      private void ensureBucketsIsMutable(int capacity) {
-        if (!buckets_.isModifiable()) {
-          buckets_ = makeMutableCopy(buckets_, capacity);
+        if (other.getQueued() != 0) {
+          setQueued(other.getQueued());
         }
-        bitField0_ |= 0x00000001;
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @return A list containing the buckets.
-       */
-      public java.util.List<java.lang.Long>
-          getBucketsList() {
-        buckets_.makeImmutable();
-        return buckets_;
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @return The count of buckets.
-       */
-      public int getBucketsCount() {
-        return buckets_.size();
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @param index The index of the element to return.
-       * @return The buckets at the given index.
-       */
-      public long getBuckets(int index) {
-        return buckets_.getLong(index);
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @param index The index to set the value at.
-       * @param value The buckets to set.
-       * @return This builder for chaining.
-       */
-      public Builder setBuckets(
-          int index, long value) {
-
-        ensureBucketsIsMutable();
-        buckets_.setLong(index, value);
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @param value The buckets to add.
-       * @return This builder for chaining.
-       */
-      public Builder addBuckets(long value) {
-
-        ensureBucketsIsMutable();
-        buckets_.addLong(value);
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @param values The buckets to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllBuckets(
-          java.lang.Iterable<? extends java.lang.Long> values) {
-        ensureBucketsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, buckets_);
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 buckets = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearBuckets() {
-        buckets_ = emptyLongList();
-        bitField0_ = (bitField0_ & ~0x00000001);
+        if (other.getConcurrency() != 0) {
+          setConcurrency(other.getConcurrency());
+        }
+        if (other.getQueuedTokens() != 0L) {
+          setQueuedTokens(other.getQueuedTokens());
+        }
+        if (residentBuilder_ == null) {
+          if (!other.resident_.isEmpty()) {
+            if (resident_.isEmpty()) {
+              resident_ = other.resident_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureResidentIsMutable();
+              resident_.addAll(other.resident_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.resident_.isEmpty()) {
+            if (residentBuilder_.isEmpty()) {
+              residentBuilder_.dispose();
+              residentBuilder_ = null;
+              resident_ = other.resident_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              residentBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetResidentFieldBuilder() : null;
+            } else {
+              residentBuilder_.addAllMessages(other.resident_);
+            }
+          }
+        }
+        if (loadingBuilder_ == null) {
+          if (!other.loading_.isEmpty()) {
+            if (loading_.isEmpty()) {
+              loading_ = other.loading_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensureLoadingIsMutable();
+              loading_.addAll(other.loading_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.loading_.isEmpty()) {
+            if (loadingBuilder_.isEmpty()) {
+              loadingBuilder_.dispose();
+              loadingBuilder_ = null;
+              loading_ = other.loading_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              loadingBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetLoadingFieldBuilder() : null;
+            } else {
+              loadingBuilder_.addAllMessages(other.loading_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.MemberDigest)
-    }
-
-    // @@protoc_insertion_point(class_scope:ebonygw.MemberDigest)
-    private static final ebonygw.wire.PeerProtocol.MemberDigest DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberDigest();
-    }
-
-    public static ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
 
-    private static final com.google.protobuf.Parser<MemberDigest>
-        PARSER = new com.google.protobuf.AbstractParser<MemberDigest>() {
       @java.lang.Override
-      public MemberDigest parsePartialFrom(
+      public Builder mergeFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
         try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
-      }
-    };
-
-    public static com.google.protobuf.Parser<MemberDigest> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<MemberDigest> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public ebonygw.wire.PeerProtocol.MemberDigest getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface MemberUpdatesOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.MemberUpdates)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    java.util.List<ebonygw.wire.PeerProtocol.Member> 
-        getMembersList();
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    ebonygw.wire.PeerProtocol.Member getMembers(int index);
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    int getMembersCount();
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
-        getMembersOrBuilderList();
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
-        int index);
-
-    /**
-     * <code>bool news = 2;</code>
-     * @return The news.
-     */
-    boolean getNews();
-  }
-  /**
-   * Protobuf type {@code ebonygw.MemberUpdates}
-   */
-  public static final class MemberUpdates extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.MemberUpdates)
-      MemberUpdatesOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 36,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "MemberUpdates");
-    }
-    // Use MemberUpdates.newBuilder() to construct.
-    private MemberUpdates(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private MemberUpdates() {
-      members_ = java.util.Collections.emptyList();
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.MemberUpdates.class, ebonygw.wire.PeerProtocol.MemberUpdates.Builder.class);
-    }
-
-    public static final int MEMBERS_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private java.util.List<ebonygw.wire.PeerProtocol.Member> members_;
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    @java.lang.Override
-    public java.util.List<ebonygw.wire.PeerProtocol.Member> getMembersList() {
-      return members_;
-    }
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
-        getMembersOrBuilderList() {
-      return members_;
-    }
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    @java.lang.Override
-    public int getMembersCount() {
-      return members_.size();
-    }
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    @java.lang.Override
-    public ebonygw.wire.PeerProtocol.Member getMembers(int index) {
-      return members_.get(index);
-    }
-    /**
-     * <code>repeated .ebonygw.Member members = 1;</code>
-     */
-    @java.lang.Override
-    public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
-        int index) {
-      return members_.get(index);
-    }
-
-    public static final int NEWS_FIELD_NUMBER = 2;
-    private boolean news_ = false;
-    /**
-     * <code>bool news = 2;</code>
-     * @return The news.
-     */
-    @java.lang.Override
-    public boolean getNews() {
-      return news_;
-    }
-
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
-
-      memoizedIsInitialized = 1;
-      return true;
-    }
-
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      for (int i = 0; i < members_.size(); i++) {
-        output.writeMessage(1, members_.get(i));
-      }
-      if (news_ != false) {
-        output.writeBool(2, news_);
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                running_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                queued_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                concurrency_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                queuedTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                ebonygw.wire.PeerProtocol.AdapterVersion m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.AdapterVersion.parser(),
+                        extensionRegistry);
+                if (residentBuilder_ == null) {
+                  ensureResidentIsMutable();
+                  resident_.add(m);
+                } else {
+                  residentBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 58: {
+                ebonygw.wire.PeerProtocol.AdapterVersion m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.AdapterVersion.parser(),
+                        extensionRegistry);
+                if (loadingBuilder_ == null) {
+                  ensureLoadingIsMutable();
+                  loading_.add(m);
+                } else {
+                  loadingBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
-      getUnknownFields().writeTo(output);
-    }
-    private int computeSerializedSize_0() {
-      int size = 0;
+      private int bitField0_;
 
-          {
-            final int count = members_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(members_.get(i));
-            }
-            size += 1 * count;
-          }
-      if (news_ != false) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(2, news_);
+      private long sequence_ ;
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
       }
-      return size;
-    }
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
-
-      size = 0;
-      size += computeSerializedSize_0();
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
 
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
+        sequence_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.MemberUpdates)) {
-        return super.equals(obj);
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        sequence_ = 0L;
+        onChanged();
+        return this;
       }
-      ebonygw.wire.PeerProtocol.MemberUpdates other = (ebonygw.wire.PeerProtocol.MemberUpdates) obj;
 
-      if (!getMembersList()
-          .equals(other.getMembersList())) return false;
-      if (getNews()
-          != other.getNews()) return false;
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
+      private int running_ ;
+      /**
+       * <code>uint32 running = 2;</code>
+       * @return The running.
+       */
+      @java.lang.Override
+      public int getRunning() {
+        return running_;
+      }
+      /**
+       * <code>uint32 running = 2;</code>
+       * @param value The running to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunning(int value) {
 
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
+        running_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      if (getMembersCount() > 0) {
-        hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
-        hash = (53 * hash) + getMembersList().hashCode();
+      /**
+       * <code>uint32 running = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunning() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        running_ = 0;
+        onChanged();
+        return this;
       }
-      hash = (37 * hash) + NEWS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getNews());
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
-
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
-    }
 
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseDelimitedFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        com.google.protobuf.CodedInputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static ebonygw.wire.PeerProtocol.MemberUpdates parseFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
+      private int queued_ ;
+      /**
+       * <code>uint32 queued = 3;</code>
+       * @return The queued.
+       */
+      @java.lang.Override
+      public int getQueued() {
+        return queued_;
+      }
+      /**
+       * <code>uint32 queued = 3;</code>
+       * @param value The queued to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueued(int value) {
 
-    @java.lang.Override
-    public Builder newBuilderForType() { return newBuilder(); }
-    public static Builder newBuilder() {
-      return DEFAULT_INSTANCE.toBuilder();
-    }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.MemberUpdates prototype) {
-      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-    }
-    @java.lang.Override
-    public Builder toBuilder() {
-      return this == DEFAULT_INSTANCE
-          ? new Builder() : new Builder().mergeFrom(this);
-    }
+        queued_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 queued = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueued() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        queued_ = 0;
+        onChanged();
+        return this;
+      }
 
-    @java.lang.Override
-    protected Builder newBuilderForType(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      Builder builder = new Builder(parent);
-      return builder;
-    }
-    /**
-     * Protobuf type {@code ebonygw.MemberUpdates}
-     */
-    public static final class Builder extends
-        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.MemberUpdates)
-        ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder {
-      public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
+      private int concurrency_ ;
+      /**
+       * <code>uint32 concurrency = 4;</code>
+       * @return The concurrency.
+       */
+      @java.lang.Override
+      public int getConcurrency() {
+        return concurrency_;
+      }
+      /**
+       * <code>uint32 concurrency = 4;</code>
+       * @param value The concurrency to set.
+       * @return This builder for chaining.
+       */
+      public Builder setConcurrency(int value) {
+
+        concurrency_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 concurrency = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearConcurrency() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        concurrency_ = 0;
+        onChanged();
+        return this;
       }
 
+      private long queuedTokens_ ;
+      /**
+       * <code>uint64 queued_tokens = 5;</code>
+       * @return The queuedTokens.
+       */
       @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.MemberUpdates.class, ebonygw.wire.PeerProtocol.MemberUpdates.Builder.class);
+      public long getQueuedTokens() {
+        return queuedTokens_;
       }
+      /**
+       * <code>uint64 queued_tokens = 5;</code>
+       * @param value The queuedTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueuedTokens(long value) {
 
-      // Construct using ebonygw.wire.PeerProtocol.MemberUpdates.newBuilder()
-      private Builder() {
+        queuedTokens_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 queued_tokens = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueuedTokens() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        queuedTokens_ = 0L;
+        onChanged();
+        return this;
+      }
 
+      private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> resident_ =
+        java.util.Collections.emptyList();
+      private void ensureResidentIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          resident_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterVersion>(resident_);
+          bitField0_ |= 0x00000020;
+         }
       }
 
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> residentBuilder_;
 
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getResidentList() {
+        if (residentBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(resident_);
+        } else {
+          return residentBuilder_.getMessageList();
+        }
       }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public int getResidentCount() {
+        if (residentBuilder_ == null) {
+          return resident_.size();
         } else {
-          members_ = null;
-          membersBuilder_.clear();
+          return residentBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterVersion getResident(int index) {
+        if (residentBuilder_ == null) {
+          return resident_.get(index);
+        } else {
+          return residentBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder setResident(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (residentBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureResidentIsMutable();
+          resident_.set(index, value);
+          onChanged();
+        } else {
+          residentBuilder_.setMessage(index, value);
         }
-        bitField0_ = (bitField0_ & ~0x00000001);
-        news_ = false;
         return this;
       }
-
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberUpdates_descriptor;
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder setResident(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (residentBuilder_ == null) {
+          ensureResidentIsMutable();
+          resident_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          residentBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
       }
-
-      @java.lang.Override
-      public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder addResident(ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (residentBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureResidentIsMutable();
+          resident_.add(value);
+          onChanged();
+        } else {
+          residentBuilder_.addMessage(value);
+        }
+        return this;
       }
-
-      @java.lang.Override
-      public ebonygw.wire.PeerProtocol.MemberUpdates build() {
-        ebonygw.wire.PeerProtocol.MemberUpdates result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder addResident(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (residentBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureResidentIsMutable();
+          resident_.add(index, value);
+          onChanged();
+        } else {
+          residentBuilder_.addMessage(index, value);
         }
-        return result;
+        return this;
       }
-
-      @java.lang.Override
-      public ebonygw.wire.PeerProtocol.MemberUpdates buildPartial() {
-        ebonygw.wire.PeerProtocol.MemberUpdates result = new ebonygw.wire.PeerProtocol.MemberUpdates(this);
-        buildPartialRepeatedFields(result);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder addResident(
+          ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (residentBuilder_ == null) {
+          ensureResidentIsMutable();
+          resident_.add(builderForValue.build());
+          onChanged();
+        } else {
+          residentBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
       }
-
-      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.MemberUpdates result) {
-        if (membersBuilder_ == null) {
-          if (((bitField0_ & 0x00000001) != 0)) {
-            members_ = java.util.Collections.unmodifiableList(members_);
-            bitField0_ = (bitField0_ & ~0x00000001);
-          }
-          result.members_ = members_;
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder addResident(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (residentBuilder_ == null) {
+          ensureResidentIsMutable();
+          resident_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          residentBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder addAllResident(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterVersion> values) {
+        if (residentBuilder_ == null) {
+          ensureResidentIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, resident_);
+          onChanged();
         } else {
-          result.members_ = membersBuilder_.build();
+          residentBuilder_.addAllMessages(values);
         }
+        return this;
       }
-
-      private void buildPartial0(ebonygw.wire.PeerProtocol.MemberUpdates result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.news_ = news_;
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder clearResident() {
+        if (residentBuilder_ == null) {
+          resident_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          residentBuilder_.clear();
         }
+        return this;
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.MemberUpdates) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.MemberUpdates)other);
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public Builder removeResident(int index) {
+        if (residentBuilder_ == null) {
+          ensureResidentIsMutable();
+          resident_.remove(index);
+          onChanged();
         } else {
-          super.mergeFrom(other);
-          return this;
+          residentBuilder_.remove(index);
         }
+        return this;
       }
-
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.MemberUpdates other) {
-        if (other == ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance()) return this;
-        if (membersBuilder_ == null) {
-          if (!other.members_.isEmpty()) {
-            if (members_.isEmpty()) {
-              members_ = other.members_;
-              bitField0_ = (bitField0_ & ~0x00000001);
-            } else {
-              ensureMembersIsMutable();
-              members_.addAll(other.members_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.members_.isEmpty()) {
-            if (membersBuilder_.isEmpty()) {
-              membersBuilder_.dispose();
-              membersBuilder_ = null;
-              members_ = other.members_;
-              bitField0_ = (bitField0_ & ~0x00000001);
-              membersBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetMembersFieldBuilder() : null;
-            } else {
-              membersBuilder_.addAllMessages(other.members_);
-            }
-          }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder getResidentBuilder(
+          int index) {
+        return internalGetResidentFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getResidentOrBuilder(
+          int index) {
+        if (residentBuilder_ == null) {
+          return resident_.get(index);  } else {
+          return residentBuilder_.getMessageOrBuilder(index);
         }
-        if (other.getNews() != false) {
-          setNews(other.getNews());
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+           getResidentOrBuilderList() {
+        if (residentBuilder_ != null) {
+          return residentBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(resident_);
         }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
-        return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addResidentBuilder() {
+        return internalGetResidentFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        java.util.Objects.requireNonNull(extensionRegistry);
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                ebonygw.wire.PeerProtocol.Member m =
-                    input.readMessage(
-                        ebonygw.wire.PeerProtocol.Member.parser(),
-                        extensionRegistry);
-                if (membersBuilder_ == null) {
-                  ensureMembersIsMutable();
-                  members_.add(m);
-                } else {
-                  membersBuilder_.addMessage(m);
-                }
-                break;
-              } // case 10
-              case 16: {
-                news_ = input.readBool();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addResidentBuilder(
+          int index) {
+        return internalGetResidentFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterVersion resident = 6;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion.Builder> 
+           getResidentBuilderList() {
+        return internalGetResidentFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+          internalGetResidentFieldBuilder() {
+        if (residentBuilder_ == null) {
+          residentBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder>(
+                  resident_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          resident_ = null;
+        }
+        return residentBuilder_;
       }
-      private int bitField0_;
 
-      private java.util.List<ebonygw.wire.PeerProtocol.Member> members_ =
+      private java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> loading_ =
         java.util.Collections.emptyList();
-      private void ensureMembersIsMutable() {
-        if (!((bitField0_ & 0x00000001) != 0)) {
-          members_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Member>(members_);
-          bitField0_ |= 0x00000001;
+      private void ensureLoadingIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          loading_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterVersion>(loading_);
+          bitField0_ |= 0x00000040;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> membersBuilder_;
+          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> loadingBuilder_;
 
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.Member> getMembersList() {
-        if (membersBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(members_);
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion> getLoadingList() {
+        if (loadingBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(loading_);
         } else {
-          return membersBuilder_.getMessageList();
+          return loadingBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public int getMembersCount() {
-        if (membersBuilder_ == null) {
-          return members_.size();
+      public int getLoadingCount() {
+        if (loadingBuilder_ == null) {
+          return loading_.size();
         } else {
-          return membersBuilder_.getCount();
+          return loadingBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public ebonygw.wire.PeerProtocol.Member getMembers(int index) {
-        if (membersBuilder_ == null) {
-          return members_.get(index);
+      public ebonygw.wire.PeerProtocol.AdapterVersion getLoading(int index) {
+        if (loadingBuilder_ == null) {
+          return loading_.get(index);
         } else {
-          return membersBuilder_.getMessage(index);
+          return loadingBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder setMembers(
-          int index, ebonygw.wire.PeerProtocol.Member value) {
-        if (membersBuilder_ == null) {
+      public Builder setLoading(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (loadingBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureMembersIsMutable();
-          members_.set(index, value);
+          ensureLoadingIsMutable();
+          loading_.set(index, value);
           onChanged();
         } else {
-          membersBuilder_.setMessage(index, value);
+          loadingBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder setMembers(
-          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.set(index, builderForValue.build());
+      public Builder setLoading(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (loadingBuilder_ == null) {
+          ensureLoadingIsMutable();
+          loading_.set(index, builderForValue.build());
           onChanged();
         } else {
-          membersBuilder_.setMessage(index, builderForValue.build());
+          loadingBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder addMembers(ebonygw.wire.PeerProtocol.Member value) {
-        if (membersBuilder_ == null) {
+      public Builder addLoading(ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (loadingBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureMembersIsMutable();
-          members_.add(value);
+          ensureLoadingIsMutable();
+          loading_.add(value);
           onChanged();
         } else {
-          membersBuilder_.addMessage(value);
+          loadingBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder addMembers(
-          int index, ebonygw.wire.PeerProtocol.Member value) {
-        if (membersBuilder_ == null) {
+      public Builder addLoading(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (loadingBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureMembersIsMutable();
-          members_.add(index, value);
+          ensureLoadingIsMutable();
+          loading_.add(index, value);
           onChanged();
         } else {
-          membersBuilder_.addMessage(index, value);
+          loadingBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder addMembers(
-          ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(builderForValue.build());
+      public Builder addLoading(
+          ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (loadingBuilder_ == null) {
+          ensureLoadingIsMutable();
+          loading_.add(builderForValue.build());
           onChanged();
         } else {
-          membersBuilder_.addMessage(builderForValue.build());
+          loadingBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder addMembers(
-          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(index, builderForValue.build());
+      public Builder addLoading(
+          int index, ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (loadingBuilder_ == null) {
+          ensureLoadingIsMutable();
+          loading_.add(index, builderForValue.build());
           onChanged();
         } else {
-          membersBuilder_.addMessage(index, builderForValue.build());
+          loadingBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder addAllMembers(
-          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Member> values) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
+      public Builder addAllLoading(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterVersion> values) {
+        if (loadingBuilder_ == null) {
+          ensureLoadingIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, members_);
+              values, loading_);
           onChanged();
         } else {
-          membersBuilder_.addAllMessages(values);
+          loadingBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder clearMembers() {
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000001);
+      public Builder clearLoading() {
+        if (loadingBuilder_ == null) {
+          loading_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
           onChanged();
         } else {
-          membersBuilder_.clear();
+          loadingBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public Builder removeMembers(int index) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.remove(index);
+      public Builder removeLoading(int index) {
+        if (loadingBuilder_ == null) {
+          ensureLoadingIsMutable();
+          loading_.remove(index);
           onChanged();
         } else {
-          membersBuilder_.remove(index);
+          loadingBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public ebonygw.wire.PeerProtocol.Member.Builder getMembersBuilder(
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder getLoadingBuilder(
           int index) {
-        return internalGetMembersFieldBuilder().getBuilder(index);
+        return internalGetLoadingFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
+      public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getLoadingOrBuilder(
           int index) {
-        if (membersBuilder_ == null) {
-          return members_.get(index);  } else {
-          return membersBuilder_.getMessageOrBuilder(index);
+        if (loadingBuilder_ == null) {
+          return loading_.get(index);  } else {
+          return loadingBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
-           getMembersOrBuilderList() {
-        if (membersBuilder_ != null) {
-          return membersBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+           getLoadingOrBuilderList() {
+        if (loadingBuilder_ != null) {
+          return loadingBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(members_);
+          return java.util.Collections.unmodifiableList(loading_);
         }
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder() {
-        return internalGetMembersFieldBuilder().addBuilder(
-            ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addLoadingBuilder() {
+        return internalGetLoadingFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder(
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder addLoadingBuilder(
           int index) {
-        return internalGetMembersFieldBuilder().addBuilder(
-            index, ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
+        return internalGetLoadingFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>repeated .ebonygw.AdapterVersion loading = 7;</code>
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.Member.Builder> 
-           getMembersBuilderList() {
-        return internalGetMembersFieldBuilder().getBuilderList();
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterVersion.Builder> 
+           getLoadingBuilderList() {
+        return internalGetLoadingFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> 
-          internalGetMembersFieldBuilder() {
-        if (membersBuilder_ == null) {
-          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder>(
-                  members_,
-                  ((bitField0_ & 0x00000001) != 0),
+          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+          internalGetLoadingFieldBuilder() {
+        if (loadingBuilder_ == null) {
+          loadingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder>(
+                  loading_,
+                  ((bitField0_ & 0x00000040) != 0),
                   getParentForChildren(),
                   isClean());
-          members_ = null;
+          loading_ = null;
         }
-        return membersBuilder_;
-      }
-
-      private boolean news_ ;
-      /**
-       * <code>bool news = 2;</code>
-       * @return The news.
-       */
-      @java.lang.Override
-      public boolean getNews() {
-        return news_;
-      }
-      /**
-       * <code>bool news = 2;</code>
-       * @param value The news to set.
-       * @return This builder for chaining.
-       */
-      public Builder setNews(boolean value) {
-
-        news_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>bool news = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearNews() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        news_ = false;
-        onChanged();
-        return this;
+        return loadingBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.MemberUpdates)
+      // @@protoc_insertion_point(builder_scope:ebonygw.TargetReport)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.MemberUpdates)
-    private static final ebonygw.wire.PeerProtocol.MemberUpdates DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.TargetReport)
+    private static final ebonygw.wire.PeerProtocol.TargetReport DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberUpdates();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.TargetReport();
     }
 
-    public static ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.TargetReport getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<MemberUpdates>
-        PARSER = new com.google.protobuf.AbstractParser<MemberUpdates>() {
+    private static final com.google.protobuf.Parser<TargetReport>
+        PARSER = new com.google.protobuf.AbstractParser<TargetReport>() {
       @java.lang.Override
-      public MemberUpdates parsePartialFrom(
+      public TargetReport parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -9641,17 +9681,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<MemberUpdates> parser() {
+    public static com.google.protobuf.Parser<TargetReport> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<MemberUpdates> getParserForType() {
+    public com.google.protobuf.Parser<TargetReport> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.TargetReport getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -18817,25 +18857,25 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_Heartbeat_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterVersion_descriptor;
+    internal_static_ebonygw_MemberDigest_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
+      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_TargetReport_descriptor;
+    internal_static_ebonygw_MemberUpdates_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_TargetReport_fieldAccessorTable;
+      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberDigest_descriptor;
+    internal_static_ebonygw_AdapterVersion_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
+      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberUpdates_descriptor;
+    internal_static_ebonygw_TargetReport_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
+      internal_static_ebonygw_TargetReport_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_RequestId_descriptor;
   private static final 
@@ -18912,15 +18952,15 @@
       "gw.Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020" +
       "protocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010s" +
       "equence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004" +
-      "\"2\n\016AdapterVersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007v" +
-      "ersion\030\002 \001(\t\"\302\001\n\014TargetReport\022\020\n\010sequenc" +
-      "e\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r" +
-      "\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005" +
-      " \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.Adapter" +
-      "Version\022(\n\007loading\030\007 \003(\0132\027.ebonygw.Adapt" +
-      "erVersion\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003" +
-      "(\006\"?\n\rMemberUpdates\022 \n\007members\030\001 \003(\0132\017.e" +
-      "bonygw.Member\022\014\n\004news\030\002 \001(\010\"A\n\tRequestId" +
+      "\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMem" +
+      "berUpdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Me" +
+      "mber\022\014\n\004news\030\002 \001(\010\"2\n\016AdapterVersion\022\017\n\007" +
+      "adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\302\001\n\014Targe" +
+      "tReport\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001" +
+      "(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022" +
+      "\025\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\013" +
+      "2\027.ebonygw.AdapterVersion\022(\n\007loading\030\007 \003" +
+      "(\0132\027.ebonygw.AdapterVersion\"A\n\tRequestId" +
       "\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010" +
       "sequence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r" +
       "\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebon" +
@@ -18979,30 +19019,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Heartbeat_descriptor,
         new java.lang.String[] { "Sequence", "SettingsRevision", });
-    internal_static_ebonygw_AdapterVersion_descriptor =
-      getDescriptor().getMessageType(4);
-    internal_static_ebonygw_AdapterVersion_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_ebonygw_AdapterVersion_descriptor,
-        new java.lang.String[] { "Adapter", "Version", });
-    internal_static_ebonygw_TargetReport_descriptor =
-      getDescriptor().getMessageType(5);
-    internal_static_ebonygw_TargetReport_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_ebonygw_TargetReport_descriptor,
-        new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", "Resident", "Loading", });
     internal_static_ebonygw_MemberDigest_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(4);
     internal_static_ebonygw_MemberDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberDigest_descriptor,
         new java.lang.String[] { "Buckets", });
     internal_static_ebonygw_MemberUpdates_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(5);
     internal_static_ebonygw_MemberUpdates_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberUpdates_descriptor,
         new java.lang.String[] { "Members", "News", });
+    internal_static_ebonygw_AdapterVersion_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_ebonygw_AdapterVersion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_AdapterVersion_descriptor,
+        new java.lang.String[] { "Adapter", "Version", });
+    internal_static_ebonygw_TargetReport_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_ebonygw_TargetReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_TargetReport_descriptor,
+        new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", "Resident", "Loading", });
     internal_static_ebonygw_RequestId_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_ebonygw_RequestId_fieldAccessorTable = new
