Read bodies and edit them off the control thread

Undertow's receiver copies byte by byte, and the target's body was edited on its control thread; both stood out in a profile of the whole path. Bodies are now read in blocks, and all work of a target client runs on its IO thread.

--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -250,7 +251,10 @@
         try {
             if (mChannel == null) {
                 if (mEnd && !mBroken) {
-                    long length = mUnsent.stream().mapToLong(ByteBuffer::remaining).sum();
+                    long length = 0;
+                    for (ByteBuffer unsent : mUnsent) {
+                        length += unsent.remaining();
+                    }
                     mExchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
                 }
                 mChannel = mExchange.getResponseChannel();
@@ -264,6 +268,18 @@
         }
     }
 
+    private long writeGathered() throws IOException {
+        if (mUnsent.size() == 1) {
+            return mChannel.write(mUnsent.peek());
+        }
+        ByteBuffer[] gathered = new ByteBuffer[Math.min(MAX_GATHERED, mUnsent.size())];
+        Iterator<ByteBuffer> unsent = mUnsent.iterator();
+        for (int i = 0; i < gathered.length; i++) {
+            gathered[i] = unsent.next();
+        }
+        return mChannel.write(gathered, 0, gathered.length);
+    }
+
     private void writeUnsent() throws IOException {
         takeSent();
         while (!mUnsent.isEmpty()) {
--- a/src/main/java/ebonygw/caller/CallerServer.java
+++ b/src/main/java/ebonygw/caller/CallerServer.java
@@ -8,15 +8,11 @@
 import ebonygw.request.RequestId;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.server.handlers.HttpContinueReadHandler;
-import io.undertow.util.Headers;
 import io.undertow.util.Protocols;
 import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Objects;
@@ -24,10 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.tinylog.Logger;
 import org.xnio.IoUtils;
 import org.xnio.Options;
-import org.xnio.XnioIoThread;
 
 /**
  * The HTTP server for callers.
@@ -155,48 +149,44 @@
             Refusals.send(exchange, read.getLeft());
             return;
         }
-        exchange.dispatch(
-                SameThreadExecutor.INSTANCE, () -> open(exchange, read.get(), body.length));
+        open(exchange, read.get(), body.length);
     }
 
     private void body(HttpServerExchange exchange) {
-        XnioIoThread.Key timer =
-                exchange.getIoThread()
-                        .executeAfter(
-                                () -> slow(exchange),
-                                mOptions.bodyTimeoutNanos(),
-                                TimeUnit.NANOSECONDS);
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(mOptions.maxBodyBytes());
-        receiver.receiveFullBytes(
-                (received, body) -> {
-                    timer.remove();
-                    if (mBuffered.addAndGet(body.length) > mOptions.maxBufferedBytes()) {
-                        mBuffered.addAndGet(-body.length);
-                        refuseOpen(received, RefusalCode.OVERLOADED, "too many bytes in flight");
-                        return;
-                    }
-                    ask(received, body);
-                },
-                (failed, cause) -> {
-                    timer.remove();
-                    bodyFailed(failed, cause);
-                });
+        BodyReader reader =
+                new BodyReader(
+                        exchange,
+                        mOptions.maxBodyBytes(),
+                        body -> bodyRead(exchange, body),
+                        fault -> bodyFailed(exchange, fault));
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE, () -> reader.start(mOptions.bodyTimeoutNanos()));
     }
 
-    private void bodyFailed(HttpServerExchange exchange, IOException cause) {
-        if (cause instanceof RequestTooBigException
-                || cause instanceof Receiver.RequestToLargeException) {
-            exchange.setPersistent(false);
-            refuseOpen(
-                    exchange,
-                    RefusalCode.TOO_LARGE,
-                    "the body is longer than " + mOptions.maxBodyBytes() + " bytes");
+    private void bodyFailed(HttpServerExchange exchange, BodyReader.Fault fault) {
+        exchange.setPersistent(false);
+        switch (fault) {
+            case TOO_LARGE ->
+                    refuseOpen(
+                            exchange,
+                            RefusalCode.TOO_LARGE,
+                            "the body is longer than " + mOptions.maxBodyBytes() + " bytes");
+            case SLOW ->
+                    refuseOpen(exchange, RefusalCode.DEADLINE, "the body did not arrive in time");
+            default -> {
+                mOpen.decrementAndGet();
+                IoUtils.safeClose(exchange.getConnection());
+            }
+        }
+    }
+
+    private void bodyRead(HttpServerExchange exchange, byte[] body) {
+        if (mBuffered.addAndGet(body.length) > mOptions.maxBufferedBytes()) {
+            mBuffered.addAndGet(-body.length);
+            refuseOpen(exchange, RefusalCode.OVERLOADED, "too many bytes in flight");
             return;
         }
-        mOpen.decrementAndGet();
-        Logger.debug("event=caller_lost cause=\"{}\"", cause);
-        IoUtils.safeClose(exchange.getConnection());
+        ask(exchange, body);
     }
 
     private void handle(HttpServerExchange exchange) {
@@ -267,20 +257,10 @@
         body(exchange);
     }
 
-    private void slow(HttpServerExchange exchange) {
-        exchange.setPersistent(false);
-        exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        Refusal refusal = Refusal.notRun(RefusalCode.DEADLINE, "the body did not arrive in time");
-        mOpen.decrementAndGet();
-        Refusals.prepare(exchange, refusal);
-        exchange.getResponseSender()
-                .send(ErrorBodies.json(refusal, ""), io.undertow.io.IoCallback.END_EXCHANGE);
-    }
-
     /** Ends exchanges and passes their events on. */
     private final class ExchangeOwner implements CallerExchange.Owner {
         @Override
-        public void post(ebonygw.EntryEvent event) {
+        public void post(EntryEvent event) {
             mDecisions.events().accept(event);
         }
 
--- a/src/main/java/ebonygw/caller/RequestReader.java
+++ b/src/main/java/ebonygw/caller/RequestReader.java
@@ -14,7 +14,11 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -42,8 +46,11 @@
                     "x-customer",
                     "x-request-id",
                     "x-request-timeout-ms");
-    private static final Set<String> COMPLETION_HEADERS =
-            Set.of("accept", "content-type", "traceparent", "tracestate");
+    private static final List<String> COMPLETION_HEADERS =
+            List.of("accept", "content-type", "traceparent", "tracestate");
+
+    private static final ThreadLocal<MessageDigest> SHA_256 =
+            ThreadLocal.withInitial(RequestReader::sha256);
 
     private final long mDefaultMaxTokens;
 
@@ -116,8 +123,7 @@
         int last = bytes.length - part.length;
         for (int start = 0; start <= last; start++) {
             if (bytes[start] == part[0]
-                    && java.util.Arrays.equals(
-                            bytes, start, start + part.length, part, 0, part.length)) {
+                    && Arrays.equals(bytes, start, start + part.length, part, 0, part.length)) {
                 return true;
             }
         }
@@ -132,6 +138,15 @@
         }
     }
 
+    private static boolean holds(HeaderValues values, String key) {
+        for (String value : values) {
+            if (value.contains(key)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static Either<Refusal, String> key(HeaderMap headers) {
         HeaderValues values = headers.get("authorization");
         if (values == null) {
@@ -152,14 +167,13 @@
         if (key.length() < MIN_KEY_CHARS) {
             return false;
         }
-        if (decoded(path).contains(key) || decoded(query).contains(key)) {
+        if (decoded(path).contains(key) || !query.isEmpty() && decoded(query).contains(key)) {
             return true;
         }
         for (HeaderValues values : headers) {
-            boolean credential =
-                    CREDENTIALS.contains(
-                            values.getHeaderName().toString().toLowerCase(java.util.Locale.ROOT));
-            if (!credential && values.stream().anyMatch(value -> value.contains(key))) {
+            if (holds(values, key)
+                    && !CREDENTIALS.contains(
+                            values.getHeaderName().toString().toLowerCase(Locale.ROOT))) {
                 return true;
             }
         }
@@ -185,17 +199,19 @@
                 new CallerRequest(hash, route, "", 0, 0, 0, false, timeoutNanos, payload));
     }
 
-    private static String sha256Hex(String key) {
+    private static MessageDigest sha256() {
         try {
-            byte[] digest =
-                    MessageDigest.getInstance("SHA-256")
-                            .digest(key.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
+            return MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException cause) {
             throw new IllegalStateException(cause);
         }
     }
 
+    private static String sha256Hex(String key) {
+        byte[] digest = SHA_256.get().digest(key.getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(digest);
+    }
+
     private static Either<Refusal, Long> timeoutNanos(HeaderMap headers) {
         String value = headers.getFirst("x-request-timeout-ms");
         if (value == null) {
@@ -221,8 +237,13 @@
         if (!method.equals("POST") || !chat && !path.equals(TEXT_PATH)) {
             return notFound();
         }
-        Map<String, String> passed = HttpHeaders.endToEnd(headers);
-        passed.keySet().retainAll(COMPLETION_HEADERS);
+        Map<String, String> passed = new HashMap<>();
+        for (String name : COMPLETION_HEADERS) {
+            String value = headers.getFirst(name);
+            if (value != null) {
+                passed.put(name, value);
+            }
+        }
         return CompletionBody.read(body, chat, mDefaultMaxTokens)
                 .mapLeft(fault -> Refusal.notRun(RefusalCode.BAD_REQUEST, fault))
                 .map(
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -96,7 +96,9 @@
 
     /** Starts a prepared call; each call may be sent once. */
     public void send(HttpCall call) {
-        if (!execute(() -> submit(call))) {
+        if (Thread.currentThread() == mThread) {
+            submit(call);
+        } else if (!execute(() -> submit(call))) {
             call.failed(new HttpFailure(HttpFailure.Kind.CANCELLED, false, "client closed"));
         }
     }
@@ -129,7 +131,7 @@
     }
 
     /** Runs a task on the IO thread; returns false if the client is closed. */
-    boolean execute(Runnable task) {
+    public boolean execute(Runnable task) {
         try {
             mThread.execute(task);
             return true;
--- a/src/main/java/ebonygw/target/EngineClient.java
+++ b/src/main/java/ebonygw/target/EngineClient.java
@@ -56,6 +56,12 @@
 
     @Override
     public void apply(TargetEffect effect) {
+        if (!mClient.execute(() -> applyNow(effect))) {
+            mCalls.refuse(effect);
+        }
+    }
+
+    private void applyNow(TargetEffect effect) {
         if (effect instanceof TargetEffect.Call call) {
             call(call);
         } else if (effect instanceof TargetEffect.CancelCall cancel) {
--- a/src/main/java/ebonygw/target/PlainServiceClient.java
+++ b/src/main/java/ebonygw/target/PlainServiceClient.java
@@ -33,6 +33,12 @@
 
     @Override
     public void apply(TargetEffect effect) {
+        if (!mClient.execute(() -> applyNow(effect))) {
+            mCalls.refuse(effect);
+        }
+    }
+
+    private void applyNow(TargetEffect effect) {
         if (effect instanceof TargetEffect.Call call) {
             Payload payload = call.work().payload();
             mCalls.start(
--- a/src/main/java/ebonygw/target/TargetCalls.java
+++ b/src/main/java/ebonygw/target/TargetCalls.java
@@ -12,11 +12,15 @@
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
 import ebonygw.request.Work;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
-/** The requests that run at a target, by the number of their call. */
+/**
+ * The requests that run at a target, by the number of their call.
+ *
+ * <p>Used on the client's IO thread.
+ */
 final class TargetCalls {
     /** Judges the answers of one kind of target. */
     interface AnswerJudge {
@@ -35,7 +39,7 @@
 
     private final HttpClient mClient;
     private final Consumer<TargetEvent> mEvents;
-    private final Map<Long, HttpCall> mCalls = new ConcurrentHashMap<>();
+    private final Map<Long, HttpCall> mCalls = new HashMap<>();
 
     TargetCalls(HttpClient client, Consumer<TargetEvent> events) {
         mClient = client;
@@ -58,6 +62,14 @@
         }
     }
 
+    /** Ends a call that came after the client was closed; not on the IO thread. */
+    void refuse(TargetEffect effect) {
+        if (effect instanceof TargetEffect.Call call) {
+            Refusal refusal = Refusal.notRun(RefusalCode.STOPPING, "the client is closed");
+            mEvents.accept(new TargetEvent.AnswerFailed(call.call(), refusal));
+        }
+    }
+
     /** Sends a request. */
     void start(TargetEffect.Call call, HttpRequest request, AnswerJudge judge) {
         Sink sink = new Sink(call.call(), judge);
@@ -69,7 +81,7 @@
 
     /** Returns the header fields that tell a target about a request. */
     static Map<String, String> headers(Work work) {
-        Map<String, String> headers = new java.util.HashMap<>(work.payload().headers());
+        Map<String, String> headers = new HashMap<>(work.payload().headers());
         headers.put("x-request-id", work.id().toString());
         headers.put("x-request-attempt", Integer.toString(work.attempt()));
         if (!work.customer().isEmpty()) {
