--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -38,6 +38,9 @@
         void released(CallerExchange exchange);
     }
 
+    /** Set on every answer of unknown length, so that its end differs from the connection's. */
+    private static final String CHUNKED = "chunked";
+
     private static final int MAX_GATHERED = 64;
 
     private final long mNumber;
@@ -159,10 +162,10 @@
         if (mReleased) {
             return;
         }
+        release();
         if (!mEnd) {
             mOwner.post(new EntryEvent.CallerGone(mNumber));
         }
-        release();
     }
 
     private void handle(EntryEffect effect) {
@@ -256,6 +259,8 @@
                         length += unsent.remaining();
                     }
                     mExchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
+                } else if (mExchange.isHttp11()) {
+                    mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
                 }
                 mChannel = mExchange.getResponseChannel();
                 mChannel.getWriteSetter().set(channel -> write());
--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,6 +1,11 @@
 package ebonygw.cli;
 
 import ebonygw.bench.BenchCommand;
+import ebonygw.operator.KeysCommand;
+import ebonygw.operator.SettingsCommand;
+import ebonygw.process.EntryProcess;
+import ebonygw.process.FlagParser;
+import ebonygw.process.TargetProcess;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +48,24 @@
         Map<String, Command> commands = new TreeMap<>();
         commands.put("bench", new BenchCommand());
         commands.put("check", new CheckCommand());
+        commands.put("dev", new DevCommand());
         commands.put("dump", new DumpCommand());
+        commands.put(
+                "entry",
+                new ProcessCommand<>(
+                        "entry",
+                        FlagParser::ofEntry,
+                        settings -> EntryProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
+        commands.put("keys", new KeysCommand());
+        commands.put("settings", new SettingsCommand());
+        commands.put(
+                "target",
+                new ProcessCommand<>(
+                        "target",
+                        FlagParser::ofTarget,
+                        settings -> TargetProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
         return commands;
     }
 }
--- a/src/main/java/ebonygw/process/EntryProcess.java
+++ b/src/main/java/ebonygw/process/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import ebonygw.EntryEffect;
 import ebonygw.EntryEvent;
+import ebonygw.EntryNode;
 import ebonygw.caller.CallerDecisions;
 import ebonygw.caller.CallerOptions;
 import ebonygw.caller.CallerServer;
@@ -9,18 +10,25 @@
 import ebonygw.membership.Member;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Role;
-import ebonygw.peer.FamilyCodec;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
+import ebonygw.settings.ChangeOutcome;
+import ebonygw.settings.SettingsChange;
+import ebonygw.settings.SettingsState;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.security.SecureRandom;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * An entry process: its node with the transports around it.
@@ -35,10 +43,12 @@
     private final CallerServer mCallers;
     private final RequestTimes mTimes;
     private final AtomicBoolean mClosed = new AtomicBoolean();
+    private final AtomicLong mTickets = new AtomicLong();
+    private final Map<Long, CompletableFuture<ChangeOutcome>> mChanges = new ConcurrentHashMap<>();
+    private volatile Supplier<SettingsState> mSettingsState = () -> SettingsState.EMPTY;
     private long mNowNanos;
 
-    private EntryProcess(
-            EntrySettings settings, List<FamilyCodec> families, Map<String, HttpHandler> operators)
+    private EntryProcess(EntrySettings settings, Map<String, HttpHandler> operators)
             throws IOException {
         CommonSettings common = settings.common();
         Member self =
@@ -50,7 +60,7 @@
                         common.locality(),
                         common.peerAddress(),
                         "");
-        mShell = new ProcessShell<>(common, self, families, new EntryEvents(), operators);
+        mShell = new ProcessShell<>(common, self, new EntryEvents(), operators);
         mRuntime = mShell.runtime();
         mTimes = new RequestTimes(mShell.metrics().registry());
         mCallers =
@@ -59,11 +69,34 @@
                         new CallerDecisions(this::post, mShell::ready, mShell::settings));
     }
 
+    /**
+     * Starts a process with the node of its settings.
+     *
+     * @param settings its settings
+     * @param operators handlers of the operators' listener by prefix of the path
+     * @return the process, which listens
+     * @throws IOException if a client cannot be created
+     * @throws IllegalStateException if an address cannot be listened on
+     */
+    public static EntryProcess start(EntrySettings settings, Map<String, HttpHandler> operators)
+            throws IOException {
+        AtomicReference<EntryNode> made = new AtomicReference<>();
+        EntryProcess process =
+                start(
+                        settings,
+                        operators,
+                        self -> {
+                            made.set(Nodes.entry(settings, self, new SecureRandom().nextLong()));
+                            return Nodes.driver(made.get());
+                        });
+        process.mSettingsState = made.get()::settingsState;
+        return process;
+    }
+
     /**
      * Starts a process.
      *
      * @param settings its settings
-     * @param families codecs of the messages beside those of requests and members
      * @param operators handlers of the operators' listener by prefix of the path
      * @param node makes the node of this process
      * @return the process, which listens
@@ -72,13 +105,12 @@
      */
     public static EntryProcess start(
             EntrySettings settings,
-            List<FamilyCodec> families,
             Map<String, HttpHandler> operators,
             Function<Member, NodeDriver<EntryEvent, EntryEffect>> node)
             throws IOException {
-        EntryProcess process = new EntryProcess(settings, families, operators);
+        EntryProcess process = new EntryProcess(settings, operators);
         try {
-            process.start(node.apply(process.mRuntime.self()));
+            process.run(node.apply(process.mRuntime.self()));
         } catch (IllegalStateException cannotListen) {
             process.close();
             throw cannotListen;
@@ -135,6 +167,24 @@
         return mRuntime.self();
     }
 
+    /** Returns the settings in force here with their tree and log. */
+    public SettingsState settingsState() {
+        return mSettingsState.get();
+    }
+
+    /**
+     * Submits a change of the settings.
+     *
+     * @return completes with its outcome; never, if the process ends before
+     */
+    public CompletableFuture<ChangeOutcome> submit(SettingsChange change) {
+        long ticket = mTickets.incrementAndGet();
+        CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
+        mChanges.put(ticket, outcome);
+        mRuntime.loop().put(new EntryEvent.ChangeSubmitted(ticket, change));
+        return outcome;
+    }
+
     private static CallerOptions callerOptions(EntrySettings settings, Member self) {
         InetSocketAddress address = settings.callerAddress();
         CallerOptions usual =
@@ -169,6 +219,8 @@
             mRuntime.links(links.members());
         } else if (effect instanceof EntryEffect.Log log) {
             mRuntime.log(log.event(), log.fields());
+        } else if (effect instanceof EntryEffect.ChangeSettled settled) {
+            settle(settled);
         } else if (effect instanceof EntryEffect.Exit) {
             mRuntime.exit();
         } else {
@@ -186,7 +238,7 @@
         }
     }
 
-    private void start(NodeDriver<EntryEvent, EntryEffect> node) {
+    private void run(NodeDriver<EntryEvent, EntryEffect> node) {
         NodeDriver.Handler<EntryEvent, EntryEffect> timed =
                 (event, nowNanos, effects) -> {
                     mNowNanos = nowNanos;
@@ -196,6 +248,13 @@
         mShell.start(
                 new NodeDriver<>(timed, node.dump(), node.ready(), node.settings()), this::apply);
         Listeners.start(mCallers::start, "callers");
-        LogLine.of("callers_welcome").with("address", callerAddress()).info();
+        LogLine.of("listening_for_callers").with("address", callerAddress()).info();
+    }
+
+    private void settle(EntryEffect.ChangeSettled settled) {
+        CompletableFuture<ChangeOutcome> outcome = mChanges.remove(settled.ticket());
+        if (outcome != null) {
+            outcome.complete(settled.outcome());
+        }
     }
 }
--- a/src/main/java/ebonygw/settings/SettingsSnapshot.java
+++ b/src/main/java/ebonygw/settings/SettingsSnapshot.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -40,6 +41,7 @@
             json.writeStringField("lastId", state.lastId());
             writeNodes(state.tree(), json);
             writeKeys(state.tree(), json);
+            writeStaged(state.tree(), json);
             json.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("memory could not be written", e);
@@ -91,7 +93,8 @@
                 .orElseThrow(() -> new IllegalArgumentException("unknown field " + word));
     }
 
-    private static TreeNode readNode(JsonNode json) {
+    /** Reads a node; equal values and parents of several nodes become one object. */
+    private static TreeNode readNode(JsonNode json, Map<Object, Object> shared) {
         Map<Field, Setting> fields = new EnumMap<>(Field.class);
         json.path("f")
                 .properties()
@@ -101,19 +104,26 @@
                             JsonNode pair = entry.getValue();
                             fields.put(
                                     field,
-                                    new Setting(
-                                            SettingsJson.readValue(field, pair.path(1)),
-                                            pair.path(0).asLong()));
+                                    share(
+                                            new Setting(
+                                                    SettingsJson.readValue(field, pair.path(1)),
+                                                    pair.path(0).asLong()),
+                                            shared));
                         });
-        NodeKey parent = json.has("p") ? NodeKey.parse(json.path("p").asText()) : null;
+        NodeKey parent =
+                json.has("p") ? share(NodeKey.parse(json.path("p").asText()), shared) : null;
         return new TreeNode(
-                NodeKey.parse(json.path("n").asText()), parent, fields, json.path("r").asLong());
+                share(NodeKey.parse(json.path("n").asText()), shared),
+                parent,
+                share(Map.copyOf(fields), shared),
+                json.path("r").asLong());
     }
 
-    private static SettingsTree readTree(JsonNode json) {
+    private static SettingsTree readTree(JsonNode json) throws IOException {
         SettingsTree tree = SettingsTree.EMPTY;
+        Map<Object, Object> shared = new HashMap<>();
         for (JsonNode node : json.path("nodes")) {
-            tree = tree.with(readNode(node));
+            tree = tree.with(readNode(node, shared));
         }
         for (JsonNode key : json.path("keys")) {
             tree =
@@ -123,7 +133,23 @@
                                     key.path("issued").asLong(),
                                     key.path("withdrawn").asLong()));
         }
-        return tree;
+        JsonNode staged = json.path("staged");
+        if (!staged.isObject()) {
+            return tree;
+        }
+        Edit.Stage stage = (Edit.Stage) SettingsJson.readEdits(staged.path("stage")).get(0);
+        return tree.withStaged(
+                new StagedEdits(
+                        stage.where(),
+                        stage.edits(),
+                        staged.path("held").asBoolean(),
+                        staged.path("revision").asLong()));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static <T> T share(T value, Map<Object, Object> shared) {
+        T first = (T) shared.putIfAbsent(value, value);
+        return first == null ? value : first;
     }
 
     private static void writeKeys(SettingsTree tree, JsonGenerator json) throws IOException {
@@ -163,4 +189,18 @@
         }
         json.writeEndArray();
     }
+
+    private static void writeStaged(SettingsTree tree, JsonGenerator json) throws IOException {
+        if (tree.staged().isEmpty()) {
+            return;
+        }
+        StagedEdits staged = tree.staged().get();
+        json.writeObjectFieldStart("staged");
+        json.writeBooleanField("held", staged.held());
+        json.writeNumberField("revision", staged.revision());
+        json.writeFieldName("stage");
+        json.writeTree(
+                SettingsJson.writeEdits(List.of(new Edit.Stage(staged.where(), staged.edits()))));
+        json.writeEndObject();
+    }
 }
