--- a/src/main/java/ebonygw/bench/BenchCommand.java
+++ b/src/main/java/ebonygw/bench/BenchCommand.java
@@ -1,6 +1,7 @@
 package ebonygw.bench;
 
 import ebonygw.bench.links.LinksBench;
+import ebonygw.bench.path.PathBench;
 import ebonygw.bench.placement.PlacementBench;
 import ebonygw.bench.shares.SharesBench;
 import ebonygw.cli.Command;
@@ -26,6 +27,7 @@
     private static Map<String, Command> experiments() {
         Map<String, Command> experiments = new TreeMap<>();
         experiments.put("links", new LinksBench());
+        experiments.put("path", new PathBench());
         experiments.put("placement", new PlacementBench());
         experiments.put("shares", new SharesBench());
         return experiments;
--- a/src/main/java/ebonygw/bench/path/PathBench.java
+++ b/src/main/java/ebonygw/bench/path/PathBench.java
@@ -21,6 +21,11 @@
 
     private final PathFleet.Starter mStarter;
 
+    /** Creates the command over real processes. */
+    public PathBench() {
+        this(DevPathFleet::start);
+    }
+
     PathBench(PathFleet.Starter starter) {
         mStarter = Objects.requireNonNull(starter, "starter");
     }
--- a/src/main/java/ebonygw/dev/DevPlatform.java
+++ b/src/main/java/ebonygw/dev/DevPlatform.java
@@ -35,19 +35,30 @@
     private final Map<String, Member> mListed = new LinkedHashMap<>();
 
     /**
-     * Starts the stand-ins.
+     * Starts the stand-ins with engines of usual speed.
      *
      * @param engines how many model engines
      * @param seed seed of the key-value service's faults
      */
     public DevPlatform(int engines, long seed) {
+        this(engines, seed, EngineStandInOptions.local());
+    }
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param engines how many model engines
+     * @param seed seed of the key-value service's faults
+     * @param options options of each engine
+     */
+    public DevPlatform(int engines, long seed, EngineStandInOptions options) {
         mKeyValue = new KeyValueStandIn(new InetSocketAddress(LOOPBACK, 0), seed);
         mHosts.start();
         mService.start();
         WeightStoreStandIn store =
                 new WeightStoreStandIn(LOADS_PER_SECOND, LOAD_NANOS, FULL_SPEED_LOADS);
         for (int i = 0; i < engines; i++) {
-            EngineStandIn engine = new EngineStandIn(EngineStandInOptions.local(), store);
+            EngineStandIn engine = new EngineStandIn(options, store);
             engine.start();
             mEngines.add(engine);
         }
