Deadlines at the entry keep no closed request in memory

Cause: a closed request stayed referenced with its body until its deadline, a minute by default, so that collections of the young generation took up to 100 ms under load. The queue of deadlines now holds numbers.

--- a/src/main/java/ebonygw/EntryRequests.java
+++ b/src/main/java/ebonygw/EntryRequests.java
@@ -389,11 +389,10 @@
 
     private void expire(long nowNanos) {
         while (!mDeadlines.isEmpty() && mDeadlines.peek().mAtNanos <= nowNanos) {
-            Exchange exchange = mDeadlines.poll().mExchange;
-            if (exchange.mPhase == Exchange.Phase.CLOSED) {
-                continue;
+            Exchange exchange = mByNumber.get(mDeadlines.poll().mNumber);
+            if (exchange != null) {
+                expire(exchange, nowNanos);
             }
-            expire(exchange, nowNanos);
         }
     }
 
@@ -408,7 +407,7 @@
         }
         if (!exchange.mCancelSent) {
             cancelAttempt(exchange);
-            mDeadlines.add(new Deadline(nowNanos + DEADLINE_GRACE_NANOS, exchange));
+            mDeadlines.add(new Deadline(nowNanos + DEADLINE_GRACE_NANOS, exchange.mNumber));
             return;
         }
         attemptFailed(exchange, late.withVerdict(Verdict.MAY_HAVE_RUN), nowNanos);
@@ -487,7 +486,7 @@
         Exchange exchange = new Exchange(number, resolved, work, nowNanos, nowNanos + timeout);
         mByNumber.put(number, exchange);
         mBySequence.put(work.id().sequence(), exchange);
-        mDeadlines.add(new Deadline(exchange.mDeadlineNanos, exchange));
+        mDeadlines.add(new Deadline(exchange.mDeadlineNanos, number));
         admit(exchange, nowNanos);
     }
 
@@ -620,14 +619,14 @@
                 request.payload());
     }
 
-    /** When a request has to be looked at. */
+    /** When a request has to be looked at, if it is open then; keeps nothing of it in memory. */
     private static final class Deadline implements Comparable<Deadline> {
         private final long mAtNanos;
-        private final Exchange mExchange;
+        private final long mNumber;
 
-        Deadline(long atNanos, Exchange exchange) {
+        Deadline(long atNanos, long number) {
             mAtNanos = atNanos;
-            mExchange = exchange;
+            mNumber = number;
         }
 
         @Override
