--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,6 +1,8 @@
 package ebonygw.cli;
 
 import ebonygw.bench.BenchCommand;
+import ebonygw.operator.KeysCommand;
+import ebonygw.operator.SettingsCommand;
 import ebonygw.process.EntryProcess;
 import ebonygw.process.FlagParser;
 import ebonygw.process.TargetProcess;
@@ -55,6 +57,8 @@
                         FlagParser::ofEntry,
                         settings -> EntryProcess.start(settings, Map.of()),
                         settings -> settings.common().stopTimeoutNanos()));
+        commands.put("keys", new KeysCommand());
+        commands.put("settings", new SettingsCommand());
         commands.put(
                 "target",
                 new ProcessCommand<>(
--- a/src/main/java/ebonygw/peer/Link.java
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import ebonygw.log.LogLine;
 import ebonygw.membership.Member;
+import ebonygw.membership.MemberValues;
 import ebonygw.protocol.Message;
 import ebonygw.wire.PeerProtocol.Envelope;
 import io.netty.channel.Channel;
@@ -22,6 +23,9 @@
 /**
  * One connection to another process, from its first byte to its end.
  *
+ * <p>The end that opened it says hello first. The end that decides on the pair's links says with
+ * its next message that the link is taken; until then the other end does not count it as up.
+ *
  * <p>All methods run on the transport's event loop, but for {@link #queue}, which any one thread
  * may call.
  */
@@ -34,6 +38,7 @@
     private final AtomicInteger mQueued = new AtomicInteger();
     private final AtomicBoolean mScheduled = new AtomicBoolean();
     private Channel mChannel;
+    private Envelope mHello;
     private Member mPeer;
     private boolean mClosed;
     private volatile long mSent;
@@ -53,7 +58,9 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
-        context.writeAndFlush(mTransport.hello());
+        if (openedHere()) {
+            context.writeAndFlush(mTransport.hello());
+        }
         long timeout = mTransport.options().connectTimeoutNanos();
         context.executor().schedule(this::closeUnlessUp, timeout, TimeUnit.NANOSECONDS);
     }
@@ -94,8 +101,11 @@
         try {
             if (isUp()) {
                 receive(envelope);
+            } else if (mHello != null) {
+                establish();
+                receive(envelope);
             } else {
-                establish(envelope);
+                greet(envelope);
             }
         } catch (IllegalArgumentException malformed) {
             close("malformed", malformed.getMessage());
@@ -199,7 +209,21 @@
         }
     }
 
-    private void establish(Envelope envelope) {
+    private void establish() {
+        mPeer = MemberValues.fromWire(mHello.getHello().getSelf());
+        mTransport.established(this);
+        receive(mHello);
+    }
+
+    private void flush() {
+        mChannel.flush();
+        if (!mChannel.isWritable() && !mClosed) {
+            close("overflow", "bytes=" + mTransport.options().maxQueuedBytes());
+        }
+    }
+
+    /** Takes the first message, which opens the link at once on the end that may decide it. */
+    private void greet(Envelope envelope) {
         if (!envelope.hasHello()) {
             close("no_hello", envelope.getKindCase().toString());
             return;
@@ -207,25 +231,25 @@
         if (envelope.getHello().getProtocolVersion() < MemberCodec.PROTOCOL_VERSION) {
             throw new IllegalArgumentException("protocol version missing");
         }
-        Member peer = MemberCodec.decode(envelope.getHello().getSelf());
+        Member peer = MemberValues.fromWire(envelope.getHello().getSelf());
         if (mExpected.isPresent() && !mExpected.get().id().equals(peer.id())) {
             close("other_process", peer.id().name());
             return;
         }
         Optional<String> rejection = mTransport.rejection(this, peer);
         if (rejection.isPresent()) {
-            close(rejection.get(), Long.toString(peer.incarnation()));
+            close(rejection.get(), peer.id() + "/" + peer.incarnation());
             return;
         }
-        mPeer = peer;
-        mTransport.established(this);
-        receive(envelope);
-    }
-
-    private void flush() {
-        mChannel.flush();
-        if (!mChannel.isWritable() && !mClosed) {
-            close("overflow", "bytes=" + mTransport.options().maxQueuedBytes());
+        mHello = envelope;
+        boolean decides = mTransport.decides(peer);
+        if (!openedHere()) {
+            mChannel.writeAndFlush(mTransport.hello());
+        } else if (decides) {
+            mChannel.writeAndFlush(Envelope.getDefaultInstance());
+        }
+        if (openedHere() || decides) {
+            establish();
         }
     }
 
--- a/src/main/java/ebonygw/peer/PeerTransport.java
+++ b/src/main/java/ebonygw/peer/PeerTransport.java
@@ -40,6 +40,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -69,6 +70,7 @@
     private final Map<NodeId, Dialer> mDialers = new HashMap<>();
     private final Map<NodeId, Long> mIncarnations = new RecentIncarnations();
     private final AtomicBoolean mClosed = new AtomicBoolean();
+    private final LongAdder mRefused = new LongAdder();
     private volatile MemberMessage.Hello mHello;
     private boolean mClosing;
 
@@ -156,6 +158,11 @@
         }
     }
 
+    /** Returns how many links were closed before they were up. */
+    public long refused() {
+        return mRefused.sum();
+    }
+
     /** Returns this process with the address that it listens on. */
     public Member self() {
         return mSelf;
@@ -185,6 +192,9 @@
     void closed(Link link) {
         mAll.remove(link);
         Member peer = link.peer();
+        if (peer == null) {
+            mRefused.increment();
+        }
         if (peer != null && mUp.remove(peer.id(), link)) {
             mListener.down(peer.id(), peer.incarnation());
             dialAgain(peer.id());
@@ -197,6 +207,11 @@
         return mCodec;
     }
 
+    /** Returns whether this process decides on links to another. */
+    boolean decides(Member peer) {
+        return LinkRule.decides(mSelf.id(), peer.id());
+    }
+
     /** Takes a link whose hello was accepted, in place of a former one. */
     void established(Link link) {
         Member peer = link.peer();
@@ -252,9 +267,8 @@
         if (up == null) {
             return Optional.empty();
         }
-        LinkRule.End established = new LinkRule.End(up.peer().incarnation(), up.openedHere());
-        LinkRule.End candidate = new LinkRule.End(peer.incarnation(), link.openedHere());
-        boolean replaces = LinkRule.replaces(mSelf.id(), peer.id(), established, candidate);
+        boolean replaces =
+                LinkRule.replaces(decides(peer), up.peer().incarnation(), peer.incarnation());
         return replaces ? Optional.empty() : Optional.of("second_link");
     }
 
@@ -322,7 +336,7 @@
 
     /** Dials a new process; of two that dial each other, the one with the greater name waits. */
     private void dialFirst(Dialer dialer) {
-        if (mSelf.id().compareTo(dialer.mMember.id()) < 0) {
+        if (decides(dialer.mMember)) {
             dial(dialer);
         } else {
             dialer.mScheduled = true;
