--- a/src/main/java/ebonygw/cli/DevCommand.java
+++ b/src/main/java/ebonygw/cli/DevCommand.java
@@ -3,14 +3,14 @@
 import ebonygw.dev.DevFleet;
 import ebonygw.dev.DevPlatform;
 import ebonygw.dev.DevSettings;
-import ebonygw.log.Logs;
 import ebonygw.process.ProcessRunner;
 import ebonygw.process.SettingsException;
+import ebonygw.settings.CallerKeys;
+import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.kohsuke.args4j.CmdLineException;
@@ -21,12 +21,10 @@
 /** Runs a fleet with stand-ins on the loopback address for a first look. */
 final class DevCommand implements Command {
     private static final String CUSTOMER = "harbourside";
-    private static final int KEY_BYTES = 16;
     private static final long STOP_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     @Override
     public int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
-        Logs.bind();
         Flags flags = new Flags();
         CmdLineParser parser =
                 new CmdLineParser(flags, ParserProperties.defaults().withShowDefaults(true));
@@ -47,13 +45,19 @@
         return run(flags, out, err);
     }
 
-    private static String newKey(SecureRandom random) {
-        byte[] bytes = new byte[KEY_BYTES];
-        random.nextBytes(bytes);
-        return "dev-" + HexFormat.of().formatHex(bytes);
+    private static Path credentials(Path directory, String token) throws IOException {
+        Path file = directory.resolve("operators");
+        Files.writeString(directory.resolve("token"), token + "\n");
+        return Files.writeString(file, "dev " + CallerKeys.hash(token) + "\n");
     }
 
-    private static void print(DevFleet fleet, String key, PrintStream out) {
+    private static void delete(Path directory) throws IOException {
+        Files.deleteIfExists(directory.resolve("token"));
+        Files.deleteIfExists(directory.resolve("operators"));
+        Files.deleteIfExists(directory);
+    }
+
+    private static void print(DevFleet fleet, String key, Path directory, PrintStream out) {
         String callers = "http://127.0.0.1:" + fleet.entry().callerAddress().getPort();
         String operators = "127.0.0.1:" + fleet.entry().operatorAddress().getPort();
         out.println("callers:   " + callers);
@@ -78,30 +82,47 @@
                         + key
                         + "' -H 'Idempotency-Key: pickup-1' -d 'kerb 7'");
         out.println("  java -jar target/ebonygw.jar dump --address " + operators);
+        out.println(
+                "  java -jar target/ebonygw.jar settings --admin "
+                        + fleet.entry().adminEndpoint().orElseThrow()
+                        + " --token-file "
+                        + directory.resolve("token")
+                        + " history");
         out.flush();
     }
 
     private static int run(Flags flags, PrintStream out, PrintStream err) throws Exception {
+        Path directory = Files.createTempDirectory("ebonygw-dev");
+        try {
+            return run(flags, directory, out, err);
+        } finally {
+            delete(directory);
+        }
+    }
+
+    private static int run(Flags flags, Path directory, PrintStream out, PrintStream err)
+            throws Exception {
         SecureRandom random = new SecureRandom();
-        String key = newKey(random);
-        byte[] hash =
-                MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+        String key = CallerKeys.secret(random);
+        Path credentials = credentials(directory, CallerKeys.secret(random));
         DevFleet fleet;
         try {
             DevPlatform platform = new DevPlatform(flags.mEngines, random.nextLong());
-            fleet = new DevFleet(platform, flags.mCallerAddress, flags.mOperatorAddress);
+            fleet =
+                    new DevFleet(
+                            platform, flags.mCallerAddress, flags.mOperatorAddress, credentials);
         } catch (SettingsException | IllegalStateException unusable) {
             err.println("dev: " + unusable.getMessage());
             return USAGE;
         }
         try {
-            fleet.settle(CUSTOMER, HexFormat.of().formatHex(hash));
+            fleet.settle(CUSTOMER, CallerKeys.hash(key));
         } catch (IllegalStateException stuck) {
             err.println("dev: " + stuck.getMessage());
             fleet.close();
             return FAILED;
         }
-        print(fleet, key, out);
+        print(fleet, key, directory, out);
         if (flags.mSeconds == 0) {
             return ProcessRunner.run(fleet, STOP_TIMEOUT_NANOS);
         }
--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,6 +1,7 @@
 package ebonygw.cli;
 
 import ebonygw.bench.BenchCommand;
+import ebonygw.log.Logs;
 import ebonygw.operator.KeysCommand;
 import ebonygw.operator.SettingsCommand;
 import ebonygw.process.EntryProcess;
@@ -32,6 +33,7 @@
      * @throws Exception if the command cannot go on
      */
     public static int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
+        Logs.bind();
         if (args.isEmpty() || args.get(0).equals("--help") || args.get(0).equals("help")) {
             err.println("usage: ebonygw COMMAND [ARGUMENTS]; commands: " + COMMANDS.keySet());
             return args.isEmpty() ? Command.USAGE : Command.OK;
--- a/src/main/java/ebonygw/cli/ProcessCommand.java
+++ b/src/main/java/ebonygw/cli/ProcessCommand.java
@@ -1,7 +1,6 @@
 package ebonygw.cli;
 
 import ebonygw.log.LogLine;
-import ebonygw.log.Logs;
 import ebonygw.process.FlagParser;
 import ebonygw.process.ProcessRunner;
 import ebonygw.process.RunningProcess;
@@ -54,7 +53,6 @@
 
     @Override
     public int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
-        Logs.bind();
         FlagParser<S> parser = mParser.get();
         if (args.contains("--help")) {
             out.println("usage: ebonygw " + mName + " FLAGS");
--- a/src/main/java/ebonygw/dev/DevFleet.java
+++ b/src/main/java/ebonygw/dev/DevFleet.java
@@ -8,6 +8,7 @@
 import ebonygw.settings.ChangeOutcome;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,15 +37,19 @@
      * @param platform the stand-ins, closed with the fleet
      * @param callerAddress where the entry listens for callers, as {@code ip:port}
      * @param operatorAddress where the entry answers operators, as {@code ip:port}
+     * @param credentials operators allowed to use the administration API
      * @throws IOException if a client cannot be created
      * @throws SettingsException if an address is malformed
      * @throws IllegalStateException if an address cannot be listened on
      */
-    public DevFleet(DevPlatform platform, String callerAddress, String operatorAddress)
+    public DevFleet(
+            DevPlatform platform, String callerAddress, String operatorAddress, Path credentials)
             throws IOException, SettingsException {
         mPlatform = platform;
         List<String> entry = new ArrayList<>(common("entry-1", operatorAddress));
         entry.add("--caller-address=" + callerAddress);
+        entry.add("--admin-address=" + ANY_PORT);
+        entry.add("--admin-credentials=" + credentials);
         mEntry = EntryProcess.start(FlagParser.ofEntry().parse(entry, Map.of()), Map.of());
         platform.list(mEntry.self());
         for (int i = 0; i < platform.engines().size(); i++) {
--- a/src/main/java/ebonygw/peer/Link.java
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -118,7 +118,11 @@
             return;
         }
         mClosed = true;
-        LogLine line = LogLine.of("link_closed").with("why", why).with("opened_here", openedHere());
+        LogLine line =
+                LogLine.of("link_closed")
+                        .with("node", mTransport.self().id())
+                        .with("why", why)
+                        .with("opened_here", openedHere());
         line.with("peer", mPeer != null ? mPeer.id() : mExpected.map(Member::id).orElse(null));
         line.with("address", mChannel == null ? null : mChannel.remoteAddress());
         line.with("detail", detail).info();
--- a/src/main/java/ebonygw/peer/PeerTransport.java
+++ b/src/main/java/ebonygw/peer/PeerTransport.java
@@ -227,6 +227,7 @@
             dialer.mUpSinceNanos = System.nanoTime();
         }
         LogLine.of("link_up")
+                .with("node", mSelf.id())
                 .with("peer", peer.id())
                 .with("incarnation", peer.incarnation())
                 .with("address", peer.address())
--- a/src/main/java/ebonygw/process/EntryFlags.java
+++ b/src/main/java/ebonygw/process/EntryFlags.java
@@ -1,7 +1,10 @@
 package ebonygw.process;
 
 import ebonygw.admission.Resource;
+import ebonygw.operator.AdminServerOptions;
 import ebonygw.tls.ServerTls;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -26,6 +29,20 @@
             usage = "PEM file of the private key to --caller-certificate, PKCS #8, no password")
     private String mCallerKey;
 
+    @Option(
+            name = "--admin-address",
+            metaVar = "IP:PORT",
+            usage = "where to offer the administration API, if --admin-credentials is set")
+    private String mAdminAddress = "127.0.0.1:7402";
+
+    @Option(
+            name = "--admin-credentials",
+            metaVar = "FILE",
+            usage =
+                    "operators allowed to use the administration API: a name and the SHA-256 of"
+                            + " a token on each line")
+    private String mAdminCredentials;
+
     @Option(name = "--max-requests", metaVar = "COUNT", usage = "most requests open at once")
     private int mMaxRequests = 4_096;
 
@@ -79,6 +96,7 @@
         reader.bounds("--weight-store-longest", mWeightStoreLongestSeconds, 1, 3_600);
         return new EntrySettings(
                 common(reader),
+                admin(reader),
                 reader.address("--caller-address", mCallerAddress),
                 callerTls(reader),
                 mMaxRequests,
@@ -89,6 +107,18 @@
                 weightStores());
     }
 
+    private Optional<AdminServerOptions> admin(FlagReader reader) {
+        InetSocketAddress address = reader.address("--admin-address", mAdminAddress);
+        if (mAdminCredentials == null) {
+            return Optional.empty();
+        }
+        Path credentials = Path.of(mAdminCredentials);
+        if (!Files.isReadable(credentials)) {
+            reader.fault("--admin-credentials: cannot be read: " + credentials);
+        }
+        return Optional.of(new AdminServerOptions(address, credentials));
+    }
+
     private Optional<SSLContext> callerTls(FlagReader reader) {
         if (mCallerCertificate == null && mCallerKey == null) {
             return Optional.empty();
--- a/src/main/java/ebonygw/process/EntryProcess.java
+++ b/src/main/java/ebonygw/process/EntryProcess.java
@@ -10,6 +10,8 @@
 import ebonygw.membership.Member;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Role;
+import ebonygw.operator.AdminServer;
+import ebonygw.operator.AdminServerOptions;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
@@ -19,8 +21,10 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.security.SecureRandom;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +49,7 @@
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private final AtomicLong mTickets = new AtomicLong();
     private final Map<Long, CompletableFuture<ChangeOutcome>> mChanges = new ConcurrentHashMap<>();
+    private volatile AdminServer mAdmin;
     private volatile Supplier<SettingsState> mSettingsState = () -> SettingsState.EMPTY;
     private long mNowNanos;
 
@@ -90,6 +95,9 @@
                             return Nodes.driver(made.get());
                         });
         process.mSettingsState = made.get()::settingsState;
+        if (settings.admin().isPresent()) {
+            process.startAdmin(settings.admin().get());
+        }
         return process;
     }
 
@@ -128,6 +136,11 @@
         return mRuntime.awaitExit(timeoutNanos);
     }
 
+    /** Returns the administration API, empty if it is not offered. */
+    public Optional<URI> adminEndpoint() {
+        return Optional.ofNullable(mAdmin).map(AdminServer::endpoint);
+    }
+
     /** Returns the address that it listens on for callers. */
     public InetSocketAddress callerAddress() {
         return mCallers.address();
@@ -144,6 +157,9 @@
             LogLine.of("drain_interrupted").warn();
             Thread.currentThread().interrupt();
         }
+        if (mAdmin != null) {
+            mAdmin.close();
+        }
         mShell.close();
     }
 
@@ -257,4 +273,14 @@
             outcome.complete(settled.outcome());
         }
     }
+
+    private void startAdmin(AdminServerOptions options) throws IOException {
+        try {
+            mAdmin = new AdminServer(options, mSettingsState, this::submit, adapter -> false);
+        } catch (IOException | RuntimeException failure) {
+            close();
+            throw new IllegalStateException("administration API: " + failure.getMessage(), failure);
+        }
+        LogLine.of("listening_for_administration").with("address", mAdmin.endpoint()).info();
+    }
 }
--- a/src/main/java/ebonygw/process/EntrySettings.java
+++ b/src/main/java/ebonygw/process/EntrySettings.java
@@ -1,6 +1,7 @@
 package ebonygw.process;
 
 import ebonygw.admission.Resource;
+import ebonygw.operator.AdminServerOptions;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +11,7 @@
  * Settings of an entry process.
  *
  * @param common what target processes have too
+ * @param admin administration API of the settings, empty if it is not offered
  * @param callerAddress where it listens for callers
  * @param callerTls certificate for callers, empty for plain HTTP
  * @param maxRequests most requests open at once
@@ -21,6 +23,7 @@
  */
 public record EntrySettings(
         CommonSettings common,
+        Optional<AdminServerOptions> admin,
         InetSocketAddress callerAddress,
         Optional<SSLContext> callerTls,
         int maxRequests,
