--- a/src/main/java/ebonygw/operator/AdminClient.java
+++ b/src/main/java/ebonygw/operator/AdminClient.java
@@ -2,9 +2,15 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import ebonygw.keyvalue.HttpExchanges;
+import com.google.protobuf.ByteString;
+import ebonygw.http.HttpAnswerSink;
+import ebonygw.http.HttpClient;
+import ebonygw.http.HttpClientOptions;
+import ebonygw.http.HttpFailure;
+import ebonygw.http.HttpRequest;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Map;
 import java.util.Objects;
@@ -16,20 +22,28 @@
 final class AdminClient implements Closeable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(40);
-    private static final int MAX_ANSWER_BYTES = 256 * 1024 * 1024;
 
-    private final URI mEndpoint;
     private final String mToken;
-    private final HttpExchanges mExchanges = new HttpExchanges();
+    private final HttpClient mClient;
 
+    /**
+     * Creates a client.
+     *
+     * @throws IllegalArgumentException if the endpoint is not {@code http://HOST:PORT}
+     * @throws IOException if its thread cannot be started
+     */
     AdminClient(URI endpoint, String token) throws IOException {
-        mEndpoint = Objects.requireNonNull(endpoint, "endpoint");
         mToken = Objects.requireNonNull(token, "token");
+        if (!"http".equals(endpoint.getScheme()) || endpoint.getPort() < 0) {
+            throw new IllegalArgumentException("not of the form http://HOST:PORT: " + endpoint);
+        }
+        InetSocketAddress server = new InetSocketAddress(endpoint.getHost(), endpoint.getPort());
+        mClient = new HttpClient("administration", HttpClientOptions.of(server));
     }
 
     @Override
     public void close() {
-        mExchanges.close();
+        mClient.close();
     }
 
     /**
@@ -41,20 +55,16 @@
      * @throws IOException if there is no reply; says whether the request may have taken effect
      */
     AdminReply send(String method, String path, JsonNode body) throws IOException {
-        byte[] bytes = body == null ? new byte[0] : MAPPER.writeValueAsBytes(body);
-        CompletableFuture<AdminReply> reply = new CompletableFuture<>();
-        mExchanges.send(
-                new HttpExchanges.Request(
-                        mEndpoint,
-                        method,
-                        path,
-                        Map.of("Authorization", "Bearer " + mToken),
-                        bytes,
-                        TIMEOUT_NANOS,
-                        MAX_ANSWER_BYTES),
-                new Listener(reply, body != null));
+        ByteString bytes =
+                body == null
+                        ? ByteString.EMPTY
+                        : ByteString.copyFrom(MAPPER.writeValueAsBytes(body));
+        Map<String, String> headers =
+                Map.of("authorization", "Bearer " + mToken, "content-type", "application/json");
+        Sink sink = new Sink(body != null);
+        mClient.send(new HttpRequest(method, path, headers, bytes), TIMEOUT_NANOS, sink);
         try {
-            return reply.get();
+            return sink.mReply.get();
         } catch (ExecutionException e) {
             throw new IOException(e.getCause().getMessage(), e);
         } catch (InterruptedException e) {
@@ -63,23 +73,45 @@
         }
     }
 
-    private record Listener(CompletableFuture<AdminReply> reply, boolean writes)
-            implements HttpExchanges.Listener {
+    private static final class Sink implements HttpAnswerSink {
+        private final CompletableFuture<AdminReply> mReply = new CompletableFuture<>();
+        private final boolean mWrites;
+        private ByteString mBody = ByteString.EMPTY;
+        private int mStatus;
+
+        Sink(boolean writes) {
+            mWrites = writes;
+        }
+
         @Override
-        public void answered(int status, byte[] body) {
+        public void ended() {
             try {
-                reply.complete(new AdminReply(status, MAPPER.readTree(body)));
+                mReply.complete(new AdminReply(mStatus, MAPPER.readTree(mBody.toByteArray())));
             } catch (IOException e) {
-                reply.completeExceptionally(e);
+                mReply.completeExceptionally(e);
             }
         }
 
         @Override
-        public void failed(boolean sent, String detail) {
-            String effect =
-                    sent && writes ? "; the change may have taken effect" : "; nothing was changed";
-            reply.completeExceptionally(
-                    new IOException("no answer from the administration API: " + detail + effect));
+        public void failed(HttpFailure failure) {
+            boolean effect = failure.sent() && mWrites;
+            mReply.completeExceptionally(
+                    new IOException(
+                            "no answer from the administration API: "
+                                    + failure.detail()
+                                    + (effect
+                                            ? "; the change may have taken effect"
+                                            : "; nothing was changed")));
+        }
+
+        @Override
+        public void part(ByteString data) {
+            mBody = mBody.concat(data);
+        }
+
+        @Override
+        public void started(int status, Map<String, String> headers) {
+            mStatus = status;
         }
     }
 }
--- a/src/main/java/ebonygw/settings/ServiceFeed.java
+++ b/src/main/java/ebonygw/settings/ServiceFeed.java
@@ -18,7 +18,7 @@
  */
 final class ServiceFeed {
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-    private static final long SIGN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long SIGN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long START_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final long MIN_TRY_NANOS = TimeUnit.SECONDS.toNanos(1);
--- a/src/test/java/ebonygw/settings/SettingsReplicaTest.java
+++ b/src/test/java/ebonygw/settings/SettingsReplicaTest.java
@@ -112,6 +112,24 @@
         assertThat(fleet.node(0).mReplica.state().revision()).isEqualTo(2);
     }
 
+    @Test
+    void theCallsOfTheServiceDoNotGrowWithTheFleet() {
+        long few = callsOfAMinute(4);
+        long many = callsOfAMinute(32);
+
+        assertThat(many).isLessThan(few * 3 / 2);
+        assertThat(few).isLessThan(60 * 10);
+    }
+
+    private static long callsOfAMinute(int nodes) {
+        SettingsFleet fleet = new SettingsFleet(nodes, new SplittableRandom(7));
+        write(fleet, 1);
+        fleet.run(5 * SECOND);
+        long before = fleet.mService.calls();
+        fleet.run(60 * SECOND);
+        return fleet.mService.calls() - before;
+    }
+
     private static KeyValueReply.Found range(SettingsFleet fleet, String from, String to) {
         return (KeyValueReply.Found)
                 fleet.mService.store().execute(new KeyValueCall.Range(from, to, 0), fleet.mNow);
