--- a/src/main/java/ebonygw/admission/ShardOwner.java
+++ b/src/main/java/ebonygw/admission/ShardOwner.java
@@ -34,6 +34,7 @@
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final long ADOPT_RESEND_NANOS = 200_000_000L;
     private static final long REBALANCE_NANOS = 200_000_000L;
+    private static final long WATCH_NANOS = 100_000_000L;
     private static final long RETRY_NANOS = 1_000_000_000L;
     private static final long SILENT_NANOS = 3_000_000_000L;
     private static final long RANK_NANOS = 3_000_000_000L;
@@ -57,6 +58,7 @@
     private long mSettledAt;
     private long mAdoptSentAt;
     private long mRebalancedAt;
+    private long mWatchedAt;
     private long mNextTryAt;
     private long mStartedAt;
     private long mReadCall;
@@ -175,12 +177,13 @@
             own(nowNanos, out);
         }
         boolean idle = mReadCall == 0 && mWriteCall == 0 && nowNanos >= mNextTryAt;
-        if (idle
-                && (mOwning
-                        ? mUnsure || needsNewEpoch(nowNanos)
-                        : !stopping && isCandidate(nowNanos))) {
-            mReadCall = mCallIds.next();
-            out.keyValue(mReadCall, new KeyValueCall.Range(KEY_PREFIX + mShard, "", 0));
+        if (idle && nowNanos - mWatchedAt >= WATCH_NANOS) {
+            mWatchedAt = nowNanos;
+            boolean needed = mOwning ? needsNewEpoch(nowNanos) : isCandidate(nowNanos);
+            if (mUnsure || needed && (mOwning || !stopping)) {
+                mReadCall = mCallIds.next();
+                out.keyValue(mReadCall, new KeyValueCall.Range(KEY_PREFIX + mShard, "", 0));
+            }
         }
     }
 
