Properties of an entry, two engines and two replicas of a plain service under faults

Found: an entry that succeeds another shortly after that one's own start refuses for the rate for about 10 s.

--- /dev/null
+++ b/src/test/java/ebonygw/FakeEngine.java
@@ -0,0 +1,185 @@
+package ebonygw;
+
+import com.google.protobuf.ByteString;
+import ebonygw.request.AdapterVersion;
+import ebonygw.request.Refusal;
+import ebonygw.request.RefusalCode;
+import ebonygw.request.Work;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** A model engine or plain service in virtual time that does whatever it is told and keeps book. */
+final class FakeEngine {
+    static final int SLOTS = 3;
+    private static final long MILLI = 1_000_000L;
+    private static final long LOAD_NANOS = 250 * MILLI;
+    private static final long REPORT_NANOS = 200 * MILLI;
+    private static final int PARTS = 3;
+
+    /** One request that the engine began to run. */
+    record Execution(Work work, long atNanos) {}
+
+    final List<Execution> mExecutions = new ArrayList<>();
+    final List<String> mViolations = new ArrayList<>();
+    private final String mName;
+    private final boolean mModel;
+    private final Random mRandom;
+    private final List<Running> mRunning = new ArrayList<>();
+    private final List<Order> mOrders = new ArrayList<>();
+    private final Set<AdapterVersion> mResident = new HashSet<>();
+    private Consumer<TargetEvent> mProcess = event -> {};
+    private long mStartedAtNanos;
+    private long mNextReportNanos;
+
+    FakeEngine(String name, boolean model, Random random) {
+        mName = name;
+        mModel = model;
+        mRandom = random;
+    }
+
+    /** Connects a process; what ran for the former one is aborted. */
+    void attach(Consumer<TargetEvent> process) {
+        mRunning.clear();
+        mOrders.clear();
+        mProcess = process;
+    }
+
+    void call(long call, Work work, long nowNanos) {
+        if (mModel && !mResident.contains(work.adapter().orElseThrow())) {
+            fail(new Running(call, work, nowNanos, nowNanos), "no such adapter");
+            return;
+        }
+        mExecutions.add(new Execution(work, nowNanos));
+        long nanos = (30 + mRandom.nextInt(300)) * MILLI;
+        mRunning.add(new Running(call, work, nowNanos, nowNanos + nanos));
+    }
+
+    void cancel(long call) {
+        for (Running running : List.copyOf(mRunning)) {
+            if (running.mCall == call) {
+                mRunning.remove(running);
+                fail(running, "cancelled");
+            }
+        }
+    }
+
+    void load(AdapterVersion adapter, long nowNanos) {
+        mOrders.add(new Order(adapter, true, nowNanos + LOAD_NANOS));
+    }
+
+    /** Restarts cold: all requests break off and no adapter is loaded. */
+    void restart(long nowNanos) {
+        List<Running> running = List.copyOf(mRunning);
+        List<Order> orders = List.copyOf(mOrders);
+        mRunning.clear();
+        mOrders.clear();
+        mResident.clear();
+        mStartedAtNanos = nowNanos;
+        running.forEach(each -> fail(each, "engine restarted"));
+        orders.forEach(
+                order ->
+                        mProcess.accept(
+                                new TargetEvent.OrderDone(
+                                        order.adapter(), order.load(), false, "restarted")));
+    }
+
+    void tick(long nowNanos) {
+        for (Order order : List.copyOf(mOrders)) {
+            if (order.atNanos() <= nowNanos) {
+                mOrders.remove(order);
+                carryOut(order);
+            }
+        }
+        for (Running running : List.copyOf(mRunning)) {
+            advance(running, nowNanos);
+        }
+        if (mModel && nowNanos >= mNextReportNanos) {
+            mNextReportNanos = nowNanos + REPORT_NANOS;
+            mProcess.accept(
+                    new TargetEvent.EngineReported(
+                            mRunning.size(), 0, SLOTS, 8, List.copyOf(mResident), mStartedAtNanos));
+        }
+    }
+
+    void unload(AdapterVersion adapter, long nowNanos) {
+        mOrders.add(new Order(adapter, false, nowNanos + 10 * MILLI));
+    }
+
+    /** Returns the whole answer to a request. */
+    static String answer(Work work) {
+        StringBuilder answer = new StringBuilder();
+        for (int part = 0; part < PARTS; part++) {
+            answer.append(part(work, part));
+        }
+        return answer.toString();
+    }
+
+    private void advance(Running running, long nowNanos) {
+        if (running.mParts < 0) {
+            running.mParts = 0;
+            mProcess.accept(new TargetEvent.AnswerStarted(running.mCall, 200, Map.of()));
+        }
+        long partNanos = (running.mEndNanos - running.mStartNanos) / PARTS;
+        while (running.mParts < PARTS
+                && nowNanos >= running.mStartNanos + (running.mParts + 1) * partNanos) {
+            String part = part(running.mWork, running.mParts++);
+            mProcess.accept(
+                    new TargetEvent.AnswerPart(running.mCall, ByteString.copyFromUtf8(part)));
+        }
+        if (nowNanos >= running.mEndNanos) {
+            mRunning.remove(running);
+            mProcess.accept(new TargetEvent.AnswerEnded(running.mCall, running.mWork.charge()));
+        }
+    }
+
+    private void carryOut(Order order) {
+        boolean done = true;
+        if (order.load()) {
+            done = mResident.size() < SLOTS || mResident.contains(order.adapter());
+            if (done) {
+                mResident.add(order.adapter());
+            }
+        } else {
+            mResident.remove(order.adapter());
+            for (Running running : mRunning) {
+                if (running.mWork.adapter().orElseThrow().equals(order.adapter())) {
+                    mViolations.add(mName + " unloads " + order.adapter() + " in use");
+                }
+            }
+        }
+        mProcess.accept(
+                new TargetEvent.OrderDone(order.adapter(), order.load(), done, "slots are full"));
+    }
+
+    private void fail(Running running, String detail) {
+        mProcess.accept(
+                new TargetEvent.AnswerFailed(
+                        running.mCall, Refusal.mayHaveRun(RefusalCode.LOST, detail)));
+    }
+
+    private static String part(Work work, int part) {
+        return "[" + work.payload().path() + "#" + part + "]";
+    }
+
+    private record Order(AdapterVersion adapter, boolean load, long atNanos) {}
+
+    private static final class Running {
+        private final long mCall;
+        private final Work mWork;
+        private final long mStartNanos;
+        private final long mEndNanos;
+        private int mParts = -1;
+
+        Running(long call, Work work, long startNanos, long endNanos) {
+            mCall = call;
+            mWork = work;
+            mStartNanos = startNanos;
+            mEndNanos = endNanos;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/FakeTarget.java
@@ -0,0 +1,77 @@
+package ebonygw;
+
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.membership.Member;
+import ebonygw.protocol.Message;
+
+/** A target process with its engine or plain service. */
+final class FakeTarget extends FakeNode {
+    final TargetNode mNode;
+    final FakeEngine mEngine;
+
+    FakeTarget(NodeFleet fleet, Member self, boolean model, FakeEngine engine, long seed) {
+        super(fleet, self);
+        mNode = new TargetNode(TargetNodeOptions.defaults(self, model, seed));
+        mEngine = engine;
+        engine.attach(event -> mInbox.add(() -> handle(event)));
+    }
+
+    @Override
+    void askStop() {
+        handle(new TargetEvent.StopAsked());
+    }
+
+    @Override
+    void down(FakeNode peer) {
+        handle(new TargetEvent.PeerDown(peer.id(), peer.mSelf.incarnation()));
+    }
+
+    @Override
+    void replied(long callId, KeyValueReply reply) {
+        handle(new TargetEvent.KeyValueReplied(callId, reply));
+    }
+
+    @Override
+    long revision() {
+        return mNode.settings().revision();
+    }
+
+    @Override
+    void said(FakeNode peer, Message message) {
+        handle(new TargetEvent.PeerSaid(peer.id(), peer.mSelf.incarnation(), message));
+    }
+
+    @Override
+    void tick() {
+        handle(new TargetEvent.Tick());
+    }
+
+    @Override
+    void up(FakeNode peer) {
+        handle(new TargetEvent.PeerUp(peer.id(), peer.mSelf.incarnation()));
+    }
+
+    private void handle(TargetEvent event) {
+        mNode.handle(event, fleet().mNowNanos, this::carryOut);
+    }
+
+    private void carryOut(TargetEffect effect) {
+        long nowNanos = fleet().mNowNanos;
+        if (effect instanceof TargetEffect.Send send) {
+            send(send.to(), send.message());
+        } else if (effect instanceof TargetEffect.KeyValue call) {
+            keyValue(call.callId(), call.call());
+        } else if (effect instanceof TargetEffect.Exit) {
+            mExited = true;
+        } else if (effect instanceof TargetEffect.Call call) {
+            fleet().executed(this, call.work());
+            mEngine.call(call.call(), call.work(), nowNanos);
+        } else if (effect instanceof TargetEffect.CancelCall cancel) {
+            mEngine.cancel(cancel.call());
+        } else if (effect instanceof TargetEffect.Load load) {
+            mEngine.load(load.adapter(), nowNanos);
+        } else if (effect instanceof TargetEffect.Unload unload) {
+            mEngine.unload(unload.adapter(), nowNanos);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/NodeFleet.java
@@ -0,0 +1,422 @@
+package ebonygw;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.FaultyKeyValue;
+import ebonygw.keyvalue.MemoryKeyValue;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.CallerRequest;
+import ebonygw.request.Payload;
+import ebonygw.request.RequestMessage;
+import ebonygw.request.Verdict;
+import ebonygw.request.Work;
+import ebonygw.settings.ChangeOutcome;
+import ebonygw.settings.Edit;
+import ebonygw.settings.Field;
+import ebonygw.settings.FieldValue;
+import ebonygw.settings.FieldValue.Flag;
+import ebonygw.settings.FieldValue.Names;
+import ebonygw.settings.FieldValue.Text;
+import ebonygw.settings.FieldValue.Whole;
+import ebonygw.settings.KeySettings;
+import ebonygw.settings.NodeKey;
+import ebonygw.settings.SettingsChange;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** An entry, two engines and two replicas of a plain service, in virtual time. */
+final class NodeFleet {
+    static final long MILLI = 1_000_000L;
+    static final long STEP_NANOS = 10 * MILLI;
+    static final List<String> TARGETS = List.of("engine-1", "engine-2", "booking-1", "booking-2");
+    static final long BURST = 20_000;
+    static final long RATE = 2_000;
+    private static final long LINK_NANOS = 100 * MILLI;
+    private static final long MIN_READY_NANOS = 2_000 * MILLI;
+    private static final long IDLE_NANOS = 2_000 * MILLI;
+    private static final long LEAVING_NANOS = 3_000 * MILLI;
+    private static final long WITHDRAWAL_NANOS = 5_000 * MILLI;
+    private static final NodeKey ROOT = NodeKey.parse("organisation/atlas");
+
+    final FaultyKeyValue mService;
+    final Map<String, FakeEngine> mEngines = new TreeMap<>();
+    final Map<String, FakeTarget> mTargets = new TreeMap<>();
+    final List<FakeEntry> mEntries = new ArrayList<>();
+    final Map<String, Long> mCutUntilNanos = new HashMap<>();
+    final List<String> mViolations = new ArrayList<>();
+    FakeEntry mEntry;
+    long mNowNanos = 1_000_000_000_000L;
+    ChangeOutcome mOutcome;
+    private final Random mRandom;
+    private final Map<String, Long> mFrozenSinceNanos = new HashMap<>();
+    private final Map<String, Long> mRestartNanos = new TreeMap<>();
+    private final long mBeginNanos;
+    private long mIncarnation = 1;
+    private long mReadySinceNanos = Long.MAX_VALUE;
+    private long mNextExchange = 1;
+    private long mExecutedCharge;
+    private long mWithdrawnNanos = Long.MAX_VALUE;
+    private boolean mWithdrawing;
+
+    NodeFleet(long seed) {
+        mRandom = new Random(seed);
+        mService = new FaultyKeyValue(new MemoryKeyValue(), mRandom);
+        for (String name : TARGETS) {
+            mEngines.put(name, new FakeEngine(name, isModel(name), mRandom));
+            startTarget(name);
+        }
+        startEntry();
+        pass(500 * MILLI);
+        mEntry.change(new SettingsChange("base", "ada", "", -1, 0, edits()));
+        pass(1_500 * MILLI);
+        assertThat(mOutcome).isInstanceOf(ChangeOutcome.Accepted.class);
+        pass(1_500 * MILLI);
+        mBeginNanos = mNowNanos;
+    }
+
+    /** A caller asks; every fourth request books and may not be repeated. */
+    void ask() {
+        long exchange = mNextExchange++;
+        boolean books = exchange % 4 == 0;
+        int key = mRandom.nextInt(2);
+        String adapter = "a" + mRandom.nextInt(6) + "@" + (1 + mRandom.nextInt(2));
+        Payload payload =
+                new Payload(
+                        "POST", "/" + mEntries.size() + "/" + exchange, Map.of(), ByteString.EMPTY);
+        mEntry.ask(
+                exchange,
+                new CallerRequest(
+                        hash(key),
+                        books ? "book" : "chat",
+                        books ? "" : adapter,
+                        50,
+                        50,
+                        0,
+                        true,
+                        0,
+                        payload));
+    }
+
+    /** Checks everything that must hold of what was seen so far. */
+    void check() {
+        mEngines.values().forEach(engine -> mViolations.addAll(engine.mViolations));
+        Map<String, Integer> runs = new HashMap<>();
+        for (FakeEngine engine : mEngines.values()) {
+            for (FakeEngine.Execution execution : engine.mExecutions) {
+                runs.merge(execution.work().payload().path(), 1, Integer::sum);
+            }
+        }
+        for (FakeEntry entry : mEntries) {
+            entry.mAsked.values().forEach(asked -> check(asked, runs));
+        }
+        assertThat(mViolations).isEmpty();
+    }
+
+    /** Checks that each request of this entry came to an end that its caller saw. */
+    void checkSettled() {
+        mEntry.mAsked.forEach(
+                (exchange, asked) ->
+                        assertThat(asked.settled()).as("exchange %s", exchange).isTrue());
+    }
+
+    /** Notes that a target process sends a request to its target, and checks that it may. */
+    void executed(FakeTarget target, Work work) {
+        mExecutedCharge += work.charge();
+        long allowed = BURST + RATE * (mNowNanos - mBeginNanos) / 1_000_000_000L;
+        if (mExecutedCharge > 2 * allowed) {
+            mViolations.add("over rate: " + mExecutedCharge);
+        }
+        if (work.keyId().equals("k1") && mNowNanos - mWithdrawnNanos > WITHDRAWAL_NANOS) {
+            mViolations.add("withdrawn key runs " + work.id() + " at " + target.id());
+        }
+        if (!work.customer().equals("c" + work.keyId().charAt(1))) {
+            mViolations.add("customer " + work.customer() + " for key " + work.keyId());
+        }
+    }
+
+    void freeze(FakeNode node, boolean frozen) {
+        node.mFrozen = frozen;
+        if (frozen) {
+            mFrozenSinceNanos.put(node.id().name(), mNowNanos);
+        } else {
+            mFrozenSinceNanos.remove(node.id().name());
+        }
+    }
+
+    /** Ends a target process without a word; another one starts after a while. */
+    void kill(String name, long restartNanos) {
+        FakeTarget target = mTargets.get(name);
+        if (!target.mDead) {
+            end(target);
+            mRestartNanos.put(name, mNowNanos + restartNanos);
+        }
+    }
+
+    void killEntry() {
+        end(mEntry);
+        mEntry.mAsked.values().forEach(asked -> asked.mCallerGone |= !asked.settled());
+        startEntry();
+    }
+
+    void pass(long nanos) {
+        long endNanos = mNowNanos + nanos;
+        while (mNowNanos < endNanos) {
+            step();
+        }
+    }
+
+    /** Notes a message on a link, and checks that it may be sent. */
+    void sent(FakeNode from, FakeNode to, Message message) {
+        boolean late = mNowNanos - to.mStopAskedNanos > LEAVING_NANOS;
+        if (message instanceof RequestMessage.Run && late && to.mStopAskedNanos < mNowNanos) {
+            mViolations.add("new work for leaving " + to.id());
+        }
+        if (message.toString().contains(hash(0)) && to instanceof FakeTarget) {
+            mViolations.add("a key goes to " + to.id());
+        }
+    }
+
+    /**
+     * Returns whether all processes have been ready for a while, as a rolling replacement awaits.
+     */
+    boolean readyForNextStop() {
+        boolean ready = mEntry.mNode.ready();
+        for (FakeTarget target : mTargets.values()) {
+            ready &= !target.mDead && target.mNode.ready();
+        }
+        if (!ready) {
+            mReadySinceNanos = Long.MAX_VALUE;
+        } else if (mReadySinceNanos == Long.MAX_VALUE) {
+            mReadySinceNanos = mNowNanos;
+        }
+        return ready && mNowNanos - mReadySinceNanos >= MIN_READY_NANOS;
+    }
+
+    void settled(ChangeOutcome outcome) {
+        mOutcome = outcome;
+        if (mWithdrawing && outcome instanceof ChangeOutcome.Accepted) {
+            mWithdrawnNanos = Math.min(mWithdrawnNanos, mNowNanos);
+        }
+    }
+
+    void stop(FakeNode node) {
+        if (node.mStopAskedNanos == Long.MAX_VALUE && !node.mDead) {
+            node.mStopAskedNanos = mNowNanos;
+            node.mInbox.add(node::askStop);
+        }
+    }
+
+    /** Starts the successor of a stopped entry, which takes all new callers. */
+    void replaceEntry() {
+        stop(mEntry);
+        startEntry();
+    }
+
+    void withdrawKey() {
+        if (!mWithdrawing) {
+            mWithdrawing = true;
+            mEntry.change(
+                    new SettingsChange(
+                            "withdraw", "ada", "", -1, 0, List.of(new Edit.WithdrawKey("k1"))));
+        }
+    }
+
+    private void check(FakeEntry.Asked asked, Map<String, Integer> runs) {
+        String path = asked.mRequest.payload().path();
+        int count = runs.getOrDefault(path, 0);
+        if (asked.mRequest.route().equals("book") && count > 1) {
+            mViolations.add(path + " ran " + count + " times");
+        }
+        boolean notRun = asked.mRefusal != null && asked.mRefusal.verdict() == Verdict.NOT_RUN;
+        if (notRun && count > 0) {
+            mViolations.add(path + " refused as not run but ran: " + asked.mRefusal);
+        }
+        String answer = "[" + path + "#0][" + path + "#1][" + path + "#2]";
+        if (asked.mEnded && !asked.mAnswer.toString().equals(answer)) {
+            mViolations.add(path + " got " + asked.mAnswer);
+        }
+        if (!answer.startsWith(asked.mAnswer.toString())) {
+            mViolations.add(path + " got another's parts: " + asked.mAnswer);
+        }
+    }
+
+    /** Brings the link between two processes to the state in which it has to be. */
+    private void connect(FakeNode one, FakeNode other) {
+        boolean usable = !one.mDead && !other.mDead && !isCut(one) && !isCut(other);
+        boolean silent = isSilent(one) || isSilent(other);
+        boolean linked = one.mLinks.get(other.id()) == other;
+        if (linked && (!usable || silent)) {
+            one.breakLink(other);
+            other.breakLink(one);
+        } else if (!linked && usable && !silent && !one.mFrozen && !other.mFrozen) {
+            dropFormer(one, other);
+            dropFormer(other, one);
+            one.link(other);
+            other.link(one);
+        }
+    }
+
+    private static void dropFormer(FakeNode node, FakeNode peer) {
+        FakeNode former = node.mLinks.get(peer.id());
+        if (former != null) {
+            node.breakLink(former);
+        }
+    }
+
+    private void connectAll() {
+        List<FakeNode> nodes = new ArrayList<>(mEntries);
+        nodes.addAll(mTargets.values());
+        for (int i = 0; i < nodes.size(); i++) {
+            for (int j = 0; j < i; j++) {
+                connect(nodes.get(i), nodes.get(j));
+            }
+        }
+    }
+
+    private List<Edit> edits() {
+        Map<Field, FieldValue> limits =
+                Map.of(Field.RATE, new Whole(RATE), Field.BURST, new Whole(BURST));
+        List<Edit> edits = new ArrayList<>();
+        edits.add(new Edit.Create(ROOT, null, limits));
+        for (int i = 0; i < 2; i++) {
+            edits.add(new Edit.Create(NodeKey.parse("customer/c" + i), ROOT, Map.of()));
+            edits.add(
+                    new Edit.IssueKey(new KeySettings("k" + i, "c" + i, hash(i), Long.MAX_VALUE)));
+        }
+        edits.add(target("llama", "llama"));
+        edits.add(target("booking", "booking"));
+        edits.add(
+                new Edit.Create(
+                        NodeKey.parse("route/chat"),
+                        ROOT,
+                        Map.of(
+                                Field.MODEL, new Text("llama"),
+                                Field.IDEMPOTENT, new Flag(true),
+                                Field.TIMEOUT_MILLIS, new Whole(20_000))));
+        edits.add(
+                new Edit.Create(
+                        NodeKey.parse("route/book"),
+                        ROOT,
+                        Map.of(
+                                Field.SERVICE, new Text("booking"),
+                                Field.TIMEOUT_MILLIS, new Whole(20_000))));
+        for (int i = 0; i < 6; i++) {
+            edits.add(
+                    new Edit.Create(
+                            NodeKey.parse("adapter/a" + i),
+                            ROOT,
+                            Map.of(
+                                    Field.MODEL, new Text("llama"),
+                                    Field.VERSIONS, new Names(Set.of("1", "2")),
+                                    Field.DEFAULT_VERSION, new Text("1"))));
+        }
+        return edits;
+    }
+
+    private void end(FakeNode node) {
+        node.mDead = true;
+        node.mInbox.clear();
+        mFrozenSinceNanos.remove(node.id().name());
+        mService.dropClient(node.id().name() + node.mSelf.incarnation());
+        if (node instanceof FakeTarget target) {
+            target.mEngine.attach(event -> {});
+        }
+    }
+
+    private static String hash(int key) {
+        return ("" + key).repeat(64);
+    }
+
+    private boolean isCut(FakeNode node) {
+        return mCutUntilNanos.getOrDefault(node.id().name(), 0L) > mNowNanos;
+    }
+
+    private static boolean isModel(String name) {
+        return name.startsWith("engine");
+    }
+
+    private boolean isSilent(FakeNode node) {
+        Long since = mFrozenSinceNanos.get(node.id().name());
+        return since != null && mNowNanos - since > IDLE_NANOS;
+    }
+
+    private Member member(String name, Role role, String serves) {
+        return new Member(
+                new NodeId(name),
+                mIncarnation++,
+                role,
+                MemberState.JOINING,
+                new Locality("fes", "a"),
+                "10.0.0." + (1 + Math.abs(name.hashCode() % 200)) + ":7000",
+                serves);
+    }
+
+    private void startEntry() {
+        mEntry =
+                new FakeEntry(
+                        this,
+                        member("entry-" + (mEntries.size() + 1), Role.ENTRY, ""),
+                        mRandom.nextLong());
+        mEntries.add(mEntry);
+    }
+
+    private void startTarget(String name) {
+        String serves = isModel(name) ? "llama" : "booking";
+        mTargets.put(
+                name,
+                new FakeTarget(
+                        this,
+                        member(name, Role.TARGET, serves),
+                        isModel(name),
+                        mEngines.get(name),
+                        mRandom.nextLong()));
+    }
+
+    private void step() {
+        mNowNanos += STEP_NANOS;
+        readyForNextStop();
+        mService.advance(mNowNanos);
+        for (String name : List.copyOf(mRestartNanos.keySet())) {
+            if (mNowNanos >= mRestartNanos.get(name)) {
+                mRestartNanos.remove(name);
+                startTarget(name);
+            }
+        }
+        if (mNowNanos / STEP_NANOS % (LINK_NANOS / STEP_NANOS) == 0) {
+            connectAll();
+        }
+        mEngines.values().forEach(engine -> engine.tick(mNowNanos));
+        mTargets.values().forEach(this::run);
+        mEntries.forEach(this::run);
+    }
+
+    private void run(FakeNode node) {
+        node.run();
+        if (node.mExited && !node.mDead) {
+            end(node);
+            if (node instanceof FakeTarget) {
+                mRestartNanos.put(node.id().name(), mNowNanos + 200 * MILLI);
+            }
+        }
+        if (node.revision() < node.mLastRevision) {
+            mViolations.add("settings of " + node.id() + " went back");
+        }
+        node.mLastRevision = node.revision();
+    }
+
+    private static Edit target(String name, String serves) {
+        return new Edit.Create(
+                NodeKey.parse("target/" + name), ROOT, Map.of(Field.SERVES, new Text(serves)));
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/NodeProperties.java
@@ -0,0 +1,165 @@
+package ebonygw;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.keyvalue.KeyValueFaults;
+import ebonygw.request.Refusal;
+import ebonygw.request.RefusalCode;
+import ebonygw.request.Verdict;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.arbitraries.ListArbitrary;
+
+/**
+ * The rules that must always hold, for an entry and four targets under the faults that meet them.
+ */
+class NodeProperties {
+    private static final long MILLI = NodeFleet.MILLI;
+
+    /** What happens before some time passes. */
+    enum Fault {
+        NONE,
+        KILL_TARGET,
+        FREEZE_TARGET,
+        THAW_TARGET,
+        FREEZE_ENTRY,
+        THAW_ENTRY,
+        CUT_LINK,
+        ENGINE_RESTART,
+        STOP_TARGET,
+        REPLACE_ENTRY,
+        KILL_ENTRY,
+        CALLER_GONE,
+        SERVICE_DOWN,
+        SERVICE_LOSING,
+        SERVICE_UP,
+        WITHDRAW_KEY
+    }
+
+    record Step(Fault fault, int target, int millis) {}
+
+    @Property(tries = 24, seed = "6501", shrinking = ShrinkingMode.BOUNDED)
+    void rulesHoldUnderAllFaults(@ForAll("steps") List<Step> steps, @ForAll long seed) {
+        NodeFleet fleet = new NodeFleet(seed);
+        for (Step step : steps) {
+            apply(fleet, step);
+            passUnderLoad(fleet, step.millis());
+        }
+        fleet.mService.faults(KeyValueFaults.NONE);
+        fleet.freeze(fleet.mEntry, false);
+        fleet.mTargets.values().forEach(target -> fleet.freeze(target, false));
+        fleet.pass(23_000 * MILLI);
+        fleet.check();
+        fleet.checkSettled();
+    }
+
+    @Property(tries = 8, seed = "6502", shrinking = ShrinkingMode.BOUNDED)
+    void plannedStopsOfTargetsCutOffAndRefuseNothing(
+            @ForAll("targetStops") List<Step> steps, @ForAll long seed) {
+        NodeFleet fleet = runPlanned(steps, seed);
+        fleet.mEntry.mAsked.forEach(
+                (exchange, asked) ->
+                        assertThat(asked.mEnded)
+                                .as("exchange %s: %s", exchange, asked.mRefusal)
+                                .isTrue());
+    }
+
+    @Property(tries = 8, seed = "6503", shrinking = ShrinkingMode.BOUNDED)
+    void plannedStopsCutOffNothingAndRefuseOnlyForTheRate(
+            @ForAll("plannedStops") List<Step> steps, @ForAll long seed) {
+        NodeFleet fleet = runPlanned(steps, seed);
+        for (FakeEntry entry : fleet.mEntries) {
+            entry.mAsked.forEach(
+                    (exchange, asked) ->
+                            assertThat(asked.mEnded || isOverRate(asked.mRefusal))
+                                    .as("exchange %s: %s", exchange, asked.mRefusal)
+                                    .isTrue());
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Step>> plannedStops() {
+        return steps(Arbitraries.of(Fault.NONE, Fault.STOP_TARGET, Fault.REPLACE_ENTRY))
+                .ofMinSize(3)
+                .ofMaxSize(8);
+    }
+
+    @Provide
+    Arbitrary<List<Step>> targetStops() {
+        return steps(Arbitraries.of(Fault.NONE, Fault.STOP_TARGET)).ofMinSize(3).ofMaxSize(8);
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        return steps(Arbitraries.of(Fault.class)).ofMinSize(3).ofMaxSize(14);
+    }
+
+    private static boolean isOverRate(Refusal refusal) {
+        return refusal != null
+                && refusal.code() == RefusalCode.OVER_RATE
+                && refusal.verdict() == Verdict.NOT_RUN;
+    }
+
+    private static NodeFleet runPlanned(List<Step> steps, long seed) {
+        NodeFleet fleet = new NodeFleet(seed);
+        for (Step step : steps) {
+            if (fleet.readyForNextStop()) {
+                apply(fleet, step);
+            }
+            passUnderLoad(fleet, step.millis());
+        }
+        fleet.pass(23_000 * MILLI);
+        fleet.check();
+        return fleet;
+    }
+
+    private static ListArbitrary<Step> steps(Arbitrary<Fault> faults) {
+        return Combinators.combine(
+                        faults,
+                        Arbitraries.integers().between(0, NodeFleet.TARGETS.size() - 1),
+                        Arbitraries.integers().between(50, 5_000))
+                .as(Step::new)
+                .list();
+    }
+
+    private static void apply(NodeFleet fleet, Step step) {
+        String name = NodeFleet.TARGETS.get(step.target());
+        FakeTarget target = fleet.mTargets.get(name);
+        switch (step.fault()) {
+            case KILL_TARGET -> fleet.kill(name, 300 * MILLI);
+            case FREEZE_TARGET -> fleet.freeze(target, true);
+            case THAW_TARGET -> fleet.freeze(target, false);
+            case FREEZE_ENTRY -> fleet.freeze(fleet.mEntry, true);
+            case THAW_ENTRY -> fleet.freeze(fleet.mEntry, false);
+            case CUT_LINK -> fleet.mCutUntilNanos.put(name, fleet.mNowNanos + 700 * MILLI);
+            case ENGINE_RESTART -> fleet.mEngines.get(name).restart(fleet.mNowNanos);
+            case STOP_TARGET -> fleet.stop(target);
+            case REPLACE_ENTRY -> fleet.replaceEntry();
+            case KILL_ENTRY -> fleet.killEntry();
+            case CALLER_GONE ->
+                    List.copyOf(fleet.mEntry.mAsked.keySet())
+                            .forEach(exchange -> fleet.mEntry.callerGone(exchange));
+            case SERVICE_DOWN -> fleet.mService.faults(KeyValueFaults.DOWN);
+            case SERVICE_LOSING ->
+                    fleet.mService.faults(new KeyValueFaults(false, 20 * MILLI, 300 * MILLI, 40));
+            case SERVICE_UP -> fleet.mService.faults(KeyValueFaults.NONE);
+            case WITHDRAW_KEY -> fleet.withdrawKey();
+            default -> {}
+        }
+    }
+
+    private static void passUnderLoad(NodeFleet fleet, int millis) {
+        for (int passed = 0; passed < millis; passed += 60) {
+            if (fleet.mEntry.mNode.ready()) {
+                fleet.ask();
+            }
+            fleet.pass(60 * MILLI);
+        }
+    }
+}
