--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -1,6 +1,12 @@
 package ebonygw.cli;
 
 import ebonygw.bench.BenchCommand;
+import ebonygw.log.Logs;
+import ebonygw.operator.KeysCommand;
+import ebonygw.operator.SettingsCommand;
+import ebonygw.process.EntryProcess;
+import ebonygw.process.FlagParser;
+import ebonygw.process.TargetProcess;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +33,7 @@
      * @throws Exception if the command cannot go on
      */
     public static int run(List<String> args, PrintStream out, PrintStream err) throws Exception {
+        Logs.bind();
         if (args.isEmpty() || args.get(0).equals("--help") || args.get(0).equals("help")) {
             err.println("usage: ebonygw COMMAND [ARGUMENTS]; commands: " + COMMANDS.keySet());
             return args.isEmpty() ? Command.USAGE : Command.OK;
@@ -42,6 +49,25 @@
     private static Map<String, Command> commands() {
         Map<String, Command> commands = new TreeMap<>();
         commands.put("bench", new BenchCommand());
+        commands.put("check", new CheckCommand());
+        commands.put("dev", new DevCommand());
+        commands.put("dump", new DumpCommand());
+        commands.put(
+                "entry",
+                new ProcessCommand<>(
+                        "entry",
+                        FlagParser::ofEntry,
+                        settings -> EntryProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
+        commands.put("keys", new KeysCommand());
+        commands.put("settings", new SettingsCommand());
+        commands.put(
+                "target",
+                new ProcessCommand<>(
+                        "target",
+                        FlagParser::ofTarget,
+                        settings -> TargetProcess.start(settings, Map.of()),
+                        settings -> settings.common().stopTimeoutNanos()));
         return commands;
     }
 }
