--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -1,5 +1,6 @@
 package ebonygw;
 
+import ebonygw.admission.ShareLinks;
 import ebonygw.admission.ShareMessage;
 import ebonygw.admission.ShareNode;
 import ebonygw.keyvalue.KeyValueReply;
@@ -8,7 +9,6 @@
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Membership;
 import ebonygw.membership.MembershipView;
-import ebonygw.membership.Role;
 import ebonygw.membership.StopOptions;
 import ebonygw.membership.StopPhase;
 import ebonygw.membership.StopPlan;
@@ -27,6 +27,7 @@
 import ebonygw.settings.SettingsView;
 import ebonygw.settings.SettingsWriter;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -55,6 +56,7 @@
     private final ShareNode mShares;
     private final Router mRouter;
     private final EntryRequests mRequests;
+    private final Map<NodeId, Report> mReports = new HashMap<>();
     private Set<Member> mLinks = Set.of();
     private long mSettingsRevision = -1;
     private boolean mLinksChanged;
@@ -190,7 +192,12 @@
             NodeId from, long incarnation, MemberMessage message, long nowNanos) {
         mMembership.onMessage(from, incarnation, message, nowNanos, mOut);
         if (message instanceof MemberMessage.TargetReport report) {
-            mRouter.onReport(from, incarnation, report, nowNanos);
+            onReport(from, incarnation, report, nowNanos);
+        } else if (message instanceof MemberMessage.TargetLoad load) {
+            Report last = mReports.get(from);
+            if (last != null && last.incarnation() == incarnation) {
+                onReport(from, incarnation, last.report().with(load), nowNanos);
+            }
         } else if (message instanceof MemberMessage.Heartbeat heartbeat) {
             mSettings.onPeerRevision(from, heartbeat.settingsRevision(), nowNanos, mOut);
         } else if (message instanceof MemberMessage.Hello hello) {
@@ -199,6 +206,7 @@
     }
 
     private void onPeerDown(NodeId peer, long incarnation, long nowNanos) {
+        mReports.remove(peer);
         mMembership.onPeerDown(peer, incarnation, nowNanos);
         mSettings.onPeerDown(peer, incarnation, nowNanos, mOut);
         mShares.onPeerDown(peer, incarnation, nowNanos, mOut);
@@ -214,6 +222,19 @@
         mLinksChanged = true;
     }
 
+    private void onReport(
+            NodeId from, long incarnation, MemberMessage.TargetReport report, long nowNanos) {
+        Report last = mReports.get(from);
+        boolean older =
+                last != null
+                        && last.incarnation() == incarnation
+                        && last.report().sequence() >= report.sequence();
+        if (!older) {
+            mReports.put(from, new Report(incarnation, report));
+            mRouter.onReport(from, incarnation, report, nowNanos);
+        }
+    }
+
     private void onStop(long nowNanos) {
         if (mStop.isStopping()) {
             return;
@@ -229,6 +250,9 @@
         mWriter.onTick(nowNanos, mOut);
         mShares.onTick(nowNanos, mOut);
         mRequests.tick(nowNanos);
+        if (mMembership.isSuperseded()) {
+            onStop(nowNanos);
+        }
         if (mStop.isStopping() && !mExited) {
             stopFurther(nowNanos);
         }
@@ -276,12 +300,12 @@
         Set<NodeId> wanted = new HashSet<>(mMembership.neighbours());
         wanted.addAll(
                 LinkSets.choose(self.id(), self.locality(), view.members(), mOptions.maxLinks()));
+        wanted.addAll(ShareLinks.choose(self, view.members()));
         Set<Member> links = new HashSet<>();
-        for (Member member : view.members()) {
-            boolean entry = member.role() == Role.ENTRY;
-            if (!member.id().equals(self.id()) && (entry || wanted.contains(member.id()))) {
-                links.add(member.withState(MemberState.LIVE));
-            }
+        for (NodeId id : wanted) {
+            view.member(id)
+                    .filter(member -> !id.equals(self.id()))
+                    .ifPresent(member -> links.add(member.withState(MemberState.LIVE)));
         }
         return links;
     }
@@ -302,4 +326,12 @@
             }
         }
     }
+
+    /**
+     * The newest report of a target.
+     *
+     * @param incarnation incarnation of its process
+     * @param report the report
+     */
+    private record Report(long incarnation, MemberMessage.TargetReport report) {}
 }
--- a/src/main/java/ebonygw/ProcessMembership.java
+++ b/src/main/java/ebonygw/ProcessMembership.java
@@ -12,7 +12,6 @@
 import ebonygw.membership.ServiceBudget;
 import ebonygw.protocol.Outbox;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 
 /**
  * What every process does to know the others and to be known: membership, lease and registration.
@@ -21,9 +20,6 @@
  */
 final class ProcessMembership {
     private static final int CALL_OWNER = 3;
-    private static final double CALLS_PER_SECOND = 5;
-    private static final int CALL_BURST = 10;
-    private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private final CallIds mCallIds = new CallIds(CALL_OWNER);
     private final ServiceBudget mBudget;
@@ -40,8 +36,7 @@
      * @param random source of jitter
      */
     ProcessMembership(Member self, int fleetSize, SplittableRandom random) {
-        mBudget =
-                new ServiceBudget(CALLS_PER_SECOND, CALL_BURST, MAX_BACKOFF_NANOS, random.split());
+        mBudget = ServiceBudget.forFleetOf(fleetSize, random.split());
         mMembership = new Membership(MembershipOptions.of(self), random.split());
         LeaseOptions options = LeaseOptions.forFleetOf(fleetSize);
         mLease = new ProcessLease(options, mCallIds, mBudget, random.split());
--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -5,6 +5,8 @@
 import ebonygw.membership.AuthorityOptions;
 import ebonygw.membership.Member;
 import ebonygw.membership.MemberMessage;
+import ebonygw.membership.MemberMessage.TargetLoad;
+import ebonygw.membership.MemberMessage.TargetReport;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Membership;
 import ebonygw.membership.MembershipView;
@@ -45,8 +47,9 @@
  */
 public final class TargetNode {
     private static final int AUTHORITY_CALL_OWNER = 4;
-    private static final long REPORT_INTERVAL_NANOS = 100_000_000L;
+    private static final long REPORT_INTERVAL_NANOS = 200_000_000L;
     private static final long IDLE_REPORT_INTERVAL_NANOS = 1_000_000_000L;
+    private static final long WHOLE_INTERVAL_NANOS = 30_000_000_000L;
 
     private final TargetNodeOptions mOptions;
     private final TargetOutbox mOut = new TargetOutbox();
@@ -59,8 +62,10 @@
     private final TargetRuns mRuns;
     private final Map<NodeId, Long> mEntries = new TreeMap<>();
     private Set<Member> mLinks = Set.of();
-    private MemberMessage.TargetReport mLastReport;
+    private TargetReport mLastReport;
     private long mReportSequence;
+    private long mWholeNanos = Long.MIN_VALUE / 2;
+    private int mOpenOrders;
     private long mLastReportNanos = Long.MIN_VALUE / 2;
     private long mSettingsRevision = -1;
     private long mEngineStartedAtNanos = Long.MIN_VALUE;
@@ -228,6 +233,7 @@
     }
 
     private void onOrderDone(TargetEvent.OrderDone done, long nowNanos) {
+        mOpenOrders--;
         if (done.load()) {
             mScheduler.onLoaded(done.adapter(), done.succeeded(), nowNanos);
         } else {
@@ -306,6 +312,9 @@
         mAuthority.onTick(nowNanos, mOut);
         mRuns.tick(nowNanos);
         report(nowNanos);
+        if (mMembership.isSuperseded()) {
+            onStop(nowNanos);
+        }
         if (mStop.isStopping() && !mExited) {
             stopFurther(nowNanos);
         }
@@ -314,6 +323,7 @@
     private void order(SchedulerAction.Evict evict, long nowNanos) {
         OptionalLong token = mAuthority.tokenForOrder(mOptions.longestOrderNanos(), nowNanos);
         if (token.isPresent()) {
+            mOpenOrders++;
             mOut.effect(new TargetEffect.Unload(evict.adapter(), token.getAsLong()));
         } else {
             mScheduler.onUnloaded(evict.adapter(), false, nowNanos);
@@ -323,6 +333,7 @@
     private void order(SchedulerAction.Load load, long nowNanos) {
         OptionalLong token = mAuthority.tokenForOrder(mOptions.longestOrderNanos(), nowNanos);
         if (token.isPresent()) {
+            mOpenOrders++;
             mOut.effect(new TargetEffect.Load(load.adapter(), token.getAsLong()));
         } else {
             mScheduler.onLoaded(load.adapter(), false, nowNanos);
@@ -367,23 +378,35 @@
         }
     }
 
+    /** Tells the entries the load at intervals, and the residency when it has changed. */
     private void report(long nowNanos) {
         long age = nowNanos - mLastReportNanos;
         if (age < REPORT_INTERVAL_NANOS) {
             return;
         }
-        MemberMessage.TargetReport next = mScheduler.report(mReportSequence);
+        TargetReport next = mScheduler.report(mReportSequence);
         if (next.equals(mLastReport) && age < IDLE_REPORT_INTERVAL_NANOS) {
             return;
         }
         mReportSequence++;
-        mLastReport = mScheduler.report(mReportSequence);
         mLastReportNanos = nowNanos;
+        boolean whole = !sameResidency(next) || nowNanos - mWholeNanos >= WHOLE_INTERVAL_NANOS;
+        mLastReport = mScheduler.report(mReportSequence);
+        if (whole) {
+            mWholeNanos = nowNanos;
+        }
+        Message message = whole ? mLastReport : TargetLoad.of(mLastReport);
         for (NodeId entry : mEntries.keySet()) {
-            sendReport(entry);
+            mOut.send(entry, message);
         }
     }
 
+    private boolean sameResidency(TargetReport next) {
+        return mLastReport != null
+                && next.resident().equals(mLastReport.resident())
+                && next.loading().equals(mLastReport.loading());
+    }
+
     private void sendReport(NodeId entry) {
         if (mLastReport != null) {
             mOut.send(entry, mLastReport);
@@ -391,7 +414,7 @@
     }
 
     private void stopFurther(long nowNanos) {
-        StopPhase phase = mStop.onTick(mRuns.open(), true, nowNanos);
+        StopPhase phase = mStop.onTick(mRuns.open() + mOpenOrders, true, nowNanos);
         if (phase == StopPhase.RELEASING) {
             mProcess.release(nowNanos, mOut);
         } else if (phase == StopPhase.DONE) {
--- a/src/main/java/ebonygw/membership/MemberMessage.java
+++ b/src/main/java/ebonygw/membership/MemberMessage.java
@@ -55,6 +55,28 @@
         }
     }
 
+    /**
+     * Load of a target since its last {@link TargetReport}, whose residency still holds.
+     *
+     * @param sequence number of this report in the sender's incarnation, counted with the others
+     * @param running requests running at the target
+     * @param queued requests waiting in the target process
+     * @param concurrency requests that the target runs well together
+     * @param queuedTokens tokens of the waiting requests
+     */
+    record TargetLoad(long sequence, int running, int queued, int concurrency, long queuedTokens)
+            implements MemberMessage {
+        /** Returns the load part of a report. */
+        public static TargetLoad of(TargetReport report) {
+            return new TargetLoad(
+                    report.sequence(),
+                    report.running(),
+                    report.queued(),
+                    report.concurrency(),
+                    report.queuedTokens());
+        }
+    }
+
     /**
      * Load and residency of a target, sent by its process.
      *
@@ -80,5 +102,17 @@
             resident = List.copyOf(resident);
             loading = List.copyOf(loading);
         }
+
+        /** Returns a report of a later load with the residency of this one. */
+        public TargetReport with(TargetLoad load) {
+            return new TargetReport(
+                    load.sequence(),
+                    load.running(),
+                    load.queued(),
+                    load.concurrency(),
+                    load.queuedTokens(),
+                    resident,
+                    loading);
+        }
     }
 }
--- a/src/main/java/ebonygw/peer/MemberCodec.java
+++ b/src/main/java/ebonygw/peer/MemberCodec.java
@@ -31,6 +31,8 @@
                                 envelope.getHeartbeat().getSettingsRevision()));
             case REPORT:
                 return Optional.of(report(envelope.getReport()));
+            case LOAD:
+                return Optional.of(load(envelope.getLoad()));
             case DIGEST:
                 return Optional.of(
                         new MemberMessage.MemberDigest(envelope.getDigest().getBucketsList()));
@@ -60,6 +62,13 @@
                     .setSettingsRevision(heartbeat.settingsRevision());
         } else if (message instanceof MemberMessage.TargetReport report) {
             envelope.setReport(report(report));
+        } else if (message instanceof MemberMessage.TargetLoad load) {
+            envelope.getLoadBuilder()
+                    .setSequence(load.sequence())
+                    .setRunning(load.running())
+                    .setQueued(load.queued())
+                    .setConcurrency(load.concurrency())
+                    .setQueuedTokens(load.queuedTokens());
         } else if (message instanceof MemberMessage.MemberDigest digest) {
             envelope.getDigestBuilder().addAllBuckets(digest.buckets());
         } else if (message instanceof MemberMessage.MemberUpdates updates) {
@@ -73,6 +82,15 @@
         return Optional.of(envelope.build());
     }
 
+    private static MemberMessage.TargetLoad load(PeerProtocol.TargetLoad load) {
+        return new MemberMessage.TargetLoad(
+                load.getSequence(),
+                load.getRunning(),
+                load.getQueued(),
+                load.getConcurrency(),
+                load.getQueuedTokens());
+    }
+
     private static PeerProtocol.TargetReport report(MemberMessage.TargetReport report) {
         PeerProtocol.TargetReport.Builder builder =
                 PeerProtocol.TargetReport.newBuilder()
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -105,6 +105,21 @@
      */
     ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder getUpdatesOrBuilder();
 
+    /**
+     * <code>.ebonygw.TargetLoad load = 6;</code>
+     * @return Whether the load field is set.
+     */
+    boolean hasLoad();
+    /**
+     * <code>.ebonygw.TargetLoad load = 6;</code>
+     * @return The load.
+     */
+    ebonygw.wire.PeerProtocol.TargetLoad getLoad();
+    /**
+     * <code>.ebonygw.TargetLoad load = 6;</code>
+     */
+    ebonygw.wire.PeerProtocol.TargetLoadOrBuilder getLoadOrBuilder();
+
     /**
      * <code>.ebonygw.Run run = 10;</code>
      * @return Whether the run field is set.
@@ -295,6 +310,7 @@
       REPORT(3),
       DIGEST(4),
       UPDATES(5),
+      LOAD(6),
       RUN(10),
       HEAD(11),
       BODY(12),
@@ -326,6 +342,7 @@
           case 3: return REPORT;
           case 4: return DIGEST;
           case 5: return UPDATES;
+          case 6: return LOAD;
           case 10: return RUN;
           case 11: return HEAD;
           case 12: return BODY;
@@ -505,6 +522,37 @@
       return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
     }
 
+    public static final int LOAD_FIELD_NUMBER = 6;
+    /**
+     * <code>.ebonygw.TargetLoad load = 6;</code>
+     * @return Whether the load field is set.
+     */
+    @java.lang.Override
+    public boolean hasLoad() {
+      return kindCase_ == 6;
+    }
+    /**
+     * <code>.ebonygw.TargetLoad load = 6;</code>
+     * @return The load.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.TargetLoad getLoad() {
+      if (kindCase_ == 6) {
+         return (ebonygw.wire.PeerProtocol.TargetLoad) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.TargetLoad load = 6;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.TargetLoadOrBuilder getLoadOrBuilder() {
+      if (kindCase_ == 6) {
+         return (ebonygw.wire.PeerProtocol.TargetLoad) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
+    }
+
     public static final int RUN_FIELD_NUMBER = 10;
     /**
      * <code>.ebonygw.Run run = 10;</code>
@@ -813,6 +861,9 @@
       if (kindCase_ == 5) {
         output.writeMessage(5, (ebonygw.wire.PeerProtocol.MemberUpdates) kind_);
       }
+      if (kindCase_ == 6) {
+        output.writeMessage(6, (ebonygw.wire.PeerProtocol.TargetLoad) kind_);
+      }
       if (kindCase_ == 10) {
         output.writeMessage(10, (ebonygw.wire.PeerProtocol.Run) kind_);
       }
@@ -864,6 +915,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(5, (ebonygw.wire.PeerProtocol.MemberUpdates) kind_);
       }
+      if (kindCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (ebonygw.wire.PeerProtocol.TargetLoad) kind_);
+      }
       if (kindCase_ == 10) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(10, (ebonygw.wire.PeerProtocol.Run) kind_);
@@ -946,6 +1001,10 @@
           if (!getUpdates()
               .equals(other.getUpdates())) return false;
           break;
+        case 6:
+          if (!getLoad()
+              .equals(other.getLoad())) return false;
+          break;
         case 10:
           if (!getRun()
               .equals(other.getRun())) return false;
@@ -1017,6 +1076,10 @@
           hash = (37 * hash) + UPDATES_FIELD_NUMBER;
           hash = (53 * hash) + getUpdates().hashCode();
           break;
+        case 6:
+          hash = (37 * hash) + LOAD_FIELD_NUMBER;
+          hash = (53 * hash) + getLoad().hashCode();
+          break;
         case 10:
           hash = (37 * hash) + RUN_FIELD_NUMBER;
           hash = (53 * hash) + getRun().hashCode();
@@ -1202,6 +1265,9 @@
         if (updatesBuilder_ != null) {
           updatesBuilder_.clear();
         }
+        if (loadBuilder_ != null) {
+          loadBuilder_.clear();
+        }
         if (runBuilder_ != null) {
           runBuilder_.clear();
         }
@@ -1290,6 +1356,10 @@
             updatesBuilder_ != null) {
           result.kind_ = updatesBuilder_.build();
         }
+        if (kindCase_ == 6 &&
+            loadBuilder_ != null) {
+          result.kind_ = loadBuilder_.build();
+        }
         if (kindCase_ == 10 &&
             runBuilder_ != null) {
           result.kind_ = runBuilder_.build();
@@ -1361,6 +1431,10 @@
             mergeUpdates(other.getUpdates());
             break;
           }
+          case LOAD: {
+            mergeLoad(other.getLoad());
+            break;
+          }
           case RUN: {
             mergeRun(other.getRun());
             break;
@@ -1460,6 +1534,13 @@
                 kindCase_ = 5;
                 break;
               } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetLoadFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 6;
+                break;
+              } // case 50
               case 82: {
                 input.readMessage(
                     internalGetRunFieldBuilder().getBuilder(),
@@ -2255,6 +2336,146 @@
         return updatesBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.TargetLoad, ebonygw.wire.PeerProtocol.TargetLoad.Builder, ebonygw.wire.PeerProtocol.TargetLoadOrBuilder> loadBuilder_;
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       * @return Whether the load field is set.
+       */
+      @java.lang.Override
+      public boolean hasLoad() {
+        return kindCase_ == 6;
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       * @return The load.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetLoad getLoad() {
+        if (loadBuilder_ == null) {
+          if (kindCase_ == 6) {
+            return (ebonygw.wire.PeerProtocol.TargetLoad) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
+        } else {
+          if (kindCase_ == 6) {
+            return loadBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      public Builder setLoad(ebonygw.wire.PeerProtocol.TargetLoad value) {
+        if (loadBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          loadBuilder_.setMessage(value);
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      public Builder setLoad(
+          ebonygw.wire.PeerProtocol.TargetLoad.Builder builderForValue) {
+        if (loadBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          loadBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      public Builder mergeLoad(ebonygw.wire.PeerProtocol.TargetLoad value) {
+        if (loadBuilder_ == null) {
+          if (kindCase_ == 6 &&
+              kind_ != ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.TargetLoad.newBuilder((ebonygw.wire.PeerProtocol.TargetLoad) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 6) {
+            loadBuilder_.mergeFrom(value);
+          } else {
+            loadBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      public Builder clearLoad() {
+        if (loadBuilder_ == null) {
+          if (kindCase_ == 6) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 6) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          loadBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      public ebonygw.wire.PeerProtocol.TargetLoad.Builder getLoadBuilder() {
+        return internalGetLoadFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetLoadOrBuilder getLoadOrBuilder() {
+        if ((kindCase_ == 6) && (loadBuilder_ != null)) {
+          return loadBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 6) {
+            return (ebonygw.wire.PeerProtocol.TargetLoad) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.TargetLoad load = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.TargetLoad, ebonygw.wire.PeerProtocol.TargetLoad.Builder, ebonygw.wire.PeerProtocol.TargetLoadOrBuilder> 
+          internalGetLoadFieldBuilder() {
+        if (loadBuilder_ == null) {
+          if (!(kindCase_ == 6)) {
+            kind_ = ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
+          }
+          loadBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.TargetLoad, ebonygw.wire.PeerProtocol.TargetLoad.Builder, ebonygw.wire.PeerProtocol.TargetLoadOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.TargetLoad) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 6;
+        onChanged();
+        return loadBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           ebonygw.wire.PeerProtocol.Run, ebonygw.wire.PeerProtocol.Run.Builder, ebonygw.wire.PeerProtocol.RunOrBuilder> runBuilder_;
       /**
@@ -3589,20 +3810,12 @@
     long getIncarnation();
 
     /**
-     * <pre>
-     * 1 entry, 2 target.
-     * </pre>
-     *
      * <code>int32 role = 3;</code>
      * @return The role.
      */
     int getRole();
 
     /**
-     * <pre>
-     * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
-     * </pre>
-     *
      * <code>int32 state = 4;</code>
      * @return The state.
      */
@@ -3756,10 +3969,6 @@
     public static final int ROLE_FIELD_NUMBER = 3;
     private int role_ = 0;
     /**
-     * <pre>
-     * 1 entry, 2 target.
-     * </pre>
-     *
      * <code>int32 role = 3;</code>
      * @return The role.
      */
@@ -3771,10 +3980,6 @@
     public static final int STATE_FIELD_NUMBER = 4;
     private int state_ = 0;
     /**
-     * <pre>
-     * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
-     * </pre>
-     *
      * <code>int32 state = 4;</code>
      * @return The state.
      */
@@ -4507,10 +4712,6 @@
 
       private int role_ ;
       /**
-       * <pre>
-       * 1 entry, 2 target.
-       * </pre>
-       *
        * <code>int32 role = 3;</code>
        * @return The role.
        */
@@ -4519,10 +4720,6 @@
         return role_;
       }
       /**
-       * <pre>
-       * 1 entry, 2 target.
-       * </pre>
-       *
        * <code>int32 role = 3;</code>
        * @param value The role to set.
        * @return This builder for chaining.
@@ -4535,10 +4732,6 @@
         return this;
       }
       /**
-       * <pre>
-       * 1 entry, 2 target.
-       * </pre>
-       *
        * <code>int32 role = 3;</code>
        * @return This builder for chaining.
        */
@@ -4551,10 +4744,6 @@
 
       private int state_ ;
       /**
-       * <pre>
-       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
-       * </pre>
-       *
        * <code>int32 state = 4;</code>
        * @return The state.
        */
@@ -4563,10 +4752,6 @@
         return state_;
       }
       /**
-       * <pre>
-       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
-       * </pre>
-       *
        * <code>int32 state = 4;</code>
        * @param value The state to set.
        * @return This builder for chaining.
@@ -4579,10 +4764,6 @@
         return this;
       }
       /**
-       * <pre>
-       * 1 joining, 2 live, 3 suspected, 4 leaving, 5 gone.
-       * </pre>
-       *
        * <code>int32 state = 4;</code>
        * @return This builder for chaining.
        */
@@ -6167,34 +6348,41 @@
 
   }
 
-  public interface MemberDigestOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.MemberDigest)
+  public interface AdapterVersionOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterVersion)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return A list containing the buckets.
+     * <code>string adapter = 1;</code>
+     * @return The adapter.
      */
-    java.util.List<java.lang.Long> getBucketsList();
+    java.lang.String getAdapter();
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return The count of buckets.
+     * <code>string adapter = 1;</code>
+     * @return The bytes for adapter.
      */
-    int getBucketsCount();
+    com.google.protobuf.ByteString
+        getAdapterBytes();
+
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @param index The index of the element to return.
-     * @return The buckets at the given index.
+     * <code>string version = 2;</code>
+     * @return The version.
      */
-    long getBuckets(int index);
+    java.lang.String getVersion();
+    /**
+     * <code>string version = 2;</code>
+     * @return The bytes for version.
+     */
+    com.google.protobuf.ByteString
+        getVersionBytes();
   }
   /**
-   * Protobuf type {@code ebonygw.MemberDigest}
+   * Protobuf type {@code ebonygw.AdapterVersion}
    */
-  public static final class MemberDigest extends
+  public static final class AdapterVersion extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.MemberDigest)
-      MemberDigestOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.AdapterVersion)
+      AdapterVersionOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -6203,63 +6391,721 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "MemberDigest");
+        "AdapterVersion");
     }
-    // Use MemberDigest.newBuilder() to construct.
-    private MemberDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use AdapterVersion.newBuilder() to construct.
+    private AdapterVersion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private MemberDigest() {
-      buckets_ = emptyLongList();
+    private AdapterVersion() {
+      adapter_ = "";
+      version_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
+              ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
     }
 
-    public static final int BUCKETS_FIELD_NUMBER = 1;
+    public static final int ADAPTER_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList buckets_ =
-        emptyLongList();
+    private volatile java.lang.Object adapter_ = "";
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return A list containing the buckets.
+     * <code>string adapter = 1;</code>
+     * @return The adapter.
      */
     @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getBucketsList() {
-      return buckets_;
+    public java.lang.String getAdapter() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        adapter_ = s;
+        return s;
+      }
     }
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @return The count of buckets.
+     * <code>string adapter = 1;</code>
+     * @return The bytes for adapter.
      */
-    public int getBucketsCount() {
-      return buckets_.size();
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAdapterBytes() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        adapter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
+
+    public static final int VERSION_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object version_ = "";
     /**
-     * <code>repeated fixed64 buckets = 1;</code>
-     * @param index The index of the element to return.
-     * @return The buckets at the given index.
+     * <code>string version = 2;</code>
+     * @return The version.
      */
-    public long getBuckets(int index) {
-      return buckets_.getLong(index);
-    }
-    private int bucketsMemoizedSerializedSize = -1;
+    @java.lang.Override
+    public java.lang.String getVersion() {
+      java.lang.Object ref = version_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        version_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string version = 2;</code>
+     * @return The bytes for version.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVersionBytes() {
+      java.lang.Object ref = version_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        version_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, adapter_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, version_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, adapter_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, version_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterVersion)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.AdapterVersion other = (ebonygw.wire.PeerProtocol.AdapterVersion) obj;
+
+      if (!getAdapter()
+          .equals(other.getAdapter())) return false;
+      if (!getVersion()
+          .equals(other.getVersion())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAdapter().hashCode();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getVersion().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterVersion prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.AdapterVersion}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterVersion)
+        ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.AdapterVersion.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        adapter_ = "";
+        version_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterVersion build() {
+        ebonygw.wire.PeerProtocol.AdapterVersion result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterVersion buildPartial() {
+        ebonygw.wire.PeerProtocol.AdapterVersion result = new ebonygw.wire.PeerProtocol.AdapterVersion(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterVersion result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.adapter_ = adapter_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.version_ = version_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.AdapterVersion) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterVersion)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterVersion other) {
+        if (other == ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance()) return this;
+        if (!other.getAdapter().isEmpty()) {
+          adapter_ = other.adapter_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getVersion().isEmpty()) {
+          version_ = other.version_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                adapter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                version_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object adapter_ = "";
+      /**
+       * <code>string adapter = 1;</code>
+       * @return The adapter.
+       */
+      public java.lang.String getAdapter() {
+        java.lang.Object ref = adapter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          adapter_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @return The bytes for adapter.
+       */
+      public com.google.protobuf.ByteString
+          getAdapterBytes() {
+        java.lang.Object ref = adapter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          adapter_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @param value The adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapter(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAdapter() {
+        adapter_ = getDefaultInstance().getAdapter();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @param value The bytes for adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapterBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object version_ = "";
+      /**
+       * <code>string version = 2;</code>
+       * @return The version.
+       */
+      public java.lang.String getVersion() {
+        java.lang.Object ref = version_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          version_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @return The bytes for version.
+       */
+      public com.google.protobuf.ByteString
+          getVersionBytes() {
+        java.lang.Object ref = version_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          version_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        version_ = getDefaultInstance().getVersion();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @param value The bytes for version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersionBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterVersion)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.AdapterVersion)
+    private static final ebonygw.wire.PeerProtocol.AdapterVersion DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterVersion();
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AdapterVersion>
+        PARSER = new com.google.protobuf.AbstractParser<AdapterVersion>() {
+      @java.lang.Override
+      public AdapterVersion parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AdapterVersion> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AdapterVersion> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface MemberDigestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.MemberDigest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return A list containing the buckets.
+     */
+    java.util.List<java.lang.Long> getBucketsList();
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return The count of buckets.
+     */
+    int getBucketsCount();
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
+     */
+    long getBuckets(int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.MemberDigest}
+   */
+  public static final class MemberDigest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.MemberDigest)
+      MemberDigestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "MemberDigest");
+    }
+    // Use MemberDigest.newBuilder() to construct.
+    private MemberDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private MemberDigest() {
+      buckets_ = emptyLongList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_MemberDigest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.MemberDigest.class, ebonygw.wire.PeerProtocol.MemberDigest.Builder.class);
+    }
+
+    public static final int BUCKETS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList buckets_ =
+        emptyLongList();
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return A list containing the buckets.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getBucketsList() {
+      return buckets_;
+    }
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @return The count of buckets.
+     */
+    public int getBucketsCount() {
+      return buckets_.size();
+    }
+    /**
+     * <code>repeated fixed64 buckets = 1;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
+     */
+    public long getBuckets(int index) {
+      return buckets_.getLong(index);
+    }
+    private int bucketsMemoizedSerializedSize = -1;
 
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
@@ -6761,6 +7607,10 @@
         int index);
 
     /**
+     * <pre>
+     * Whether they have just changed; else they answer a digest.
+     * </pre>
+     *
      * <code>bool news = 2;</code>
      * @return The news.
      */
@@ -6853,6 +7703,10 @@
     public static final int NEWS_FIELD_NUMBER = 2;
     private boolean news_ = false;
     /**
+     * <pre>
+     * Whether they have just changed; else they answer a digest.
+     * </pre>
+     *
      * <code>bool news = 2;</code>
      * @return The news.
      */
@@ -7470,6 +8324,10 @@
 
       private boolean news_ ;
       /**
+       * <pre>
+       * Whether they have just changed; else they answer a digest.
+       * </pre>
+       *
        * <code>bool news = 2;</code>
        * @return The news.
        */
@@ -7478,6 +8336,10 @@
         return news_;
       }
       /**
+       * <pre>
+       * Whether they have just changed; else they answer a digest.
+       * </pre>
+       *
        * <code>bool news = 2;</code>
        * @param value The news to set.
        * @return This builder for chaining.
@@ -7490,6 +8352,10 @@
         return this;
       }
       /**
+       * <pre>
+       * Whether they have just changed; else they answer a digest.
+       * </pre>
+       *
        * <code>bool news = 2;</code>
        * @return This builder for chaining.
        */
@@ -7551,41 +8417,47 @@
 
   }
 
-  public interface AdapterVersionOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterVersion)
+  public interface TargetLoadOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.TargetLoad)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string adapter = 1;</code>
-     * @return The adapter.
+     * <code>uint64 sequence = 1;</code>
+     * @return The sequence.
      */
-    java.lang.String getAdapter();
+    long getSequence();
+
     /**
-     * <code>string adapter = 1;</code>
-     * @return The bytes for adapter.
+     * <code>uint32 running = 2;</code>
+     * @return The running.
      */
-    com.google.protobuf.ByteString
-        getAdapterBytes();
+    int getRunning();
 
     /**
-     * <code>string version = 2;</code>
-     * @return The version.
+     * <code>uint32 queued = 3;</code>
+     * @return The queued.
      */
-    java.lang.String getVersion();
+    int getQueued();
+
     /**
-     * <code>string version = 2;</code>
-     * @return The bytes for version.
+     * <code>uint32 concurrency = 4;</code>
+     * @return The concurrency.
      */
-    com.google.protobuf.ByteString
-        getVersionBytes();
+    int getConcurrency();
+
+    /**
+     * <code>uint64 queued_tokens = 5;</code>
+     * @return The queuedTokens.
+     */
+    long getQueuedTokens();
   }
   /**
-   * Protobuf type {@code ebonygw.AdapterVersion}
+   * Protobuf type {@code ebonygw.TargetLoad}
    */
-  public static final class AdapterVersion extends
+  public static final class TargetLoad extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.AdapterVersion)
-      AdapterVersionOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.TargetLoad)
+      TargetLoadOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -7594,111 +8466,86 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "AdapterVersion");
+        "TargetLoad");
     }
-    // Use AdapterVersion.newBuilder() to construct.
-    private AdapterVersion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use TargetLoad.newBuilder() to construct.
+    private TargetLoad(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private AdapterVersion() {
-      adapter_ = "";
-      version_ = "";
+    private TargetLoad() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetLoad_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetLoad_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetLoad_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
+              ebonygw.wire.PeerProtocol.TargetLoad.class, ebonygw.wire.PeerProtocol.TargetLoad.Builder.class);
     }
 
-    public static final int ADAPTER_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object adapter_ = "";
+    public static final int SEQUENCE_FIELD_NUMBER = 1;
+    private long sequence_ = 0L;
+    /**
+     * <code>uint64 sequence = 1;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int RUNNING_FIELD_NUMBER = 2;
+    private int running_ = 0;
     /**
-     * <code>string adapter = 1;</code>
-     * @return The adapter.
+     * <code>uint32 running = 2;</code>
+     * @return The running.
      */
     @java.lang.Override
-    public java.lang.String getAdapter() {
-      java.lang.Object ref = adapter_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        adapter_ = s;
-        return s;
-      }
+    public int getRunning() {
+      return running_;
     }
+
+    public static final int QUEUED_FIELD_NUMBER = 3;
+    private int queued_ = 0;
     /**
-     * <code>string adapter = 1;</code>
-     * @return The bytes for adapter.
+     * <code>uint32 queued = 3;</code>
+     * @return The queued.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getAdapterBytes() {
-      java.lang.Object ref = adapter_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        adapter_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public int getQueued() {
+      return queued_;
     }
 
-    public static final int VERSION_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object version_ = "";
+    public static final int CONCURRENCY_FIELD_NUMBER = 4;
+    private int concurrency_ = 0;
     /**
-     * <code>string version = 2;</code>
-     * @return The version.
+     * <code>uint32 concurrency = 4;</code>
+     * @return The concurrency.
      */
     @java.lang.Override
-    public java.lang.String getVersion() {
-      java.lang.Object ref = version_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        version_ = s;
-        return s;
-      }
+    public int getConcurrency() {
+      return concurrency_;
     }
+
+    public static final int QUEUED_TOKENS_FIELD_NUMBER = 5;
+    private long queuedTokens_ = 0L;
     /**
-     * <code>string version = 2;</code>
-     * @return The bytes for version.
+     * <code>uint64 queued_tokens = 5;</code>
+     * @return The queuedTokens.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getVersionBytes() {
-      java.lang.Object ref = version_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        version_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public long getQueuedTokens() {
+      return queuedTokens_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -7715,21 +8562,44 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, adapter_);
+      if (sequence_ != 0L) {
+        output.writeUInt64(1, sequence_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, version_);
+      if (running_ != 0) {
+        output.writeUInt32(2, running_);
+      }
+      if (queued_ != 0) {
+        output.writeUInt32(3, queued_);
+      }
+      if (concurrency_ != 0) {
+        output.writeUInt32(4, concurrency_);
+      }
+      if (queuedTokens_ != 0L) {
+        output.writeUInt64(5, queuedTokens_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, adapter_);
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, sequence_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, version_);
+      if (running_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, running_);
+      }
+      if (queued_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, queued_);
+      }
+      if (concurrency_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, concurrency_);
+      }
+      if (queuedTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, queuedTokens_);
       }
       return size;
     }
@@ -7750,15 +8620,21 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterVersion)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.TargetLoad)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.AdapterVersion other = (ebonygw.wire.PeerProtocol.AdapterVersion) obj;
+      ebonygw.wire.PeerProtocol.TargetLoad other = (ebonygw.wire.PeerProtocol.TargetLoad) obj;
 
-      if (!getAdapter()
-          .equals(other.getAdapter())) return false;
-      if (!getVersion()
-          .equals(other.getVersion())) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (getRunning()
+          != other.getRunning()) return false;
+      if (getQueued()
+          != other.getQueued()) return false;
+      if (getConcurrency()
+          != other.getConcurrency()) return false;
+      if (getQueuedTokens()
+          != other.getQueuedTokens()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -7770,53 +8646,61 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
-      hash = (53 * hash) + getAdapter().hashCode();
-      hash = (37 * hash) + VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + getVersion().hashCode();
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+      hash = (53 * hash) + getRunning();
+      hash = (37 * hash) + QUEUED_FIELD_NUMBER;
+      hash = (53 * hash) + getQueued();
+      hash = (37 * hash) + CONCURRENCY_FIELD_NUMBER;
+      hash = (53 * hash) + getConcurrency();
+      hash = (37 * hash) + QUEUED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getQueuedTokens());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -7824,26 +8708,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterVersion parseFrom(
+    public static ebonygw.wire.PeerProtocol.TargetLoad parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -7856,7 +8740,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterVersion prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.TargetLoad prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -7872,26 +8756,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.AdapterVersion}
+     * Protobuf type {@code ebonygw.TargetLoad}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterVersion)
-        ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.TargetLoad)
+        ebonygw.wire.PeerProtocol.TargetLoadOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetLoad_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetLoad_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.AdapterVersion.class, ebonygw.wire.PeerProtocol.AdapterVersion.Builder.class);
+                ebonygw.wire.PeerProtocol.TargetLoad.class, ebonygw.wire.PeerProtocol.TargetLoad.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.AdapterVersion.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.TargetLoad.newBuilder()
       private Builder() {
 
       }
@@ -7905,25 +8789,28 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        adapter_ = "";
-        version_ = "";
+        sequence_ = 0L;
+        running_ = 0;
+        queued_ = 0;
+        concurrency_ = 0;
+        queuedTokens_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterVersion_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetLoad_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.TargetLoad getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterVersion build() {
-        ebonygw.wire.PeerProtocol.AdapterVersion result = buildPartial();
+      public ebonygw.wire.PeerProtocol.TargetLoad build() {
+        ebonygw.wire.PeerProtocol.TargetLoad result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -7931,44 +8818,58 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterVersion buildPartial() {
-        ebonygw.wire.PeerProtocol.AdapterVersion result = new ebonygw.wire.PeerProtocol.AdapterVersion(this);
+      public ebonygw.wire.PeerProtocol.TargetLoad buildPartial() {
+        ebonygw.wire.PeerProtocol.TargetLoad result = new ebonygw.wire.PeerProtocol.TargetLoad(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterVersion result) {
+      private void buildPartial0(ebonygw.wire.PeerProtocol.TargetLoad result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.adapter_ = adapter_;
+          result.sequence_ = sequence_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.version_ = version_;
+          result.running_ = running_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.queued_ = queued_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.concurrency_ = concurrency_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.queuedTokens_ = queuedTokens_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.AdapterVersion) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterVersion)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.TargetLoad) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.TargetLoad)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterVersion other) {
-        if (other == ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance()) return this;
-        if (!other.getAdapter().isEmpty()) {
-          adapter_ = other.adapter_;
-          bitField0_ |= 0x00000001;
-          onChanged();
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.TargetLoad other) {
+        if (other == ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance()) return this;
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
         }
-        if (!other.getVersion().isEmpty()) {
-          version_ = other.version_;
-          bitField0_ |= 0x00000002;
-          onChanged();
+        if (other.getRunning() != 0) {
+          setRunning(other.getRunning());
+        }
+        if (other.getQueued() != 0) {
+          setQueued(other.getQueued());
+        }
+        if (other.getConcurrency() != 0) {
+          setConcurrency(other.getConcurrency());
+        }
+        if (other.getQueuedTokens() != 0L) {
+          setQueuedTokens(other.getQueuedTokens());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -7994,16 +8895,31 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                adapter_ = input.readStringRequireUtf8();
+              case 8: {
+                sequence_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
-              case 18: {
-                version_ = input.readStringRequireUtf8();
+              } // case 8
+              case 16: {
+                running_ = input.readUInt32();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 18
+              } // case 16
+              case 24: {
+                queued_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                concurrency_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                queuedTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8019,169 +8935,185 @@
         } // finally
         return this;
       }
-      private int bitField0_;
+      private int bitField0_;
+
+      private long sequence_ ;
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sequence = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
 
-      private java.lang.Object adapter_ = "";
+      private int running_ ;
       /**
-       * <code>string adapter = 1;</code>
-       * @return The adapter.
+       * <code>uint32 running = 2;</code>
+       * @return The running.
        */
-      public java.lang.String getAdapter() {
-        java.lang.Object ref = adapter_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          adapter_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
+      @java.lang.Override
+      public int getRunning() {
+        return running_;
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @return The bytes for adapter.
+       * <code>uint32 running = 2;</code>
+       * @param value The running to set.
+       * @return This builder for chaining.
        */
-      public com.google.protobuf.ByteString
-          getAdapterBytes() {
-        java.lang.Object ref = adapter_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          adapter_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      public Builder setRunning(int value) {
+
+        running_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @param value The adapter to set.
+       * <code>uint32 running = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder setAdapter(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        adapter_ = value;
-        bitField0_ |= 0x00000001;
+      public Builder clearRunning() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        running_ = 0;
         onChanged();
         return this;
       }
+
+      private int queued_ ;
       /**
-       * <code>string adapter = 1;</code>
+       * <code>uint32 queued = 3;</code>
+       * @return The queued.
+       */
+      @java.lang.Override
+      public int getQueued() {
+        return queued_;
+      }
+      /**
+       * <code>uint32 queued = 3;</code>
+       * @param value The queued to set.
        * @return This builder for chaining.
        */
-      public Builder clearAdapter() {
-        adapter_ = getDefaultInstance().getAdapter();
-        bitField0_ = (bitField0_ & ~0x00000001);
+      public Builder setQueued(int value) {
+
+        queued_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>string adapter = 1;</code>
-       * @param value The bytes for adapter to set.
+       * <code>uint32 queued = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder setAdapterBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        adapter_ = value;
-        bitField0_ |= 0x00000001;
+      public Builder clearQueued() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        queued_ = 0;
         onChanged();
         return this;
       }
 
-      private java.lang.Object version_ = "";
+      private int concurrency_ ;
       /**
-       * <code>string version = 2;</code>
-       * @return The version.
+       * <code>uint32 concurrency = 4;</code>
+       * @return The concurrency.
        */
-      public java.lang.String getVersion() {
-        java.lang.Object ref = version_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          version_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
+      @java.lang.Override
+      public int getConcurrency() {
+        return concurrency_;
       }
       /**
-       * <code>string version = 2;</code>
-       * @return The bytes for version.
+       * <code>uint32 concurrency = 4;</code>
+       * @param value The concurrency to set.
+       * @return This builder for chaining.
        */
-      public com.google.protobuf.ByteString
-          getVersionBytes() {
-        java.lang.Object ref = version_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          version_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      public Builder setConcurrency(int value) {
+
+        concurrency_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
       /**
-       * <code>string version = 2;</code>
-       * @param value The version to set.
+       * <code>uint32 concurrency = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder setVersion(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        version_ = value;
-        bitField0_ |= 0x00000002;
+      public Builder clearConcurrency() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        concurrency_ = 0;
         onChanged();
         return this;
       }
+
+      private long queuedTokens_ ;
       /**
-       * <code>string version = 2;</code>
+       * <code>uint64 queued_tokens = 5;</code>
+       * @return The queuedTokens.
+       */
+      @java.lang.Override
+      public long getQueuedTokens() {
+        return queuedTokens_;
+      }
+      /**
+       * <code>uint64 queued_tokens = 5;</code>
+       * @param value The queuedTokens to set.
        * @return This builder for chaining.
        */
-      public Builder clearVersion() {
-        version_ = getDefaultInstance().getVersion();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder setQueuedTokens(long value) {
+
+        queuedTokens_ = value;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>string version = 2;</code>
-       * @param value The bytes for version to set.
+       * <code>uint64 queued_tokens = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder setVersionBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        version_ = value;
-        bitField0_ |= 0x00000002;
+      public Builder clearQueuedTokens() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        queuedTokens_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterVersion)
+      // @@protoc_insertion_point(builder_scope:ebonygw.TargetLoad)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.AdapterVersion)
-    private static final ebonygw.wire.PeerProtocol.AdapterVersion DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.TargetLoad)
+    private static final ebonygw.wire.PeerProtocol.TargetLoad DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterVersion();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.TargetLoad();
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.TargetLoad getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<AdapterVersion>
-        PARSER = new com.google.protobuf.AbstractParser<AdapterVersion>() {
+    private static final com.google.protobuf.Parser<TargetLoad>
+        PARSER = new com.google.protobuf.AbstractParser<TargetLoad>() {
       @java.lang.Override
-      public AdapterVersion parsePartialFrom(
+      public TargetLoad parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -8200,17 +9132,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<AdapterVersion> parser() {
+    public static com.google.protobuf.Parser<TargetLoad> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<AdapterVersion> getParserForType() {
+    public com.google.protobuf.Parser<TargetLoad> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterVersion getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.TargetLoad getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -18856,6 +19788,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_Heartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterVersion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_MemberDigest_descriptor;
   private static final 
@@ -18867,10 +19804,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterVersion_descriptor;
+    internal_static_ebonygw_TargetLoad_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
+      internal_static_ebonygw_TargetLoad_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_TargetReport_descriptor;
   private static final 
@@ -18931,63 +19868,67 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\224\004\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\271\004\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
       "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
       "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
-      "ebonygw.MemberUpdatesH\000\022\033\n\003run\030\n \001(\0132\014.e" +
-      "bonygw.RunH\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.Hea" +
-      "dH\000\022\035\n\004body\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003en" +
-      "d\030\r \001(\0132\014.ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132" +
-      "\017.ebonygw.FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebo" +
-      "nygw.CancelH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw." +
-      "CreditH\000\022-\n\010settings\030\036 \001(\0132\031.ebonygw.Set" +
-      "tingsEnvelopeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonyg" +
-      "w.SharesEnvelopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n" +
-      "\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003" +
-      " \001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013d" +
-      "ata_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006ser" +
-      "ves\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebony" +
-      "gw.Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020" +
-      "protocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010s" +
-      "equence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004" +
-      "\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMem" +
-      "berUpdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Me" +
-      "mber\022\014\n\004news\030\002 \001(\010\"2\n\016AdapterVersion\022\017\n\007" +
-      "adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\302\001\n\014Targe" +
-      "tReport\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001" +
-      "(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022" +
-      "\025\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\013" +
-      "2\027.ebonygw.AdapterVersion\022(\n\007loading\030\007 \003" +
-      "(\0132\027.ebonygw.AdapterVersion\"A\n\tRequestId" +
-      "\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010" +
-      "sequence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r" +
-      "\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebon" +
-      "ygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010custom" +
-      "er\030\003 \001(\t\022\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022" +
-      "(\n\007adapter\030\006 \001(\0132\027.ebonygw.AdapterVersio" +
-      "n\022\022\n\nidempotent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022" +
-      "\025\n\rprompt_tokens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001" +
-      "(\004\022\023\n\013prefix_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(" +
-      "\010\022\016\n\006method\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007heade" +
-      "rs\030\017 \003(\0132\017.ebonygw.Header\022\014\n\004body\030\020 \001(\014\022" +
-      "\025\n\rtimeout_nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i" +
-      "\n\004Head\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017" +
-      "\n\007attempt\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007heade" +
-      "rs\030\004 \003(\0132\017.ebonygw.Header\"T\n\004Body\022\036\n\002id\030" +
-      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
-      "(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036" +
-      "\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attemp" +
-      "t\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 " +
-      "\001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Req" +
-      "uestId\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n" +
-      "\007verdict\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_" +
-      "after_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132" +
-      "\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006" +
-      "Credit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017" +
-      "\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\rB\034\n\014ebonyg" +
-      "w.wireB\014PeerProtocolb\006proto3"
+      "ebonygw.MemberUpdatesH\000\022#\n\004load\030\006 \001(\0132\023." +
+      "ebonygw.TargetLoadH\000\022\033\n\003run\030\n \001(\0132\014.ebon" +
+      "ygw.RunH\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000" +
+      "\022\035\n\004body\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r" +
+      " \001(\0132\014.ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.e" +
+      "bonygw.FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonyg" +
+      "w.CancelH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.Cre" +
+      "ditH\000\022-\n\010settings\030\036 \001(\0132\031.ebonygw.Settin" +
+      "gsEnvelopeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.S" +
+      "haresEnvelopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(" +
+      "\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data" +
+      "_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves" +
+      "\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw." +
+      "Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020pro" +
+      "tocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequ" +
+      "ence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004\"2\n" +
+      "\016AdapterVersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007vers" +
+      "ion\030\002 \001(\t\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003" +
+      "(\006\"?\n\rMemberUpdates\022 \n\007members\030\001 \003(\0132\017.e" +
+      "bonygw.Member\022\014\n\004news\030\002 \001(\010\"k\n\nTargetLoa" +
+      "d\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006" +
+      "queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rque" +
+      "ued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010seq" +
+      "uence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003" +
+      " \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_toke" +
+      "ns\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.Ada" +
+      "pterVersion\022(\n\007loading\030\007 \003(\0132\027.ebonygw.A" +
+      "dapterVersion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004" +
+      "\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
+      "\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022" +
+      "\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006ke" +
+      "y_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001" +
+      "(\0132\027.ebonygw.AdapterVersion\022\022\n\nidempoten" +
+      "t\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_toke" +
+      "ns\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_h" +
+      "ash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r " +
+      "\001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebo" +
+      "nygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nan" +
+      "os\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001" +
+      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
+      "\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebo" +
+      "nygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonyg" +
+      "w.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 " +
+      "\001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.e" +
+      "bonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005par" +
+      "ts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed" +
+      "\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007atte" +
+      "mpt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r" +
+      "\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 " +
+      "\001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Requ" +
+      "estId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001" +
+      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
+      "\r\022\r\n\005parts\030\003 \001(\rB\034\n\014ebonygw.wireB\014PeerPr" +
+      "otocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19000,7 +19941,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Load", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -19019,80 +19960,86 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Heartbeat_descriptor,
         new java.lang.String[] { "Sequence", "SettingsRevision", });
-    internal_static_ebonygw_MemberDigest_descriptor =
+    internal_static_ebonygw_AdapterVersion_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_ebonygw_AdapterVersion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_AdapterVersion_descriptor,
+        new java.lang.String[] { "Adapter", "Version", });
+    internal_static_ebonygw_MemberDigest_descriptor =
+      getDescriptor().getMessageType(5);
     internal_static_ebonygw_MemberDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberDigest_descriptor,
         new java.lang.String[] { "Buckets", });
     internal_static_ebonygw_MemberUpdates_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_ebonygw_MemberUpdates_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberUpdates_descriptor,
         new java.lang.String[] { "Members", "News", });
-    internal_static_ebonygw_AdapterVersion_descriptor =
-      getDescriptor().getMessageType(6);
-    internal_static_ebonygw_AdapterVersion_fieldAccessorTable = new
+    internal_static_ebonygw_TargetLoad_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_ebonygw_TargetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_ebonygw_AdapterVersion_descriptor,
-        new java.lang.String[] { "Adapter", "Version", });
+        internal_static_ebonygw_TargetLoad_descriptor,
+        new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", });
     internal_static_ebonygw_TargetReport_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_ebonygw_TargetReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetReport_descriptor,
         new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", "Resident", "Loading", });
     internal_static_ebonygw_RequestId_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_ebonygw_RequestId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_RequestId_descriptor,
         new java.lang.String[] { "Entry", "Incarnation", "Sequence", });
     internal_static_ebonygw_Header_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ebonygw_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_ebonygw_Run_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ebonygw_Run_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Run_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Customer", "KeyId", "Route", "Adapter", "Idempotent", "Priority", "PromptTokens", "MaxTokens", "PrefixHash", "Streamed", "Method", "Path", "Headers", "Body", "TimeoutNanos", "Credit", });
     internal_static_ebonygw_Head_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_ebonygw_Head_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Head_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Status", "Headers", });
     internal_static_ebonygw_Body_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ebonygw_Body_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Body_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Index", "Data", });
     internal_static_ebonygw_End_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ebonygw_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_End_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Parts", "TokensUsed", });
     internal_static_ebonygw_Failed_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ebonygw_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Failed_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Code", "Verdict", "Detail", "RetryAfterNanos", });
     internal_static_ebonygw_Cancel_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_ebonygw_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Cancel_descriptor,
         new java.lang.String[] { "Id", "Attempt", });
     internal_static_ebonygw_Credit_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_ebonygw_Credit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Credit_descriptor,
