--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -26,6 +26,7 @@
 import ebonygw.settings.SettingsState;
 import ebonygw.settings.SettingsView;
 import ebonygw.settings.SettingsWriter;
+import ebonygw.settings.StageGuard;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -50,6 +51,7 @@
     private final EntryOutbox mOut = new EntryOutbox();
     private final SettingsReplica mSettings;
     private final SettingsWriter mWriter;
+    private final StageGuard mStageGuard;
     private final ProcessMembership mProcess;
     private final Membership mMembership;
     private final StopPlan mStop;
@@ -71,7 +73,7 @@
         mOptions = Objects.requireNonNull(options, "options");
         SplittableRandom random = new SplittableRandom(options.seed());
         Member self = options.self();
-        mSettings = new SettingsReplica(SettingsReplicaOptions.of(self.id(), random.split()));
+        mSettings = new SettingsReplica(SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
         mProcess = new ProcessMembership(self, options.fleetSize(), random.split());
         mMembership = mProcess.members();
         mStop =
@@ -92,6 +94,7 @@
                         new RetryPolicy(RetryOptions.defaults()),
                         mOut);
         mWriter = new SettingsWriter(mSettings, mRequests::uses);
+        mStageGuard = new StageGuard(mSettings, mWriter, self.locality());
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers, free of secrets. */
@@ -248,6 +251,8 @@
         mProcess.onTick(nowNanos, mOut);
         mSettings.onTick(nowNanos, mOut);
         mWriter.onTick(nowNanos, mOut);
+        EntryCounts counts = mRequests.counts();
+        mStageGuard.onCounts(counts.mAsked, counts.refusedOrBroken(), nowNanos, mOut);
         mShares.onTick(nowNanos, mOut);
         mRequests.tick(nowNanos);
         if (mMembership.isSuperseded()) {
