--- a/src/main/java/ebonygw/admission/Borrower.java
+++ b/src/main/java/ebonygw/admission/Borrower.java
@@ -116,7 +116,7 @@
     }
 
     /** Takes up to an amount for a request; returns how much. */
-    long take(long ticket, long amount, long nowNanos) {
+    long take(long ticket, long amount, long nowNanos, Outbox out) {
         long taken = 0;
         for (Loan loan : mLoans.values()) {
             if (taken < amount && loan.usable(nowNanos)) {
@@ -125,6 +125,9 @@
                 loan.mOpenCharges++;
                 taken += part;
                 mCharges.computeIfAbsent(ticket, it -> new ArrayList<>()).add(new Part(loan, part));
+                if (loan.mLeft == 0) {
+                    out.send(loan.mLender, loan.message(mCustomer));
+                }
             }
         }
         return taken;
@@ -209,7 +212,7 @@
         }
 
         private ShareMessage message(String customer) {
-            return new ShareMessage.Return(customer, mId, mReturned);
+            return new ShareMessage.Return(customer, mId, mReturned, mLeft == 0);
         }
 
         private boolean usable(long nowNanos) {
--- a/src/main/java/ebonygw/admission/CustomerShare.java
+++ b/src/main/java/ebonygw/admission/CustomerShare.java
@@ -118,12 +118,12 @@
     }
 
     /** Admits what can be admitted, in order, and refuses what has waited its time. */
-    void drain(long nowNanos, boolean leased, List<AdmissionDecision> decisions) {
+    void drain(long nowNanos, boolean leased, List<AdmissionDecision> decisions, Outbox out) {
         if (mQueue.isEmpty()) {
             return;
         }
         mBucket.refill(nowNanos);
-        while (!mQueue.isEmpty() && admitHead(nowNanos, leased, decisions)) {
+        while (!mQueue.isEmpty() && admitHead(nowNanos, leased, decisions, out)) {
             mQueue.remove();
         }
         expire(nowNanos, decisions);
@@ -173,7 +173,8 @@
     }
 
     boolean onReturn(ShareMessage.Return back, ShareMessage.Holder asker) {
-        return mLender.onReturn(asker.id(), asker.incarnation(), back.loan(), back.returnedTotal());
+        return mLender.onReturn(
+                asker.id(), asker.incarnation(), back.loan(), back.returnedTotal(), back.started());
     }
 
     long queued() {
@@ -243,13 +244,14 @@
         return mQueue.size();
     }
 
-    private boolean admitHead(long nowNanos, boolean leased, List<AdmissionDecision> decisions) {
+    private boolean admitHead(
+            long nowNanos, boolean leased, List<AdmissionDecision> decisions, Outbox out) {
         Waiting head = mQueue.peek();
         long own = leased ? Math.max(0, mBucket.level()) : 0;
         if (nowNanos > head.mUntil || own + mBorrower.usable(nowNanos) < head.mCost) {
             return false;
         }
-        long borrowed = mBorrower.take(head.mTicket, head.mCost, nowNanos);
+        long borrowed = mBorrower.take(head.mTicket, head.mCost, nowNanos, out);
         if (borrowed < head.mCost) {
             mBucket.charge(head.mTicket, head.mCost - borrowed);
         }
--- a/src/main/java/ebonygw/admission/Lender.java
+++ b/src/main/java/ebonygw/admission/Lender.java
@@ -62,22 +62,25 @@
     }
 
     /** Takes tokens of a loan back; returns whether any came. */
-    boolean onReturn(NodeId asker, long incarnation, long loan, long returnedTotal) {
+    boolean onReturn(
+            NodeId asker, long incarnation, long loan, long returnedTotal, boolean started) {
         Lent lent = mLoans.get(new Key(asker, incarnation, loan));
         if (lent == null) {
             return false;
         }
         long back = Math.min(returnedTotal, lent.mAmount) - lent.mReturned;
-        if (back <= 0) {
-            return false;
+        if (back > 0) {
+            lent.mReturned += back;
+            if (lent.mReleased) {
+                mBucket.giveBack(lent.mChargeId, back);
+            } else {
+                mBucket.unreserve(back, lent.mLive);
+            }
         }
-        lent.mReturned += back;
-        if (lent.mReleased) {
-            mBucket.giveBack(lent.mChargeId, back);
-        } else {
-            mBucket.unreserve(back, lent.mLive);
+        if (started) {
+            release(lent);
         }
-        return true;
+        return back > 0;
     }
 
     /** Ends reservations whose time is over and forgets old loans. */
@@ -86,8 +89,7 @@
             Lent lent = all.next();
             long age = nowNanos - lent.mGrantedAt;
             if (!lent.mReleased && age > RELEASE_NANOS) {
-                lent.mReleased = true;
-                mBucket.release(lent.mChargeId, lent.mAmount - lent.mReturned, lent.mLive);
+                release(lent);
             }
             if (!lent.mReleased) {
                 continue;
@@ -103,6 +105,13 @@
         }
     }
 
+    private void release(Lent lent) {
+        if (!lent.mReleased) {
+            lent.mReleased = true;
+            mBucket.release(lent.mChargeId, lent.mAmount - lent.mReturned, lent.mLive);
+        }
+    }
+
     private record Key(NodeId asker, long incarnation, long loan) {}
 
     private static final class Lent {
--- a/src/main/java/ebonygw/admission/ShareCodec.java
+++ b/src/main/java/ebonygw/admission/ShareCodec.java
@@ -49,7 +49,10 @@
             case GIVE_BACK:
                 SharesReturn back = envelope.getGiveBack();
                 return new ShareMessage.Return(
-                        back.getCustomer(), back.getLoan(), back.getReturnedTotal());
+                        back.getCustomer(),
+                        back.getLoan(),
+                        back.getReturnedTotal(),
+                        back.getStarted());
             case HEARTBEAT:
                 SharesHeartbeat beat = envelope.getHeartbeat();
                 return new ShareMessage.Heartbeat(
@@ -97,7 +100,8 @@
             envelope.getGiveBackBuilder()
                     .setCustomer(back.customer())
                     .setLoan(back.loan())
-                    .setReturnedTotal(back.returnedTotal());
+                    .setReturnedTotal(back.returnedTotal())
+                    .setStarted(back.started());
         } else {
             throw new NullPointerException("message");
         }
--- a/src/main/java/ebonygw/admission/ShareMessage.java
+++ b/src/main/java/ebonygw/admission/ShareMessage.java
@@ -140,8 +140,10 @@
      * @param customer the customer
      * @param loan the loan
      * @param returnedTotal all tokens of the loan given back so far, so that repeats do no harm
+     * @param started whether no further request will start on the loan
      */
-    record Return(String customer, long loan, long returnedTotal) implements ShareMessage {}
+    record Return(String customer, long loan, long returnedTotal, boolean started)
+            implements ShareMessage {}
 
     /**
      * One incarnation of a process that may hold shares.
--- a/src/main/java/ebonygw/admission/ShareNode.java
+++ b/src/main/java/ebonygw/admission/ShareNode.java
@@ -285,7 +285,7 @@
                 nowNanos,
                 sender(out));
         if (share.waiting() > 0) {
-            share.drain(nowNanos, leased(share, nowNanos), mDecisions);
+            share.drain(nowNanos, leased(share, nowNanos), mDecisions, sender(out));
         }
         deliverToSelf(nowNanos, out);
     }
@@ -452,7 +452,7 @@
             return;
         }
         out.send(from.id(), share.report(assign.epoch()));
-        share.drain(nowNanos, leased(share, nowNanos), mDecisions);
+        share.drain(nowNanos, leased(share, nowNanos), mDecisions, sender(out));
     }
 
     private void onGrant(Holder from, ShareMessage.Grant grant, long nowNanos, Outbox out) {
@@ -466,7 +466,7 @@
             report.mHintsAt = nowNanos;
         }
         if (share.borrower().onGrant(grant, nowNanos, out)) {
-            share.drain(nowNanos, leased(share, nowNanos), mDecisions);
+            share.drain(nowNanos, leased(share, nowNanos), mDecisions, sender(out));
         }
         borrow(share, nowNanos, out);
     }
@@ -474,7 +474,7 @@
     private void onReturn(Holder from, ShareMessage.Return back, long nowNanos, Outbox out) {
         CustomerShare share = mShares.get(back.customer());
         if (share != null && share.onReturn(back, from)) {
-            share.drain(nowNanos, leased(share, nowNanos), mDecisions);
+            share.drain(nowNanos, leased(share, nowNanos), mDecisions, sender(out));
         }
     }
 
@@ -577,7 +577,7 @@
     private void tickShare(CustomerShare share, long nowNanos, Outbox out) {
         Outbox sender = sender(out);
         share.tick(nowNanos, sender);
-        share.drain(nowNanos, leased(share, nowNanos), mDecisions);
+        share.drain(nowNanos, leased(share, nowNanos), mDecisions, sender(out));
         if (share.waiting() > 0) {
             borrow(share, nowNanos, out);
         }
--- a/src/main/java/ebonygw/bench/shares/Outcome.java
+++ b/src/main/java/ebonygw/bench/shares/Outcome.java
@@ -47,6 +47,29 @@
         return rightful == 0 ? 0 : wrongful / (double) rightful;
     }
 
+    /** Returns the figures as a value for JSON. */
+    Map<String, Object> toMap() {
+        Map<String, Object> customers = new TreeMap<>();
+        mCustomers.forEach((name, it) -> customers.put(name, it.toMap()));
+        return Map.of(
+                "overruns",
+                mOverruns,
+                "worstExcessTokens",
+                mWorstExcess,
+                "worstRun",
+                mWorstRun,
+                "wrongful",
+                wrongful(),
+                "wrongfulShare",
+                wrongfulShare(),
+                "leastUsed",
+                leastUtilisation(),
+                "messagesPerSecondAndHost",
+                messageRate(),
+                "customers",
+                customers);
+    }
+
     long wrongful() {
         return mCustomers.values().stream().mapToLong(it -> it.mWrongful).sum();
     }
@@ -79,6 +102,17 @@
             return mWaits.getValueAtPercentile(percentile) / 1e3;
         }
 
+        private Map<String, Object> toMap() {
+            return Map.of(
+                    "requests", mRequests,
+                    "served", servedShare(),
+                    "refused", mRefused,
+                    "rightful", mRightful,
+                    "wrongful", mWrongful,
+                    "waitMillis95", waitMillis(95),
+                    "used", utilisation());
+        }
+
         private void add(Customer other) {
             mWaits.add(other.mWaits);
             mRequests += other.mRequests;
--- a/src/main/java/ebonygw/wire/SharesProtocol.java
+++ b/src/main/java/ebonygw/wire/SharesProtocol.java
@@ -4321,6 +4321,12 @@
      * @return The returnedTotal.
      */
     long getReturnedTotal();
+
+    /**
+     * <code>bool started = 4;</code>
+     * @return The started.
+     */
+    boolean getStarted();
   }
   /**
    * Protobuf type {@code ebonygw.SharesReturn}
@@ -4426,6 +4432,17 @@
       return returnedTotal_;
     }
 
+    public static final int STARTED_FIELD_NUMBER = 4;
+    private boolean started_ = false;
+    /**
+     * <code>bool started = 4;</code>
+     * @return The started.
+     */
+    @java.lang.Override
+    public boolean getStarted() {
+      return started_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -4449,6 +4466,9 @@
       if (returnedTotal_ != 0L) {
         output.writeUInt64(3, returnedTotal_);
       }
+      if (started_ != false) {
+        output.writeBool(4, started_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -4464,6 +4484,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, returnedTotal_);
       }
+      if (started_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, started_);
+      }
       return size;
     }
     @java.lang.Override
@@ -4494,6 +4518,8 @@
           != other.getLoan()) return false;
       if (getReturnedTotal()
           != other.getReturnedTotal()) return false;
+      if (getStarted()
+          != other.getStarted()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4513,6 +4539,9 @@
       hash = (37 * hash) + RETURNED_TOTAL_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getReturnedTotal());
+      hash = (37 * hash) + STARTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getStarted());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4647,6 +4676,7 @@
         customer_ = "";
         loan_ = 0L;
         returnedTotal_ = 0L;
+        started_ = false;
         return this;
       }
 
@@ -4689,6 +4719,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.returnedTotal_ = returnedTotal_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.started_ = started_;
+        }
       }
 
       @java.lang.Override
@@ -4714,6 +4747,9 @@
         if (other.getReturnedTotal() != 0L) {
           setReturnedTotal(other.getReturnedTotal());
         }
+        if (other.getStarted() != false) {
+          setStarted(other.getStarted());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -4753,6 +4789,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                started_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4906,6 +4947,38 @@
         return this;
       }
 
+      private boolean started_ ;
+      /**
+       * <code>bool started = 4;</code>
+       * @return The started.
+       */
+      @java.lang.Override
+      public boolean getStarted() {
+        return started_;
+      }
+      /**
+       * <code>bool started = 4;</code>
+       * @param value The started to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStarted(boolean value) {
+
+        started_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool started = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStarted() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        started_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.SharesReturn)
     }
 
@@ -13539,35 +13612,35 @@
       "(\004\022\014\n\004loan\030\003 \001(\004\"i\n\013SharesGrant\022\020\n\010custo" +
       "mer\030\001 \001(\t\022\014\n\004loan\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\004\022" +
       "\031\n\021retry_after_nanos\030\004 \001(\004\022\017\n\007holders\030\005 " +
-      "\003(\t\"F\n\014SharesReturn\022\020\n\010customer\030\001 \001(\t\022\014\n" +
-      "\004loan\030\002 \001(\004\022\026\n\016returned_total\030\003 \001(\004\">\n\014S" +
-      "haresHolder\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\006\022\r\n\005alone\030\003 \001(\010\"y\n\013SharesAdopt\022\r\n\005sh" +
-      "ard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022$\n\005owner\030\003 \001(\0132" +
-      "\025.ebonygw.SharesHolder\022&\n\007holders\030\004 \003(\0132" +
-      "\025.ebonygw.SharesHolder\"A\n\rSharesHolding\022" +
-      "\020\n\010customer\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\020\n\010capac" +
-      "ity\030\003 \001(\004\"W\n\rSharesAdopted\022\r\n\005shard\030\001 \001(" +
-      "\r\022\r\n\005epoch\030\002 \001(\004\022(\n\010holdings\030\003 \003(\0132\026.ebo" +
-      "nygw.SharesHolding\"\272\001\n\014SharesAssign\022\020\n\010c" +
-      "ustomer\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007version\030" +
-      "\003 \001(\004\022\014\n\004rate\030\004 \001(\004\022\020\n\010capacity\030\005 \001(\004\022\016\n" +
-      "\006tokens\030\006 \001(\004\022\031\n\021settings_revision\030\007 \001(\004" +
-      "\022\025\n\rcustomer_rate\030\010 \001(\004\022\026\n\016customer_burs" +
-      "t\030\t \001(\004\"t\n\016SharesAssigned\022\020\n\010customer\030\001 " +
-      "\001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007version\030\003 \001(\004\022\014\n\004r" +
-      "ate\030\004 \001(\004\022\020\n\010capacity\030\005 \001(\004\022\020\n\010returned\030" +
-      "\006 \001(\004\"p\n\014SharesDemand\022\020\n\010customer\030\001 \001(\t\022" +
-      "\014\n\004rate\030\002 \001(\004\022\017\n\007backlog\030\003 \001(\004\022\017\n\007larges" +
-      "t\030\004 \001(\004\022\r\n\005level\030\005 \001(\004\022\017\n\007leaving\030\006 \001(\010\"" +
-      "C\n\017SharesHeartbeat\022\r\n\005shard\030\001 \001(\r\022\r\n\005epo" +
-      "ch\030\002 \001(\004\022\022\n\nsent_nanos\030\003 \001(\006\"\252\001\n\021SharesO" +
-      "wnerRecord\022\r\n\005epoch\030\001 \001(\004\022$\n\005owner\030\002 \001(\013" +
-      "2\025.ebonygw.SharesHolder\022\r\n\005nonce\030\003 \001(\006\022&" +
-      "\n\007holders\030\004 \003(\0132\025.ebonygw.SharesHolder\022)" +
-      "\n\nunresolved\030\005 \003(\0132\025.ebonygw.SharesHolde" +
-      "rB\036\n\014ebonygw.wireB\016SharesProtocolb\006proto" +
-      "3"
+      "\003(\t\"W\n\014SharesReturn\022\020\n\010customer\030\001 \001(\t\022\014\n" +
+      "\004loan\030\002 \001(\004\022\026\n\016returned_total\030\003 \001(\004\022\017\n\007s" +
+      "tarted\030\004 \001(\010\">\n\014SharesHolder\022\n\n\002id\030\001 \001(\t" +
+      "\022\023\n\013incarnation\030\002 \001(\006\022\r\n\005alone\030\003 \001(\010\"y\n\013" +
+      "SharesAdopt\022\r\n\005shard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(" +
+      "\004\022$\n\005owner\030\003 \001(\0132\025.ebonygw.SharesHolder\022" +
+      "&\n\007holders\030\004 \003(\0132\025.ebonygw.SharesHolder\"" +
+      "A\n\rSharesHolding\022\020\n\010customer\030\001 \001(\t\022\014\n\004ra" +
+      "te\030\002 \001(\004\022\020\n\010capacity\030\003 \001(\004\"W\n\rSharesAdop" +
+      "ted\022\r\n\005shard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022(\n\010hol" +
+      "dings\030\003 \003(\0132\026.ebonygw.SharesHolding\"\272\001\n\014" +
+      "SharesAssign\022\020\n\010customer\030\001 \001(\t\022\r\n\005epoch\030" +
+      "\002 \001(\004\022\017\n\007version\030\003 \001(\004\022\014\n\004rate\030\004 \001(\004\022\020\n\010" +
+      "capacity\030\005 \001(\004\022\016\n\006tokens\030\006 \001(\004\022\031\n\021settin" +
+      "gs_revision\030\007 \001(\004\022\025\n\rcustomer_rate\030\010 \001(\004" +
+      "\022\026\n\016customer_burst\030\t \001(\004\"t\n\016SharesAssign" +
+      "ed\022\020\n\010customer\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007v" +
+      "ersion\030\003 \001(\004\022\014\n\004rate\030\004 \001(\004\022\020\n\010capacity\030\005" +
+      " \001(\004\022\020\n\010returned\030\006 \001(\004\"p\n\014SharesDemand\022\020" +
+      "\n\010customer\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007backlo" +
+      "g\030\003 \001(\004\022\017\n\007largest\030\004 \001(\004\022\r\n\005level\030\005 \001(\004\022" +
+      "\017\n\007leaving\030\006 \001(\010\"C\n\017SharesHeartbeat\022\r\n\005s" +
+      "hard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\022\n\nsent_nanos\030" +
+      "\003 \001(\006\"\252\001\n\021SharesOwnerRecord\022\r\n\005epoch\030\001 \001" +
+      "(\004\022$\n\005owner\030\002 \001(\0132\025.ebonygw.SharesHolder" +
+      "\022\r\n\005nonce\030\003 \001(\006\022&\n\007holders\030\004 \003(\0132\025.ebony" +
+      "gw.SharesHolder\022)\n\nunresolved\030\005 \003(\0132\025.eb" +
+      "onygw.SharesHolderB\036\n\014ebonygw.wireB\016Shar" +
+      "esProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -13596,7 +13669,7 @@
     internal_static_ebonygw_SharesReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_SharesReturn_descriptor,
-        new java.lang.String[] { "Customer", "Loan", "ReturnedTotal", });
+        new java.lang.String[] { "Customer", "Loan", "ReturnedTotal", "Started", });
     internal_static_ebonygw_SharesHolder_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_ebonygw_SharesHolder_fieldAccessorTable = new
