--- a/src/main/java/ebonygw/scheduling/EvictionPolicy.java
+++ b/src/main/java/ebonygw/scheduling/EvictionPolicy.java
@@ -14,6 +14,12 @@
  * version that comes back is valued by its whole past. Not thread-safe.
  */
 final class EvictionPolicy {
+    /** A first use counts less: most versions that were used once are not used again soon. */
+    private static final double FIRST_USE = 0.56;
+
+    /** A decayed count below which a use is taken for a first one. */
+    private static final double FORGOTTEN_COUNT = 0.3;
+
     private final SchedulerOptions mOptions;
     private final Map<AdapterVersion, Demand> mDemand = new HashMap<>();
 
@@ -32,7 +38,8 @@
         if (!mDemand.containsKey(adapter) && mDemand.size() >= mOptions.maxRemembered()) {
             forgetLeast(nowNanos);
         }
-        demand(adapter).mRate.add(1, nowNanos);
+        DecayedRate rate = demand(adapter).mRate;
+        rate.add(rate.count(nowNanos) < FORGOTTEN_COUNT ? FIRST_USE : 1, nowNanos);
     }
 
     /** Returns the expected load time in seconds a second that keeping a version saves. */
