--- a/src/main/java/ebonygw/dev/DevFleet.java
+++ b/src/main/java/ebonygw/dev/DevFleet.java
@@ -31,6 +31,21 @@
     private final EntryProcess mEntry;
     private final List<TargetProcess> mTargets = new ArrayList<>();
 
+    /**
+     * Starts the processes without the administration API.
+     *
+     * @param platform the stand-ins, closed with the fleet
+     * @param callerAddress where the entry listens for callers, as {@code ip:port}
+     * @param operatorAddress where the entry answers operators, as {@code ip:port}
+     * @throws IOException if a client cannot be created
+     * @throws SettingsException if an address is malformed
+     * @throws IllegalStateException if an address cannot be listened on
+     */
+    public DevFleet(DevPlatform platform, String callerAddress, String operatorAddress)
+            throws IOException, SettingsException {
+        this(platform, callerAddress, operatorAddress, List.of());
+    }
+
     /**
      * Starts the processes.
      *
@@ -45,11 +60,23 @@
     public DevFleet(
             DevPlatform platform, String callerAddress, String operatorAddress, Path credentials)
             throws IOException, SettingsException {
+        this(
+                platform,
+                callerAddress,
+                operatorAddress,
+                List.of("--admin-address=" + ANY_PORT, "--admin-credentials=" + credentials));
+    }
+
+    private DevFleet(
+            DevPlatform platform,
+            String callerAddress,
+            String operatorAddress,
+            List<String> administration)
+            throws IOException, SettingsException {
         mPlatform = platform;
         List<String> entry = new ArrayList<>(common("entry-1", operatorAddress));
         entry.add("--caller-address=" + callerAddress);
-        entry.add("--admin-address=" + ANY_PORT);
-        entry.add("--admin-credentials=" + credentials);
+        entry.addAll(administration);
         mEntry = EntryProcess.start(FlagParser.ofEntry().parse(entry, Map.of()), Map.of());
         platform.list(mEntry.self());
         for (int i = 0; i < platform.engines().size(); i++) {
--- a/src/main/java/ebonygw/process/ControlLoop.java
+++ b/src/main/java/ebonygw/process/ControlLoop.java
@@ -2,8 +2,8 @@
 
 import com.lmax.disruptor.EventHandler;
 import com.lmax.disruptor.InsufficientCapacityException;
-import com.lmax.disruptor.LiteTimeoutBlockingWaitStrategy;
 import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
 import com.lmax.disruptor.TimeoutException;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
@@ -77,8 +77,7 @@
                             return thread;
                         },
                         ProducerType.MULTI,
-                        new LiteTimeoutBlockingWaitStrategy(
-                                TICK_INTERVAL_NANOS, TimeUnit.NANOSECONDS));
+                        new TimeoutBlockingWaitStrategy(TICK_INTERVAL_NANOS, TimeUnit.NANOSECONDS));
         mDisruptor.handleEventsWith(new Consumer());
         mRing = mDisruptor.getRingBuffer();
     }
