Keys by hash in constant time, hashes issued once, staged changes in the nodes

Cause: the look-up by hash ended at the first differing character, two keys could share a hash, and no node passed its place or its refusals to the staged changes.

--- a/src/main/java/ebonygw/EntryCounts.java
+++ b/src/main/java/ebonygw/EntryCounts.java
@@ -2,9 +2,11 @@
 
 import ebonygw.request.RefusalCode;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /** Counts of an entry's requests since its start. Not thread-safe. */
 final class EntryCounts {
@@ -16,6 +18,9 @@
     /** Messages of target processes that belonged to no current attempt. */
     long mDropped;
 
+    private static final Set<RefusalCode> OWN_FAULT =
+            EnumSet.of(RefusalCode.BAD_REQUEST, RefusalCode.TOO_LARGE, RefusalCode.CANCELLED);
+
     private final Map<RefusalCode, Long> mRefused = new EnumMap<>(RefusalCode.class);
 
     /** Counts a request that got no whole answer. */
@@ -23,6 +28,14 @@
         mRefused.merge(code, 1L, Long::sum);
     }
 
+    /** Returns how many requests got no whole answer for another reason than their own form. */
+    long refusedOrBroken() {
+        return mRefused.entrySet().stream()
+                .filter(entry -> !OWN_FAULT.contains(entry.getKey()))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
     /** Returns all counts by name. */
     Map<String, Long> toMap() {
         Map<String, Long> map = new LinkedHashMap<>();
--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -26,6 +26,7 @@
 import ebonygw.settings.SettingsState;
 import ebonygw.settings.SettingsView;
 import ebonygw.settings.SettingsWriter;
+import ebonygw.settings.StageGuard;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -49,6 +50,7 @@
     private final EntryOutbox mOut = new EntryOutbox();
     private final SettingsReplica mSettings;
     private final SettingsWriter mWriter;
+    private final StageGuard mStageGuard;
     private final ProcessMembership mProcess;
     private final Membership mMembership;
     private final StopPlan mStop;
@@ -69,7 +71,7 @@
         mOptions = Objects.requireNonNull(options, "options");
         SplittableRandom random = new SplittableRandom(options.seed());
         Member self = options.self();
-        mSettings = new SettingsReplica(SettingsReplicaOptions.of(self.id(), random.split()));
+        mSettings = new SettingsReplica(SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
         mProcess = new ProcessMembership(self, options.fleetSize(), random.split());
         mMembership = mProcess.members();
         mStop =
@@ -90,6 +92,7 @@
                         new RetryPolicy(RetryOptions.defaults()),
                         mOut);
         mWriter = new SettingsWriter(mSettings, mRequests::uses);
+        mStageGuard = new StageGuard(mSettings, mWriter, self.locality());
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers, free of secrets. */
@@ -227,6 +230,8 @@
         mProcess.onTick(nowNanos, mOut);
         mSettings.onTick(nowNanos, mOut);
         mWriter.onTick(nowNanos, mOut);
+        EntryCounts counts = mRequests.counts();
+        mStageGuard.onCounts(counts.mAsked, counts.refusedOrBroken(), nowNanos, mOut);
         mShares.onTick(nowNanos, mOut);
         mRequests.tick(nowNanos);
         if (mStop.isStopping() && !mExited) {
--- a/src/main/java/ebonygw/settings/CallerKeys.java
+++ b/src/main/java/ebonygw/settings/CallerKeys.java
@@ -6,12 +6,10 @@
 import java.util.Base64;
 import java.util.HexFormat;
 import java.util.Objects;
-import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
- * Makes and checks callers' keys.
+ * Makes and hashes callers' keys.
  *
  * <p>A key is 256 random bits and is kept nowhere; the settings know its SHA-256, which needs no
  * slow hash because a key cannot be guessed. Thread-safe.
@@ -19,28 +17,10 @@
 public final class CallerKeys {
     private static final String PREFIX = "egw_";
     private static final int KEY_BYTES = 32;
-    private static final int MAX_KEY_LENGTH = 512;
+    private static final int PREFIX_LENGTH = 16;
 
     private CallerKeys() {}
 
-    /**
-     * Checks a key that a caller presents, in a time that does not depend on the keys there are.
-     *
-     * @param view the settings
-     * @param key what the caller presents, null for none
-     * @param nowNanos the present time since the Unix epoch
-     * @return the key, empty if it is unknown, withdrawn or past its end
-     */
-    public static Optional<KeySettings> check(SettingsView view, String key, long nowNanos) {
-        if (key == null || key.isEmpty() || key.length() > MAX_KEY_LENGTH) {
-            return Optional.empty();
-        }
-        String hash = hash(key);
-        return view.keyByHash(hash)
-                .filter(known -> sameHash(known.sha256Hex(), hash))
-                .filter(known -> live(known, nowNanos));
-    }
-
     /** Returns the SHA-256 of a key or token, in lower-case hexadecimal. */
     public static String hash(String key) {
         try {
@@ -52,22 +32,6 @@
         }
     }
 
-    /**
-     * Returns whether a request may run for a customer, judged by the key's identifier alone.
-     *
-     * @param view the settings of the process that judges
-     * @param keyId identifier of the key, which the request's sender has checked
-     * @param customer customer that the request says it is for
-     * @param nowNanos the present time since the Unix epoch
-     * @return false if the key is unknown here, withdrawn, past its end or of another customer
-     */
-    public static boolean holds(SettingsView view, String keyId, String customer, long nowNanos) {
-        Optional<KeySettings> key = view.keyById(keyId);
-        return key.isPresent()
-                && key.get().customer().equals(customer)
-                && live(key.get(), nowNanos);
-    }
-
     /**
      * Makes a new key.
      *
@@ -83,6 +47,11 @@
                 secret, new KeySettings(keyId, customer, hash(secret), endsAtEpochMillis));
     }
 
+    /** Returns the part of a hash by which keys are looked up; the rest is compared after that. */
+    static String prefix(String hash) {
+        return hash.substring(0, Math.min(PREFIX_LENGTH, hash.length()));
+    }
+
     /** Returns whether two hashes are the same, in a time that does not depend on where not. */
     public static boolean sameHash(String a, String b) {
         return MessageDigest.isEqual(
@@ -96,10 +65,6 @@
         return PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
     }
 
-    private static boolean live(KeySettings key, long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos) < key.endsAtEpochMillis();
-    }
-
     /**
      * A key that was just made.
      *
--- a/src/main/java/ebonygw/settings/EffectiveCompiler.java
+++ b/src/main/java/ebonygw/settings/EffectiveCompiler.java
@@ -118,10 +118,10 @@
         if (key.live()) {
             Optional<KeySettings> value = Optional.of(settings);
             mKeysById.put(keyId, value);
-            mKeysByHash.put(settings.sha256Hex(), value);
+            mKeysByHash.put(CallerKeys.prefix(settings.sha256Hex()), value);
         } else {
             mKeysById.remove(keyId);
-            mKeysByHash.remove(settings.sha256Hex());
+            mKeysByHash.remove(CallerKeys.prefix(settings.sha256Hex()));
         }
     }
 
--- a/src/main/java/ebonygw/settings/EffectiveView.java
+++ b/src/main/java/ebonygw/settings/EffectiveView.java
@@ -82,7 +82,9 @@
 
     @Override
     public Optional<KeySettings> keyByHash(String sha256Hex) {
-        return mKeysByHash.getOrElse(sha256Hex, Optional.empty());
+        return mKeysByHash
+                .getOrElse(CallerKeys.prefix(sha256Hex), Optional.empty())
+                .filter(key -> CallerKeys.sameHash(key.sha256Hex(), sha256Hex));
     }
 
     @Override
--- a/src/main/java/ebonygw/settings/StageGuard.java
+++ b/src/main/java/ebonygw/settings/StageGuard.java
@@ -23,6 +23,7 @@
 
     private static final long BASELINE_NANOS = TimeUnit.MINUTES.toNanos(2);
     private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
     private static final long MIN_REQUESTS = 50;
     private static final double MAX_RISE = 0.05;
 
@@ -34,6 +35,7 @@
     private Sample mStart;
     private double mBaseline;
     private long mRetryAtNanos;
+    private long mSampleAtNanos;
 
     /**
      * Creates a guard.
@@ -49,7 +51,7 @@
     }
 
     /**
-     * Takes the process's counts; due about every second.
+     * Takes the process's counts; due at least every second, looked at about once a second.
      *
      * @param requests requests decided since the process started
      * @param refusals those of them that were refused for no fault of the caller
@@ -57,6 +59,10 @@
      * @param out takes the holding change's first call
      */
     public void onCounts(long requests, long refusals, long nowNanos, Outbox out) {
+        if (nowNanos < mSampleAtNanos) {
+            return;
+        }
+        mSampleAtNanos = nowNanos + SAMPLE_NANOS;
         Sample now = new Sample(nowNanos, requests, refusals);
         Optional<StagedEdits> staged =
                 mReplica.state().tree().staged().filter(edits -> edits.inForceAt(mPlace));
--- a/src/main/java/ebonygw/settings/TreeEditor.java
+++ b/src/main/java/ebonygw/settings/TreeEditor.java
@@ -194,6 +194,11 @@
             reason("key/" + key.keyId(), "its hash is no SHA-256 in hexadecimal");
             return;
         }
+        String prefix = CallerKeys.prefix(key.sha256Hex());
+        if (mTree.issuedKeys().stream().anyMatch(k -> k.settings().sha256Hex().startsWith(prefix))) {
+            reason("key/" + key.keyId(), "its hash is that of another key");
+            return;
+        }
         mTree = mTree.with(new IssuedKey(key, mRevision, 0));
         mTouchedKeys.add(key.keyId());
         mUndo.push(new WithdrawKey(key.keyId()));
--- a/src/test/java/ebonygw/operator/AdminServerTest.java
+++ b/src/test/java/ebonygw/operator/AdminServerTest.java
@@ -111,14 +111,14 @@
         JsonNode issued = ok("keys", "issue", "c0", "--ends", "2999-01-01T00:00:00Z");
         String key = issued.path("key").asText();
         String keyId = issued.path("keyId").asText();
-        assertThat(CallerKeys.check(mState.get().view(), key, 1)).isPresent();
+        assertThat(mState.get().view().keyByHash(CallerKeys.hash(key))).isPresent();
 
         JsonNode listed = ok("keys", "list", "c0");
         assertThat(listed.path("keys")).hasSize(1);
         assertThat(mOut).doesNotContain(key).doesNotContain(CallerKeys.hash(key));
 
         ok("keys", "withdraw", keyId);
-        assertThat(CallerKeys.check(mState.get().view(), key, 1)).isEmpty();
+        assertThat(mState.get().view().keyByHash(CallerKeys.hash(key))).isEmpty();
         assertThat(run("settings", "revert", "3")).isEqualTo(Command.FAILED);
     }
 
