--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -71,7 +71,9 @@
         mOptions = Objects.requireNonNull(options, "options");
         SplittableRandom random = new SplittableRandom(options.seed());
         Member self = options.self();
-        mSettings = new SettingsReplica(SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
+        mSettings =
+                new SettingsReplica(
+                        SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
         mProcess = new ProcessMembership(self, options.fleetSize(), random.split());
         mMembership = mProcess.members();
         mStop =
--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -76,7 +76,9 @@
         mOptions = Objects.requireNonNull(options, "options");
         SplittableRandom random = new SplittableRandom(options.seed());
         Member self = options.self();
-        mSettings = new SettingsReplica(SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
+        mSettings =
+                new SettingsReplica(
+                        SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
         mProcess = new ProcessMembership(self, options.fleetSize(), random.split());
         mMembership = mProcess.members();
         mStop = new StopPlan(new StopOptions(0, options.stopTimeoutNanos(), 0));
--- a/src/main/java/ebonygw/settings/TreeEditor.java
+++ b/src/main/java/ebonygw/settings/TreeEditor.java
@@ -195,7 +195,8 @@
             return;
         }
         String prefix = CallerKeys.prefix(key.sha256Hex());
-        if (mTree.issuedKeys().stream().anyMatch(k -> k.settings().sha256Hex().startsWith(prefix))) {
+        if (mTree.issuedKeys().stream()
+                .anyMatch(k -> k.settings().sha256Hex().startsWith(prefix))) {
             reason("key/" + key.keyId(), "its hash is that of another key");
             return;
         }
--- a/src/test/java/ebonygw/settings/CallerKeysTest.java
+++ b/src/test/java/ebonygw/settings/CallerKeysTest.java
@@ -8,8 +8,7 @@
 
 class CallerKeysTest {
     private final CallerKeys.NewKey mFirst = CallerKeys.make("c0", 1000, new Random(1));
-    private final CallerKeys.NewKey mSecond =
-            CallerKeys.make("c0", Long.MAX_VALUE, new Random(2));
+    private final CallerKeys.NewKey mSecond = CallerKeys.make("c0", Long.MAX_VALUE, new Random(2));
     private final SettingsState mState =
             SettingsFixtures.with(
                     SettingsFixtures.with(SettingsState.EMPTY, "base", SettingsFixtures.base()),
@@ -23,8 +22,7 @@
         SettingsView view = mState.view();
 
         assertThat(view.keyByHash(CallerKeys.hash(mFirst.secret()))).contains(mFirst.settings());
-        assertThat(view.keyByHash(CallerKeys.hash(mSecond.secret())))
-                .contains(mSecond.settings());
+        assertThat(view.keyByHash(CallerKeys.hash(mSecond.secret()))).contains(mSecond.settings());
     }
 
     @Test
