Prefer processes that hold already when a share is divided again

Cause: a share that moves accrues nothing while it is on its way, and the holders of a small customer changed with each fluctuation of demand. Change: present holders count threefold in the choice of holders; smaller steps are left out; the list of linked processes is kept instead of sorted at each ask.

--- a/src/main/java/ebonygw/admission/Ledger.java
+++ b/src/main/java/ebonygw/admission/Ledger.java
@@ -24,10 +24,12 @@
 final class Ledger {
     private static final long RESEND_NANOS = 200_000_000L;
     private static final long DEMAND_AGE_NANOS = 3_000_000_000L;
+    private static final int HOLDER_PARTS = 2;
+    private static final int HELD_PREFERENCE = 3;
     private static final int FREE_PARTS = 50;
     private static final int RAISE_PARTS = 100;
-    private static final int LOWER_PARTS = 200;
-    private static final int LOWER_OWN_PARTS = 4;
+    private static final int LOWER_PARTS = 50;
+    private static final int LOWER_OWN_PARTS = 3;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int MOST_HINTS = 4;
 
@@ -246,6 +248,11 @@
         }
     }
 
+    /** Prefers processes that hold already, since a share that moves accrues nothing meanwhile. */
+    private long preference(Holder id, long weight) {
+        return account(id).capacity() > 0 ? weight * HELD_PREFERENCE : weight;
+    }
+
     private void resizePool(long nowNanos) {
         mPool.resize(freeRate(), freeCapacity(), nowNanos);
     }
@@ -257,7 +264,7 @@
         }
         List<Holder> order = new ArrayList<>(holders);
         order.sort(
-                Comparator.comparingLong((Holder id) -> -weights.get(id))
+                Comparator.comparingLong((Holder id) -> -preference(id, weights.get(id)))
                         .thenComparingInt(preferred::indexOf));
         long sum = 0;
         long sized = 0;
@@ -269,7 +276,7 @@
             if (account.leaving() || !chosen.isEmpty() && !wanted) {
                 continue;
             }
-            if (!chosen.isEmpty() && 2 * (sized + largest) > mTerms.burst()) {
+            if (!chosen.isEmpty() && HOLDER_PARTS * (sized + largest) > mTerms.burst()) {
                 continue;
             }
             chosen.add(id);
--- a/src/main/java/ebonygw/admission/Peers.java
+++ b/src/main/java/ebonygw/admission/Peers.java
@@ -21,6 +21,7 @@
     private final Holder mSelf;
     private final Locality mLocality;
     private final Map<NodeId, Peer> mPeers = new TreeMap<>();
+    private List<NodeId> mLinked;
 
     Peers(NodeId self, long incarnation, Locality locality) {
         mSelf = new Holder(self, incarnation, false);
@@ -31,6 +32,7 @@
         Peer peer = mPeers.get(id);
         if (peer != null && peer.mUp && peer.mIncarnation == incarnation) {
             peer.mUp = false;
+            mLinked = null;
             peer.mDownAt = nowNanos;
         }
     }
@@ -43,6 +45,7 @@
     }
 
     void onMembers(Collection<Member> members) {
+        mLinked = null;
         for (Member member : members) {
             if (member.role() != Role.ENTRY || member.id().equals(mSelf.id())) {
                 continue;
@@ -65,11 +68,15 @@
         peer.mIncarnation = incarnation;
         peer.mNewest = Math.max(peer.mNewest, incarnation);
         peer.mUp = true;
+        mLinked = null;
         peer.mHeardAt = nowNanos;
     }
 
     /** Returns entry processes that are linked, nearest first. */
     List<NodeId> linked() {
+        if (mLinked != null) {
+            return mLinked;
+        }
         List<NodeId> all = new ArrayList<>();
         mPeers.forEach(
                 (id, peer) -> {
@@ -78,6 +85,7 @@
                     }
                 });
         all.sort(Comparator.comparingInt(id -> mPeers.get(id).mNear));
+        mLinked = all;
         return all;
     }
 
