bench capacity: slopes of the state classes and what each role needs at the target size

Cause: the target size has to be judged from measured slopes. Change: live heap, processor time, messages and bytes of membership, routing, settings, shares and scheduling at three sizes each with the real encoders, added up per role.

--- a/src/main/java/ebonygw/bench/BenchCommand.java
+++ b/src/main/java/ebonygw/bench/BenchCommand.java
@@ -1,5 +1,6 @@
 package ebonygw.bench;
 
+import ebonygw.bench.capacity.CapacityBench;
 import ebonygw.bench.links.LinksBench;
 import ebonygw.bench.placement.PlacementBench;
 import ebonygw.bench.shares.SharesBench;
@@ -25,6 +26,7 @@
 
     private static Map<String, Command> experiments() {
         Map<String, Command> experiments = new TreeMap<>();
+        experiments.put("capacity", new CapacityBench());
         experiments.put("links", new LinksBench());
         experiments.put("placement", new PlacementBench());
         experiments.put("shares", new SharesBench());
--- /dev/null
+++ b/src/main/java/ebonygw/bench/capacity/SharesCost.java
@@ -0,0 +1,206 @@
+package ebonygw.bench.capacity;
+
+import ebonygw.admission.Admission;
+import ebonygw.admission.ShareMessage;
+import ebonygw.admission.ShareNode;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.MemoryKeyValue;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.protocol.Outbox;
+import ebonygw.settings.SettingsView;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the division of customers' rates costs for each customer and each entry process. */
+final class SharesCost {
+    private static final int[] CUSTOMERS = {8, 32, 128};
+    private static final int[] ENTRIES = {2, 4, 8};
+    private static final int FEW_ENTRIES = 4;
+    private static final int FEW_CUSTOMERS = 8;
+    private static final long SECOND = 1_000_000_000L;
+    private static final long TICK_NANOS = 50_000_000L;
+    private static final int WARM_UP_SECONDS = 20;
+    private static final int SECONDS = 20;
+    private static final int ADMISSIONS = 20_000;
+
+    /** Measures all slopes. */
+    List<Slope> measure() {
+        List<Slope.Sample> heap = new ArrayList<>();
+        List<Slope.Sample> messages = new ArrayList<>();
+        List<Slope.Sample> bytes = new ArrayList<>();
+        List<Slope.Sample> cpu = new ArrayList<>();
+        for (int customers : CUSTOMERS) {
+            heap.add(
+                    new Slope.Sample(
+                            customers,
+                            Meter.heapBytes(() -> new Fleet(FEW_ENTRIES, customers).warm())
+                                    / FEW_ENTRIES));
+            Fleet fleet = new Fleet(FEW_ENTRIES, customers).warm();
+            fleet.measure();
+            messages.add(new Slope.Sample(customers, fleet.messagesPerSecond()));
+            bytes.add(new Slope.Sample(customers, fleet.bytesPerSecond()));
+            cpu.add(new Slope.Sample(customers, fleet.admissionNanos()));
+        }
+        List<Slope.Sample> byEntries = new ArrayList<>();
+        for (int entries : ENTRIES) {
+            Fleet fleet = new Fleet(entries, FEW_CUSTOMERS).warm();
+            fleet.measure();
+            byEntries.add(new Slope.Sample(entries, fleet.bytesPerSecond()));
+        }
+        return List.of(
+                new Slope("shares heap", "bytes", "customer", heap),
+                new Slope("shares messages", "messages/s", "active customer", messages),
+                new Slope("shares sent bytes", "bytes/s", "active customer", bytes),
+                new Slope("shares sent bytes, 8 customers", "bytes/s", "entry", byEntries),
+                new Slope("shares admission, processor", "ns", "customer", cpu));
+    }
+
+    /** Entry processes whose customers ask once a second at each, with messages at once. */
+    private static final class Fleet {
+        private final MemoryKeyValue mService = new MemoryKeyValue();
+        private final Map<NodeId, ShareNode> mNodes = new HashMap<>();
+        private final Map<NodeId, Member> mMembers = new HashMap<>();
+        private final Deque<Runnable> mEvents = new ArrayDeque<>();
+        private final int mCustomers;
+        private long mNow = 1_000 * SECOND;
+        private long mTicket;
+        private long mMessages;
+        private long mBytes;
+
+        Fleet(int entries, int customers) {
+            mCustomers = customers;
+            for (int i = 0; i < entries; i++) {
+                Locality place = new Locality("region-" + i % 3, "a");
+                Member member =
+                        new Member(
+                                new NodeId("entry-" + i),
+                                1,
+                                Role.ENTRY,
+                                MemberState.LIVE,
+                                place,
+                                "10.0.0." + i + ":7400",
+                                "");
+                mMembers.put(member.id(), member);
+                mNodes.put(member.id(), new ShareNode(member.id(), 1, place, List.of()));
+            }
+            SettingsView settings = new SettingsCost().state(customers, 0).view();
+            mNodes.forEach((id, node) -> join(id, node, settings));
+        }
+
+        double admissionNanos() {
+            Map.Entry<NodeId, ShareNode> any = mNodes.entrySet().iterator().next();
+            Outbox out = outbox(any.getKey());
+            return Meter.cpuNanos(
+                    ADMISSIONS,
+                    () -> {
+                        mNow += SECOND / ADMISSIONS;
+                        ask(any.getValue(), (int) (mTicket % mCustomers), out);
+                        mEvents.clear();
+                    });
+        }
+
+        double bytesPerSecond() {
+            return (double) mBytes / SECONDS / mNodes.size();
+        }
+
+        void measure() {
+            mMessages = 0;
+            mBytes = 0;
+            pass(SECONDS);
+        }
+
+        double messagesPerSecond() {
+            return (double) mMessages / SECONDS / mNodes.size();
+        }
+
+        Fleet warm() {
+            pass(WARM_UP_SECONDS);
+            return this;
+        }
+
+        private void ask(ShareNode node, int customer, Outbox out) {
+            long ticket = mTicket++;
+            String name = "c" + customer;
+            if (node.admit(ticket, name, 100, mNow + SECOND, mNow, out).outcome()
+                    == Admission.Outcome.ADMITTED) {
+                node.settle(ticket, name, 100, 80, mNow, out);
+            }
+            node.decisions();
+        }
+
+        private void join(NodeId id, ShareNode node, SettingsView settings) {
+            Outbox out = outbox(id);
+            node.onSettings(settings, mNow, out);
+            node.onMembers(mMembers.values(), mNow, out);
+            for (NodeId other : mNodes.keySet()) {
+                if (!other.equals(id)) {
+                    node.onPeerUp(other, 1, mNow, out);
+                }
+            }
+        }
+
+        private Outbox outbox(NodeId from) {
+            return new Outbox() {
+                @Override
+                public void keyValue(long callId, KeyValueCall call) {
+                    if (call instanceof KeyValueCall.Watch
+                            || call instanceof KeyValueCall.WatchCancel) {
+                        return;
+                    }
+                    mEvents.add(
+                            () ->
+                                    mNodes.get(from)
+                                            .onKeyValueReply(
+                                                    callId,
+                                                    mService.execute(call, mNow),
+                                                    mNow,
+                                                    this));
+                }
+
+                @Override
+                public void send(NodeId to, Message message) {
+                    mMessages++;
+                    mBytes += Meter.wireBytes(message);
+                    mEvents.add(() -> deliver(from, to, message));
+                }
+            };
+        }
+
+        private void deliver(NodeId from, NodeId to, Message message) {
+            ShareNode node = mNodes.get(to);
+            if (node != null) {
+                node.onMessage(from, 1, (ShareMessage) message, mNow, outbox(to));
+            }
+        }
+
+        private void pass(int seconds) {
+            long end = mNow + seconds * SECOND;
+            int ticks = 0;
+            while (mNow < end) {
+                mNow += TICK_NANOS;
+                boolean asks = ++ticks % (SECOND / TICK_NANOS) == 0;
+                mNodes.forEach(
+                        (id, node) -> {
+                            Outbox out = outbox(id);
+                            for (int i = 0; asks && i < mCustomers; i++) {
+                                ask(node, i, out);
+                            }
+                            node.onTick(mNow, out);
+                            node.decisions();
+                        });
+                while (!mEvents.isEmpty()) {
+                    mEvents.poll().run();
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/ebonygw/membership/Membership.java
+++ b/src/main/java/ebonygw/membership/Membership.java
@@ -185,11 +185,14 @@
      *
      * @param present processes whose keys are there
      * @param removed processes whose keys were there and are not any more
+     * @param news whether the keys have just changed, so that neighbours are told; what was there
+     *     before reaches them by the comparison of tables
      * @param nowNanos the present time
      */
-    public void onLeases(Collection<Member> present, Collection<NodeId> removed, long nowNanos) {
+    public void onLeases(
+            Collection<Member> present, Collection<NodeId> removed, boolean news, long nowNanos) {
         for (Member member : present) {
-            learn(member, null, true, nowNanos);
+            learn(member, null, news, nowNanos);
             mTable.record(member.id())
                     .ifPresent(record -> record.registered(true, member.incarnation()));
             refresh(member.id(), nowNanos);
--- a/src/main/java/ebonygw/membership/PresenceReader.java
+++ b/src/main/java/ebonygw/membership/PresenceReader.java
@@ -140,10 +140,10 @@
         for (Entry entry : changed.entries()) {
             if (entry.value() == null) {
                 mRegistered.remove(id(entry));
-                mMembership.onLeases(List.of(), List.of(id(entry)), nowNanos);
+                mMembership.onLeases(List.of(), List.of(id(entry)), true, nowNanos);
             } else {
                 mRegistered.add(id(entry));
-                mMembership.onLeases(members(List.of(entry)), List.of(), nowNanos);
+                mMembership.onLeases(members(List.of(entry)), List.of(), true, nowNanos);
             }
         }
     }
@@ -202,13 +202,13 @@
             mSeen.clear();
         }
         found.entries().forEach(entry -> mSeen.add(id(entry)));
-        mMembership.onLeases(members(found.entries()), List.of(), nowNanos);
+        mMembership.onLeases(members(found.entries()), List.of(), false, nowNanos);
         if (found.more() && !found.entries().isEmpty()) {
             mNextKey = found.entries().get(found.entries().size() - 1).key() + '\0';
             return;
         }
         mRegistered.removeAll(mSeen);
-        mMembership.onLeases(List.of(), mRegistered, nowNanos);
+        mMembership.onLeases(List.of(), mRegistered, false, nowNanos);
         mRegistered.clear();
         mRegistered.addAll(mSeen);
         mComplete = true;
--- /dev/null
+++ b/src/test/java/ebonygw/membership/MembershipTest.java
@@ -0,0 +1,133 @@
+package ebonygw.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.membership.MemberMessage.Hello;
+import ebonygw.membership.MemberMessage.MemberUpdates;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.NodeId;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final NodeId OTHER = new NodeId("other");
+
+    private final RecordingOutbox mOut = new RecordingOutbox();
+    private final Membership mMembership =
+            new Membership(
+                    MembershipOptions.of(member("self", 1, MemberState.LIVE)), new Random(1));
+    private long mNow = 1_000 * SECOND;
+
+    @Test
+    void staleHostListNeverBringsBackALeavingProcess() {
+        link(1);
+        list(MemberState.LEAVING);
+        assertThat(state()).isEqualTo(MemberState.LEAVING);
+        list(MemberState.LIVE);
+        assertThat(state()).isEqualTo(MemberState.LEAVING);
+    }
+
+    @Test
+    void processThatRestartsOnALeavingHostWaitsForTheListToClear() {
+        link(1);
+        list(MemberState.LEAVING);
+        link(2);
+        assertThat(state()).isEqualTo(MemberState.LEAVING);
+        list(MemberState.LIVE);
+        assertThat(state()).isEqualTo(MemberState.LIVE);
+    }
+
+    @Test
+    void oldIncarnationIsProvenGoneAndItsMessagesAreNotCurrent() {
+        link(1);
+        link(2);
+        assertThat(mMembership.isProvenGone(OTHER, 1)).isTrue();
+        assertThat(mMembership.isCurrent(OTHER, 1)).isFalse();
+        mMembership.onPeerDown(OTHER, 1, mNow);
+        assertThat(state()).isEqualTo(MemberState.LIVE);
+    }
+
+    @Test
+    void lapsedLeaseOfALinkedProcessChangesNothing() {
+        link(1);
+        Member other = member("other", 1, MemberState.LIVE);
+        mMembership.onLeases(List.of(other), List.of(), true, mNow);
+        mMembership.onLeases(List.of(), List.of(OTHER), true, mNow);
+        assertThat(state()).isEqualTo(MemberState.LIVE);
+        assertThat(mMembership.isProvenGone(OTHER, 1)).isFalse();
+    }
+
+    @Test
+    void removedHostIsGoneOnlyOnceLinkAndLeaseAgree() {
+        Member other = member("other", 1, MemberState.LIVE);
+        mMembership.onLeases(List.of(other), List.of(), true, mNow);
+        list(MemberState.LIVE);
+        mMembership.onHostList(new HostList(List.of()), mNow);
+        pass(60 * SECOND);
+        assertThat(mMembership.isProvenGone(OTHER, 1)).isFalse();
+        mMembership.onLeases(List.of(), List.of(OTHER), true, mNow);
+        link(1);
+        pass(60 * SECOND);
+        assertThat(mMembership.isProvenGone(OTHER, 1)).isFalse();
+        mMembership.onPeerDown(OTHER, 1, mNow);
+        mMembership.onLeases(List.of(other), List.of(), true, mNow);
+        mMembership.onLeases(List.of(), List.of(OTHER), true, mNow);
+        pass(60 * SECOND);
+        assertThat(mMembership.isProvenGone(OTHER, 1)).isTrue();
+    }
+
+    @Test
+    void registrationsReadAtTheStartAreNotSpreadAsNews() {
+        link(1);
+        mMembership.onTick(mNow, mOut);
+        mOut.mMessages.clear();
+        Member third = member("third", 1, MemberState.LIVE);
+        mMembership.onLeases(List.of(third), List.of(), false, mNow);
+        pass(SECOND);
+        assertThat(mOut.mMessages).noneMatch(message -> message instanceof MemberUpdates);
+    }
+
+    @Test
+    void processThatOthersHoldForGoneLearnsIt() {
+        link(1);
+        Member self = member("self", 1, MemberState.GONE);
+        mMembership.onMessage(OTHER, 1, new MemberUpdates(List.of(self), true), mNow, mOut);
+        assertThat(mMembership.isSuperseded()).isTrue();
+    }
+
+    private void link(long incarnation) {
+        mMembership.onPeerUp(OTHER, incarnation, mNow, mOut);
+        Hello hello = new Hello(member("other", incarnation, MemberState.LIVE), 0);
+        mMembership.onMessage(OTHER, incarnation, hello, mNow, mOut);
+    }
+
+    private void list(MemberState state) {
+        HostList.Host host = new HostList.Host(member("other", 0, state));
+        mMembership.onHostList(new HostList(List.of(host)), mNow);
+    }
+
+    private static Member member(String name, long incarnation, MemberState state) {
+        return new Member(
+                new NodeId(name),
+                incarnation,
+                Role.TARGET,
+                state,
+                new Locality("fes", "a"),
+                "10.0.0.1:7000",
+                "model");
+    }
+
+    private void pass(long nanos) {
+        long end = mNow + nanos;
+        while (mNow < end) {
+            mNow += SECOND / 10;
+            mMembership.onTick(mNow, mOut);
+        }
+    }
+
+    private MemberState state() {
+        return mMembership.view().member(OTHER).orElseThrow().state();
+    }
+}
