--- a/src/main/java/ebonygw/bench/BenchCommand.java
+++ b/src/main/java/ebonygw/bench/BenchCommand.java
@@ -2,6 +2,7 @@
 
 import ebonygw.bench.capacity.CapacityBench;
 import ebonygw.bench.links.LinksBench;
+import ebonygw.bench.path.PathBench;
 import ebonygw.bench.placement.PlacementBench;
 import ebonygw.bench.shares.SharesBench;
 import ebonygw.cli.Command;
@@ -28,6 +29,7 @@
         Map<String, Command> experiments = new TreeMap<>();
         experiments.put("capacity", new CapacityBench());
         experiments.put("links", new LinksBench());
+        experiments.put("path", new PathBench());
         experiments.put("placement", new PlacementBench());
         experiments.put("shares", new SharesBench());
         return experiments;
--- a/src/main/java/ebonygw/peer/Link.java
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -23,6 +23,9 @@
 /**
  * One connection to another process, from its first byte to its end.
  *
+ * <p>The end that opened it says hello first. The end that decides on the pair's links says with
+ * its next message that the link is taken; until then the other end does not count it as up.
+ *
  * <p>All methods run on the transport's event loop, but for {@link #queue}, which any one thread
  * may call.
  */
@@ -35,6 +38,7 @@
     private final AtomicInteger mQueued = new AtomicInteger();
     private final AtomicBoolean mScheduled = new AtomicBoolean();
     private Channel mChannel;
+    private Envelope mHello;
     private Member mPeer;
     private boolean mClosed;
     private volatile long mSent;
@@ -54,7 +58,9 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
-        context.writeAndFlush(mTransport.hello());
+        if (openedHere()) {
+            context.writeAndFlush(mTransport.hello());
+        }
         long timeout = mTransport.options().connectTimeoutNanos();
         context.executor().schedule(this::closeUnlessUp, timeout, TimeUnit.NANOSECONDS);
     }
@@ -95,8 +101,11 @@
         try {
             if (isUp()) {
                 receive(envelope);
+            } else if (mHello != null) {
+                establish();
+                receive(envelope);
             } else {
-                establish(envelope);
+                greet(envelope);
             }
         } catch (IllegalArgumentException malformed) {
             close("malformed", malformed.getMessage());
@@ -109,7 +118,11 @@
             return;
         }
         mClosed = true;
-        LogLine line = LogLine.of("link_closed").with("why", why).with("opened_here", openedHere());
+        LogLine line =
+                LogLine.of("link_closed")
+                        .with("node", mTransport.self().id())
+                        .with("why", why)
+                        .with("opened_here", openedHere());
         line.with("peer", mPeer != null ? mPeer.id() : mExpected.map(Member::id).orElse(null));
         line.with("address", mChannel == null ? null : mChannel.remoteAddress());
         line.with("detail", detail).info();
@@ -200,7 +213,21 @@
         }
     }
 
-    private void establish(Envelope envelope) {
+    private void establish() {
+        mPeer = MemberValues.fromWire(mHello.getHello().getSelf());
+        mTransport.established(this);
+        receive(mHello);
+    }
+
+    private void flush() {
+        mChannel.flush();
+        if (!mChannel.isWritable() && !mClosed) {
+            close("overflow", "bytes=" + mTransport.options().maxQueuedBytes());
+        }
+    }
+
+    /** Takes the first message, which opens the link at once on the end that may decide it. */
+    private void greet(Envelope envelope) {
         if (!envelope.hasHello()) {
             close("no_hello", envelope.getKindCase().toString());
             return;
@@ -215,18 +242,18 @@
         }
         Optional<String> rejection = mTransport.rejection(this, peer);
         if (rejection.isPresent()) {
-            close(rejection.get(), Long.toString(peer.incarnation()));
+            close(rejection.get(), peer.id() + "/" + peer.incarnation());
             return;
         }
-        mPeer = peer;
-        mTransport.established(this);
-        receive(envelope);
-    }
-
-    private void flush() {
-        mChannel.flush();
-        if (!mChannel.isWritable() && !mClosed) {
-            close("overflow", "bytes=" + mTransport.options().maxQueuedBytes());
+        mHello = envelope;
+        boolean decides = mTransport.decides(peer);
+        if (!openedHere()) {
+            mChannel.writeAndFlush(mTransport.hello());
+        } else if (decides) {
+            mChannel.writeAndFlush(Envelope.getDefaultInstance());
+        }
+        if (openedHere() || decides) {
+            establish();
         }
     }
 
--- a/src/main/java/ebonygw/peer/LinkRule.java
+++ b/src/main/java/ebonygw/peer/LinkRule.java
@@ -3,34 +3,29 @@
 import ebonygw.protocol.NodeId;
 
 /**
- * Decides which of two links to the same process stays, alike on both ends.
+ * Decides which links to a process are taken, so that a pair of processes has one.
  *
- * <p>The greater incarnation of the other process wins. Within one incarnation the link opened by
- * the end with the smaller name wins; of two opened by the same end the newer one, since an end
- * opens a second link only after it lost the first.
+ * <p>Of each pair the process with the smaller name decides and the other follows. The one that
+ * decides keeps the link that is up and takes another only in its absence, or from a greater
+ * incarnation. The one that follows waits for the decision on each link, and takes what the other
+ * has taken in place of its own: its link must have been lost on the other end.
  */
 final class LinkRule {
     private LinkRule() {}
 
-    /** A link as the rule sees it: the other process's incarnation and whether we opened it. */
-    record End(long incarnation, boolean openedHere) {}
+    /** Returns whether this process decides on the links of a pair. */
+    static boolean decides(NodeId self, NodeId peer) {
+        return self.compareTo(peer) < 0;
+    }
 
     /**
-     * Returns whether a new link replaces an established one.
+     * Returns whether a link takes the place of the one that is up.
      *
-     * @param self this process
-     * @param peer the other process
-     * @param established the link that is up
-     * @param candidate the new link, whose hello has just come
+     * @param decides whether this process decides
+     * @param upIncarnation incarnation of the other process on the link that is up
+     * @param newIncarnation its incarnation on the other link
      */
-    static boolean replaces(NodeId self, NodeId peer, End established, End candidate) {
-        if (candidate.incarnation() != established.incarnation()) {
-            return candidate.incarnation() > established.incarnation();
-        }
-        if (candidate.openedHere() == established.openedHere()) {
-            return true;
-        }
-        boolean smallerHere = self.compareTo(peer) < 0;
-        return candidate.openedHere() == smallerHere;
+    static boolean replaces(boolean decides, long upIncarnation, long newIncarnation) {
+        return newIncarnation > upIncarnation || (newIncarnation == upIncarnation && !decides);
     }
 }
