--- a/src/test/java/ebonygw/caller/WholePathTest.java
+++ b/src/test/java/ebonygw/caller/WholePathTest.java
@@ -9,6 +9,7 @@
 import ebonygw.standin.EngineStandInOptions;
 import ebonygw.standin.SeenRequest;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
