The only entry gives its ownership of shares up at a planned stop

Change: it writes that it holds nothing, once nothing runs. Before: theOnlyEntrysSuccessorsCanChargeSoonAfterEach- PlannedStop fails at the second incarnation; after: it passes within 2 s.

--- a/src/main/java/ebonygw/admission/Claim.java
+++ b/src/main/java/ebonygw/admission/Claim.java
@@ -49,6 +49,13 @@
         return current != null && current.mNonce == mNonce;
     }
 
+    /** Returns the record of the same epoch in which only these processes may hold shares. */
+    Claim released(Set<Holder> unresolved) {
+        Claim claim = resolved(unresolved);
+        claim.mHolders.clear();
+        return claim;
+    }
+
     /** Returns the record of the same epoch in which fewer silent processes may hold shares. */
     Claim resolved(Set<Holder> unresolved) {
         Claim claim = new Claim();
--- a/src/main/java/ebonygw/admission/ShardOwner.java
+++ b/src/main/java/ebonygw/admission/ShardOwner.java
@@ -63,6 +63,7 @@
     private long mStartedAt;
     private long mReadCall;
     private long mWriteCall;
+    private long mReleaseCall;
     private Claim mClaim;
 
     ShardOwner(
@@ -143,6 +144,13 @@
             }
             return true;
         }
+        if (callId == mReleaseCall) {
+            mReleaseCall = 0;
+            if (reply instanceof KeyValueReply.Committed committed && committed.succeeded()) {
+                resign();
+            }
+            return true;
+        }
         if (callId == mWriteCall) {
             mWriteCall = 0;
             if (reply instanceof KeyValueReply.Committed committed && committed.succeeded()) {
@@ -176,6 +184,10 @@
         if (mOwning) {
             own(nowNanos, out);
         }
+        if (stopping && mOwning && mPeers.reachable().size() == 1) {
+            release(nowNanos, out);
+            return;
+        }
         boolean idle = mReadCall == 0 && mWriteCall == 0 && nowNanos >= mNextTryAt;
         if (idle && nowNanos - mWatchedAt >= WATCH_NANOS) {
             mWatchedAt = nowNanos;
@@ -391,6 +403,24 @@
         }
     }
 
+    /**
+     * Gives the ownership up where no other process can take it over: the record names nobody who
+     * holds shares, but those who may hold some of earlier epochs.
+     */
+    private void release(long nowNanos, Outbox out) {
+        boolean busy = mReadCall != 0 || mWriteCall != 0 || mReleaseCall != 0;
+        if (busy || nowNanos < mNextTryAt) {
+            return;
+        }
+        mNextTryAt = nowNanos + RETRY_NANOS;
+        Set<Holder> others = new HashSet<>(mRecord.mHolders);
+        others.remove(mPeers.self());
+        others.addAll(mRecord.mUnresolved);
+        write(mRecord.released(others), mRecord.mModRevision, out);
+        mReleaseCall = mWriteCall;
+        mWriteCall = 0;
+    }
+
     /**
      * Takes free what silent processes held whose time has run out.
      *
--- a/src/main/java/ebonygw/admission/ShareNode.java
+++ b/src/main/java/ebonygw/admission/ShareNode.java
@@ -111,7 +111,7 @@
             share = share(customer);
         }
         long cost = tokens * TokenBucket.UNITS_PER_TOKEN;
-        boolean leased = mLeases[share.shard()].isValid(nowNanos);
+        boolean leased = mStoppingSince == 0 && leased(share, nowNanos);
         Admission admission = share.admit(ticket, cost, deadlineNanos, nowNanos, leased);
         mActive.add(share);
         if (admission == Admission.WAITING) {
@@ -178,7 +178,7 @@
             }
         }
         for (ShardOwner owner : mOwners) {
-            if (owner.isOwner() && !alone && !late) {
+            if (owner.isOwner() && !late) {
                 return false;
             }
         }
--- /dev/null
+++ b/src/test/java/ebonygw/admission/ShareReleaseTest.java
@@ -0,0 +1,117 @@
+package ebonygw.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.MemoryKeyValue;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.protocol.Outbox;
+import ebonygw.settings.FakeSettings;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ShareReleaseTest {
+    private static final long TICK = 10_000_000L;
+    private static final long SECOND = 1_000_000_000L;
+    private static final long FOLLOWS_WITHIN = 2 * SECOND;
+    private static final long RATE = 1_000;
+    private static final long BURST = 2_000;
+
+    private final MemoryKeyValue mStore = new MemoryKeyValue();
+    private final FakeSettings mSettings = new FakeSettings().withCustomer("atlas", RATE, BURST);
+    private long mNow = 1_000 * SECOND;
+
+    @Test
+    void theOnlyEntrysSuccessorsCanChargeSoonAfterEachPlannedStop() {
+        for (int incarnation = 1; incarnation <= 3; incarnation++) {
+            Driver entry = new Driver(incarnation);
+
+            entry.runUntilAdmitted(RATE / 2, incarnation == 1 ? 10 * SECOND : FOLLOWS_WITHIN);
+            entry.stop();
+        }
+    }
+
+    @Test
+    void aSuccessorStartsWithoutTheTokensThatWereUsed() {
+        Driver first = new Driver(1);
+        first.runUntilAdmitted(BURST, 10 * SECOND);
+        first.stop();
+        Driver second = new Driver(2);
+        second.run(SECOND / 10);
+
+        assertThat(second.admit(BURST)).isNotEqualTo(Admission.ADMITTED);
+    }
+
+    /** One incarnation of the only entry process. */
+    private final class Driver implements Outbox {
+        private final ShareNode mNode;
+        private final List<Runnable> mReplies = new ArrayList<>();
+        private long mTicket;
+
+        Driver(long incarnation) {
+            mNode =
+                    new ShareNode(
+                            new NodeId("entry-1"),
+                            incarnation,
+                            new Locality("region", "centre"),
+                            List.of());
+            mNode.onSettings(mSettings, mNow, this);
+        }
+
+        @Override
+        public void keyValue(long callId, KeyValueCall call) {
+            var reply = mStore.execute(call, mNow);
+            mReplies.add(() -> mNode.onKeyValueReply(callId, reply, mNow, this));
+        }
+
+        @Override
+        public void send(NodeId to, Message message) {
+            throw new IllegalStateException("no other process: " + to);
+        }
+
+        Admission admit(long tokens) {
+            mTicket++;
+            return mNode.admit(mTicket, "atlas", tokens, mNow + SECOND, mNow, this);
+        }
+
+        void run(long nanos) {
+            for (long end = mNow + nanos; mNow < end; mNow += TICK) {
+                step();
+            }
+        }
+
+        void runUntilAdmitted(long tokens, long within) {
+            long end = mNow + within;
+            Admission admission = admit(tokens);
+            boolean admitted = admission == Admission.ADMITTED;
+            while (!admitted && mNow < end) {
+                step();
+                mNow += TICK;
+                for (AdmissionDecision decision : mNode.decisions()) {
+                    admitted |= decision.admission() == Admission.ADMITTED;
+                    if (!admitted) {
+                        admitted = admit(tokens) == Admission.ADMITTED;
+                    }
+                }
+            }
+            assertThat(admitted).isTrue();
+            mNode.settle(mTicket, "atlas", tokens, tokens, mNow, this);
+        }
+
+        void stop() {
+            mNode.stop(mNow, this);
+            run(4 * SECOND);
+            assertThat(mNode.handedOver()).isTrue();
+        }
+
+        private void step() {
+            mNode.onTick(mNow, this);
+            List<Runnable> replies = new ArrayList<>(mReplies);
+            mReplies.clear();
+            replies.forEach(Runnable::run);
+        }
+    }
+}
