--- a/src/main/java/ebonygw/standin/EngineStandIn.java
+++ b/src/main/java/ebonygw/standin/EngineStandIn.java
@@ -211,16 +211,17 @@
     }
 
     private void generate(EngineRun run) {
-        if (run.ended()) {
-            return;
-        }
-        if (!run.blocked()) {
+        long interval = NANOS_PER_SECOND / mOptions.tokensPerSecond();
+        long step = Math.max(interval, NANOS_PER_MILLI);
+        for (long tokens = step / interval; tokens > 0 && !run.blocked(); tokens--) {
+            if (run.ended()) {
+                return;
+            }
             mTokens.incrementAndGet();
             run.generate();
         }
         if (!run.ended()) {
-            long interval = NANOS_PER_SECOND / mOptions.tokensPerSecond();
-            mServer.after(interval, () -> generate(run));
+            mServer.after(step, () -> generate(run));
         }
     }
 
