Settings: faults of a replica are logged and dumped

Cause: a replica that could not follow the log kept its reason to itself. Change: nodes log settings_fault once for each fault and dump it with whether they watch the service. Conclusion: a test puts another log back into the service; the replica keeps what it holds and tells.

--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -104,6 +104,8 @@
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("self", mMembership.self().toString());
         dump.put("settingsRevision", mSettings.view().revision());
+        dump.put("settingsFault", mSettings.fault().orElse(""));
+        dump.put("settingsWatcher", mSettings.watching());
         dump.put("ready", ready());
         dump.put("phase", mStop.phase());
         dump.put("requests", mRequests.dump());
@@ -267,6 +269,7 @@
 
     /** Passes on what the event has changed. */
     private void publish(long nowNanos) {
+        mSettings.newFault().ifPresent(fault -> mOut.log("settings_fault", "detail", fault));
         for (SettingsWriter.Settled settled : mWriter.drain()) {
             mOut.effect(new EntryEffect.ChangeSettled(settled.ticket(), settled.outcome()));
         }
--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -98,6 +98,8 @@
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("self", mMembership.self().toString());
         dump.put("settingsRevision", mSettings.view().revision());
+        dump.put("settingsFault", mSettings.fault().orElse(""));
+        dump.put("settingsWatcher", mSettings.watching());
         dump.put("ready", ready());
         dump.put("reachable", mReachable);
         dump.put("phase", mStop.phase());
@@ -344,6 +346,7 @@
 
     /** Passes on what the event has changed. */
     private void publish(long nowNanos) {
+        mSettings.newFault().ifPresent(fault -> mOut.log("settings_fault", "detail", fault));
         long revision = mSettings.view().revision();
         if (revision != mSettingsRevision && mSettings.ready()) {
             mSettingsRevision = revision;
--- a/src/main/java/ebonygw/settings/SettingsReplica.java
+++ b/src/main/java/ebonygw/settings/SettingsReplica.java
@@ -32,6 +32,7 @@
     private boolean mReady;
     private long mFirstPeerNanos;
     private String mFault = "";
+    private String mToldFault = "";
 
     /** Creates a replica without settings. */
     public SettingsReplica(SettingsReplicaOptions options) {
@@ -45,6 +46,15 @@
         return mFault.isEmpty() ? Optional.empty() : Optional.of(mFault);
     }
 
+    /** Returns a fault that came up since the last call, for a log line; empty if none did. */
+    public Optional<String> newFault() {
+        if (mFault.equals(mToldFault)) {
+            return Optional.empty();
+        }
+        mToldFault = mFault;
+        return fault();
+    }
+
     /** Tells about how many processes the fleet has, which spreads out attempts in an outage. */
     public void onFleetSize(int processes) {
         mService.onFleetSize(processes);
--- a/src/test/java/ebonygw/settings/SettingsReplicaTest.java
+++ b/src/test/java/ebonygw/settings/SettingsReplicaTest.java
@@ -131,6 +131,38 @@
         assertThat(fleet.node(0).mReplica.state().lastId()).isEqualTo("x");
     }
 
+    @Test
+    void aLogThatWasPutBackIsToldOnceAndNeverFollowed() {
+        SettingsFleet fleet = new SettingsFleet(1, new SplittableRandom(9));
+        write(fleet, 3);
+        SettingsState other =
+                SettingsFixtures.with(SettingsState.EMPTY, "base", SettingsFixtures.base());
+        for (int i = 2; i <= 4; i++) {
+            other =
+                    SettingsFixtures.with(
+                            other,
+                            "other-" + i,
+                            List.of(new Assign(customer(0), Field.RATE, new Whole(500 + i))));
+            LoggedChange logged = other.logged(i).orElseThrow();
+            fleet.mService
+                    .store()
+                    .execute(
+                            new KeyValueCall.Transaction(
+                                    List.of(),
+                                    List.of(
+                                            new KeyValueCall.Write(
+                                                    SettingsKeys.log(i), logged.stored(), 0))),
+                            fleet.mNow);
+        }
+        fleet.run(3 * SECOND);
+
+        SettingsReplica replica = fleet.node(0).mReplica;
+        assertThat(replica.state().revision()).isEqualTo(3);
+        assertThat(replica.view().customer("c0").orElseThrow().ratePerSecond()).isEqualTo(2);
+        assertThat(replica.newFault().orElseThrow()).contains("does not follow revision 3");
+        assertThat(replica.newFault()).isEmpty();
+    }
+
     @Test
     void theCallsOfTheServiceDoNotGrowWithTheFleet() {
         long few = callsInTwentySeconds(4);
