--- a/src/test/java/ebonygw/caller/WholePathTest.java
+++ b/src/test/java/ebonygw/caller/WholePathTest.java
@@ -9,6 +9,7 @@
 import ebonygw.standin.EngineStandInOptions;
 import ebonygw.standin.SeenRequest;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -29,7 +30,7 @@
         EngineStandInOptions options = EngineStandInOptions.local().withSpeed(100, 500);
         sPlatform = new DevPlatform(1, 1, options);
         sEngine = sPlatform.engines().get(0);
-        sFleet = new DevFleet(sPlatform, ANY_PORT, ANY_PORT);
+        sFleet = new DevFleet(sPlatform, ANY_PORT, ANY_PORT, Optional.empty());
         sFleet.settle("atlas", SmallSettings.KEY_HASH);
     }
 
