--- a/src/main/java/ebonygw/membership/Neighbours.java
+++ b/src/main/java/ebonygw/membership/Neighbours.java
@@ -1,10 +1,9 @@
 package ebonygw.membership;
 
-import ebonygw.protocol.Locality;
 import ebonygw.protocol.NodeId;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -36,9 +35,9 @@
      * @param members all processes, with or without {@code self}
      */
     static Set<NodeId> choose(Member self, Collection<Member> members) {
-        Map<String, List<Member>> rings = rings(self, members);
-        List<Member> own = rings.get(self.locality().region());
-        int position = own.indexOf(self);
+        Map<String, List<Place>> rings = rings(self, members);
+        List<Place> own = rings.get(self.locality().region());
+        int position = own.indexOf(Place.of(self));
         Set<NodeId> chosen = new TreeSet<>();
         for (int distance = 1; distance < own.size(); distance *= 2) {
             chosen.add(own.get((position + distance) % own.size()).id());
@@ -50,10 +49,10 @@
         return chosen;
     }
 
-    /** Returns whether a process is one of the first few of its data centre's region. */
+    /** Returns whether a process is one of the first few of its region's ring. */
     static boolean isAmongFirst(Member self, Collection<Member> members, int count) {
-        List<Member> own = rings(self, members).get(self.locality().region());
-        return own.indexOf(self) < count;
+        List<Place> own = rings(self, members).get(self.locality().region());
+        return own.indexOf(Place.of(self)) < count;
     }
 
     /** Returns the hash of a name that orders the ring. */
@@ -61,25 +60,37 @@
         return HASH.hashChars(id.name());
     }
 
-    private static void addFirst(Set<NodeId> chosen, List<Member> ring) {
-        ring.stream().limit(BRIDGES).forEach(member -> chosen.add(member.id()));
+    private static void add(Map<String, List<Place>> rings, Member member) {
+        String region = member.locality().region();
+        rings.computeIfAbsent(region, name -> new ArrayList<>()).add(Place.of(member));
     }
 
-    private static Map<String, List<Member>> rings(Member self, Collection<Member> members) {
-        Map<String, List<Member>> rings = new TreeMap<>();
+    private static void addFirst(Set<NodeId> chosen, List<Place> ring) {
+        ring.stream().limit(BRIDGES).forEach(place -> chosen.add(place.id()));
+    }
+
+    private static Map<String, List<Place>> rings(Member self, Collection<Member> members) {
+        Map<String, List<Place>> rings = new TreeMap<>();
         add(rings, self);
         for (Member member : members) {
             if (!member.id().equals(self.id())) {
                 add(rings, member);
             }
         }
-        Comparator<Member> byHash = Comparator.comparingLong(member -> hash(member.id()));
-        rings.values().forEach(ring -> ring.sort(byHash.thenComparing(Member::id)));
+        rings.values().forEach(Collections::sort);
         return rings;
     }
 
-    private static void add(Map<String, List<Member>> rings, Member member) {
-        Locality locality = member.locality();
-        rings.computeIfAbsent(locality.region(), region -> new ArrayList<>()).add(member);
+    /** A process's place in its ring. */
+    private record Place(long hash, NodeId id) implements Comparable<Place> {
+        static Place of(Member member) {
+            return new Place(Neighbours.hash(member.id()), member.id());
+        }
+
+        @Override
+        public int compareTo(Place other) {
+            int byHash = Long.compare(hash, other.hash);
+            return byHash != 0 ? byHash : id.compareTo(other.id);
+        }
     }
 }
