--- a/src/main/java/ebonygw/bench/capacity/RoleEstimate.java
+++ b/src/main/java/ebonygw/bench/capacity/RoleEstimate.java
@@ -63,7 +63,8 @@
         List<Line> lines = new ArrayList<>();
         double links = TargetSize.LINKED_TARGETS + 2 * by.at("membership neighbours", perRegion());
         lines.addAll(membership(by, links));
-        lines.add(idle(by, "links to all other entries", TargetSize.NODES - 1));
+        double shareLinks = by.at("share links, most of one entry", TargetSize.NODES);
+        lines.add(idle(by, "links for shares, at most " + Math.round(shareLinks), shareLinks));
         lines.add(settings(by));
         double reports = TargetSize.LINKED_TARGETS * TargetSize.REPORTS_PER_SECOND;
         lines.add(
--- a/src/main/java/ebonygw/bench/capacity/SharesCost.java
+++ b/src/main/java/ebonygw/bench/capacity/SharesCost.java
@@ -1,6 +1,7 @@
 package ebonygw.bench.capacity;
 
 import ebonygw.admission.Admission;
+import ebonygw.admission.ShareLinks;
 import ebonygw.admission.ShareMessage;
 import ebonygw.admission.ShareNode;
 import ebonygw.keyvalue.KeyValueCall;
@@ -17,13 +18,16 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What the division of customers' rates costs for each customer and each entry process. */
 final class SharesCost {
     private static final int[] CUSTOMERS = {8, 32, 128};
     private static final int[] ENTRIES = {2, 4, 8};
+    private static final int[] MESH = {175, 350, 700};
     private static final int FEW_ENTRIES = 4;
     private static final int FEW_CUSTOMERS = 8;
     private static final long SECOND = 1_000_000_000L;
@@ -57,6 +61,7 @@
             byEntries.add(new Slope.Sample(entries, fleet.bytesPerSecond()));
         }
         return List.of(
+                shareLinks(),
                 new Slope("shares heap", "bytes", "customer", heap),
                 new Slope("shares messages", "messages/s", "active customer", messages),
                 new Slope("shares sent bytes", "bytes/s", "active customer", bytes),
@@ -64,6 +69,39 @@
                 new Slope("shares admission, processor", "ns", "customer", cpu));
     }
 
+    /** Returns the links of the entry process that has most, counting those opened to it. */
+    private static Slope shareLinks() {
+        List<Slope.Sample> most = new ArrayList<>();
+        for (int entries : MESH) {
+            List<Member> members = new ArrayList<>();
+            for (int i = 0; i < entries; i++) {
+                members.add(entry(i));
+            }
+            Map<NodeId, Set<NodeId>> links = new HashMap<>();
+            members.forEach(member -> links.put(member.id(), new HashSet<>()));
+            for (Member member : members) {
+                for (NodeId other : ShareLinks.choose(member, members)) {
+                    links.get(member.id()).add(other);
+                    links.get(other).add(member.id());
+                }
+            }
+            int count = links.values().stream().mapToInt(Set::size).max().orElseThrow();
+            most.add(new Slope.Sample(entries, count));
+        }
+        return new Slope("share links, most of one entry", "links", "entry", most);
+    }
+
+    private static Member entry(int number) {
+        return new Member(
+                new NodeId("entry-" + number),
+                1,
+                Role.ENTRY,
+                MemberState.LIVE,
+                new Locality("region-" + number % 3, "a"),
+                "10.0.0.1:7400",
+                "");
+    }
+
     /** Entry processes whose customers ask once a second at each, with messages at once. */
     private static final class Fleet {
         private final MemoryKeyValue mService = new MemoryKeyValue();
@@ -79,16 +117,8 @@
         Fleet(int entries, int customers) {
             mCustomers = customers;
             for (int i = 0; i < entries; i++) {
-                Locality place = new Locality("region-" + i % 3, "a");
-                Member member =
-                        new Member(
-                                new NodeId("entry-" + i),
-                                1,
-                                Role.ENTRY,
-                                MemberState.LIVE,
-                                place,
-                                "10.0.0." + i + ":7400",
-                                "");
+                Member member = entry(i);
+                Locality place = member.locality();
                 mMembers.put(member.id(), member);
                 mNodes.put(member.id(), new ShareNode(member.id(), 1, place, List.of()));
             }
