--- a/src/main/java/ebonygw/dev/DevFleet.java
+++ b/src/main/java/ebonygw/dev/DevFleet.java
@@ -38,7 +38,7 @@
      * @param platform the stand-ins, closed with the fleet
      * @param callerAddress where the entry listens for callers, as {@code ip:port}
      * @param operatorAddress where the entry answers operators, as {@code ip:port}
-     * @param credentials operators allowed to use the administration API, empty to leave it out
+     * @param credentials operators allowed to use the administration API, empty to offer none
      * @throws IOException if a client cannot be created
      * @throws SettingsException if an address is malformed
      * @throws IllegalStateException if an address cannot be listened on
@@ -52,10 +52,8 @@
         mPlatform = platform;
         List<String> entry = new ArrayList<>(common("entry-1", operatorAddress));
         entry.add("--caller-address=" + callerAddress);
-        if (credentials.isPresent()) {
-            entry.add("--admin-address=" + ANY_PORT);
-            entry.add("--admin-credentials=" + credentials.get());
-        }
+        entry.add("--admin-address=" + ANY_PORT);
+        credentials.ifPresent(file -> entry.add("--admin-credentials=" + file));
         mEntry = EntryProcess.start(FlagParser.ofEntry().parse(entry, Map.of()), Map.of());
         platform.list(mEntry.self());
         for (int i = 0; i < platform.engines().size(); i++) {
