Nodes tell the settings replica the size of the fleet

Cause: without it every process without contact tried the key-value service each second, whatever the size of the fleet, against the bound in docs/decisions/settings.md. Change: entry and target nodes pass their fleet size on.

--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -76,6 +76,7 @@
         mSettings =
                 new SettingsReplica(
                         SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
+        mSettings.onFleetSize(options.fleetSize());
         mProcess = new ProcessMembership(self, options.fleetSize(), random.split());
         mMembership = mProcess.members();
         mStop =
--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -84,6 +84,7 @@
         mSettings =
                 new SettingsReplica(
                         SettingsReplicaOptions.of(self.id(), self.locality(), random.split()));
+        mSettings.onFleetSize(options.fleetSize());
         mProcess = new ProcessMembership(self, options.fleetSize(), random.split());
         mMembership = mProcess.members();
         mStop = new StopPlan(new StopOptions(0, options.stopTimeoutNanos(), 0));
