--- a/src/main/java/ebonygw/bench/path/PathBench.java
+++ b/src/main/java/ebonygw/bench/path/PathBench.java
@@ -35,6 +35,9 @@
         @Option(name = "--json", usage = "print the figures as JSON")
         private boolean mJson;
 
+        @Option(name = "--check", usage = "end with status 1 if a target is missed")
+        private boolean mCheck;
+
         @Option(name = "--requests", usage = "requests of each latency run")
         private int mRequests = 4_000;
 
@@ -75,7 +78,8 @@
         }
         PathResult result = measure(arguments);
         out.println(arguments.mJson ? new ObjectMapper().writeValueAsString(result) : text(result));
-        return result.failures() == 0 ? OK : FAILED;
+        boolean kept = !arguments.mCheck || result.meetsTargets();
+        return result.failures() == 0 && kept ? OK : FAILED;
     }
 
     private static double micros(Histogram histogram, double percentile) {
--- a/src/main/java/ebonygw/bench/path/PathResult.java
+++ b/src/main/java/ebonygw/bench/path/PathResult.java
@@ -23,6 +23,9 @@
         @JsonProperty("cores_used") double coresUsed,
         @JsonProperty("requests_per_second_per_core") double requestsPerSecondPerCore,
         @JsonProperty("failures") long failures) {
+    private static final double MOST_ADDED_P50_MICROS = 1_000;
+    private static final double LEAST_REQUESTS_PER_SECOND_PER_CORE = 5_000;
+
     /** Returns the median time that the path adds, in microseconds. */
     @JsonProperty("added_p50_us")
     double addedP50Micros() {
@@ -34,4 +37,11 @@
     double addedP99Micros() {
         return pathP99Micros - directP99Micros;
     }
+
+    /** Returns whether the figures keep the targets of the path. */
+    @JsonProperty("meets_targets")
+    boolean meetsTargets() {
+        return addedP50Micros() < MOST_ADDED_P50_MICROS
+                && requestsPerSecondPerCore >= LEAST_REQUESTS_PER_SECOND_PER_CORE;
+    }
 }
--- a/src/test/java/ebonygw/bench/path/PathBenchTest.java
+++ b/src/test/java/ebonygw/bench/path/PathBenchTest.java
@@ -27,6 +27,13 @@
         assertThat(result.path("requests_per_second_per_core").asDouble()).isPositive();
     }
 
+    @Test
+    void targetsAreMissedByTooMuchAddedTimeOrTooFewRequestsForEachCore() {
+        assertThat(result(1_000, 5_000).meetsTargets()).isTrue();
+        assertThat(result(1_101, 5_000).meetsTargets()).isFalse();
+        assertThat(result(1_000, 4_999).meetsTargets()).isFalse();
+    }
+
     @Test
     void wrongArgumentsAreRefused() throws Exception {
         assertThat(run("--requests=0")).isEqualTo(Command.USAGE);
@@ -34,6 +41,10 @@
         assertThat(mErr.toString(StandardCharsets.UTF_8)).contains("bench path:");
     }
 
+    private static PathResult result(double pathP50Micros, double perCore) {
+        return new PathResult(100, 200, pathP50Micros, 2_000, 5_000, 1, perCore, 0);
+    }
+
     private int run(String... args) throws Exception {
         return new PathBench()
                 .run(List.of(args), new PrintStream(mOut, true), new PrintStream(mErr, true));
