--- a/src/test/java/ebonygw/NodeFleet.java
+++ b/src/test/java/ebonygw/NodeFleet.java
@@ -85,10 +85,10 @@
         mBeginNanos = mNowNanos;
     }
 
-    /** A caller asks; every fourth request books and may not be repeated. */
+    /** A caller asks; every second request books and may not be repeated. */
     void ask() {
         long exchange = mNextExchange++;
-        boolean books = exchange % 4 == 0;
+        boolean books = exchange % 2 == 0;
         int key = mRandom.nextInt(2);
         String adapter = "a" + mRandom.nextInt(6) + "@" + (1 + mRandom.nextInt(2));
         Payload payload =
