--- a/src/test/java/ebonygw/caller/WholePathTest.java
+++ b/src/test/java/ebonygw/caller/WholePathTest.java
@@ -5,10 +5,17 @@
 import ebonygw.dev.DevFleet;
 import ebonygw.dev.DevPlatform;
 import ebonygw.dev.DevSettings;
+import ebonygw.settings.Edit;
+import ebonygw.settings.Field;
+import ebonygw.settings.FieldValue;
+import ebonygw.settings.NodeKey;
+import ebonygw.settings.SettingsChange;
 import ebonygw.standin.EngineStandIn;
 import ebonygw.standin.EngineStandInOptions;
 import ebonygw.standin.SeenRequest;
 import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -18,6 +25,9 @@
 class WholePathTest {
     private static final String ANY_PORT = "127.0.0.1:0";
     private static final String AUTH = "Authorization: Bearer " + SmallSettings.KEY + "\r\n";
+    private static final int TOKENS = 190_000;
+    private static final long TIMEOUT_MILLIS = 3_600_000;
+    private static final long RATE = 1_000_000_000L;
     private static final String ADAPTER = DevSettings.ADAPTER + "1";
 
     private static DevPlatform sPlatform;
@@ -26,11 +36,22 @@
 
     @BeforeAll
     static void start() throws Exception {
-        EngineStandInOptions options = EngineStandInOptions.local().withSpeed(100, 500);
+        EngineStandInOptions options = EngineStandInOptions.local().withSpeed(50_000, TOKENS);
         sPlatform = new DevPlatform(1, 1, options);
         sEngine = sPlatform.engines().get(0);
-        sFleet = new DevFleet(sPlatform, ANY_PORT, ANY_PORT);
+        sFleet = new DevFleet(sPlatform, ANY_PORT, ANY_PORT, Optional.empty());
         sFleet.settle("atlas", SmallSettings.KEY_HASH);
+        NodeKey customer = NodeKey.parse("customer/atlas");
+        FieldValue rate = new FieldValue.Whole(RATE);
+        List<Edit> edits =
+                List.of(
+                        new Edit.Assign(customer, Field.RATE, rate),
+                        new Edit.Assign(customer, Field.BURST, rate),
+                        new Edit.Assign(
+                                NodeKey.parse("route/completions"),
+                                Field.TIMEOUT_MILLIS,
+                                new FieldValue.Whole(TIMEOUT_MILLIS)));
+        sFleet.entry().submit(new SettingsChange("rate", "test", "", -1, 0, edits)).get();
     }
 
     @AfterAll
@@ -92,7 +113,7 @@
     void aCallerThatLeavesCancelsItsRunAtTheEngine() throws Exception {
         int before = sEngine.cancelled();
         try (RawCaller caller = caller()) {
-            String body = completion("@1", "\"stream\":true,", 500);
+            String body = completion("@1", "\"stream\":true,", TOKENS);
             caller.send(RawCaller.post("/v1/completions", AUTH, body));
             caller.until("token2");
         }
@@ -103,6 +124,22 @@
         assertThat(sEngine.cancelled()).isEqualTo(before + 1);
     }
 
+    @Test
+    void aCallerThatTakesNothingStopsItsEngine() throws Exception {
+        try (RawCaller caller = caller()) {
+            String body = completion("@1", "\"stream\":true,", TOKENS);
+            caller.send(RawCaller.post("/v1/completions", AUTH, body));
+            caller.until("token2");
+            long first = sEngine.tokens();
+            long before = -1;
+            while (before != sEngine.tokens()) {
+                before = sEngine.tokens();
+                TimeUnit.MILLISECONDS.sleep(500);
+            }
+            assertThat(before - first).isLessThan(TOKENS - 1000);
+        }
+    }
+
     @Test
     void aCutStreamTellsItsCallerThatItIsBroken() throws Exception {
         try (RawCaller caller = caller()) {
