--- a/src/main/java/ebonygw/admission/Borrower.java
+++ b/src/main/java/ebonygw/admission/Borrower.java
@@ -99,7 +99,7 @@
 
     /** Ends a request; gives back up to {@code unused} of what it took. */
     void settle(long ticket, long unused, long nowNanos, Outbox out) {
-        List<Part> parts = mCharges.remove(ticket);
+        List<Part> parts = mCharges.isEmpty() ? null : mCharges.remove(ticket);
         if (parts == null) {
             return;
         }
--- a/src/main/java/ebonygw/admission/CustomerShare.java
+++ b/src/main/java/ebonygw/admission/CustomerShare.java
@@ -37,11 +37,11 @@
     private long mDemandAt;
     private long mLargest;
 
-    CustomerShare(String customer, int shard, Terms terms, long longestUse, LongSupplier loanIds) {
+    CustomerShare(String customer, int shard, Terms terms, LongSupplier loanIds) {
         mCustomer = customer;
         mShard = shard;
         mTerms = terms;
-        mLender = new Lender(mBucket, longestUse);
+        mLender = new Lender(mBucket);
         mBorrower = new Borrower(customer, loanIds);
     }
 
--- a/src/main/java/ebonygw/admission/Lender.java
+++ b/src/main/java/ebonygw/admission/Lender.java
@@ -20,19 +20,10 @@
 
     private final TokenBucket mBucket;
     private final Map<Key, Lent> mLoans = new HashMap<>();
-    private final long mLongestUseNanos;
     private long mLastId;
 
-    /**
-     * Creates a lender.
-     *
-     * @param bucket where the tokens are taken from
-     * @param longestUseNanos after how long a loan that was not returned comes back whole, 0 for
-     *     never
-     */
-    Lender(TokenBucket bucket, long longestUseNanos) {
+    Lender(TokenBucket bucket) {
         mBucket = bucket;
-        mLongestUseNanos = longestUseNanos;
     }
 
     /** Gives nothing of the open loans a way back; they run out on their own. */
@@ -94,11 +85,7 @@
             if (!lent.mReleased) {
                 continue;
             }
-            boolean lapsed = mLongestUseNanos > 0 && age > mLongestUseNanos;
-            if (lapsed) {
-                mBucket.giveBack(lent.mChargeId, lent.mAmount);
-            }
-            if (lapsed || age > KEEP_NANOS || !mBucket.hasCharge(lent.mChargeId)) {
+            if (age > KEEP_NANOS || !mBucket.hasCharge(lent.mChargeId)) {
                 mBucket.settled(lent.mChargeId);
                 all.remove();
             }
--- a/src/main/java/ebonygw/admission/Resource.java
+++ b/src/main/java/ebonygw/admission/Resource.java
@@ -6,12 +6,10 @@
  * A fleet-wide resource that is divided like a customer's tokens but is not in the settings.
  *
  * @param name its name; must not be a customer's
- * @param ratePerSecond units a second over the whole fleet, 0 if units come back by return alone
+ * @param ratePerSecond units a second over the whole fleet
  * @param burst most units at once over the whole fleet
- * @param longestUseNanos after how long a lent unit that was not returned counts as returned, 0 for
- *     never
  */
-public record Resource(String name, long ratePerSecond, long burst, long longestUseNanos) {
+public record Resource(String name, double ratePerSecond, long burst) {
     /**
      * Creates a resource.
      *
@@ -20,7 +18,7 @@
      */
     public Resource {
         Objects.requireNonNull(name, "name");
-        if (ratePerSecond < 0 || burst < 0 || longestUseNanos < 0) {
+        if (!(ratePerSecond >= 0) || burst < 0) {
             throw new IllegalArgumentException("below 0: " + name);
         }
     }
--- a/src/main/java/ebonygw/admission/ShareNode.java
+++ b/src/main/java/ebonygw/admission/ShareNode.java
@@ -57,6 +57,7 @@
     private final Set<CustomerShare> mActive = new LinkedHashSet<>();
     private final List<AdmissionDecision> mDecisions = new ArrayList<>();
     private final ArrayDeque<ShareMessage> mToSelf = new ArrayDeque<>();
+    private final Sender mSender = new Sender();
     private long mLastLoan;
     private SettingsView mSettings;
     private long mStoppingSince;
@@ -517,21 +518,10 @@
     }
 
     private Outbox sender(Outbox out) {
-        return new Outbox() {
-            @Override
-            public void keyValue(long callId, KeyValueCall call) {
-                out.keyValue(callId, call);
-            }
-
-            @Override
-            public void send(NodeId to, Message message) {
-                if (to.equals(mPeers.self().id())) {
-                    mToSelf.add((ShareMessage) message);
-                } else {
-                    out.send(to, message);
-                }
-            }
-        };
+        if (out != mSender) {
+            mSender.mOut = out;
+        }
+        return mSender;
     }
 
     private int shardOf(String customer) {
@@ -543,11 +533,8 @@
         if (known != null) {
             return known;
         }
-        Resource resource = mResources.get(customer);
-        long longest = resource == null ? 0 : resource.longestUseNanos();
         CustomerShare share =
-                new CustomerShare(
-                        customer, shardOf(customer), terms(customer), longest, () -> ++mLastLoan);
+                new CustomerShare(customer, shardOf(customer), terms(customer), () -> ++mLastLoan);
         mShares.put(customer, share);
         return share;
     }
@@ -566,11 +553,11 @@
                 .orElse(new Terms(revision, 0, 0));
     }
 
-    private static Terms terms(long revision, long ratePerSecond, long burst) {
-        long rate = Math.min(MAX_RATE_PER_SECOND, Math.max(0, ratePerSecond));
+    private static Terms terms(long revision, double ratePerSecond, long burst) {
+        double rate = Math.min(MAX_RATE_PER_SECOND, Math.max(0, ratePerSecond));
         return new Terms(
                 revision,
-                rate * TokenBucket.UNITS_PER_TOKEN,
+                (long) (rate * TokenBucket.UNITS_PER_TOKEN),
                 Math.max(0, burst) * TokenBucket.UNITS_PER_TOKEN);
     }
 
@@ -590,6 +577,25 @@
         }
     }
 
+    /** Keeps messages to this process itself back, to be handled when the present one is done. */
+    private final class Sender implements Outbox {
+        private Outbox mOut;
+
+        @Override
+        public void keyValue(long callId, KeyValueCall call) {
+            mOut.keyValue(callId, call);
+        }
+
+        @Override
+        public void send(NodeId to, Message message) {
+            if (to.equals(mPeers.self().id())) {
+                mToSelf.add((ShareMessage) message);
+            } else {
+                mOut.send(to, message);
+            }
+        }
+    }
+
     private static final class Reported {
         private long mSentAt;
         private long mRate;
--- /dev/null
+++ b/src/test/java/ebonygw/admission/ShareCodecTest.java
@@ -0,0 +1,39 @@
+package ebonygw.admission;
+
+import static ebonygw.admission.ShareTesting.A;
+import static ebonygw.admission.ShareTesting.B;
+import static ebonygw.admission.ShareTesting.TERMS;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import ebonygw.wire.SharesProtocol.SharesEnvelope;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ShareCodecTest {
+    @Test
+    void everyMessageComesBackAsItWas() {
+        List<ShareMessage> messages =
+                List.of(
+                        new ShareMessage.Adopt(3, 4, A, List.of(A, B)),
+                        new ShareMessage.Adopted(
+                                3, 4, List.of(new ShareMessage.Holding("c", 5, 6))),
+                        new ShareMessage.Ask("c", 1, 2),
+                        new ShareMessage.Assign("c", 1, 2, 3, 4, 5, TERMS),
+                        new ShareMessage.Assigned("c", 1, 2, 3, 4, 5),
+                        new ShareMessage.Demand("c", 1, 2, 3, 4, true),
+                        new ShareMessage.Grant("c", 1, 2, 3, List.of(A.id())),
+                        new ShareMessage.Heartbeat(1, 2, -3),
+                        new ShareMessage.HeartbeatAck(1, 2, 3),
+                        new ShareMessage.Return("c", 1, 2, true));
+        for (ShareMessage message : messages) {
+            assertThat(ShareCodec.decode(ShareCodec.encode(message))).isEqualTo(message);
+        }
+    }
+
+    @Test
+    void anEnvelopeWithoutAMessageIsRefused() {
+        assertThatThrownBy(() -> ShareCodec.decode(SharesEnvelope.getDefaultInstance()))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+}
