A large request is not refused for its deadline on the word of short answers

Cause: the estimate spread a short answer's whole time over its few tokens and scaled it to any size; a request of 190,000 tokens was refused with a 60 s limit after short answers. Change: the estimate reaches four times the largest answer so far at most. Before: shortAnswersSayLittleAboutALargeRequest fails (950 s); after: it passes (0.2 s).

--- a/src/main/java/ebonygw/scheduling/ServiceTime.java
+++ b/src/main/java/ebonygw/scheduling/ServiceTime.java
@@ -5,7 +5,11 @@
     private static final double SMOOTHING = 0.05;
     private static final double OPTIMISM = 0.5;
 
+    /** How many times the tokens of the largest answer so far the estimate reaches at most. */
+    private static final double REACH = 4;
+
     private double mNanosPerToken;
+    private long mLargestUsed;
     private double mUsedOfCharge = 1;
 
     /**
@@ -17,7 +21,8 @@
      * @param concurrency works that run together
      */
     long leastNanos(long charge, long ahead, double share, int concurrency) {
-        double own = charge * mUsedOfCharge * mNanosPerToken;
+        double known = Math.min(charge * mUsedOfCharge, REACH * mLargestUsed);
+        double own = known * mNanosPerToken;
         double wait = ahead * mUsedOfCharge * mNanosPerToken / (share * concurrency);
         return (long) (OPTIMISM * (own + wait));
     }
@@ -26,6 +31,7 @@
         if (charge <= 0 || used <= 0) {
             return;
         }
+        mLargestUsed = Math.max(mLargestUsed, used);
         double sample = (double) latencyNanos / used;
         mNanosPerToken =
                 mNanosPerToken == 0
