--- a/src/test/java/ebonygw/NodeProperties.java
+++ b/src/test/java/ebonygw/NodeProperties.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import ebonygw.keyvalue.KeyValueFaults;
+import ebonygw.request.Verdict;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -80,6 +82,22 @@
         }
     }
 
+    @Example
+    void bookingsBrokenOffByRestartsRunOnceAndAreSaidToMayHaveRun() {
+        NodeFleet fleet = new NodeFleet(6504);
+        for (int i = 0; i < 90; i++) {
+            passUnderLoad(fleet, 60);
+            fleet.mEngines.get(NodeFleet.TARGETS.get(2 + i % 2)).restart(fleet.mNowNanos);
+        }
+        fleet.pass(23_000 * MILLI);
+        fleet.check();
+        assertThat(fleet.mEntry.mAsked.values())
+                .anyMatch(
+                        asked ->
+                                asked.mRefusal != null
+                                        && asked.mRefusal.verdict() == Verdict.MAY_HAVE_RUN);
+    }
+
     @Provide
     Arbitrary<List<Step>> plannedStops() {
         return steps(Arbitraries.of(Fault.NONE, Fault.STOP_TARGET, Fault.REPLACE_ENTRY))
