Links linger for a second after a stop was asked for

A target process without open attempts ended some 50 ms after the signal; what an entry had sent before it heard of the stop would have been lost with the link. The links now stay up, and the node answers, until a second after the stop was asked for.

--- a/src/main/java/ebonygw/process/NodeRuntime.java
+++ b/src/main/java/ebonygw/process/NodeRuntime.java
@@ -32,6 +32,7 @@
  */
 final class NodeRuntime<E> implements AutoCloseable {
     private static final long DUMP_TIMEOUT_SECONDS = 5;
+    private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final NodeEvents<E> mEvents;
     private final WallClock mClock = new WallClock();
@@ -42,6 +43,7 @@
     private final CountDownLatch mExit = new CountDownLatch(1);
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile Supplier<Map<String, Object>> mDump = Map::of;
+    private volatile long mStopAskedNanos;
 
     /**
      * Starts to listen for links; nothing is handled before {@link #start}.
@@ -89,6 +91,7 @@
     /** Asks the node to stop gracefully. */
     void askStop() {
         LogLine.of("stop_asked").with("node", self().id()).info();
+        mStopAskedNanos = mClock.nanos();
         mLoop.put(mEvents.stopAsked());
     }
 
@@ -101,12 +104,20 @@
         return mExit.await(timeoutNanos, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Closes links and threads; idempotent.
+     *
+     * <p>After a stop was asked for, the links stay up for a while, so that what others sent before
+     * they heard of it is still answered.
+     */
     @Override
     public void close() {
-        if (mClosed.compareAndSet(false, true)) {
-            mPeers.close();
-            mLoop.close();
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
         }
+        linger();
+        mPeers.close();
+        mLoop.close();
     }
 
     /** Returns the state of the whole process, read on the control thread. */
@@ -198,6 +209,16 @@
         return control;
     }
 
+    private void linger() {
+        long left = mStopAskedNanos + LINGER_NANOS - mClock.nanos();
+        try {
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, left));
+        } catch (InterruptedException interrupted) {
+            LogLine.of("linger_interrupted").warn();
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Passes what happens on the links to the control thread. */
     private final class Links implements PeerListener {
         @Override
--- a/src/test/java/ebonygw/dev/RollingReplacementTest.java
+++ b/src/test/java/ebonygw/dev/RollingReplacementTest.java
@@ -63,7 +63,7 @@
         Thread.sleep(PHASE_MILLIS);
         firstEntry.terminate();
         assertThat(firstEntry.exitStatus()).as(firstEntry.log()).isZero();
-        assertThat(load.errors()).as("errors of planned stops").isEmpty();
+        assertThat(load.errors()).as("errors of planned stops: %s", logs()).isEmpty();
 
         secondTarget.kill();
         Thread.sleep(2 * PHASE_MILLIS);
@@ -89,6 +89,12 @@
                 });
     }
 
+    private String logs() {
+        StringBuilder logs = new StringBuilder();
+        mChildren.forEach(child -> logs.append('\n').append(child.log()));
+        return logs.toString();
+    }
+
     private ChildProcess entry(String id) throws Exception {
         List<String> flags = flags(id);
         flags.add("--caller-address=127.0.0.1:0");
--- /dev/null
+++ b/src/test/java/ebonygw/process/TargetProcessTest.java
@@ -0,0 +1,119 @@
+package ebonygw.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.TargetEffect;
+import ebonygw.TargetEvent;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberMessage;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.peer.PeerCodec;
+import ebonygw.peer.PeerListener;
+import ebonygw.peer.PeerOptions;
+import ebonygw.peer.PeerTransport;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.settings.FakeSettings;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TargetProcessTest {
+    private static final long WAIT_SECONDS = 20;
+    private static final String NOBODY = "127.0.0.1:1";
+
+    @Test
+    void whatAnEntrySentBeforeItHeardOfTheStopIsStillAnswered() throws Exception {
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        TargetProcess target = TargetProcess.start(settings(), Map.of(), TargetProcessTest::node);
+        try (PeerTransport entry = entry(seen)) {
+            entry.links(Set.of(target.self()));
+            assertThat(seen.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("up");
+            target.askStop();
+            assertThat(target.awaitExit(TimeUnit.SECONDS.toNanos(WAIT_SECONDS))).isTrue();
+            Thread closing = new Thread(target::close);
+            closing.start();
+            entry.send(target.self().id(), new MemberMessage.Heartbeat(1, 0));
+            assertThat(seen.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("answer 1");
+            assertThat(seen.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("down");
+            closing.join();
+        }
+    }
+
+    private static PeerTransport entry(BlockingQueue<String> seen) {
+        Member self =
+                new Member(
+                        new NodeId("entry-1"),
+                        1,
+                        Role.ENTRY,
+                        MemberState.LIVE,
+                        new Locality("kingston", "kingston-1"),
+                        "127.0.0.1:0",
+                        "");
+        return new PeerTransport(
+                self,
+                PeerOptions.defaults(),
+                new PeerCodec(List.of()),
+                Optional.empty(),
+                new Random(1),
+                new Seen(seen));
+    }
+
+    private static NodeDriver<TargetEvent, TargetEffect> node(Member self) {
+        NodeDriver.Handler<TargetEvent, TargetEffect> handler =
+                (event, now, effects) -> {
+                    if (event instanceof TargetEvent.PeerSaid said
+                            && said.message() instanceof MemberMessage.Heartbeat heartbeat) {
+                        effects.accept(new TargetEffect.Send(said.peer(), heartbeat));
+                    } else if (event instanceof TargetEvent.StopAsked) {
+                        effects.accept(new TargetEffect.Exit());
+                    }
+                };
+        return new NodeDriver<>(handler, Map::of, () -> true, FakeSettings::new);
+    }
+
+    private static TargetSettings settings() throws SettingsException {
+        return FlagParser.ofTarget()
+                .parse(
+                        List.of(
+                                "--id=service-1",
+                                "--region=kingston",
+                                "--data-center=kingston-1",
+                                "--peer-address=127.0.0.1:0",
+                                "--operator-address=127.0.0.1:0",
+                                "--kind=service",
+                                "--serves=bookings",
+                                "--target=" + NOBODY,
+                                "--key-value=http://" + NOBODY,
+                                "--host-list=http://" + NOBODY + "/hosts"),
+                        Map.of());
+    }
+
+    /** Writes down what an entry hears of its links. */
+    private record Seen(BlockingQueue<String> seen) implements PeerListener {
+        @Override
+        public void down(NodeId peer, long incarnation) {
+            seen.add("down");
+        }
+
+        @Override
+        public void message(NodeId peer, long incarnation, Message message) {
+            if (message instanceof MemberMessage.Heartbeat heartbeat) {
+                seen.add("answer " + heartbeat.sequence());
+            }
+        }
+
+        @Override
+        public void up(NodeId peer, long incarnation) {
+            seen.add("up");
+        }
+    }
+}
