--- a/src/main/java/ebonygw/peer/PeerTransport.java
+++ b/src/main/java/ebonygw/peer/PeerTransport.java
@@ -31,7 +31,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -234,6 +233,7 @@
                 .with("opened_here", link.openedHere())
                 .info();
         mListener.up(peer.id(), peer.incarnation());
+        link.wanted(mDialers.containsKey(peer.id()));
     }
 
     /** Returns this process's hello. */
@@ -403,10 +403,11 @@
             }
         }
         mDialers.keySet().retainAll(ids);
-        List<Link> links = new ArrayList<>(mAll);
-        for (Link link : links) {
-            if (link.openedHere() && !ids.contains(link.expected().get().id())) {
-                link.closeAfterFlush("not_wanted");
+        for (Link link : new ArrayList<>(mAll)) {
+            if (link.isUp()) {
+                link.wanted(ids.contains(link.peer().id()));
+            } else if (link.openedHere() && !ids.contains(link.expected().get().id())) {
+                link.close("not_wanted", "");
             }
         }
     }
--- a/src/test/java/ebonygw/peer/PeerTransportTest.java
+++ b/src/test/java/ebonygw/peer/PeerTransportTest.java
@@ -123,6 +123,23 @@
         entry.await("down target-1/1");
     }
 
+    @Test
+    void aLinkStaysWhileOneEndWantsItWhoeverOpenedIt() throws Exception {
+        TestPeer opener = node("a", 1, Role.TARGET);
+        TestPeer other = node("b", 1, Role.ENTRY);
+        opener.transport().links(Set.of(other.transport().self()));
+        opener.await("hello b JOINING");
+        other.await("hello a JOINING");
+        other.transport().links(Set.of(opener.transport().self()));
+        opener.transport().links(Set.of());
+        assertThat(other.seen().poll(2_000, TimeUnit.MILLISECONDS)).isNull();
+        other.transport().send(opener.id(), new MemberMessage.Heartbeat(1, 0));
+        assertThat(opener.next()).isEqualTo("heartbeat 1");
+        other.transport().links(Set.of());
+        assertThat(other.next()).isEqualTo("down a/1");
+        assertThat(opener.next()).isEqualTo("down b/1");
+    }
+
     @Test
     void aPeerThatFallsSilentIsReportedAsDown() throws Exception {
         PeerOptions quick =
