--- a/src/main/java/ebonygw/peer/Link.java
+++ b/src/main/java/ebonygw/peer/Link.java
@@ -31,6 +31,7 @@
  */
 final class Link extends SimpleChannelInboundHandler<Envelope> {
     private static final int FLUSH_MESSAGES = 256;
+    private static final long UNWANTED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final PeerTransport mTransport;
     private final Optional<Member> mExpected;
@@ -41,6 +42,8 @@
     private Envelope mHello;
     private Member mPeer;
     private boolean mClosed;
+    private boolean mWantedHere;
+    private boolean mWantedThere;
     private volatile long mSent;
     private volatile long mReceived;
 
@@ -53,6 +56,8 @@
     Link(PeerTransport transport, Optional<Member> expected) {
         mTransport = transport;
         mExpected = expected;
+        mWantedHere = expected.isPresent();
+        mWantedThere = expected.isEmpty();
     }
 
     @Override
@@ -185,6 +190,30 @@
         return mSent;
     }
 
+    /** Sets whether this end wants the link and tells the other; closed if neither does. */
+    void wanted(boolean wanted) {
+        if (mWantedHere != wanted) {
+            mWantedHere = wanted;
+            Envelope.Builder envelope = Envelope.newBuilder();
+            envelope.getUseBuilder().setWanted(wanted);
+            mChannel.writeAndFlush(envelope.build());
+        }
+        closeLaterIfUnwanted();
+    }
+
+    private void closeIfUnwanted() {
+        if (!mWantedHere && !mWantedThere) {
+            closeAfterFlush("not_wanted");
+        }
+    }
+
+    private void closeLaterIfUnwanted() {
+        if (!mWantedHere && !mWantedThere) {
+            mChannel.eventLoop()
+                    .schedule(this::closeIfUnwanted, UNWANTED_NANOS, TimeUnit.NANOSECONDS);
+        }
+    }
+
     private void closeUnlessUp() {
         if (!isUp()) {
             close("no_hello", "");
@@ -259,6 +288,11 @@
 
     private void receive(Envelope envelope) {
         mReceived++;
+        if (envelope.hasUse()) {
+            mWantedThere = envelope.getUse().getWanted();
+            closeLaterIfUnwanted();
+            return;
+        }
         Optional<Message> message = mTransport.codec().decode(envelope);
         if (message.isPresent()) {
             mTransport.listener().message(mPeer.id(), mPeer.incarnation(), message.get());
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -105,6 +105,21 @@
      */
     ebonygw.wire.PeerProtocol.MemberUpdatesOrBuilder getUpdatesOrBuilder();
 
+    /**
+     * <code>.ebonygw.LinkUse use = 8;</code>
+     * @return Whether the use field is set.
+     */
+    boolean hasUse();
+    /**
+     * <code>.ebonygw.LinkUse use = 8;</code>
+     * @return The use.
+     */
+    ebonygw.wire.PeerProtocol.LinkUse getUse();
+    /**
+     * <code>.ebonygw.LinkUse use = 8;</code>
+     */
+    ebonygw.wire.PeerProtocol.LinkUseOrBuilder getUseOrBuilder();
+
     /**
      * <code>.ebonygw.TargetLoad load = 6;</code>
      * @return Whether the load field is set.
@@ -310,6 +325,7 @@
       REPORT(3),
       DIGEST(4),
       UPDATES(5),
+      USE(8),
       LOAD(6),
       RUN(10),
       HEAD(11),
@@ -342,6 +358,7 @@
           case 3: return REPORT;
           case 4: return DIGEST;
           case 5: return UPDATES;
+          case 8: return USE;
           case 6: return LOAD;
           case 10: return RUN;
           case 11: return HEAD;
@@ -522,6 +539,37 @@
       return ebonygw.wire.PeerProtocol.MemberUpdates.getDefaultInstance();
     }
 
+    public static final int USE_FIELD_NUMBER = 8;
+    /**
+     * <code>.ebonygw.LinkUse use = 8;</code>
+     * @return Whether the use field is set.
+     */
+    @java.lang.Override
+    public boolean hasUse() {
+      return kindCase_ == 8;
+    }
+    /**
+     * <code>.ebonygw.LinkUse use = 8;</code>
+     * @return The use.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.LinkUse getUse() {
+      if (kindCase_ == 8) {
+         return (ebonygw.wire.PeerProtocol.LinkUse) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.LinkUse use = 8;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.LinkUseOrBuilder getUseOrBuilder() {
+      if (kindCase_ == 8) {
+         return (ebonygw.wire.PeerProtocol.LinkUse) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+    }
+
     public static final int LOAD_FIELD_NUMBER = 6;
     /**
      * <code>.ebonygw.TargetLoad load = 6;</code>
@@ -864,6 +912,9 @@
       if (kindCase_ == 6) {
         output.writeMessage(6, (ebonygw.wire.PeerProtocol.TargetLoad) kind_);
       }
+      if (kindCase_ == 8) {
+        output.writeMessage(8, (ebonygw.wire.PeerProtocol.LinkUse) kind_);
+      }
       if (kindCase_ == 10) {
         output.writeMessage(10, (ebonygw.wire.PeerProtocol.Run) kind_);
       }
@@ -919,6 +970,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, (ebonygw.wire.PeerProtocol.TargetLoad) kind_);
       }
+      if (kindCase_ == 8) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, (ebonygw.wire.PeerProtocol.LinkUse) kind_);
+      }
       if (kindCase_ == 10) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(10, (ebonygw.wire.PeerProtocol.Run) kind_);
@@ -1001,6 +1056,10 @@
           if (!getUpdates()
               .equals(other.getUpdates())) return false;
           break;
+        case 8:
+          if (!getUse()
+              .equals(other.getUse())) return false;
+          break;
         case 6:
           if (!getLoad()
               .equals(other.getLoad())) return false;
@@ -1076,6 +1135,10 @@
           hash = (37 * hash) + UPDATES_FIELD_NUMBER;
           hash = (53 * hash) + getUpdates().hashCode();
           break;
+        case 8:
+          hash = (37 * hash) + USE_FIELD_NUMBER;
+          hash = (53 * hash) + getUse().hashCode();
+          break;
         case 6:
           hash = (37 * hash) + LOAD_FIELD_NUMBER;
           hash = (53 * hash) + getLoad().hashCode();
@@ -1265,6 +1328,9 @@
         if (updatesBuilder_ != null) {
           updatesBuilder_.clear();
         }
+        if (useBuilder_ != null) {
+          useBuilder_.clear();
+        }
         if (loadBuilder_ != null) {
           loadBuilder_.clear();
         }
@@ -1356,6 +1422,10 @@
             updatesBuilder_ != null) {
           result.kind_ = updatesBuilder_.build();
         }
+        if (kindCase_ == 8 &&
+            useBuilder_ != null) {
+          result.kind_ = useBuilder_.build();
+        }
         if (kindCase_ == 6 &&
             loadBuilder_ != null) {
           result.kind_ = loadBuilder_.build();
@@ -1431,6 +1501,10 @@
             mergeUpdates(other.getUpdates());
             break;
           }
+          case USE: {
+            mergeUse(other.getUse());
+            break;
+          }
           case LOAD: {
             mergeLoad(other.getLoad());
             break;
@@ -1541,6 +1615,13 @@
                 kindCase_ = 6;
                 break;
               } // case 50
+              case 66: {
+                input.readMessage(
+                    internalGetUseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 8;
+                break;
+              } // case 66
               case 82: {
                 input.readMessage(
                     internalGetRunFieldBuilder().getBuilder(),
@@ -2336,6 +2417,146 @@
         return updatesBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.LinkUse, ebonygw.wire.PeerProtocol.LinkUse.Builder, ebonygw.wire.PeerProtocol.LinkUseOrBuilder> useBuilder_;
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       * @return Whether the use field is set.
+       */
+      @java.lang.Override
+      public boolean hasUse() {
+        return kindCase_ == 8;
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       * @return The use.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.LinkUse getUse() {
+        if (useBuilder_ == null) {
+          if (kindCase_ == 8) {
+            return (ebonygw.wire.PeerProtocol.LinkUse) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+        } else {
+          if (kindCase_ == 8) {
+            return useBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      public Builder setUse(ebonygw.wire.PeerProtocol.LinkUse value) {
+        if (useBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          useBuilder_.setMessage(value);
+        }
+        kindCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      public Builder setUse(
+          ebonygw.wire.PeerProtocol.LinkUse.Builder builderForValue) {
+        if (useBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          useBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      public Builder mergeUse(ebonygw.wire.PeerProtocol.LinkUse value) {
+        if (useBuilder_ == null) {
+          if (kindCase_ == 8 &&
+              kind_ != ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.LinkUse.newBuilder((ebonygw.wire.PeerProtocol.LinkUse) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 8) {
+            useBuilder_.mergeFrom(value);
+          } else {
+            useBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      public Builder clearUse() {
+        if (useBuilder_ == null) {
+          if (kindCase_ == 8) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 8) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          useBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      public ebonygw.wire.PeerProtocol.LinkUse.Builder getUseBuilder() {
+        return internalGetUseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.LinkUseOrBuilder getUseOrBuilder() {
+        if ((kindCase_ == 8) && (useBuilder_ != null)) {
+          return useBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 8) {
+            return (ebonygw.wire.PeerProtocol.LinkUse) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.LinkUse use = 8;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.LinkUse, ebonygw.wire.PeerProtocol.LinkUse.Builder, ebonygw.wire.PeerProtocol.LinkUseOrBuilder> 
+          internalGetUseFieldBuilder() {
+        if (useBuilder_ == null) {
+          if (!(kindCase_ == 8)) {
+            kind_ = ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+          }
+          useBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.LinkUse, ebonygw.wire.PeerProtocol.LinkUse.Builder, ebonygw.wire.PeerProtocol.LinkUseOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.LinkUse) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 8;
+        onChanged();
+        return useBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           ebonygw.wire.PeerProtocol.TargetLoad, ebonygw.wire.PeerProtocol.TargetLoad.Builder, ebonygw.wire.PeerProtocol.TargetLoadOrBuilder> loadBuilder_;
       /**
@@ -6348,6 +6569,456 @@
 
   }
 
+  public interface LinkUseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.LinkUse)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>bool wanted = 1;</code>
+     * @return The wanted.
+     */
+    boolean getWanted();
+  }
+  /**
+   * <pre>
+   * Whether the sender still wants the link; at first its opener does and the other end does not.
+   * </pre>
+   *
+   * Protobuf type {@code ebonygw.LinkUse}
+   */
+  public static final class LinkUse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.LinkUse)
+      LinkUseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "LinkUse");
+    }
+    // Use LinkUse.newBuilder() to construct.
+    private LinkUse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private LinkUse() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_LinkUse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_LinkUse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_LinkUse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.LinkUse.class, ebonygw.wire.PeerProtocol.LinkUse.Builder.class);
+    }
+
+    public static final int WANTED_FIELD_NUMBER = 1;
+    private boolean wanted_ = false;
+    /**
+     * <code>bool wanted = 1;</code>
+     * @return The wanted.
+     */
+    @java.lang.Override
+    public boolean getWanted() {
+      return wanted_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (wanted_ != false) {
+        output.writeBool(1, wanted_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (wanted_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(1, wanted_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.LinkUse)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.LinkUse other = (ebonygw.wire.PeerProtocol.LinkUse) obj;
+
+      if (getWanted()
+          != other.getWanted()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + WANTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWanted());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.LinkUse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.LinkUse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.LinkUse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.LinkUse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Whether the sender still wants the link; at first its opener does and the other end does not.
+     * </pre>
+     *
+     * Protobuf type {@code ebonygw.LinkUse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.LinkUse)
+        ebonygw.wire.PeerProtocol.LinkUseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_LinkUse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_LinkUse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.LinkUse.class, ebonygw.wire.PeerProtocol.LinkUse.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.LinkUse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        wanted_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_LinkUse_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.LinkUse getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.LinkUse build() {
+        ebonygw.wire.PeerProtocol.LinkUse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.LinkUse buildPartial() {
+        ebonygw.wire.PeerProtocol.LinkUse result = new ebonygw.wire.PeerProtocol.LinkUse(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.LinkUse result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.wanted_ = wanted_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.LinkUse) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.LinkUse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.LinkUse other) {
+        if (other == ebonygw.wire.PeerProtocol.LinkUse.getDefaultInstance()) return this;
+        if (other.getWanted() != false) {
+          setWanted(other.getWanted());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                wanted_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private boolean wanted_ ;
+      /**
+       * <code>bool wanted = 1;</code>
+       * @return The wanted.
+       */
+      @java.lang.Override
+      public boolean getWanted() {
+        return wanted_;
+      }
+      /**
+       * <code>bool wanted = 1;</code>
+       * @param value The wanted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWanted(boolean value) {
+
+        wanted_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool wanted = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWanted() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        wanted_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.LinkUse)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.LinkUse)
+    private static final ebonygw.wire.PeerProtocol.LinkUse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.LinkUse();
+    }
+
+    public static ebonygw.wire.PeerProtocol.LinkUse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<LinkUse>
+        PARSER = new com.google.protobuf.AbstractParser<LinkUse>() {
+      @java.lang.Override
+      public LinkUse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<LinkUse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<LinkUse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.LinkUse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface AdapterVersionOrBuilder extends
       // @@protoc_insertion_point(interface_extends:ebonygw.AdapterVersion)
       com.google.protobuf.MessageOrBuilder {
@@ -19788,6 +20459,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_Heartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_LinkUse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_LinkUse_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_AdapterVersion_descriptor;
   private static final 
@@ -19868,67 +20544,68 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\271\004\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\332\004\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
       "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
       "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
-      "ebonygw.MemberUpdatesH\000\022#\n\004load\030\006 \001(\0132\023." +
-      "ebonygw.TargetLoadH\000\022\033\n\003run\030\n \001(\0132\014.ebon" +
-      "ygw.RunH\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000" +
-      "\022\035\n\004body\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r" +
-      " \001(\0132\014.ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.e" +
-      "bonygw.FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonyg" +
-      "w.CancelH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.Cre" +
-      "ditH\000\022-\n\010settings\030\036 \001(\0132\031.ebonygw.Settin" +
-      "gsEnvelopeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.S" +
-      "haresEnvelopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(" +
-      "\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data" +
-      "_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves" +
-      "\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw." +
-      "Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020pro" +
-      "tocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequ" +
-      "ence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004\"2\n" +
-      "\016AdapterVersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007vers" +
-      "ion\030\002 \001(\t\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003" +
-      "(\006\"?\n\rMemberUpdates\022 \n\007members\030\001 \003(\0132\017.e" +
-      "bonygw.Member\022\014\n\004news\030\002 \001(\010\"k\n\nTargetLoa" +
-      "d\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006" +
-      "queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rque" +
-      "ued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010seq" +
-      "uence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003" +
-      " \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_toke" +
-      "ns\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.Ada" +
-      "pterVersion\022(\n\007loading\030\007 \003(\0132\027.ebonygw.A" +
-      "dapterVersion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004" +
-      "\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
-      "\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022" +
-      "\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006ke" +
-      "y_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001" +
-      "(\0132\027.ebonygw.AdapterVersion\022\022\n\nidempoten" +
-      "t\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_toke" +
-      "ns\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_h" +
-      "ash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r " +
-      "\001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebo" +
-      "nygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nan" +
-      "os\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001" +
-      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
-      "\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebo" +
-      "nygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonyg" +
-      "w.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 " +
-      "\001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.e" +
-      "bonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005par" +
-      "ts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed" +
-      "\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007atte" +
-      "mpt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r" +
-      "\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 " +
-      "\001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Requ" +
-      "estId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001" +
-      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
-      "\r\022\r\n\005parts\030\003 \001(\rB\034\n\014ebonygw.wireB\014PeerPr" +
-      "otocolb\006proto3"
+      "ebonygw.MemberUpdatesH\000\022\037\n\003use\030\010 \001(\0132\020.e" +
+      "bonygw.LinkUseH\000\022#\n\004load\030\006 \001(\0132\023.ebonygw" +
+      ".TargetLoadH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.Run" +
+      "H\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004bod" +
+      "y\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014." +
+      "ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw." +
+      "FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cance" +
+      "lH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-" +
+      "\n\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvel" +
+      "opeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEn" +
+      "velopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030\001 \001(\t\022" +
+      "\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005\022\r\n\005st" +
+      "ate\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_center" +
+      "\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030\010 \001(\t\"" +
+      "[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.Member\022" +
+      "\031\n\021settings_revision\030\002 \001(\004\022\030\n\020protocol_v" +
+      "ersion\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequence\030\001 " +
+      "\001(\004\022\031\n\021settings_revision\030\002 \001(\004\"\031\n\007LinkUs" +
+      "e\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersion\022\017\n\007a" +
+      "dapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014MemberD" +
+      "igest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberUpdates\022" +
+      " \n\007members\030\001 \003(\0132\017.ebonygw.Member\022\014\n\004new" +
+      "s\030\002 \001(\010\"k\n\nTargetLoad\022\020\n\010sequence\030\001 \001(\004\022" +
+      "\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013conc" +
+      "urrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\"\302\001\n" +
+      "\014TargetReport\022\020\n\010sequence\030\001 \001(\004\022\017\n\007runni" +
+      "ng\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030" +
+      "\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident" +
+      "\030\006 \003(\0132\027.ebonygw.AdapterVersion\022(\n\007loadi" +
+      "ng\030\007 \003(\0132\027.ebonygw.AdapterVersion\"A\n\tReq" +
+      "uestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001" +
+      " \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132" +
+      "\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010" +
+      "customer\030\003 \001(\t\022\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030" +
+      "\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.ebonygw.Adapter" +
+      "Version\022\022\n\nidempotent\030\007 \001(\010\022\020\n\010priority\030" +
+      "\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(\004\022\022\n\nmax_toke" +
+      "ns\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001(\006\022\020\n\010streame" +
+      "d\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n" +
+      "\007headers\030\017 \003(\0132\017.ebonygw.Header\022\014\n\004body\030" +
+      "\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(\004\022\016\n\006credit\030\022" +
+      " \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
+      "stId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n" +
+      "\007headers\030\004 \003(\0132\017.ebonygw.Header\"T\n\004Body\022" +
+      "\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attem" +
+      "pt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n" +
+      "\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007" +
+      "attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022\023\n\013tokens_u" +
+      "sed\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 \001(\0132\022.ebony" +
+      "gw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 " +
+      "\001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021" +
+      "retry_after_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030" +
+      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
+      "(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
+      "stId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\rB\034\n\014" +
+      "ebonygw.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19941,7 +20618,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Load", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -19960,86 +20637,92 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Heartbeat_descriptor,
         new java.lang.String[] { "Sequence", "SettingsRevision", });
-    internal_static_ebonygw_AdapterVersion_descriptor =
+    internal_static_ebonygw_LinkUse_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_ebonygw_LinkUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_LinkUse_descriptor,
+        new java.lang.String[] { "Wanted", });
+    internal_static_ebonygw_AdapterVersion_descriptor =
+      getDescriptor().getMessageType(5);
     internal_static_ebonygw_AdapterVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterVersion_descriptor,
         new java.lang.String[] { "Adapter", "Version", });
     internal_static_ebonygw_MemberDigest_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_ebonygw_MemberDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberDigest_descriptor,
         new java.lang.String[] { "Buckets", });
     internal_static_ebonygw_MemberUpdates_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_ebonygw_MemberUpdates_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberUpdates_descriptor,
         new java.lang.String[] { "Members", "News", });
     internal_static_ebonygw_TargetLoad_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_ebonygw_TargetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetLoad_descriptor,
         new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", });
     internal_static_ebonygw_TargetReport_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_ebonygw_TargetReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetReport_descriptor,
         new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", "Resident", "Loading", });
     internal_static_ebonygw_RequestId_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ebonygw_RequestId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_RequestId_descriptor,
         new java.lang.String[] { "Entry", "Incarnation", "Sequence", });
     internal_static_ebonygw_Header_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ebonygw_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_ebonygw_Run_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_ebonygw_Run_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Run_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Customer", "KeyId", "Route", "Adapter", "Idempotent", "Priority", "PromptTokens", "MaxTokens", "PrefixHash", "Streamed", "Method", "Path", "Headers", "Body", "TimeoutNanos", "Credit", });
     internal_static_ebonygw_Head_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ebonygw_Head_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Head_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Status", "Headers", });
     internal_static_ebonygw_Body_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ebonygw_Body_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Body_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Index", "Data", });
     internal_static_ebonygw_End_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ebonygw_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_End_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Parts", "TokensUsed", });
     internal_static_ebonygw_Failed_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_ebonygw_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Failed_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Code", "Verdict", "Detail", "RetryAfterNanos", });
     internal_static_ebonygw_Cancel_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_ebonygw_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Cancel_descriptor,
         new java.lang.String[] { "Id", "Attempt", });
     internal_static_ebonygw_Credit_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_ebonygw_Credit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Credit_descriptor,
