Loans that are of no use are not given, and holders of small customers stay

Cause: under overload several askers each held a part too small for their next request until the loan ran out, and the holders of a small customer changed with each swing of demand, while a share on its way accrues nothing. Change: an ask names the least that is of use, and a holder whose bucket can hold that much gives nothing less; present holders count twentyfold instead of threefold.

--- a/src/main/java/ebonygw/admission/Borrower.java
+++ b/src/main/java/ebonygw/admission/Borrower.java
@@ -39,11 +39,11 @@
     }
 
     /** Asks a lender. */
-    void ask(NodeId lender, long amount, long nowNanos, Outbox out) {
+    void ask(NodeId lender, long amount, long least, long nowNanos, Outbox out) {
         Loan loan = new Loan(mIds.getAsLong(), lender, nowNanos);
         mLoans.put(loan.mId, loan);
         mOpenAsks++;
-        out.send(lender, new ShareMessage.Ask(mCustomer, loan.mId, amount));
+        out.send(lender, new ShareMessage.Ask(mCustomer, loan.mId, amount, least));
     }
 
     /** Returns whether it makes sense to ask a lender now. */
--- a/src/main/java/ebonygw/admission/CustomerShare.java
+++ b/src/main/java/ebonygw/admission/CustomerShare.java
@@ -153,10 +153,17 @@
         return mLargest;
     }
 
-    /** Lends tokens of the bucket, if no own request waits for them. */
+    /**
+     * Lends tokens of the bucket, if no own request waits for them.
+     *
+     * <p>What is of no use to the asker stays here, as long as the bucket can hold enough for it.
+     */
     long lend(ShareMessage.Ask ask, ShareMessage.Holder asker, long nowNanos) {
         mBucket.refill(nowNanos);
         long most = mQueue.isEmpty() ? ask.amount() : 0;
+        if (mBucket.level() < ask.least() && ask.least() <= mBucket.capacity()) {
+            most = 0;
+        }
         return mLender.lend(asker.id(), asker.incarnation(), ask.loan(), most, nowNanos);
     }
 
@@ -166,6 +173,15 @@
         return Math.max(0, mQueued - own - mBorrower.usable(nowNanos));
     }
 
+    /** Returns how many more tokens the first waiting request needs than are at hand, 0 or more. */
+    long missingForNext(long nowNanos, boolean leased) {
+        if (mQueue.isEmpty()) {
+            return 0;
+        }
+        long own = leased ? Math.max(0, mBucket.level()) : 0;
+        return Math.max(0, mQueue.peek().mCost - own - mBorrower.usable(nowNanos));
+    }
+
     /** Takes over what the settings say of the customer; a lower limit is in force at once. */
     void onTerms(Terms terms, long nowNanos) {
         mTerms = terms;
--- a/src/main/java/ebonygw/admission/Ledger.java
+++ b/src/main/java/ebonygw/admission/Ledger.java
@@ -25,7 +25,7 @@
     private static final long RESEND_NANOS = 200_000_000L;
     private static final long DEMAND_AGE_NANOS = 3_000_000_000L;
     private static final int HOLDER_PARTS = 2;
-    private static final int HELD_PREFERENCE = 3;
+    private static final int HELD_PREFERENCE = 20;
     private static final int FREE_PARTS = 50;
     private static final int RAISE_PARTS = 100;
     private static final int LOWER_PARTS = 50;
--- a/src/main/java/ebonygw/admission/LoadBudget.java
+++ b/src/main/java/ebonygw/admission/LoadBudget.java
@@ -160,7 +160,7 @@
         }
         for (NodeId lender : mLenders) {
             if (borrower.mayAsk(lender, nowNanos)) {
-                borrower.ask(lender, missing, nowNanos, out);
+                borrower.ask(lender, missing, missing, nowNanos, out);
                 return;
             }
         }
--- a/src/main/java/ebonygw/admission/ShareCodec.java
+++ b/src/main/java/ebonygw/admission/ShareCodec.java
@@ -37,7 +37,8 @@
                 return decodeAdopted(envelope.getAdopted());
             case ASK:
                 SharesAsk ask = envelope.getAsk();
-                return new ShareMessage.Ask(ask.getCustomer(), ask.getLoan(), ask.getTokens());
+                return new ShareMessage.Ask(
+                        ask.getCustomer(), ask.getLoan(), ask.getTokens(), ask.getLeast());
             case ASSIGN:
                 return decodeAssign(envelope.getAssign());
             case ASSIGNED:
@@ -83,7 +84,8 @@
             envelope.getAskBuilder()
                     .setCustomer(ask.customer())
                     .setLoan(ask.loan())
-                    .setTokens(ask.amount());
+                    .setTokens(ask.amount())
+                    .setLeast(ask.least());
         } else if (message instanceof ShareMessage.Assign assign) {
             encodeAssign(envelope, assign);
         } else if (message instanceof ShareMessage.Assigned assigned) {
--- a/src/main/java/ebonygw/admission/ShareMessage.java
+++ b/src/main/java/ebonygw/admission/ShareMessage.java
@@ -46,8 +46,9 @@
      * @param customer the customer
      * @param loan number of the loan, unique in the asker's incarnation
      * @param amount tokens wanted; fewer may be granted
+     * @param least tokens below which the loan is of no use
      */
-    record Ask(String customer, long loan, long amount) implements ShareMessage {}
+    record Ask(String customer, long loan, long amount, long least) implements ShareMessage {}
 
     /**
      * Replaces a holder's share, owner to holder; repeated until {@link Assigned}.
--- a/src/main/java/ebonygw/admission/ShareNode.java
+++ b/src/main/java/ebonygw/admission/ShareNode.java
@@ -306,6 +306,7 @@
         if (missing == 0) {
             return;
         }
+        long least = share.missingForNext(nowNanos, leased(share, nowNanos));
         List<NodeId> lenders = lenders(share, nowNanos);
         int most = lenders.size() > FEW_HOLDERS ? MOST_ASKS : 1;
         Outbox sender = sender(out);
@@ -314,7 +315,7 @@
                 return;
             }
             if (borrower.mayAsk(lender, nowNanos)) {
-                borrower.ask(lender, missing, nowNanos, sender);
+                borrower.ask(lender, missing, least, nowNanos, sender);
             }
         }
     }
--- a/src/main/java/ebonygw/wire/SharesProtocol.java
+++ b/src/main/java/ebonygw/wire/SharesProtocol.java
@@ -2709,6 +2709,16 @@
      * @return The loan.
      */
     long getLoan();
+
+    /**
+     * <pre>
+     * Fewer are of no use; 0 from processes that do not say.
+     * </pre>
+     *
+     * <code>uint64 least = 4;</code>
+     * @return The least.
+     */
+    long getLeast();
   }
   /**
    * Protobuf type {@code ebonygw.SharesAsk}
@@ -2814,6 +2824,21 @@
       return loan_;
     }
 
+    public static final int LEAST_FIELD_NUMBER = 4;
+    private long least_ = 0L;
+    /**
+     * <pre>
+     * Fewer are of no use; 0 from processes that do not say.
+     * </pre>
+     *
+     * <code>uint64 least = 4;</code>
+     * @return The least.
+     */
+    @java.lang.Override
+    public long getLeast() {
+      return least_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2837,6 +2862,9 @@
       if (loan_ != 0L) {
         output.writeUInt64(3, loan_);
       }
+      if (least_ != 0L) {
+        output.writeUInt64(4, least_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2852,6 +2880,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, loan_);
       }
+      if (least_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, least_);
+      }
       return size;
     }
     @java.lang.Override
@@ -2882,6 +2914,8 @@
           != other.getTokens()) return false;
       if (getLoan()
           != other.getLoan()) return false;
+      if (getLeast()
+          != other.getLeast()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2901,6 +2935,9 @@
       hash = (37 * hash) + LOAN_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getLoan());
+      hash = (37 * hash) + LEAST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLeast());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -3035,6 +3072,7 @@
         customer_ = "";
         tokens_ = 0L;
         loan_ = 0L;
+        least_ = 0L;
         return this;
       }
 
@@ -3077,6 +3115,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.loan_ = loan_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.least_ = least_;
+        }
       }
 
       @java.lang.Override
@@ -3102,6 +3143,9 @@
         if (other.getLoan() != 0L) {
           setLoan(other.getLoan());
         }
+        if (other.getLeast() != 0L) {
+          setLeast(other.getLeast());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -3141,6 +3185,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                least_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3294,6 +3343,50 @@
         return this;
       }
 
+      private long least_ ;
+      /**
+       * <pre>
+       * Fewer are of no use; 0 from processes that do not say.
+       * </pre>
+       *
+       * <code>uint64 least = 4;</code>
+       * @return The least.
+       */
+      @java.lang.Override
+      public long getLeast() {
+        return least_;
+      }
+      /**
+       * <pre>
+       * Fewer are of no use; 0 from processes that do not say.
+       * </pre>
+       *
+       * <code>uint64 least = 4;</code>
+       * @param value The least to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeast(long value) {
+
+        least_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Fewer are of no use; 0 from processes that do not say.
+       * </pre>
+       *
+       * <code>uint64 least = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeast() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        least_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.SharesAsk)
     }
 
@@ -13607,40 +13700,40 @@
       "signedH\000\022\'\n\006demand\030\010 \001(\0132\025.ebonygw.Share" +
       "sDemandH\000\022-\n\theartbeat\030\t \001(\0132\030.ebonygw.S" +
       "haresHeartbeatH\000\0221\n\rheartbeat_ack\030\n \001(\0132" +
-      "\030.ebonygw.SharesHeartbeatH\000B\006\n\004kind\";\n\tS" +
+      "\030.ebonygw.SharesHeartbeatH\000B\006\n\004kind\"J\n\tS" +
       "haresAsk\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
-      "(\004\022\014\n\004loan\030\003 \001(\004\"i\n\013SharesGrant\022\020\n\010custo" +
-      "mer\030\001 \001(\t\022\014\n\004loan\030\002 \001(\004\022\016\n\006tokens\030\003 \001(\004\022" +
-      "\031\n\021retry_after_nanos\030\004 \001(\004\022\017\n\007holders\030\005 " +
-      "\003(\t\"W\n\014SharesReturn\022\020\n\010customer\030\001 \001(\t\022\014\n" +
-      "\004loan\030\002 \001(\004\022\026\n\016returned_total\030\003 \001(\004\022\017\n\007s" +
-      "tarted\030\004 \001(\010\">\n\014SharesHolder\022\n\n\002id\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\006\022\r\n\005alone\030\003 \001(\010\"y\n\013" +
-      "SharesAdopt\022\r\n\005shard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(" +
-      "\004\022$\n\005owner\030\003 \001(\0132\025.ebonygw.SharesHolder\022" +
-      "&\n\007holders\030\004 \003(\0132\025.ebonygw.SharesHolder\"" +
-      "A\n\rSharesHolding\022\020\n\010customer\030\001 \001(\t\022\014\n\004ra" +
-      "te\030\002 \001(\004\022\020\n\010capacity\030\003 \001(\004\"W\n\rSharesAdop" +
-      "ted\022\r\n\005shard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022(\n\010hol" +
-      "dings\030\003 \003(\0132\026.ebonygw.SharesHolding\"\272\001\n\014" +
-      "SharesAssign\022\020\n\010customer\030\001 \001(\t\022\r\n\005epoch\030" +
-      "\002 \001(\004\022\017\n\007version\030\003 \001(\004\022\014\n\004rate\030\004 \001(\004\022\020\n\010" +
-      "capacity\030\005 \001(\004\022\016\n\006tokens\030\006 \001(\004\022\031\n\021settin" +
-      "gs_revision\030\007 \001(\004\022\025\n\rcustomer_rate\030\010 \001(\004" +
-      "\022\026\n\016customer_burst\030\t \001(\004\"t\n\016SharesAssign" +
-      "ed\022\020\n\010customer\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007v" +
-      "ersion\030\003 \001(\004\022\014\n\004rate\030\004 \001(\004\022\020\n\010capacity\030\005" +
-      " \001(\004\022\020\n\010returned\030\006 \001(\004\"p\n\014SharesDemand\022\020" +
-      "\n\010customer\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007backlo" +
-      "g\030\003 \001(\004\022\017\n\007largest\030\004 \001(\004\022\r\n\005level\030\005 \001(\004\022" +
-      "\017\n\007leaving\030\006 \001(\010\"C\n\017SharesHeartbeat\022\r\n\005s" +
-      "hard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\022\n\nsent_nanos\030" +
-      "\003 \001(\006\"\252\001\n\021SharesOwnerRecord\022\r\n\005epoch\030\001 \001" +
-      "(\004\022$\n\005owner\030\002 \001(\0132\025.ebonygw.SharesHolder" +
-      "\022\r\n\005nonce\030\003 \001(\006\022&\n\007holders\030\004 \003(\0132\025.ebony" +
-      "gw.SharesHolder\022)\n\nunresolved\030\005 \003(\0132\025.eb" +
-      "onygw.SharesHolderB\036\n\014ebonygw.wireB\016Shar" +
-      "esProtocolb\006proto3"
+      "(\004\022\014\n\004loan\030\003 \001(\004\022\r\n\005least\030\004 \001(\004\"i\n\013Share" +
+      "sGrant\022\020\n\010customer\030\001 \001(\t\022\014\n\004loan\030\002 \001(\004\022\016" +
+      "\n\006tokens\030\003 \001(\004\022\031\n\021retry_after_nanos\030\004 \001(" +
+      "\004\022\017\n\007holders\030\005 \003(\t\"W\n\014SharesReturn\022\020\n\010cu" +
+      "stomer\030\001 \001(\t\022\014\n\004loan\030\002 \001(\004\022\026\n\016returned_t" +
+      "otal\030\003 \001(\004\022\017\n\007started\030\004 \001(\010\">\n\014SharesHol" +
+      "der\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\r\n\005" +
+      "alone\030\003 \001(\010\"y\n\013SharesAdopt\022\r\n\005shard\030\001 \001(" +
+      "\r\022\r\n\005epoch\030\002 \001(\004\022$\n\005owner\030\003 \001(\0132\025.ebonyg" +
+      "w.SharesHolder\022&\n\007holders\030\004 \003(\0132\025.ebonyg" +
+      "w.SharesHolder\"A\n\rSharesHolding\022\020\n\010custo" +
+      "mer\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\020\n\010capacity\030\003 \001(" +
+      "\004\"W\n\rSharesAdopted\022\r\n\005shard\030\001 \001(\r\022\r\n\005epo" +
+      "ch\030\002 \001(\004\022(\n\010holdings\030\003 \003(\0132\026.ebonygw.Sha" +
+      "resHolding\"\272\001\n\014SharesAssign\022\020\n\010customer\030" +
+      "\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\017\n\007version\030\003 \001(\004\022\014\n" +
+      "\004rate\030\004 \001(\004\022\020\n\010capacity\030\005 \001(\004\022\016\n\006tokens\030" +
+      "\006 \001(\004\022\031\n\021settings_revision\030\007 \001(\004\022\025\n\rcust" +
+      "omer_rate\030\010 \001(\004\022\026\n\016customer_burst\030\t \001(\004\"" +
+      "t\n\016SharesAssigned\022\020\n\010customer\030\001 \001(\t\022\r\n\005e" +
+      "poch\030\002 \001(\004\022\017\n\007version\030\003 \001(\004\022\014\n\004rate\030\004 \001(" +
+      "\004\022\020\n\010capacity\030\005 \001(\004\022\020\n\010returned\030\006 \001(\004\"p\n" +
+      "\014SharesDemand\022\020\n\010customer\030\001 \001(\t\022\014\n\004rate\030" +
+      "\002 \001(\004\022\017\n\007backlog\030\003 \001(\004\022\017\n\007largest\030\004 \001(\004\022" +
+      "\r\n\005level\030\005 \001(\004\022\017\n\007leaving\030\006 \001(\010\"C\n\017Share" +
+      "sHeartbeat\022\r\n\005shard\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
+      "\022\022\n\nsent_nanos\030\003 \001(\006\"\252\001\n\021SharesOwnerReco" +
+      "rd\022\r\n\005epoch\030\001 \001(\004\022$\n\005owner\030\002 \001(\0132\025.ebony" +
+      "gw.SharesHolder\022\r\n\005nonce\030\003 \001(\006\022&\n\007holder" +
+      "s\030\004 \003(\0132\025.ebonygw.SharesHolder\022)\n\nunreso" +
+      "lved\030\005 \003(\0132\025.ebonygw.SharesHolderB\036\n\014ebo" +
+      "nygw.wireB\016SharesProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -13657,7 +13750,7 @@
     internal_static_ebonygw_SharesAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_SharesAsk_descriptor,
-        new java.lang.String[] { "Customer", "Tokens", "Loan", });
+        new java.lang.String[] { "Customer", "Tokens", "Loan", "Least", });
     internal_static_ebonygw_SharesGrant_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_ebonygw_SharesGrant_fieldAccessorTable = new
--- a/src/test/java/ebonygw/admission/LoanTest.java
+++ b/src/test/java/ebonygw/admission/LoanTest.java
@@ -60,7 +60,7 @@
 
     @Test
     void aLoanIsUsableForAFixedTimeFromItsAskAndThenReturned() {
-        mBorrower.ask(A.id(), 50, 0, mSent);
+        mBorrower.ask(A.id(), 50, 1, 0, mSent);
         assertThat(mBorrower.onGrant(grant(50), SECOND / 2, mSent)).isTrue();
         assertThat(mBorrower.usable(Borrower.LOAN_NANOS)).isEqualTo(50);
         assertThat(mBorrower.usable(Borrower.LOAN_NANOS + 1)).isZero();
@@ -71,7 +71,7 @@
 
     @Test
     void aRepeatedGrantIsNeitherUsedNorReturnedAgain() {
-        mBorrower.ask(A.id(), 50, 0, mSent);
+        mBorrower.ask(A.id(), 50, 1, 0, mSent);
         mBorrower.onGrant(grant(50), 1, mSent);
         assertThat(mBorrower.take(1, 50, 2, mSent)).isEqualTo(50);
         assertThat(mBorrower.onGrant(grant(50), 3, mSent)).isFalse();
@@ -81,7 +81,7 @@
 
     @Test
     void whatARequestDidNotUseGoesBackToItsLender() {
-        mBorrower.ask(A.id(), 50, 0, mSent);
+        mBorrower.ask(A.id(), 50, 1, 0, mSent);
         mBorrower.onGrant(grant(50), 1, mSent);
         mBorrower.take(1, 50, 2, mSent);
         mBorrower.settle(1, 30, 3, mSent);
--- a/src/test/java/ebonygw/admission/ShareCodecTest.java
+++ b/src/test/java/ebonygw/admission/ShareCodecTest.java
@@ -18,7 +18,7 @@
                         new ShareMessage.Adopt(3, 4, A, List.of(A, B)),
                         new ShareMessage.Adopted(
                                 3, 4, List.of(new ShareMessage.Holding("c", 5, 6))),
-                        new ShareMessage.Ask("c", 1, 2),
+                        new ShareMessage.Ask("c", 1, 2, 1),
                         new ShareMessage.Assign("c", 1, 2, 3, 4, 5, TERMS),
                         new ShareMessage.Assigned("c", 1, 2, 3, 4, 5),
                         new ShareMessage.Demand("c", 1, 2, 3, 4, true),
