Entries are ready once they hold shares, and keep links that carry open attempts

Cause: a fresh entry welcomed callers before it held any share, and refused the first requests for their rate; and a target that left an entry's set of links lost the link although an attempt ran on it. Change: readiness waits until every shard's lease was held, 10 s at most; targets in use stay in the set.

--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -45,6 +45,7 @@
  * argument and must never step back. Not thread-safe: one thread drives it.
  */
 public final class EntryNode {
+    private static final long SHARES_PATIENCE_NANOS = 10_000_000_000L;
     private static final long HAND_OVER_NANOS = 10_000_000_000L;
 
     private final EntryNodeOptions mOptions;
@@ -61,6 +62,8 @@
     private final Map<NodeId, Report> mReports = new HashMap<>();
     private Set<Member> mLinks = Set.of();
     private long mSettingsRevision = -1;
+    private long mSettingsReadyNanos;
+    private boolean mSharesReady;
     private boolean mLinksChanged;
     private boolean mExited;
 
@@ -150,9 +153,12 @@
         publish(nowNanos);
     }
 
-    /** Returns whether callers' requests can be taken. */
+    /**
+     * Returns whether callers are welcome: settings are held, shares of the customers' rates can be
+     * had, and no stop was asked for.
+     */
     public boolean ready() {
-        return mSettings.ready() && !mStop.isStopping();
+        return mSettings.ready() && mSharesReady && !mStop.isStopping();
     }
 
     /** Returns the settings in force here with their tree and log; an immutable value. */
@@ -259,6 +265,7 @@
         EntryCounts counts = mRequests.counts();
         mStageGuard.onCounts(counts.mAsked, counts.refusedOrBroken(), nowNanos, mOut);
         mShares.onTick(nowNanos, mOut);
+        mSharesReady |= mShares.hasJoined() || waitedForShares(nowNanos);
         mRequests.tick(nowNanos);
         if (mMembership.isSuperseded()) {
             onStop(nowNanos);
@@ -268,6 +275,17 @@
         }
     }
 
+    /** Returns whether shares have been waited for long enough: others can still lend tokens. */
+    private boolean waitedForShares(long nowNanos) {
+        if (!mSettings.ready()) {
+            return false;
+        }
+        if (mSettingsReadyNanos == 0) {
+            mSettingsReadyNanos = nowNanos;
+        }
+        return nowNanos - mSettingsReadyNanos >= SHARES_PATIENCE_NANOS;
+    }
+
     /** Passes on what the event has changed. */
     private void publish(long nowNanos) {
         mSettings.newFault().ifPresent(fault -> mOut.log("settings_fault", "detail", fault));
@@ -312,6 +330,7 @@
         wanted.addAll(
                 LinkSets.choose(self.id(), self.locality(), view.members(), mOptions.maxLinks()));
         wanted.addAll(ShareLinks.choose(self, view.members()));
+        wanted.addAll(mRequests.targetsInUse());
         Set<Member> links = new HashSet<>();
         for (NodeId id : wanted) {
             view.member(id)
--- a/src/main/java/ebonygw/EntryRequests.java
+++ b/src/main/java/ebonygw/EntryRequests.java
@@ -28,11 +28,13 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /** The life of callers' requests at the entry, from question to answer. Not thread-safe. */
@@ -190,6 +192,17 @@
         return mByNumber.size();
     }
 
+    /** Returns the target processes that have attempts of open requests. */
+    Set<NodeId> targetsInUse() {
+        Set<NodeId> targets = new HashSet<>();
+        for (Exchange exchange : mByNumber.values()) {
+            if (exchange.mPhase == Exchange.Phase.SENT) {
+                targets.add(exchange.mTarget);
+            }
+        }
+        return targets;
+    }
+
     /** Takes no new requests from now on. */
     void stop() {
         mStopping = true;
--- a/src/main/java/ebonygw/admission/ShareNode.java
+++ b/src/main/java/ebonygw/admission/ShareNode.java
@@ -15,6 +15,7 @@
 import ebonygw.settings.SettingsView;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -60,6 +61,7 @@
     private final Sender mSender = new Sender();
     private long mLastLoan;
     private SettingsView mSettings;
+    private boolean mJoined;
     private long mStoppingSince;
     private long mNow;
 
@@ -166,6 +168,11 @@
         return Map.of("shards", shards, "customers", customers);
     }
 
+    /** Returns whether this process has held a lease on every shard at the same time. */
+    public boolean hasJoined() {
+        return mJoined;
+    }
+
     /** Returns whether a stop may go on: nothing is held any more, or nobody could take it. */
     public boolean handedOver() {
         if (mStoppingSince == 0) {
@@ -256,6 +263,7 @@
             }
             mOwners[shard].tick(mStoppingSince != 0, nowNanos, sender);
         }
+        mJoined |= Arrays.stream(mLeases).allMatch(lease -> lease.isValid(nowNanos));
         for (CustomerShare share : List.copyOf(mActive)) {
             tickShare(share, nowNanos, out);
         }
--- a/src/test/java/ebonygw/admission/ShareReleaseTest.java
+++ b/src/test/java/ebonygw/admission/ShareReleaseTest.java
@@ -45,6 +45,17 @@
         assertThat(second.admit(BURST)).isNotEqualTo(Admission.ADMITTED);
     }
 
+    @Test
+    void anEntryHasJoinedOnceItHoldsEveryShardsLease() {
+        Driver entry = new Driver(1);
+        assertThat(entry.mNode.hasJoined()).isFalse();
+
+        entry.runUntilAdmitted(RATE / 2, 10 * SECOND);
+        entry.run(5 * SECOND);
+
+        assertThat(entry.mNode.hasJoined()).isTrue();
+    }
+
     /** One incarnation of the only entry process. */
     private final class Driver implements Outbox {
         private final ShareNode mNode;
