--- a/src/main/java/ebonygw/bench/capacity/RoleEstimate.java
+++ b/src/main/java/ebonygw/bench/capacity/RoleEstimate.java
@@ -66,7 +66,9 @@
         double shareLinks = by.at("share links, most of one entry", TargetSize.NODES);
         lines.add(idle(by, "links for shares, at most " + Math.round(shareLinks), shareLinks));
         lines.add(settings(by));
-        double reports = TargetSize.LINKED_TARGETS * TargetSize.REPORTS_PER_SECOND;
+        double reports =
+                TargetSize.LINKED_TARGETS
+                        * (TargetSize.LOADS_PER_SECOND + TargetSize.WHOLE_REPORTS_PER_SECOND);
         lines.add(
                 new Line(
                         "router: reports of its targets",
@@ -143,14 +145,16 @@
         double links = entries + 2 * by.at("membership neighbours", perRegion());
         List<Line> lines = new ArrayList<>(membership(by, links));
         lines.add(settings(by));
-        double reports = entries * TargetSize.REPORTS_PER_SECOND;
+        double loads = entries * TargetSize.LOADS_PER_SECOND;
+        double wholes = entries * TargetSize.WHOLE_REPORTS_PER_SECOND;
         lines.add(
                 new Line(
                         "reports to " + Math.round(entries) + " entries",
                         0,
                         0,
-                        reports,
-                        by.at("target report, bytes", TargetSize.RESIDENT) * reports));
+                        loads + wholes,
+                        by.at("target load, bytes", TargetSize.RESIDENT) * loads
+                                + by.at("target report, bytes", TargetSize.RESIDENT) * wholes));
         double requests = (double) TargetSize.REQUESTS_PER_SECOND / TargetSize.REPLICAS;
         lines.add(
                 new Line(
--- a/src/main/java/ebonygw/bench/capacity/RoutingCost.java
+++ b/src/main/java/ebonygw/bench/capacity/RoutingCost.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import ebonygw.membership.Member;
+import ebonygw.membership.MemberMessage.TargetLoad;
 import ebonygw.membership.MemberMessage.TargetReport;
 import ebonygw.membership.MemberState;
 import ebonygw.membership.Role;
@@ -91,6 +92,7 @@
     private List<Slope> reports() {
         List<Slope.Sample> cpu = new ArrayList<>();
         List<Slope.Sample> bytes = new ArrayList<>();
+        List<Slope.Sample> loads = new ArrayList<>();
         for (int resident : RESIDENT) {
             Router router = router(LINKED);
             long[] sequence = {1};
@@ -109,8 +111,11 @@
                                                 mNow);
                                     })));
             bytes.add(new Slope.Sample(resident, Meter.wireBytes(report(1, 9_999, resident))));
+            TargetLoad load = TargetLoad.of(report(1, 9_999, resident));
+            loads.add(new Slope.Sample(resident, Meter.wireBytes(load)));
         }
         return List.of(
+                new Slope("target load, bytes", "bytes", "resident adapter", loads),
                 new Slope("target report, processor", "ns", "resident adapter", cpu),
                 new Slope("target report, bytes", "bytes", "resident adapter", bytes));
     }
--- a/src/main/java/ebonygw/routing/Router.java
+++ b/src/main/java/ebonygw/routing/Router.java
@@ -32,8 +32,10 @@
     private static final long BUSY_NANOS = 500_000_000L;
     private static final long EXPECTED_LOAD_NANOS = 3_000_000_000L;
     private static final long MARGINAL_RATE_NANOS = 2_000_000_000L;
-    private static final int MAX_ADAPTERS = 65_536;
+    private static final int LEAST_ADAPTERS = 8_192;
+    private static final int ADAPTERS_PER_TARGET = 4;
     private static final double RARE_COUNT = 0.05;
+    private static final double KEPT_PART = 0.75;
 
     private final RouterOptions mOptions;
     private final Map<NodeId, TargetState> mTargets = new HashMap<>();
@@ -168,6 +170,11 @@
         }
     }
 
+    /** Returns for how many adapter versions the demand is remembered. */
+    public int remembered() {
+        return mDemands.size();
+    }
+
     /** Returns the requests that are believed to be at a target, 0 if it is not known. */
     public int load(NodeId targetId) {
         TargetState target = mTargets.get(targetId);
@@ -250,13 +257,8 @@
     private AdapterDemand demand(AdapterVersion adapter, long nowNanos) {
         AdapterDemand demand = mDemands.get(adapter);
         if (demand == null) {
-            if (mDemands.size() >= MAX_ADAPTERS) {
-                mDemands.values()
-                        .removeIf(
-                                d ->
-                                        d.mHolders.isEmpty()
-                                                && d.mLoaders.isEmpty()
-                                                && d.mRate.count(nowNanos) < RARE_COUNT);
+            if (mDemands.size() >= mostAdapters()) {
+                forgetRare(nowNanos);
             }
             demand = new AdapterDemand(adapter, mOptions.popularityHalfLifeNanos());
             mDemands.put(adapter, demand);
@@ -264,6 +266,27 @@
         return demand;
     }
 
+    /** Forgets the adapters asked for least, but for those that a target holds or loads. */
+    private void forgetRare(long nowNanos) {
+        int kept = (int) (mostAdapters() * KEPT_PART);
+        for (double rare = RARE_COUNT; mDemands.size() > kept && rare < kept; rare *= 2) {
+            double limit = rare;
+            mDemands.values().removeIf(demand -> isRare(demand, limit, nowNanos));
+        }
+    }
+
+    private static boolean isRare(AdapterDemand demand, double limit, long nowNanos) {
+        return demand.mHolders.isEmpty()
+                && demand.mLoaders.isEmpty()
+                && demand.mExpected.stream().noneMatch(load -> nowNanos < load.mUntilNanos)
+                && demand.mRate.count(nowNanos) < limit;
+    }
+
+    /** Returns how many adapters' demand is remembered at most, but for those in slots. */
+    private int mostAdapters() {
+        return Math.max(LEAST_ADAPTERS, ADAPTERS_PER_TARGET * mTargets.size());
+    }
+
     private void onRefused(TargetState target, Work work, RefusalCode code, long nowNanos) {
         if (code == RefusalCode.OVERLOADED || code == RefusalCode.UNAVAILABLE) {
             target.onBusy(nowNanos + BUSY_NANOS);
--- a/src/test/java/ebonygw/routing/RouterTest.java
+++ b/src/test/java/ebonygw/routing/RouterTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 
 class RouterTest {
+    private static final int MOST_REMEMBERED = 8_192;
     private static final long SECOND = 1_000_000_000L;
     private static final Locality KINGSTON = new Locality("kingston", "a");
     private static final Locality MANDEVILLE = new Locality("mandeville", "a");
@@ -38,6 +39,17 @@
     private final List<Member> mMembers = new ArrayList<>();
     private long mNow = SECOND;
 
+    @Test
+    void theDemandOfFewOfManyAdaptersIsRemembered() {
+        target("t0", MemberState.LIVE, KINGSTON, "model");
+        for (int i = 0; i < 3 * MOST_REMEMBERED; i++) {
+            Work work = Works.model(i + 1, "customer", "adapter-" + i);
+            choose(mRouter, work, MODEL, Set.of());
+        }
+
+        assertThat(mRouter.remembered()).isLessThanOrEqualTo(MOST_REMEMBERED);
+    }
+
     @Test
     void onlyLiveTargetsGetWorkAndSuspectedOnesIfThereIsNothingElse() {
         target("leaving", MemberState.LEAVING, KINGSTON, "model");
