--- a/src/main/java/ebonygw/EntryNode.java
+++ b/src/main/java/ebonygw/EntryNode.java
@@ -45,6 +45,7 @@
  * argument and must never step back. Not thread-safe: one thread drives it.
  */
 public final class EntryNode {
+    private static final int MAX_PREFETCHES = 16;
     private static final long SHARES_PATIENCE_NANOS = 10_000_000_000L;
     private static final long HAND_OVER_NANOS = 10_000_000_000L;
 
@@ -216,6 +217,9 @@
             mSettings.onPeerRevision(from, heartbeat.settingsRevision(), nowNanos, mOut);
         } else if (message instanceof MemberMessage.Hello hello) {
             mSettings.onPeerRevision(from, hello.settingsRevision(), nowNanos, mOut);
+            if (hello.self().state() == MemberState.LEAVING) {
+                prefetchAfter(from, nowNanos);
+            }
         }
     }
 
@@ -275,6 +279,12 @@
         }
     }
 
+    /** Asks the next homes of what a leaving target holds to load it before work comes. */
+    private void prefetchAfter(NodeId leaving, long nowNanos) {
+        mRouter.homesAfter(leaving, MAX_PREFETCHES, nowNanos)
+                .forEach((adapter, home) -> mOut.send(home, new MemberMessage.Prefetch(adapter)));
+    }
+
     /** Returns whether shares have been waited for long enough: others can still lend tokens. */
     private boolean waitedForShares(long nowNanos) {
         if (!mSettings.ready()) {
--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -18,6 +18,7 @@
 import ebonygw.membership.TargetAuthority;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.RequestMessage;
@@ -219,7 +220,9 @@
     private void onMemberMessage(
             NodeId from, long incarnation, MemberMessage message, long nowNanos) {
         mMembership.onMessage(from, incarnation, message, nowNanos, mOut);
-        if (message instanceof MemberMessage.Heartbeat heartbeat) {
+        if (message instanceof MemberMessage.Prefetch prefetch) {
+            prefetch(prefetch.adapter(), nowNanos);
+        } else if (message instanceof MemberMessage.Heartbeat heartbeat) {
             mSettings.onPeerRevision(from, heartbeat.settingsRevision(), nowNanos, mOut);
         } else if (message instanceof MemberMessage.Hello hello) {
             mSettings.onPeerRevision(from, hello.settingsRevision(), nowNanos, mOut);
@@ -357,6 +360,20 @@
         }
     }
 
+    /** Loads an adapter version ahead of work if it is served here and the process stays. */
+    private void prefetch(AdapterVersion adapter, long nowNanos) {
+        boolean served =
+                mSettings
+                        .view()
+                        .adapter(adapter.adapter())
+                        .filter(found -> found.model().equals(mOptions.self().serves()))
+                        .filter(found -> found.versions().contains(adapter.version()))
+                        .isPresent();
+        if (served && mOptions.model() && !mStop.isStopping()) {
+            mScheduler.prefetch(adapter, nowNanos);
+        }
+    }
+
     /** Passes on what the event has changed. */
     private void publish(long nowNanos) {
         mSettings.newFault().ifPresent(fault -> mOut.log("settings_fault", "detail", fault));
--- a/src/main/java/ebonygw/membership/MemberMessage.java
+++ b/src/main/java/ebonygw/membership/MemberMessage.java
@@ -55,6 +55,18 @@
         }
     }
 
+    /**
+     * Asks a target process to load an adapter version before work comes for it, entry to target.
+     *
+     * @param adapter the adapter version
+     */
+    record Prefetch(AdapterVersion adapter) implements MemberMessage {
+        /** Creates the message. */
+        public Prefetch {
+            Objects.requireNonNull(adapter, "adapter");
+        }
+    }
+
     /**
      * Load of a target since its last {@link TargetReport}, whose residency still holds.
      *
--- a/src/main/java/ebonygw/peer/MemberCodec.java
+++ b/src/main/java/ebonygw/peer/MemberCodec.java
@@ -31,6 +31,10 @@
                                 envelope.getHeartbeat().getSettingsRevision()));
             case REPORT:
                 return Optional.of(report(envelope.getReport()));
+            case PREFETCH:
+                return versions(List.of(envelope.getPrefetch().getAdapter())).stream()
+                        .<Message>map(MemberMessage.Prefetch::new)
+                        .findFirst();
             case LOAD:
                 return Optional.of(load(envelope.getLoad()));
             case DIGEST:
@@ -62,6 +66,8 @@
                     .setSettingsRevision(heartbeat.settingsRevision());
         } else if (message instanceof MemberMessage.TargetReport report) {
             envelope.setReport(report(report));
+        } else if (message instanceof MemberMessage.Prefetch prefetch) {
+            envelope.getPrefetchBuilder().setAdapter(RequestCodec.encode(prefetch.adapter()));
         } else if (message instanceof MemberMessage.TargetLoad load) {
             envelope.getLoadBuilder()
                     .setSequence(load.sequence())
--- a/src/main/java/ebonygw/routing/Router.java
+++ b/src/main/java/ebonygw/routing/Router.java
@@ -12,8 +12,10 @@
 import ebonygw.settings.RouteSettings;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -93,6 +95,34 @@
         return Optional.ofNullable(choice.mBest).map(t -> t.mId);
     }
 
+    /**
+     * Returns the adapter versions that only a leaving target holds, and where work on each goes
+     * from now on; those asked for most come first.
+     *
+     * @param leaving the target that leaves
+     * @param most most adapter versions to return
+     * @param nowNanos the present time
+     * @return new homes by adapter version, empty for an unknown target
+     */
+    public Map<AdapterVersion, NodeId> homesAfter(NodeId leaving, int most, long nowNanos) {
+        TargetState target = mTargets.get(leaving);
+        Map<AdapterVersion, NodeId> homes = new LinkedHashMap<>();
+        if (target == null) {
+            return homes;
+        }
+        target.mResident.stream()
+                .map(mDemands::get)
+                .filter(demand -> demand != null && demand.mRate.count(nowNanos) >= 1)
+                .filter(demand -> isOnlyHolder(target, demand))
+                .sorted(Comparator.comparingDouble(it -> -it.mRate.count(nowNanos)))
+                .limit(most)
+                .forEach(
+                        demand ->
+                                firstOther(target, demand)
+                                        .ifPresent(home -> homes.put(demand.mAdapter, home)));
+        return homes;
+    }
+
     /** Takes the members as the membership sees them now; those not listed are gone. */
     public void onMembers(Collection<Member> members, long nowNanos) {
         Set<NodeId> seen = new HashSet<>();
@@ -275,6 +305,21 @@
         }
     }
 
+    private Optional<NodeId> firstOther(TargetState leaving, AdapterDemand demand) {
+        if (demand.mStale) {
+            mPools.get(leaving.mServes).rank(demand);
+        }
+        return Arrays.stream(demand.mCandidates)
+                .filter(candidate -> candidate != leaving && candidate.isLive())
+                .findFirst()
+                .map(candidate -> candidate.mId);
+    }
+
+    private static boolean isOnlyHolder(TargetState target, AdapterDemand demand) {
+        return demand.mLoaders.isEmpty()
+                && demand.mHolders.stream().noneMatch(it -> it != target && it.isLive());
+    }
+
     private static boolean isRare(AdapterDemand demand, double limit, long nowNanos) {
         return demand.mHolders.isEmpty()
                 && demand.mLoaders.isEmpty()
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -135,6 +135,21 @@
      */
     ebonygw.wire.PeerProtocol.TargetLoadOrBuilder getLoadOrBuilder();
 
+    /**
+     * <code>.ebonygw.Prefetch prefetch = 7;</code>
+     * @return Whether the prefetch field is set.
+     */
+    boolean hasPrefetch();
+    /**
+     * <code>.ebonygw.Prefetch prefetch = 7;</code>
+     * @return The prefetch.
+     */
+    ebonygw.wire.PeerProtocol.Prefetch getPrefetch();
+    /**
+     * <code>.ebonygw.Prefetch prefetch = 7;</code>
+     */
+    ebonygw.wire.PeerProtocol.PrefetchOrBuilder getPrefetchOrBuilder();
+
     /**
      * <code>.ebonygw.Run run = 10;</code>
      * @return Whether the run field is set.
@@ -327,6 +342,7 @@
       UPDATES(5),
       USE(8),
       LOAD(6),
+      PREFETCH(7),
       RUN(10),
       HEAD(11),
       BODY(12),
@@ -360,6 +376,7 @@
           case 5: return UPDATES;
           case 8: return USE;
           case 6: return LOAD;
+          case 7: return PREFETCH;
           case 10: return RUN;
           case 11: return HEAD;
           case 12: return BODY;
@@ -601,6 +618,37 @@
       return ebonygw.wire.PeerProtocol.TargetLoad.getDefaultInstance();
     }
 
+    public static final int PREFETCH_FIELD_NUMBER = 7;
+    /**
+     * <code>.ebonygw.Prefetch prefetch = 7;</code>
+     * @return Whether the prefetch field is set.
+     */
+    @java.lang.Override
+    public boolean hasPrefetch() {
+      return kindCase_ == 7;
+    }
+    /**
+     * <code>.ebonygw.Prefetch prefetch = 7;</code>
+     * @return The prefetch.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Prefetch getPrefetch() {
+      if (kindCase_ == 7) {
+         return (ebonygw.wire.PeerProtocol.Prefetch) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.Prefetch prefetch = 7;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PrefetchOrBuilder getPrefetchOrBuilder() {
+      if (kindCase_ == 7) {
+         return (ebonygw.wire.PeerProtocol.Prefetch) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+    }
+
     public static final int RUN_FIELD_NUMBER = 10;
     /**
      * <code>.ebonygw.Run run = 10;</code>
@@ -912,6 +960,9 @@
       if (kindCase_ == 6) {
         output.writeMessage(6, (ebonygw.wire.PeerProtocol.TargetLoad) kind_);
       }
+      if (kindCase_ == 7) {
+        output.writeMessage(7, (ebonygw.wire.PeerProtocol.Prefetch) kind_);
+      }
       if (kindCase_ == 8) {
         output.writeMessage(8, (ebonygw.wire.PeerProtocol.LinkUse) kind_);
       }
@@ -970,6 +1021,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, (ebonygw.wire.PeerProtocol.TargetLoad) kind_);
       }
+      if (kindCase_ == 7) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, (ebonygw.wire.PeerProtocol.Prefetch) kind_);
+      }
       if (kindCase_ == 8) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, (ebonygw.wire.PeerProtocol.LinkUse) kind_);
@@ -1064,6 +1119,10 @@
           if (!getLoad()
               .equals(other.getLoad())) return false;
           break;
+        case 7:
+          if (!getPrefetch()
+              .equals(other.getPrefetch())) return false;
+          break;
         case 10:
           if (!getRun()
               .equals(other.getRun())) return false;
@@ -1143,6 +1202,10 @@
           hash = (37 * hash) + LOAD_FIELD_NUMBER;
           hash = (53 * hash) + getLoad().hashCode();
           break;
+        case 7:
+          hash = (37 * hash) + PREFETCH_FIELD_NUMBER;
+          hash = (53 * hash) + getPrefetch().hashCode();
+          break;
         case 10:
           hash = (37 * hash) + RUN_FIELD_NUMBER;
           hash = (53 * hash) + getRun().hashCode();
@@ -1334,6 +1397,9 @@
         if (loadBuilder_ != null) {
           loadBuilder_.clear();
         }
+        if (prefetchBuilder_ != null) {
+          prefetchBuilder_.clear();
+        }
         if (runBuilder_ != null) {
           runBuilder_.clear();
         }
@@ -1430,6 +1496,10 @@
             loadBuilder_ != null) {
           result.kind_ = loadBuilder_.build();
         }
+        if (kindCase_ == 7 &&
+            prefetchBuilder_ != null) {
+          result.kind_ = prefetchBuilder_.build();
+        }
         if (kindCase_ == 10 &&
             runBuilder_ != null) {
           result.kind_ = runBuilder_.build();
@@ -1509,6 +1579,10 @@
             mergeLoad(other.getLoad());
             break;
           }
+          case PREFETCH: {
+            mergePrefetch(other.getPrefetch());
+            break;
+          }
           case RUN: {
             mergeRun(other.getRun());
             break;
@@ -1615,6 +1689,13 @@
                 kindCase_ = 6;
                 break;
               } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetPrefetchFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 7;
+                break;
+              } // case 58
               case 66: {
                 input.readMessage(
                     internalGetUseFieldBuilder().getBuilder(),
@@ -2697,6 +2778,146 @@
         return loadBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.Prefetch, ebonygw.wire.PeerProtocol.Prefetch.Builder, ebonygw.wire.PeerProtocol.PrefetchOrBuilder> prefetchBuilder_;
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       * @return Whether the prefetch field is set.
+       */
+      @java.lang.Override
+      public boolean hasPrefetch() {
+        return kindCase_ == 7;
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       * @return The prefetch.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Prefetch getPrefetch() {
+        if (prefetchBuilder_ == null) {
+          if (kindCase_ == 7) {
+            return (ebonygw.wire.PeerProtocol.Prefetch) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+        } else {
+          if (kindCase_ == 7) {
+            return prefetchBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      public Builder setPrefetch(ebonygw.wire.PeerProtocol.Prefetch value) {
+        if (prefetchBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          prefetchBuilder_.setMessage(value);
+        }
+        kindCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      public Builder setPrefetch(
+          ebonygw.wire.PeerProtocol.Prefetch.Builder builderForValue) {
+        if (prefetchBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          prefetchBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      public Builder mergePrefetch(ebonygw.wire.PeerProtocol.Prefetch value) {
+        if (prefetchBuilder_ == null) {
+          if (kindCase_ == 7 &&
+              kind_ != ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.Prefetch.newBuilder((ebonygw.wire.PeerProtocol.Prefetch) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 7) {
+            prefetchBuilder_.mergeFrom(value);
+          } else {
+            prefetchBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      public Builder clearPrefetch() {
+        if (prefetchBuilder_ == null) {
+          if (kindCase_ == 7) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 7) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          prefetchBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Prefetch.Builder getPrefetchBuilder() {
+        return internalGetPrefetchFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PrefetchOrBuilder getPrefetchOrBuilder() {
+        if ((kindCase_ == 7) && (prefetchBuilder_ != null)) {
+          return prefetchBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 7) {
+            return (ebonygw.wire.PeerProtocol.Prefetch) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.Prefetch prefetch = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.Prefetch, ebonygw.wire.PeerProtocol.Prefetch.Builder, ebonygw.wire.PeerProtocol.PrefetchOrBuilder> 
+          internalGetPrefetchFieldBuilder() {
+        if (prefetchBuilder_ == null) {
+          if (!(kindCase_ == 7)) {
+            kind_ = ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+          }
+          prefetchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.Prefetch, ebonygw.wire.PeerProtocol.Prefetch.Builder, ebonygw.wire.PeerProtocol.PrefetchOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.Prefetch) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 7;
+        onChanged();
+        return prefetchBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           ebonygw.wire.PeerProtocol.Run, ebonygw.wire.PeerProtocol.Run.Builder, ebonygw.wire.PeerProtocol.RunOrBuilder> runBuilder_;
       /**
@@ -8839,221 +9060,796 @@
           ensureMembersIsMutable();
           members_.add(value);
           onChanged();
-        } else {
-          membersBuilder_.addMessage(value);
-        }
+        } else {
+          membersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          int index, ebonygw.wire.PeerProtocol.Member value) {
+        if (membersBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureMembersIsMutable();
+          members_.add(index, value);
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addMembers(
+          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          membersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder addAllMembers(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Member> values) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, members_);
+          onChanged();
+        } else {
+          membersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder clearMembers() {
+        if (membersBuilder_ == null) {
+          members_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          membersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public Builder removeMembers(int index) {
+        if (membersBuilder_ == null) {
+          ensureMembersIsMutable();
+          members_.remove(index);
+          onChanged();
+        } else {
+          membersBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member.Builder getMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
+          int index) {
+        if (membersBuilder_ == null) {
+          return members_.get(index);  } else {
+          return membersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+           getMembersOrBuilderList() {
+        if (membersBuilder_ != null) {
+          return membersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(members_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder() {
+        return internalGetMembersFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder(
+          int index) {
+        return internalGetMembersFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Member members = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Member.Builder> 
+           getMembersBuilderList() {
+        return internalGetMembersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> 
+          internalGetMembersFieldBuilder() {
+        if (membersBuilder_ == null) {
+          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder>(
+                  members_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          members_ = null;
+        }
+        return membersBuilder_;
+      }
+
+      private boolean news_ ;
+      /**
+       * <pre>
+       * Whether they have just changed; else they answer a digest.
+       * </pre>
+       *
+       * <code>bool news = 2;</code>
+       * @return The news.
+       */
+      @java.lang.Override
+      public boolean getNews() {
+        return news_;
+      }
+      /**
+       * <pre>
+       * Whether they have just changed; else they answer a digest.
+       * </pre>
+       *
+       * <code>bool news = 2;</code>
+       * @param value The news to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNews(boolean value) {
+
+        news_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether they have just changed; else they answer a digest.
+       * </pre>
+       *
+       * <code>bool news = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNews() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        news_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.MemberUpdates)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.MemberUpdates)
+    private static final ebonygw.wire.PeerProtocol.MemberUpdates DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberUpdates();
+    }
+
+    public static ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MemberUpdates>
+        PARSER = new com.google.protobuf.AbstractParser<MemberUpdates>() {
+      @java.lang.Override
+      public MemberUpdates parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MemberUpdates> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MemberUpdates> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PrefetchOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.Prefetch)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+     * @return Whether the adapter field is set.
+     */
+    boolean hasAdapter();
+    /**
+     * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+     * @return The adapter.
+     */
+    ebonygw.wire.PeerProtocol.AdapterVersion getAdapter();
+    /**
+     * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getAdapterOrBuilder();
+  }
+  /**
+   * Protobuf type {@code ebonygw.Prefetch}
+   */
+  public static final class Prefetch extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.Prefetch)
+      PrefetchOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Prefetch");
+    }
+    // Use Prefetch.newBuilder() to construct.
+    private Prefetch(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Prefetch() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Prefetch_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Prefetch_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Prefetch_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.Prefetch.class, ebonygw.wire.PeerProtocol.Prefetch.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int ADAPTER_FIELD_NUMBER = 1;
+    private ebonygw.wire.PeerProtocol.AdapterVersion adapter_;
+    /**
+     * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+     * @return Whether the adapter field is set.
+     */
+    @java.lang.Override
+    public boolean hasAdapter() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+     * @return The adapter.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterVersion getAdapter() {
+      return adapter_ == null ? ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance() : adapter_;
+    }
+    /**
+     * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getAdapterOrBuilder() {
+      return adapter_ == null ? ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance() : adapter_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getAdapter());
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getAdapter());
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.Prefetch)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.Prefetch other = (ebonygw.wire.PeerProtocol.Prefetch) obj;
+
+      if (hasAdapter() != other.hasAdapter()) return false;
+      if (hasAdapter()) {
+        if (!getAdapter()
+            .equals(other.getAdapter())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasAdapter()) {
+        hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+        hash = (53 * hash) + getAdapter().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Prefetch parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Prefetch parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Prefetch parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.Prefetch prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.Prefetch}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.Prefetch)
+        ebonygw.wire.PeerProtocol.PrefetchOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Prefetch_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Prefetch_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.Prefetch.class, ebonygw.wire.PeerProtocol.Prefetch.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.Prefetch.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetAdapterFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        adapter_ = null;
+        if (adapterBuilder_ != null) {
+          adapterBuilder_.dispose();
+          adapterBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Prefetch_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Prefetch getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Prefetch build() {
+        ebonygw.wire.PeerProtocol.Prefetch result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Prefetch buildPartial() {
+        ebonygw.wire.PeerProtocol.Prefetch result = new ebonygw.wire.PeerProtocol.Prefetch(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.Prefetch result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.adapter_ = adapterBuilder_ == null
+              ? adapter_
+              : adapterBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.Prefetch) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.Prefetch)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.Prefetch other) {
+        if (other == ebonygw.wire.PeerProtocol.Prefetch.getDefaultInstance()) return this;
+        if (other.hasAdapter()) {
+          mergeAdapter(other.getAdapter());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetAdapterFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private ebonygw.wire.PeerProtocol.AdapterVersion adapter_;
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> adapterBuilder_;
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+       * @return Whether the adapter field is set.
        */
-      public Builder addMembers(
-          int index, ebonygw.wire.PeerProtocol.Member value) {
-        if (membersBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          ensureMembersIsMutable();
-          members_.add(index, value);
-          onChanged();
-        } else {
-          membersBuilder_.addMessage(index, value);
-        }
-        return this;
+      public boolean hasAdapter() {
+        return ((bitField0_ & 0x00000001) != 0);
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
+       * @return The adapter.
        */
-      public Builder addMembers(
-          ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(builderForValue.build());
-          onChanged();
+      public ebonygw.wire.PeerProtocol.AdapterVersion getAdapter() {
+        if (adapterBuilder_ == null) {
+          return adapter_ == null ? ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance() : adapter_;
         } else {
-          membersBuilder_.addMessage(builderForValue.build());
+          return adapterBuilder_.getMessage();
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public Builder addMembers(
-          int index, ebonygw.wire.PeerProtocol.Member.Builder builderForValue) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.add(index, builderForValue.build());
-          onChanged();
+      public Builder setAdapter(ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (adapterBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          adapter_ = value;
         } else {
-          membersBuilder_.addMessage(index, builderForValue.build());
+          adapterBuilder_.setMessage(value);
         }
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public Builder addAllMembers(
-          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Member> values) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, members_);
-          onChanged();
+      public Builder setAdapter(
+          ebonygw.wire.PeerProtocol.AdapterVersion.Builder builderForValue) {
+        if (adapterBuilder_ == null) {
+          adapter_ = builderForValue.build();
         } else {
-          membersBuilder_.addAllMessages(values);
+          adapterBuilder_.setMessage(builderForValue.build());
         }
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public Builder clearMembers() {
-        if (membersBuilder_ == null) {
-          members_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000001);
-          onChanged();
+      public Builder mergeAdapter(ebonygw.wire.PeerProtocol.AdapterVersion value) {
+        if (adapterBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            adapter_ != null &&
+            adapter_ != ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance()) {
+            getAdapterBuilder().mergeFrom(value);
+          } else {
+            adapter_ = value;
+          }
         } else {
-          membersBuilder_.clear();
+          adapterBuilder_.mergeFrom(value);
         }
-        return this;
-      }
-      /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
-       */
-      public Builder removeMembers(int index) {
-        if (membersBuilder_ == null) {
-          ensureMembersIsMutable();
-          members_.remove(index);
+        if (adapter_ != null) {
+          bitField0_ |= 0x00000001;
           onChanged();
-        } else {
-          membersBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.Member.Builder getMembersBuilder(
-          int index) {
-        return internalGetMembersFieldBuilder().getBuilder(index);
+      public Builder clearAdapter() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        adapter_ = null;
+        if (adapterBuilder_ != null) {
+          adapterBuilder_.dispose();
+          adapterBuilder_ = null;
+        }
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.MemberOrBuilder getMembersOrBuilder(
-          int index) {
-        if (membersBuilder_ == null) {
-          return members_.get(index);  } else {
-          return membersBuilder_.getMessageOrBuilder(index);
-        }
+      public ebonygw.wire.PeerProtocol.AdapterVersion.Builder getAdapterBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetAdapterFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public java.util.List<? extends ebonygw.wire.PeerProtocol.MemberOrBuilder> 
-           getMembersOrBuilderList() {
-        if (membersBuilder_ != null) {
-          return membersBuilder_.getMessageOrBuilderList();
+      public ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder getAdapterOrBuilder() {
+        if (adapterBuilder_ != null) {
+          return adapterBuilder_.getMessageOrBuilder();
         } else {
-          return java.util.Collections.unmodifiableList(members_);
+          return adapter_ == null ?
+              ebonygw.wire.PeerProtocol.AdapterVersion.getDefaultInstance() : adapter_;
         }
       }
       /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
-       */
-      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder() {
-        return internalGetMembersFieldBuilder().addBuilder(
-            ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
-       */
-      public ebonygw.wire.PeerProtocol.Member.Builder addMembersBuilder(
-          int index) {
-        return internalGetMembersFieldBuilder().addBuilder(
-            index, ebonygw.wire.PeerProtocol.Member.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .ebonygw.Member members = 1;</code>
+       * <code>.ebonygw.AdapterVersion adapter = 1;</code>
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.Member.Builder> 
-           getMembersBuilderList() {
-        return internalGetMembersFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder> 
-          internalGetMembersFieldBuilder() {
-        if (membersBuilder_ == null) {
-          membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              ebonygw.wire.PeerProtocol.Member, ebonygw.wire.PeerProtocol.Member.Builder, ebonygw.wire.PeerProtocol.MemberOrBuilder>(
-                  members_,
-                  ((bitField0_ & 0x00000001) != 0),
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder> 
+          internalGetAdapterFieldBuilder() {
+        if (adapterBuilder_ == null) {
+          adapterBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterVersion, ebonygw.wire.PeerProtocol.AdapterVersion.Builder, ebonygw.wire.PeerProtocol.AdapterVersionOrBuilder>(
+                  getAdapter(),
                   getParentForChildren(),
                   isClean());
-          members_ = null;
+          adapter_ = null;
         }
-        return membersBuilder_;
-      }
-
-      private boolean news_ ;
-      /**
-       * <pre>
-       * Whether they have just changed; else they answer a digest.
-       * </pre>
-       *
-       * <code>bool news = 2;</code>
-       * @return The news.
-       */
-      @java.lang.Override
-      public boolean getNews() {
-        return news_;
-      }
-      /**
-       * <pre>
-       * Whether they have just changed; else they answer a digest.
-       * </pre>
-       *
-       * <code>bool news = 2;</code>
-       * @param value The news to set.
-       * @return This builder for chaining.
-       */
-      public Builder setNews(boolean value) {
-
-        news_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Whether they have just changed; else they answer a digest.
-       * </pre>
-       *
-       * <code>bool news = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearNews() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        news_ = false;
-        onChanged();
-        return this;
+        return adapterBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.MemberUpdates)
+      // @@protoc_insertion_point(builder_scope:ebonygw.Prefetch)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.MemberUpdates)
-    private static final ebonygw.wire.PeerProtocol.MemberUpdates DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.Prefetch)
+    private static final ebonygw.wire.PeerProtocol.Prefetch DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.MemberUpdates();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.Prefetch();
     }
 
-    public static ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.Prefetch getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<MemberUpdates>
-        PARSER = new com.google.protobuf.AbstractParser<MemberUpdates>() {
+    private static final com.google.protobuf.Parser<Prefetch>
+        PARSER = new com.google.protobuf.AbstractParser<Prefetch>() {
       @java.lang.Override
-      public MemberUpdates parsePartialFrom(
+      public Prefetch parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -9072,17 +9868,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<MemberUpdates> parser() {
+    public static com.google.protobuf.Parser<Prefetch> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<MemberUpdates> getParserForType() {
+    public com.google.protobuf.Parser<Prefetch> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.MemberUpdates getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.Prefetch getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -20479,6 +21275,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Prefetch_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Prefetch_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_TargetLoad_descriptor;
   private static final 
@@ -20544,68 +21345,71 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\332\004\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\201\005\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
       "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
       "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
       "ebonygw.MemberUpdatesH\000\022\037\n\003use\030\010 \001(\0132\020.e" +
       "bonygw.LinkUseH\000\022#\n\004load\030\006 \001(\0132\023.ebonygw" +
-      ".TargetLoadH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.Run" +
-      "H\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004bod" +
-      "y\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014." +
-      "ebonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw." +
-      "FailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cance" +
-      "lH\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-" +
-      "\n\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvel" +
-      "opeH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEn" +
-      "velopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030\001 \001(\t\022" +
-      "\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005\022\r\n\005st" +
-      "ate\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_center" +
-      "\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030\010 \001(\t\"" +
-      "[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.Member\022" +
-      "\031\n\021settings_revision\030\002 \001(\004\022\030\n\020protocol_v" +
-      "ersion\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequence\030\001 " +
-      "\001(\004\022\031\n\021settings_revision\030\002 \001(\004\"\031\n\007LinkUs" +
-      "e\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersion\022\017\n\007a" +
-      "dapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014MemberD" +
-      "igest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberUpdates\022" +
-      " \n\007members\030\001 \003(\0132\017.ebonygw.Member\022\014\n\004new" +
-      "s\030\002 \001(\010\"k\n\nTargetLoad\022\020\n\010sequence\030\001 \001(\004\022" +
-      "\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013conc" +
-      "urrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\"\302\001\n" +
-      "\014TargetReport\022\020\n\010sequence\030\001 \001(\004\022\017\n\007runni" +
-      "ng\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030" +
-      "\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident" +
-      "\030\006 \003(\0132\027.ebonygw.AdapterVersion\022(\n\007loadi" +
-      "ng\030\007 \003(\0132\027.ebonygw.AdapterVersion\"A\n\tReq" +
-      "uestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001" +
-      " \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132" +
-      "\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010" +
-      "customer\030\003 \001(\t\022\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030" +
-      "\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.ebonygw.Adapter" +
-      "Version\022\022\n\nidempotent\030\007 \001(\010\022\020\n\010priority\030" +
-      "\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(\004\022\022\n\nmax_toke" +
-      "ns\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001(\006\022\020\n\010streame" +
-      "d\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n" +
-      "\007headers\030\017 \003(\0132\017.ebonygw.Header\022\014\n\004body\030" +
-      "\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(\004\022\016\n\006credit\030\022" +
-      " \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
-      "stId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n" +
-      "\007headers\030\004 \003(\0132\017.ebonygw.Header\"T\n\004Body\022" +
-      "\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attem" +
-      "pt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n" +
-      "\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007" +
-      "attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022\023\n\013tokens_u" +
-      "sed\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 \001(\0132\022.ebony" +
-      "gw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 " +
-      "\001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021" +
-      "retry_after_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030" +
+      ".TargetLoadH\000\022%\n\010prefetch\030\007 \001(\0132\021.ebonyg" +
+      "w.PrefetchH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.RunH" +
+      "\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004body" +
+      "\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014.e" +
+      "bonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw.F" +
+      "ailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cancel" +
+      "H\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-\n" +
+      "\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvelo" +
+      "peH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEnv" +
+      "elopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030\001 \001(\t\022\023" +
+      "\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005\022\r\n\005sta" +
+      "te\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_center\030" +
+      "\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030\010 \001(\t\"[" +
+      "\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.Member\022\031" +
+      "\n\021settings_revision\030\002 \001(\004\022\030\n\020protocol_ve" +
+      "rsion\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequence\030\001 \001" +
+      "(\004\022\031\n\021settings_revision\030\002 \001(\004\"\031\n\007LinkUse" +
+      "\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersion\022\017\n\007ad" +
+      "apter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014MemberDi" +
+      "gest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberUpdates\022 " +
+      "\n\007members\030\001 \003(\0132\017.ebonygw.Member\022\014\n\004news" +
+      "\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapter\030\001 \001(\0132\027.eb" +
+      "onygw.AdapterVersion\"k\n\nTargetLoad\022\020\n\010se" +
+      "quence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030" +
+      "\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_tok" +
+      "ens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010sequence\030\001" +
+      " \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n" +
+      "\013concurrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(" +
+      "\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.AdapterVer" +
+      "sion\022(\n\007loading\030\007 \003(\0132\027.ebonygw.AdapterV" +
+      "ersion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013in" +
+      "carnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Hea" +
+      "der\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run" +
+      "\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007atte" +
+      "mpt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006key_id\030\004 " +
+      "\001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.eb" +
+      "onygw.AdapterVersion\022\022\n\nidempotent\030\007 \001(\010" +
+      "\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(" +
+      "\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001" +
+      "(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004" +
+      "path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebonygw.He" +
+      "ader\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(" +
+      "\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022." +
+      "ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006st" +
+      "atus\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebonygw.He" +
+      "ader\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
+      "stId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004" +
+      "data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw." +
+      "RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(" +
+      "\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030" +
       "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
-      "(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
-      "stId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\rB\034\n\014" +
-      "ebonygw.wireB\014PeerProtocolb\006proto3"
+      "(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006det" +
+      "ail\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004\"9\n\006" +
+      "Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017" +
+      "\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022." +
+      "ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005pa" +
+      "rts\030\003 \001(\rB\034\n\014ebonygw.wireB\014PeerProtocolb" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -20618,7 +21422,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -20661,68 +21465,74 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_MemberUpdates_descriptor,
         new java.lang.String[] { "Members", "News", });
-    internal_static_ebonygw_TargetLoad_descriptor =
+    internal_static_ebonygw_Prefetch_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_ebonygw_Prefetch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_Prefetch_descriptor,
+        new java.lang.String[] { "Adapter", });
+    internal_static_ebonygw_TargetLoad_descriptor =
+      getDescriptor().getMessageType(9);
     internal_static_ebonygw_TargetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetLoad_descriptor,
         new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", });
     internal_static_ebonygw_TargetReport_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ebonygw_TargetReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetReport_descriptor,
         new java.lang.String[] { "Sequence", "Running", "Queued", "Concurrency", "QueuedTokens", "Resident", "Loading", });
     internal_static_ebonygw_RequestId_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ebonygw_RequestId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_RequestId_descriptor,
         new java.lang.String[] { "Entry", "Incarnation", "Sequence", });
     internal_static_ebonygw_Header_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_ebonygw_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_ebonygw_Run_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ebonygw_Run_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Run_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Customer", "KeyId", "Route", "Adapter", "Idempotent", "Priority", "PromptTokens", "MaxTokens", "PrefixHash", "Streamed", "Method", "Path", "Headers", "Body", "TimeoutNanos", "Credit", });
     internal_static_ebonygw_Head_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ebonygw_Head_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Head_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Status", "Headers", });
     internal_static_ebonygw_Body_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ebonygw_Body_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Body_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Index", "Data", });
     internal_static_ebonygw_End_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_ebonygw_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_End_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Parts", "TokensUsed", });
     internal_static_ebonygw_Failed_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_ebonygw_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Failed_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Code", "Verdict", "Detail", "RetryAfterNanos", });
     internal_static_ebonygw_Cancel_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_ebonygw_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Cancel_descriptor,
         new java.lang.String[] { "Id", "Attempt", });
     internal_static_ebonygw_Credit_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_ebonygw_Credit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Credit_descriptor,
--- a/src/test/java/ebonygw/routing/RouterTest.java
+++ b/src/test/java/ebonygw/routing/RouterTest.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,34 @@
     private final List<Member> mMembers = new ArrayList<>();
     private long mNow = SECOND;
 
+    @Test
+    void whatOnlyALeavingTargetHoldsGetsAnotherLiveHome() {
+        target("t0", MemberState.LIVE, KINGSTON, "model");
+        target("t1", MemberState.LIVE, KINGSTON, "model");
+        target("t2", MemberState.JOINING, KINGSTON, "model");
+        AdapterVersion only = new AdapterVersion("a", "1");
+        AdapterVersion unasked = new AdapterVersion("b", "1");
+        report(new NodeId("t0"), 1, 0, List.of(only, unasked));
+        choose();
+        choose();
+
+        assertThat(mRouter.homesAfter(new NodeId("t0"), 16, mNow))
+                .containsExactly(Map.entry(only, new NodeId("t1")));
+    }
+
+    @Test
+    void whatAnotherTargetHoldsTooNeedsNoNewHome() {
+        target("t0", MemberState.LIVE, KINGSTON, "model");
+        target("t1", MemberState.LIVE, KINGSTON, "model");
+        AdapterVersion shared = new AdapterVersion("a", "1");
+        report(new NodeId("t0"), 1, 0, List.of(shared));
+        report(new NodeId("t1"), 1, 0, List.of(shared));
+        choose();
+        choose();
+
+        assertThat(mRouter.homesAfter(new NodeId("t0"), 16, mNow)).isEmpty();
+    }
+
     @Test
     void theDemandOfFewOfManyAdaptersIsRemembered() {
         target("t0", MemberState.LIVE, KINGSTON, "model");
