A target node decides nothing anew for the parts of an answer

Cause: each part of an answer ran the scheduler once more, which looks through the whole queue for passed deadlines, although a part changes neither queue nor slots; ticks come every 10 ms in any case. Two accessors of TargetRuns had no caller. The time saved was not measured.

--- a/src/main/java/ebonygw/TargetNode.java
+++ b/src/main/java/ebonygw/TargetNode.java
@@ -124,6 +124,9 @@
      */
     public void handle(TargetEvent event, long nowNanos, Consumer<TargetEffect> effects) {
         mOut.attach(effects);
+        if (onAnswerUnderWay(event)) {
+            return;
+        }
         if (!onAnswer(event, nowNanos) && !onEngine(event, nowNanos)) {
             onOther(event, nowNanos);
         }
@@ -179,11 +182,7 @@
     }
 
     private boolean onAnswer(TargetEvent event, long nowNanos) {
-        if (event instanceof TargetEvent.AnswerStarted started) {
-            mRuns.answerStarted(started.call(), started.status(), started.headers());
-        } else if (event instanceof TargetEvent.AnswerPart part) {
-            mRuns.answerPart(part.call(), part.data());
-        } else if (event instanceof TargetEvent.AnswerEnded ended) {
+        if (event instanceof TargetEvent.AnswerEnded ended) {
             mRuns.answerEnded(ended.call(), ended.tokensUsed(), nowNanos);
         } else if (event instanceof TargetEvent.AnswerFailed failed) {
             mRuns.answerFailed(failed.call(), failed.refusal(), nowNanos);
@@ -193,6 +192,18 @@
         return true;
     }
 
+    /** Passes the start or a part of an answer on, which changes nothing that is decided here. */
+    private boolean onAnswerUnderWay(TargetEvent event) {
+        if (event instanceof TargetEvent.AnswerPart part) {
+            mRuns.answerPart(part.call(), part.data());
+        } else if (event instanceof TargetEvent.AnswerStarted started) {
+            mRuns.answerStarted(started.call(), started.status(), started.headers());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     private boolean onEngine(TargetEvent event, long nowNanos) {
         if (event instanceof TargetEvent.EngineReported report) {
             onReport(report, nowNanos);
--- a/src/main/java/ebonygw/TargetRuns.java
+++ b/src/main/java/ebonygw/TargetRuns.java
@@ -113,16 +113,6 @@
         return mRuns.size();
     }
 
-    /** Returns how many attempts are at the target. */
-    int running() {
-        return mCalls.size();
-    }
-
-    /** Returns the counts since the start. */
-    TargetCounts counts() {
-        return mCounts;
-    }
-
     /** Returns a JSON-able view for the dump. */
     Map<String, Object> dump() {
         Map<String, Object> dump = new LinkedHashMap<>();
