--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -43,6 +43,7 @@
 
     private static final int MAX_GATHERED = 64;
 
+    private final AnswerStyle mStyle;
     private final long mNumber;
     private final String mRequestId;
     private final boolean mStreamed;
@@ -69,7 +70,9 @@
             int bodyBytes,
             HttpServerExchange exchange,
             Owner owner,
-            long writeTimeoutNanos) {
+            long writeTimeoutNanos,
+            AnswerStyle style) {
+        mStyle = style;
         mNumber = number;
         mRequestId = requestId;
         mStreamed = streamed;
@@ -198,7 +201,7 @@
         }
         mStarted = true;
         mEnd = true;
-        Refusals.prepare(mExchange, refusal);
+        Refusals.prepare(mExchange, refusal, mStyle);
         mUnsent.add(
                 ByteBuffer.wrap(
                         ErrorBodies.json(refusal, mRequestId).getBytes(StandardCharsets.UTF_8)));
@@ -233,7 +236,9 @@
         mExchange.setStatusCode(status);
         headers.forEach(
                 (name, value) -> mExchange.getResponseHeaders().put(new HttpString(name), value));
-        mExchange.getResponseHeaders().put(Refusals.REQUEST_ID, mRequestId);
+        if (mStyle.addsRequestId()) {
+            mExchange.getResponseHeaders().put(Refusals.REQUEST_ID, mRequestId);
+        }
     }
 
     private void takeSent() {
--- a/src/main/java/ebonygw/caller/CallerServer.java
+++ b/src/main/java/ebonygw/caller/CallerServer.java
@@ -229,7 +229,8 @@
                         bodyBytes,
                         exchange,
                         mOwner,
-                        mOptions.writeTimeoutNanos());
+                        mOptions.writeTimeoutNanos(),
+                        AnswerStyle.OWN);
         mExchanges.put(number, opened);
         mDecisions.events().accept(new EntryEvent.CallerAsked(number, request));
         opened.start();
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/ChooserOptions.java
@@ -0,0 +1,45 @@
+package ebonygw.gateway;
+
+import ebonygw.protocol.Locality;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Costs by which targets are compared, all as times.
+ *
+ * @param locality where the entry runs
+ * @param regionNanos round trip to another region, and what its billed traffic is worth
+ * @param dataCenterNanos round trip to another data centre of the region
+ * @param loadNanos a load of an adapter
+ * @param loadingNanos a load that is under way already
+ * @param queuedLoadNanos each further load under way at the same target
+ * @param rankNanos each rank in an adapter's order of homes
+ * @param prefillNanosPerToken reading of a prompt token that is not kept
+ * @param fullNanos a target with all slots taken
+ * @param workNanos a request of a plain service
+ */
+public record ChooserOptions(
+        Locality locality,
+        long regionNanos,
+        long dataCenterNanos,
+        long loadNanos,
+        long loadingNanos,
+        long queuedLoadNanos,
+        long rankNanos,
+        long prefillNanosPerToken,
+        long fullNanos,
+        long workNanos) {
+    /** Returns the costs for production; times of loads and links are those of the brief. */
+    public static ChooserOptions defaults(Locality locality) {
+        return new ChooserOptions(
+                locality,
+                TimeUnit.MILLISECONDS.toNanos(100),
+                TimeUnit.MILLISECONDS.toNanos(2),
+                TimeUnit.MILLISECONDS.toNanos(300),
+                TimeUnit.MILLISECONDS.toNanos(150),
+                TimeUnit.MILLISECONDS.toNanos(60),
+                TimeUnit.MILLISECONDS.toNanos(20),
+                TimeUnit.MICROSECONDS.toNanos(26),
+                TimeUnit.MILLISECONDS.toNanos(200),
+                TimeUnit.MILLISECONDS.toNanos(40));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/EntryDirectory.java
@@ -0,0 +1,127 @@
+package ebonygw.gateway;
+
+import ebonygw.keyvalue.CallIds;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.keyvalue.PrefixMirror;
+import ebonygw.log.LogLine;
+import ebonygw.membership.LeaseOptions;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberValues;
+import ebonygw.membership.Presence;
+import ebonygw.membership.ProcessLease;
+import ebonygw.membership.ServiceBudget;
+import ebonygw.protocol.NodeId;
+import ebonygw.protocol.Outbox;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Registers this entry in the key-value service under a lease and knows the others registered
+ * there.
+ *
+ * <p>Not thread-safe.
+ */
+final class EntryDirectory {
+    private static final int FLEET_SIZE = 100;
+
+    /** Least time between two attempts to register. */
+    private static final long REGISTER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final Member mSelf;
+    private final CallIds mCallIds;
+    private final PrefixMirror mMirror;
+    private final ProcessLease mLease;
+    private final Map<NodeId, Member> mEntries = new TreeMap<>();
+    private long mRegisteredLease;
+    private long mRegisterCall;
+    private long mRegisteringLease;
+    private long mRegisterSinceNanos;
+
+    EntryDirectory(Member self, CallIds callIds, SplittableRandom random) {
+        mSelf = self;
+        mCallIds = callIds;
+        mMirror = new PrefixMirror(Presence.KEY_PREFIX, callIds);
+        mLease =
+                new ProcessLease(
+                        LeaseOptions.forFleetOf(FLEET_SIZE),
+                        callIds,
+                        ServiceBudget.forFleetOf(FLEET_SIZE, random.split()),
+                        random.split());
+    }
+
+    /** Returns the registered entries, this one included once it is registered. */
+    Collection<Member> entries() {
+        return mEntries.values();
+    }
+
+    boolean isLoaded() {
+        return mMirror.isLoaded();
+    }
+
+    boolean onReply(long callId, KeyValueReply reply, long nowNanos) {
+        if (callId == mRegisterCall && callId != 0) {
+            mRegisterCall = 0;
+            if (reply instanceof KeyValueReply.Committed committed && committed.succeeded()) {
+                mRegisteredLease = mRegisteringLease;
+            }
+            return true;
+        }
+        return mLease.onReply(callId, reply, nowNanos) || mMirror.onReply(callId, reply, nowNanos);
+    }
+
+    /** Lets time pass; returns whether the set of entries has changed. */
+    boolean onTick(long nowNanos, Outbox out) {
+        mLease.onTick(nowNanos, out);
+        mMirror.onTick(nowNanos, out);
+        long timeoutNanos = mLease.options().callTimeoutNanos();
+        if (mRegisterCall != 0 && nowNanos - mRegisterSinceNanos > timeoutNanos) {
+            mRegisterCall = 0;
+        }
+        boolean due = nowNanos - mRegisterSinceNanos > REGISTER_RETRY_NANOS;
+        if (mLease.id() != 0 && mLease.id() != mRegisteredLease && mRegisterCall == 0 && due) {
+            register(nowNanos, out);
+        }
+        List<PrefixMirror.Change> changes = mMirror.drain();
+        changes.forEach(this::apply);
+        return !changes.isEmpty();
+    }
+
+    void release(long nowNanos, Outbox out) {
+        mLease.release(nowNanos, out);
+    }
+
+    private void apply(PrefixMirror.Change change) {
+        NodeId id = new NodeId(change.key().substring(Presence.KEY_PREFIX.length()));
+        if (change.entry() == null) {
+            mEntries.remove(id);
+            return;
+        }
+        try {
+            mEntries.put(id, MemberValues.read(change.entry().value()));
+        } catch (IllegalArgumentException malformed) {
+            LogLine.of("presence_malformed")
+                    .with("key", change.key())
+                    .with("cause", malformed)
+                    .warn();
+        }
+    }
+
+    private void register(long nowNanos, Outbox out) {
+        mRegisteringLease = mLease.id();
+        mRegisterSinceNanos = nowNanos;
+        mRegisterCall = mCallIds.next();
+        String key = Presence.KEY_PREFIX + mSelf.id().name();
+        out.keyValue(
+                mRegisterCall,
+                new KeyValueCall.Transaction(
+                        List.of(),
+                        List.of(
+                                new KeyValueCall.Write(
+                                        key, MemberValues.write(mSelf), mRegisteringLease))));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/GatewayHeaders.java
@@ -0,0 +1,47 @@
+package ebonygw.gateway;
+
+import com.google.protobuf.ByteString;
+import ebonygw.request.Refusal;
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Translates between header fields of callers and targets and the types of a gateway.
+ *
+ * <p>Stateless and thread-safe. Names of header fields are in lower case.
+ */
+public interface GatewayHeaders {
+    /**
+     * Reads a caller's request.
+     *
+     * @param method HTTP method
+     * @param host host name without a port
+     * @param path path and query as they were sent
+     * @param headers end-to-end header fields
+     * @param body the whole body
+     * @return the request, or why it is refused
+     */
+    Either<Refusal, GatewayRequest> read(
+            String method, String host, String path, Map<String, String> headers, ByteString body);
+
+    /** Returns the header fields of an attempt. */
+    Map<String, String> write(GatewayRequest request, AttemptTerms terms);
+
+    /**
+     * Reads the start of a target's answer.
+     *
+     * @param status HTTP status
+     * @param headers end-to-end header fields
+     */
+    Answer answer(int status, Map<String, String> headers);
+
+    /**
+     * What the start of an answer says.
+     *
+     * @param requestId the request that it answers, empty if it does not say
+     * @param notRun whether the target says that it did not run the request
+     * @param load load that the target tells
+     */
+    record Answer(String requestId, boolean notRun, Optional<TargetLoad> load) {}
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/GatewayOutbox.java
@@ -0,0 +1,36 @@
+package ebonygw.gateway;
+
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.log.LogLine;
+import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
+import ebonygw.protocol.Outbox;
+import java.util.function.Consumer;
+
+/** Turns what deciding classes want done into effects. Not thread-safe. */
+final class GatewayOutbox implements Outbox {
+    private Consumer<GatewayEffect> mEffects = effect -> {};
+
+    /** Sets who takes the effects from now on. */
+    void attach(Consumer<GatewayEffect> effects) {
+        mEffects = effects;
+    }
+
+    void effect(GatewayEffect effect) {
+        mEffects.accept(effect);
+    }
+
+    @Override
+    public void keyValue(long callId, KeyValueCall call) {
+        mEffects.accept(new GatewayEffect.KeyValue(callId, call));
+    }
+
+    void log(LogLine line) {
+        mEffects.accept(new GatewayEffect.Log(line));
+    }
+
+    @Override
+    public void send(NodeId to, Message message) {
+        mEffects.accept(new GatewayEffect.Send(to, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -0,0 +1,109 @@
+package ebonygw.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * One revision of the whole configuration.
+ *
+ * <p>Immutable.
+ */
+public final class GatewaySettings {
+    private final long mRevision;
+    private final Map<String, List<GatewayRoute>> mRoutesByHost = new HashMap<>();
+    private final Map<String, GatewayService> mServices = new HashMap<>();
+    private final Map<String, GatewayCustomer> mCustomers = new HashMap<>();
+    private final Map<String, GatewayCustomer> mCustomersByKey = new HashMap<>();
+    private final CallerLimits mLimits;
+
+    /**
+     * Creates a revision.
+     *
+     * @param revision greater for each newer one
+     * @param routes the routes
+     * @param services the services
+     * @param customers the customers; without any, no request needs a key
+     * @param limits bounds of what callers may send
+     * @throws NullPointerException if an argument is null
+     */
+    public GatewaySettings(
+            long revision,
+            List<GatewayRoute> routes,
+            List<GatewayService> services,
+            List<GatewayCustomer> customers,
+            CallerLimits limits) {
+        mRevision = revision;
+        mLimits = Objects.requireNonNull(limits, "limits");
+        for (GatewayRoute route : routes) {
+            mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<GatewayRoute> longestFirst =
+                Comparator.comparingInt((GatewayRoute route) -> route.prefix().length()).reversed();
+        mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> mServices.put(service.name(), service));
+        for (GatewayCustomer customer : customers) {
+            mCustomers.put(customer.name(), customer);
+            customer.keyHashes().forEach(hash -> mCustomersByKey.put(hash, customer));
+        }
+    }
+
+    /**
+     * Bounds of what callers may send.
+     *
+     * @param headerBytes longest header
+     * @param bodyBytes longest body
+     * @param headerNanos longest time to send a header
+     * @param idleNanos how long a connection may stay idle
+     */
+    public record CallerLimits(int headerBytes, long bodyBytes, long headerNanos, long idleNanos) {}
+
+    /** Returns the customer of that name. */
+    public Optional<GatewayCustomer> customer(String name) {
+        return Optional.ofNullable(mCustomers.get(name));
+    }
+
+    /** Returns the customer that holds a key with that SHA-256. */
+    public Optional<GatewayCustomer> customerByKey(String keyHash) {
+        return Optional.ofNullable(mCustomersByKey.get(keyHash));
+    }
+
+    /** Returns all customers. */
+    public List<GatewayCustomer> customers() {
+        return List.copyOf(mCustomers.values());
+    }
+
+    /** Returns the bounds of what callers may send. */
+    public CallerLimits limits() {
+        return mLimits;
+    }
+
+    /** Returns the revision. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /**
+     * Returns the route with the longest prefix among those of the host.
+     *
+     * @param host host name without a port
+     * @param path path with or without a query
+     */
+    public Optional<GatewayRoute> route(String host, String path) {
+        for (GatewayRoute route : mRoutesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the service of that name. */
+    public Optional<GatewayService> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -0,0 +1,215 @@
+package ebonygw.gateway;
+
+import ebonygw.membership.MemberMessage.TargetReport;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.routing.RouterOptions;
+import ebonygw.routing.TargetHealth;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** What an entry knows of one target. Not thread-safe. */
+final class GatewayTarget {
+    /** After how long a load told by a target says no more than our own count of attempts. */
+    private static final long LOAD_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** How long an adapter that the target said to lack is taken as absent despite reports. */
+    private static final long ABSENT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    final TargetHealth mHealth;
+    private final PromptMemory mPrompts = new PromptMemory();
+    private final Map<String, Long> mAbsentUntil = new HashMap<>();
+    private final Set<String> mLoading = new HashSet<>();
+    private final Map<String, Long> mAdapters = new HashMap<>();
+    private TargetRecord mRecord;
+    private NodeId mLoader;
+    private boolean mLoaderUp;
+    private boolean mReported;
+    private long mReportSequence = -1;
+    private int mOutstanding;
+    private long mUnstartedTokens;
+    private int mToldLoad;
+    private int mToldSlots;
+    private long mToldNanos = Long.MIN_VALUE;
+    private int mSentSinceTold;
+    private int mEndedSinceTold;
+    private long mAvoidUntilNanos = Long.MIN_VALUE;
+
+    GatewayTarget(TargetRecord record, RouterOptions options) {
+        mHealth = new TargetHealth(options);
+        mRecord = record;
+        mAdapters.putAll(record.adapters());
+    }
+
+    /** Returns the resident version of an adapter, 0 if it is not resident. */
+    long adapterVersion(String adapter, long nowNanos) {
+        Long absentUntil = mAbsentUntil.get(adapter);
+        if (absentUntil != null && nowNanos < absentUntil) {
+            return 0;
+        }
+        return mAdapters.getOrDefault(adapter, 0L);
+    }
+
+    boolean isLoading(String adapter) {
+        return mLoading.contains(adapter);
+    }
+
+    /** Returns whether the target takes new work. */
+    boolean isUsable(long nowNanos) {
+        return !mRecord.draining() && !mHealth.isEjected(nowNanos) && nowNanos >= mAvoidUntilNanos;
+    }
+
+    /** Returns the requests there: what it told last, corrected by our own attempts since. */
+    int load(long nowNanos) {
+        if (mToldNanos == Long.MIN_VALUE || nowNanos - mToldNanos > LOAD_AGE_NANOS) {
+            return mOutstanding;
+        }
+        return Math.max(mOutstanding, mToldLoad + mSentSinceTold - mEndedSinceTold);
+    }
+
+    NodeId loader() {
+        return mLoader;
+    }
+
+    boolean loaderUp() {
+        return mLoaderUp;
+    }
+
+    int loads() {
+        return mLoading.size();
+    }
+
+    PromptMemory prompts() {
+        return mPrompts;
+    }
+
+    TargetRecord record() {
+        return mRecord;
+    }
+
+    int slots() {
+        return Math.max(1, mToldSlots > 0 ? mToldSlots : mRecord.slots());
+    }
+
+    /** Returns prompt tokens of our own attempts that have not started to be answered. */
+    long unstartedTokens() {
+        return mUnstartedTokens;
+    }
+
+    void avoidUntil(long nanos) {
+        mAvoidUntilNanos = Math.max(mAvoidUntilNanos, nanos);
+    }
+
+    void loader(NodeId loader) {
+        mLoader = loader;
+    }
+
+    /** Notes that the target said to lack an adapter, or to hold another version of it. */
+    void onAbsent(String adapter, long nowNanos) {
+        mAbsentUntil.put(adapter, nowNanos + ABSENT_NANOS);
+    }
+
+    void onEnded(long unstartedTokens) {
+        mOutstanding = Math.max(0, mOutstanding - 1);
+        mEndedSinceTold++;
+        onStarted(unstartedTokens);
+    }
+
+    void onLoaderDown() {
+        mLoaderUp = false;
+        mReported = false;
+        mReportSequence = -1;
+        mLoading.clear();
+    }
+
+    void onLoaderUp() {
+        onLoaderDown();
+        mLoaderUp = true;
+    }
+
+    /** Takes in what the target told with an answer. */
+    void onLoad(TargetLoad load, long nowNanos) {
+        mToldLoad = load.running() + load.queued();
+        mToldSlots = load.slots();
+        mToldNanos = nowNanos;
+        mSentSinceTold = 0;
+        mEndedSinceTold = 0;
+    }
+
+    /** Takes over a newer registration; a new start holds nothing of before. */
+    void onRecord(TargetRecord record) {
+        boolean same = mRecord.sameStart(record);
+        mRecord = record;
+        if (!same) {
+            mPrompts.clear();
+            mLoading.clear();
+            mReported = false;
+        }
+        if (!mReported) {
+            mAdapters.clear();
+            mAdapters.putAll(record.adapters());
+        }
+    }
+
+    /** Takes in a report of the target's loader; returns whether residency has changed. */
+    boolean onReport(TargetReport report, long nowNanos) {
+        if (report.sequence() <= mReportSequence) {
+            return false;
+        }
+        mReportSequence = report.sequence();
+        mReported = true;
+        onLoad(new TargetLoad(report.running(), report.queued(), report.concurrency()), nowNanos);
+        Map<String, Long> resident = versions(report.resident());
+        Set<String> loading = versions(report.loading()).keySet();
+        boolean changed = !resident.equals(mAdapters) || !loading.equals(mLoading);
+        mAdapters.clear();
+        mAdapters.putAll(resident);
+        mLoading.clear();
+        mLoading.addAll(loading);
+        return changed;
+    }
+
+    void onSent(long promptTokens) {
+        mOutstanding++;
+        mSentSinceTold++;
+        mUnstartedTokens += promptTokens;
+    }
+
+    void onStarted(long promptTokens) {
+        mUnstartedTokens = Math.max(0, mUnstartedTokens - promptTokens);
+    }
+
+    Map<String, Object> dump(long nowNanos) {
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("address", mRecord.address());
+        dump.put("service", mRecord.service());
+        dump.put("draining", mRecord.draining());
+        dump.put("load", load(nowNanos));
+        dump.put("ejected", mHealth.isEjected(nowNanos));
+        dump.put("loaderUp", mLoaderUp);
+        dump.put("adapters", Map.copyOf(mAdapters));
+        dump.put("loading", List.copyOf(mLoading));
+        return dump;
+    }
+
+    private static Map<String, Long> versions(List<AdapterVersion> versions) {
+        Map<String, Long> byName = new HashMap<>();
+        for (AdapterVersion version : versions) {
+            byName.put(version.adapter(), parse(version.version()));
+        }
+        return byName;
+    }
+
+    private static long parse(String version) {
+        try {
+            return version.isEmpty() ? 0 : Long.parseLong(version);
+        } catch (NumberFormatException notNumeric) {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -0,0 +1,379 @@
+package ebonygw.gateway;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.CallIds;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.keyvalue.PrefixMirror;
+import ebonygw.log.LogLine;
+import ebonygw.membership.MemberMessage;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The state machine of a loader: it alone orders its replica what to load and evict.
+ *
+ * <p>One order is open at a time and each names the number of orders accepted before, so that an
+ * order that is carried out late cannot follow a newer one. Events in, effects out; not
+ * thread-safe.
+ */
+public final class LoaderNode {
+    /** Prefix of the keys under which loaders claim the right to order. */
+    public static final String CLAIM_PREFIX = "/ebonygw/orders/";
+
+    private static final int CALL_OWNER = 8;
+
+    /** Adapters that may be on their way to a replica at once. */
+    private static final int MOST_LOADING = 4;
+
+    /** Time limit of an unanswered claim. */
+    private static final long CLAIM_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Wait after a failed claim or order. */
+    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Window over which replicas spread the reloads of a new version of a base model. */
+    private static final long MODEL_SPREAD_MILLIS = 2_000;
+
+    private final LoaderOptions mOptions;
+    private final GatewayOutbox mOut = new GatewayOutbox();
+    private final CallIds mCallIds = new CallIds(CALL_OWNER);
+    private final PrefixMirror mOperator;
+    private final AdapterDemands mDemands = new AdapterDemands();
+    private final Map<String, Long> mWantedVersions = new HashMap<>();
+    private final Map<String, Long> mModelReloads = new HashMap<>();
+    private final Set<NodeId> mEntries = new TreeSet<>();
+    private final Map<String, Long> mCounts = new LinkedHashMap<>();
+    private GatewaySettings mSettings;
+    private TargetStatus mStatus;
+    private MemberMessage.TargetReport mReported;
+    private long mReportSequence;
+    private long mFencingToken;
+    private long mClaimCall;
+    private long mClaimSinceNanos;
+    private long mNextClaimNanos = Long.MIN_VALUE;
+    private boolean mReading;
+    private long mReadNanos = Long.MIN_VALUE;
+    private boolean mOrderOpen;
+    private long mNextOrderNanos = Long.MIN_VALUE;
+    private boolean mStopping;
+
+    /**
+     * Creates a node that knows nothing of its replica.
+     *
+     * @throws NullPointerException if {@code options} is null
+     */
+    public LoaderNode(LoaderOptions options) {
+        mOptions = Objects.requireNonNull(options, "options");
+        mOperator = new PrefixMirror(options.reader().operatorPrefix(), mCallIds);
+    }
+
+    /** Returns the state as JSON-able maps, lists, strings and numbers. */
+    public Map<String, Object> dump() {
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("fencingToken", mFencingToken);
+        dump.put("revision", mSettings == null ? 0 : mSettings.revision());
+        dump.put("status", String.valueOf(mStatus));
+        dump.put("entries", mEntries.toString());
+        dump.put("counts", Map.copyOf(mCounts));
+        return dump;
+    }
+
+    /**
+     * Handles one event.
+     *
+     * @param event what happened
+     * @param nowNanos the present time
+     * @param effects takes the effects in order, during the call
+     */
+    public void handle(GatewayEvent event, long nowNanos, Consumer<GatewayEffect> effects) {
+        mOut.attach(effects);
+        if (event instanceof GatewayEvent.PeerSaid said) {
+            if (said.message() instanceof MemberMessage.Prefetch prefetch) {
+                onDemand(prefetch.adapter(), nowNanos);
+            }
+        } else if (event instanceof GatewayEvent.PeerUp up) {
+            mEntries.add(up.peer());
+            if (mReported != null) {
+                mOut.send(up.peer(), mReported);
+            }
+        } else if (event instanceof GatewayEvent.PeerDown down) {
+            mEntries.remove(down.peer());
+        } else if (event instanceof GatewayEvent.KeyValueReplied replied) {
+            onKeyValue(replied.callId(), replied.reply(), nowNanos);
+        } else if (event instanceof GatewayEvent.StatusRead read) {
+            onStatus(read.status(), nowNanos);
+        } else if (event instanceof GatewayEvent.OrderDone done) {
+            onOrderDone(done.order(), done.outcome(), nowNanos);
+        } else if (event instanceof GatewayEvent.StopAsked) {
+            mStopping = true;
+        } else if (event instanceof GatewayEvent.Tick) {
+            onTick(nowNanos);
+        }
+        orderNext(nowNanos);
+        if (mStopping && !mOrderOpen) {
+            mOut.effect(new GatewayEffect.Exit());
+        }
+    }
+
+    private void claim(long nowNanos) {
+        if (mClaimCall != 0 && nowNanos - mClaimSinceNanos > CLAIM_TIMEOUT_NANOS) {
+            mClaimCall = 0;
+        }
+        if (mFencingToken != 0 || mClaimCall != 0 || nowNanos < mNextClaimNanos) {
+            return;
+        }
+        mClaimSinceNanos = nowNanos;
+        mClaimCall = mCallIds.next();
+        KeyValueCall.Write write =
+                new KeyValueCall.Write(
+                        CLAIM_PREFIX + mOptions.address(),
+                        ByteString.copyFromUtf8(mOptions.name()),
+                        0);
+        mOut.keyValue(mClaimCall, new KeyValueCall.Transaction(List.of(), List.of(write)));
+    }
+
+    private Optional<EngineLimits> engine() {
+        return mSettings == null
+                ? Optional.empty()
+                : mSettings.service(mOptions.service()).flatMap(GatewayService::engine);
+    }
+
+    private static String modelOf(String adapter) {
+        int slash = adapter.indexOf('/');
+        return slash < 0 ? adapter : adapter.substring(0, slash);
+    }
+
+    private void onDemand(AdapterVersion adapter, long nowNanos) {
+        long version = adapter.version().isEmpty() ? 0 : Long.parseLong(adapter.version());
+        long wanted = mWantedVersions.getOrDefault(adapter.adapter(), 0L);
+        mDemands.ask(adapter.adapter(), Math.max(version, wanted), nowNanos);
+    }
+
+    private void onKeyValue(long callId, KeyValueReply reply, long nowNanos) {
+        if (callId == mClaimCall && callId != 0) {
+            mClaimCall = 0;
+            if (reply instanceof KeyValueReply.Committed committed && committed.succeeded()) {
+                mFencingToken = committed.revision();
+                mOut.log(LogLine.of("orders_claimed").with("fencing_token", mFencingToken));
+            } else {
+                mNextClaimNanos = nowNanos + RETRY_NANOS;
+            }
+            return;
+        }
+        if (mOperator.onReply(callId, reply, nowNanos)) {
+            mOperator.drain().forEach(change -> apply(change, nowNanos));
+        }
+    }
+
+    private void apply(PrefixMirror.Change change, long nowNanos) {
+        if (change.entry() == null) {
+            return;
+        }
+        try {
+            mOptions.reader()
+                    .settings(change.entry())
+                    .filter(it -> mSettings == null || it.revision() > mSettings.revision())
+                    .ifPresent(it -> mSettings = it);
+            mOptions.reader()
+                    .wantedVersion(change.entry())
+                    .ifPresent(it -> mWantedVersions.merge(it.name(), it.version(), Math::max));
+        } catch (IllegalArgumentException malformed) {
+            mOut.log(
+                    LogLine.of("configuration_malformed")
+                            .with("key", change.key())
+                            .with("cause", malformed.getMessage()));
+        }
+    }
+
+    private void onOrderDone(TargetOrder order, TargetOrder.Outcome outcome, long nowNanos) {
+        mOrderOpen = false;
+        mCounts.merge("order_" + outcome, 1L, Long::sum);
+        mOut.log(
+                LogLine.of("order_done")
+                        .with("operation", order.operation())
+                        .with("model", order.model())
+                        .with("adapter", order.adapter())
+                        .with("version", order.version())
+                        .with("expected_orders", order.expectedOrders())
+                        .with("fencing_token", order.fencingToken())
+                        .with("outcome", outcome));
+        if (outcome == TargetOrder.Outcome.FENCED) {
+            mFencingToken = 0;
+            mNextClaimNanos = nowNanos + 2 * mOptions.leaseNanos();
+        } else if (outcome != TargetOrder.Outcome.ACCEPTED
+                && outcome != TargetOrder.Outcome.CONFLICT) {
+            mNextOrderNanos = nowNanos + RETRY_NANOS;
+        }
+        mStatus = null;
+        read(nowNanos);
+    }
+
+    private void onStatus(Optional<TargetStatus> status, long nowNanos) {
+        mReading = false;
+        if (status.isEmpty()) {
+            mStatus = null;
+            return;
+        }
+        mStatus = status.get();
+        mDemands.trim(mStatus.adapters(), nowNanos);
+        report();
+    }
+
+    private void onTick(long nowNanos) {
+        mOperator.onTick(nowNanos, mOut);
+        mOperator.drain().forEach(change -> apply(change, nowNanos));
+        claim(nowNanos);
+        boolean busy = mStatus == null || mStatus.busy() || !mStatus.loading().isEmpty();
+        long interval = busy ? mOptions.busyReadNanos() : mOptions.idleReadNanos();
+        if (nowNanos - mReadNanos >= interval) {
+            read(nowNanos);
+        }
+    }
+
+    private void order(
+            TargetOrder.Operation operation, String model, String adapter, long nowNanos) {
+        mOrderOpen = true;
+        mOut.effect(
+                new GatewayEffect.Order(
+                        new TargetOrder(
+                                operation,
+                                model,
+                                adapter,
+                                0,
+                                mFencingToken,
+                                mStatus.orders(),
+                                mStatus.instance())));
+    }
+
+    private void orderNext(long nowNanos) {
+        Optional<EngineLimits> engine = engine();
+        if (mOrderOpen
+                || mStopping
+                || mStatus == null
+                || mFencingToken == 0
+                || engine.isEmpty()
+                || nowNanos < mNextOrderNanos) {
+            return;
+        }
+        if (!orderModel(engine.get(), nowNanos) && mStatus.loading().size() < MOST_LOADING) {
+            orderAdapter(engine.get(), nowNanos);
+        }
+    }
+
+    /** Orders a base model that is missing or old; returns whether it did. */
+    private boolean orderModel(EngineLimits engine, long nowNanos) {
+        if (mStatus.busy()) {
+            return true;
+        }
+        if (mStatus.models().isEmpty()) {
+            Optional<String> model = engine.models().keySet().stream().sorted().findFirst();
+            model.ifPresent(it -> order(TargetOrder.Operation.LOAD, it, "", nowNanos));
+            return model.isPresent();
+        }
+        for (Map.Entry<String, Long> model : mStatus.models().entrySet()) {
+            if (mWantedVersions.getOrDefault(model.getKey(), 0L) <= model.getValue()) {
+                mModelReloads.remove(model.getKey());
+                continue;
+            }
+            long spread = Math.floorMod(mOptions.address().hashCode(), MODEL_SPREAD_MILLIS);
+            long due =
+                    mModelReloads.computeIfAbsent(
+                            model.getKey(), m -> nowNanos + TimeUnit.MILLISECONDS.toNanos(spread));
+            if (nowNanos >= due) {
+                order(TargetOrder.Operation.LOAD, model.getKey(), "", nowNanos);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void orderAdapter(EngineLimits engine, long nowNanos) {
+        Map<String, Long> resident = mStatus.adapters();
+        List<String> loading = mStatus.loading();
+        for (Map.Entry<String, Long> adapter : resident.entrySet()) {
+            long wanted = mWantedVersions.getOrDefault(adapter.getKey(), 0L);
+            if (wanted > adapter.getValue() && !loading.contains(adapter.getKey())) {
+                order(
+                        TargetOrder.Operation.LOAD,
+                        modelOf(adapter.getKey()),
+                        adapter.getKey(),
+                        nowNanos);
+                return;
+            }
+        }
+        for (String adapter : mDemands.missing(resident, loading, nowNanos)) {
+            String model = modelOf(adapter);
+            if (!mStatus.models().containsKey(model)) {
+                continue;
+            }
+            int capacity = Math.min(engine.adapterSlots(), engine.adaptersThatFit(model));
+            if (resident.size() + loading.size() < capacity || resident.containsKey(adapter)) {
+                order(TargetOrder.Operation.LOAD, model, adapter, nowNanos);
+                return;
+            }
+            Optional<String> victim = mDemands.victim(resident, nowNanos);
+            if (victim.isPresent()) {
+                order(TargetOrder.Operation.UNLOAD, modelOf(victim.get()), victim.get(), nowNanos);
+                return;
+            }
+        }
+    }
+
+    private void read(long nowNanos) {
+        if (!mReading) {
+            mReading = true;
+            mReadNanos = nowNanos;
+            mOut.effect(new GatewayEffect.ReadReport());
+        }
+    }
+
+    /** Tells all entries what the replica holds and how busy it is, if that has changed. */
+    private void report() {
+        List<AdapterVersion> resident = new ArrayList<>();
+        new TreeMap<>(mStatus.adapters())
+                .forEach((name, version) -> resident.add(adapterVersion(name, version)));
+        List<AdapterVersion> loading = new ArrayList<>();
+        mStatus.loading().forEach(name -> loading.add(adapterVersion(name, 0)));
+        int slots = engine().map(EngineLimits::slots).orElse(0);
+        MemberMessage.TargetReport report =
+                new MemberMessage.TargetReport(
+                        mReportSequence,
+                        mStatus.running(),
+                        mStatus.queued(),
+                        slots,
+                        0,
+                        resident,
+                        loading);
+        if (report.equals(mReported)) {
+            return;
+        }
+        mReportSequence++;
+        mReported =
+                new MemberMessage.TargetReport(
+                        mReportSequence,
+                        report.running(),
+                        report.queued(),
+                        slots,
+                        0,
+                        resident,
+                        loading);
+        mEntries.forEach(entry -> mOut.send(entry, mReported));
+    }
+
+    private static AdapterVersion adapterVersion(String name, long version) {
+        return new AdapterVersion(name, version == 0 ? "" : Long.toString(version));
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -0,0 +1,133 @@
+package ebonygw.gateway;
+
+import ebonygw.protocol.Locality;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Chooses the target of an attempt by comparing expected times.
+ *
+ * <p>Stateless but for its options.
+ */
+final class TargetChooser {
+    private final ChooserOptions mOptions;
+
+    TargetChooser(ChooserOptions options) {
+        mOptions = Objects.requireNonNull(options, "options");
+    }
+
+    /**
+     * A choice.
+     *
+     * @param target the target
+     * @param resident whether it can run the request now; else the adapter has to be loaded first
+     * @param costNanos its expected cost
+     */
+    record Choice(GatewayTarget target, boolean resident, long costNanos) {}
+
+    /**
+     * Chooses among targets of one service.
+     *
+     * @param request the request
+     * @param wantedVersion version of the adapter that it must run on, 0 for any
+     * @param targets targets of its service
+     * @param excluded identifiers of targets that it was sent to
+     * @param nowNanos the present time
+     * @return the cheapest one, null if no target can take it
+     */
+    Choice choose(
+            GatewayRequest request,
+            long wantedVersion,
+            Collection<GatewayTarget> targets,
+            Set<String> excluded,
+            long nowNanos) {
+        List<GatewayTarget> usable = new ArrayList<>();
+        for (GatewayTarget target : targets) {
+            if (target.isUsable(nowNanos) && !excluded.contains(target.record().id())) {
+                usable.add(target);
+            }
+        }
+        Choice best = null;
+        boolean ranked = !request.adapter().isEmpty();
+        if (ranked) {
+            usable.sort(byRank(request.adapter()));
+        }
+        for (int rank = 0; rank < usable.size(); rank++) {
+            Choice choice =
+                    consider(request, wantedVersion, usable.get(rank), ranked ? rank : 0, nowNanos);
+            if (choice != null && (best == null || choice.costNanos() < best.costNanos())) {
+                best = choice;
+            }
+        }
+        return best;
+    }
+
+    /** Returns whether a target can run a request now. */
+    static boolean isResident(
+            GatewayTarget target, GatewayRequest request, long wantedVersion, long nowNanos) {
+        if (request.model().isEmpty()) {
+            return true;
+        }
+        if (!target.record().models().containsKey(request.model())) {
+            return false;
+        }
+        if (request.adapter().isEmpty()) {
+            return true;
+        }
+        long version = target.adapterVersion(request.adapter(), nowNanos);
+        return version > 0 && version >= wantedVersion;
+    }
+
+    private static Comparator<GatewayTarget> byRank(String adapter) {
+        return Comparator.comparingLong(
+                target ->
+                        LongHashFunction.xx().hashChars(target.record().address() + ' ' + adapter));
+    }
+
+    private Choice consider(
+            GatewayRequest request,
+            long wantedVersion,
+            GatewayTarget target,
+            int rank,
+            long nowNanos) {
+        long cost = distanceNanos(target.record().locality());
+        int load = target.load(nowNanos);
+        int slots = target.slots();
+        if (request.model().isEmpty()) {
+            long over = Math.max(0, load + 1 - slots);
+            cost += mOptions.workNanos() * over / slots + mOptions.workNanos() * load / slots / 2;
+            return new Choice(target, true, cost);
+        }
+        boolean resident = isResident(target, request, wantedVersion, nowNanos);
+        if (!resident) {
+            boolean modelHeld = target.record().models().containsKey(request.model());
+            if (!modelHeld || request.adapter().isEmpty() || !target.loaderUp()) {
+                return null;
+            }
+            boolean loading = target.isLoading(request.adapter());
+            cost += loading ? mOptions.loadingNanos() : mOptions.loadNanos();
+            cost += target.loads() * mOptions.queuedLoadNanos() + rank * mOptions.rankNanos();
+        }
+        String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
+        long unread =
+                request.promptTokens() - target.prompts().cached(owner, request.promptParts());
+        cost += (Math.max(0, unread) + target.unstartedTokens()) * mOptions.prefillNanosPerToken();
+        cost += mOptions.fullNanos() * load / slots / 2;
+        if (load >= slots) {
+            cost += mOptions.fullNanos() * (1 + load - slots);
+        }
+        return new Choice(target, resident, cost);
+    }
+
+    private long distanceNanos(Locality locality) {
+        if (!mOptions.locality().sameRegion(locality)) {
+            return mOptions.regionNanos();
+        }
+        return mOptions.locality().sameDataCenter(locality) ? 0 : mOptions.dataCenterNanos();
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/TargetTable.java
@@ -0,0 +1,64 @@
+package ebonygw.gateway;
+
+import ebonygw.protocol.NodeId;
+import ebonygw.routing.RouterOptions;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The targets that an entry knows, by instance, service and loader. Not thread-safe. */
+final class TargetTable {
+    private final RouterOptions mOptions;
+    private final Map<String, GatewayTarget> mById = new LinkedHashMap<>();
+    private final Map<String, Map<String, GatewayTarget>> mByService = new HashMap<>();
+
+    TargetTable(RouterOptions options) {
+        mOptions = options;
+    }
+
+    Collection<GatewayTarget> all() {
+        return mById.values();
+    }
+
+    /** Returns the target of an instance, null if it is gone. */
+    GatewayTarget get(String id) {
+        return mById.get(id);
+    }
+
+    Collection<GatewayTarget> ofService(String service) {
+        return mByService.getOrDefault(service, Map.of()).values();
+    }
+
+    List<GatewayTarget> ofLoader(NodeId loader) {
+        return mById.values().stream().filter(t -> loader.equals(t.loader())).toList();
+    }
+
+    /** Adds a target or takes over its newer registration. */
+    GatewayTarget put(TargetRecord record) {
+        GatewayTarget known = mById.get(record.id());
+        if (known == null) {
+            known = new GatewayTarget(record, mOptions);
+            mById.put(record.id(), known);
+        } else {
+            if (!known.record().service().equals(record.service())) {
+                mByService.getOrDefault(known.record().service(), Map.of()).remove(record.id());
+            }
+            known.onRecord(record);
+        }
+        mByService
+                .computeIfAbsent(record.service(), s -> new LinkedHashMap<>())
+                .put(record.id(), known);
+        return known;
+    }
+
+    /** Removes a target; returns it, null if it was not known. */
+    GatewayTarget remove(String id) {
+        GatewayTarget known = mById.remove(id);
+        if (known != null) {
+            mByService.getOrDefault(known.record().service(), Map.of()).remove(id);
+        }
+        return known;
+    }
+}
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of entries that forward to targets directly, and of the loaders beside targets. */
+package ebonygw.gateway;
--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -14,7 +14,10 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.tinylog.Logger;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -29,6 +32,7 @@
  */
 public final class HttpCall {
     private static final int READS_PER_TURN = 16;
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
     private final HttpClient mClient;
     private final HttpRequest mRequest;
@@ -42,6 +46,7 @@
     private boolean mPaused;
     private boolean mSent;
     private boolean mFramed;
+    private long mKeepNanos;
 
     HttpCall(HttpClient client, HttpRequest request, long timeoutNanos, HttpAnswerSink sink) {
         mClient = client;
@@ -88,8 +93,10 @@
                         .setPath(mRequest.path());
         HeaderMap headers = request.getRequestHeaders();
         mRequest.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
-        headers.put(Headers.HOST, mClient.host());
-        if (!mRequest.body().isEmpty()) {
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, mClient.host());
+        }
+        if (!mRequest.body().isEmpty() || mRequest.method().equals("POST")) {
             headers.put(Headers.CONTENT_LENGTH, mRequest.body().size());
         }
         connection.sendRequest(request, callback(this::sendBody));
@@ -140,6 +147,13 @@
                 || mRequest.method().equals("HEAD");
     }
 
+    /** Returns how long the server keeps an idle connection open, 0 if it does not say. */
+    private static long keepNanos(HeaderMap headers) {
+        String keepAlive = headers.getFirst("keep-alive");
+        Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(keepAlive == null ? "" : keepAlive);
+        return timeout.find() ? TimeUnit.SECONDS.toNanos(Long.parseLong(timeout.group(1))) : 0;
+    }
+
     private void lost(IOException cause) {
         if (mDone) {
             return;
@@ -201,7 +215,8 @@
         }
         mStarted = true;
         ClientResponse response = exchange.getResponse();
-        mFramed = framed(response);
+        mFramed = framed(response) || mClient.options().takesUnframed();
+        mKeepNanos = keepNanos(response.getResponseHeaders());
         mSink.started(
                 response.getResponseCode(), HttpHeaders.endToEnd(response.getResponseHeaders()));
         mAnswer = exchange.getResponseChannel();
@@ -219,7 +234,7 @@
             if (!mSent) {
                 IoUtils.safeClose(mConnection);
             }
-            mClient.release(mConnection);
+            mClient.release(mConnection, mKeepNanos);
         }
     }
 
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -30,6 +30,12 @@
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int MAX_POOLED_BUFFERS = 256;
 
+    /** How long a connection is kept whose server does not say how long it keeps it. */
+    private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    /** How much earlier than its server a connection is given up, so that no request crosses it. */
+    private static final long KEEP_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
     private final HttpClientOptions mOptions;
     private final URI mUri;
     private final String mHost;
@@ -37,7 +43,8 @@
     private final XnioIoThread mThread;
     private final ByteBufferPool mBuffers =
             new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
-    private final ArrayDeque<ClientConnection> mIdle = new ArrayDeque<>();
+    private final boolean mOwned;
+    private final ArrayDeque<Idle> mIdle = new ArrayDeque<>();
     private final ArrayDeque<HttpCall> mWaiting = new ArrayDeque<>();
     private int mOpen;
     private int mConnecting;
@@ -52,22 +59,46 @@
      * @throws IOException if the IO thread cannot be started
      */
     public HttpClient(String name, HttpClientOptions options) throws IOException {
-        Objects.requireNonNull(name, "name");
+        this(worker(Objects.requireNonNull(name, "name")), options, true);
+    }
+
+    /**
+     * Creates a client on an IO thread that it shares with others.
+     *
+     * @param worker has the IO thread; not shut down with the client
+     * @param options the options
+     * @throws NullPointerException if an argument is null
+     */
+    public HttpClient(XnioWorker worker, HttpClientOptions options) {
+        this(worker, options, false);
+    }
+
+    private HttpClient(XnioWorker worker, HttpClientOptions options, boolean owned) {
         mOptions = Objects.requireNonNull(options, "options");
         InetSocketAddress server = options.server();
         mHost = server.getHostString() + ":" + server.getPort();
         mUri = URI.create("http://" + mHost);
-        mWorker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.builder()
-                                        .set(Options.WORKER_IO_THREADS, 1)
-                                        .set(Options.WORKER_TASK_CORE_THREADS, 0)
-                                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                                        .set(Options.THREAD_DAEMON, true)
-                                        .set(Options.WORKER_NAME, name)
-                                        .getMap());
+        mWorker = Objects.requireNonNull(worker, "worker");
         mThread = mWorker.getIoThread();
+        mOwned = owned;
+    }
+
+    /**
+     * Creates a worker with one IO thread.
+     *
+     * @param name name of the thread
+     * @throws IOException if it cannot be started
+     */
+    public static XnioWorker worker(String name) throws IOException {
+        return Xnio.getInstance()
+                .createWorker(
+                        OptionMap.builder()
+                                .set(Options.WORKER_IO_THREADS, 1)
+                                .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                                .set(Options.THREAD_DAEMON, true)
+                                .set(Options.WORKER_NAME, name)
+                                .getMap());
     }
 
     /** Closes all connections; open calls fail. */
@@ -149,9 +180,19 @@
         return mHost;
     }
 
-    void release(ClientConnection connection) {
+    HttpClientOptions options() {
+        return mOptions;
+    }
+
+    /**
+     * Takes a connection back.
+     *
+     * @param keepNanos how long the server keeps it open while it is idle, 0 if it does not say
+     */
+    void release(ClientConnection connection, long keepNanos) {
         if (connection.isOpen() && !mClosed) {
-            mIdle.push(connection);
+            long kept = keepNanos == 0 ? MOST_IDLE_NANOS : keepNanos - KEEP_MARGIN_NANOS;
+            mIdle.push(new Idle(connection, System.nanoTime() + kept));
         } else {
             IoUtils.safeClose(connection);
         }
@@ -171,8 +212,10 @@
             mWaiting.poll()
                     .failed(new HttpFailure(HttpFailure.Kind.CANCELLED, false, "client closed"));
         }
-        List.copyOf(mIdle).forEach(HttpClient::abort);
-        mWorker.shutdown();
+        List.copyOf(mIdle).forEach(idle -> abort(idle.connection()));
+        if (mOwned) {
+            mWorker.shutdown();
+        }
     }
 
     private void connect() {
@@ -191,10 +234,12 @@
 
     private void pump() {
         while (!mClosed && !mWaiting.isEmpty()) {
-            ClientConnection connection = mIdle.poll();
-            if (connection != null) {
-                if (connection.isOpen()) {
-                    mWaiting.poll().sendOn(connection);
+            Idle idle = mIdle.poll();
+            if (idle != null) {
+                if (System.nanoTime() - idle.untilNanos() >= 0) {
+                    IoUtils.safeClose(idle.connection());
+                } else if (idle.connection().isOpen()) {
+                    mWaiting.poll().sendOn(idle.connection());
                 }
                 continue;
             }
@@ -218,6 +263,9 @@
         }
     }
 
+    /** A connection without a call, and until when it may be used. */
+    private record Idle(ClientConnection connection, long untilNanos) {}
+
     /** One attempt to open a connection; all methods run on the IO thread. */
     private final class ConnectAttempt implements ClientCallback<ClientConnection> {
         private boolean mEnded;
@@ -232,10 +280,10 @@
             connection.addCloseListener(
                     closed -> {
                         mOpen--;
-                        mIdle.remove(closed);
+                        mIdle.removeIf(idle -> idle.connection() == closed);
                         execute(HttpClient.this::pump);
                     });
-            release(connection);
+            release(connection, 0);
         }
 
         @Override
--- a/src/main/java/ebonygw/http/HttpClientOptions.java
+++ b/src/main/java/ebonygw/http/HttpClientOptions.java
@@ -10,9 +10,14 @@
  * @param maxConnections most connections open at once, positive
  * @param maxWaiting most calls that wait for a connection, not negative
  * @param connectTimeoutNanos time limit of opening a connection, in nanoseconds
+ * @param takesUnframed whether an answer without a length that ends with its connection is whole
  */
 public record HttpClientOptions(
-        InetSocketAddress server, int maxConnections, int maxWaiting, long connectTimeoutNanos) {
+        InetSocketAddress server,
+        int maxConnections,
+        int maxWaiting,
+        long connectTimeoutNanos,
+        boolean takesUnframed) {
     private static final int DEFAULT_CONNECTIONS = 256;
     private static final int DEFAULT_WAITING = 4096;
     private static final long DEFAULT_CONNECT_TIMEOUT_NANOS = 2_000_000_000L;
@@ -30,6 +35,15 @@
         }
     }
 
+    /** Creates options of a client that takes framed answers only. */
+    public HttpClientOptions(
+            InetSocketAddress server,
+            int maxConnections,
+            int maxWaiting,
+            long connectTimeoutNanos) {
+        this(server, maxConnections, maxWaiting, connectTimeoutNanos, false);
+    }
+
     /** Returns options for a server with usual bounds. */
     public static HttpClientOptions of(InetSocketAddress server) {
         return new HttpClientOptions(
--- a/src/main/java/ebonygw/peer/PeerCodec.java
+++ b/src/main/java/ebonygw/peer/PeerCodec.java
@@ -25,6 +25,7 @@
         families.add(new MemberCodec());
         families.add(new SettingsFamilyCodec());
         families.add(new SharesFamilyCodec());
+        families.add(new GatewayFamilyCodec());
         families.addAll(further);
         mFamilies = List.copyOf(families);
     }
--- a/src/main/java/ebonygw/process/ControlLoop.java
+++ b/src/main/java/ebonygw/process/ControlLoop.java
@@ -35,6 +35,7 @@
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
     private static final int RESERVE_FRACTION = 4;
 
+    private final long mTickNanos;
     private final E mTick;
     private final LongSupplier mClock;
     private final Handler<E> mHandler;
@@ -60,9 +61,34 @@
      * @throws IllegalArgumentException if the size is not a power of two of at least 8
      */
     public ControlLoop(String name, int ringSize, E tick, LongSupplier clock, Handler<E> handler) {
+        this(name, ringSize, TICK_INTERVAL_NANOS, tick, clock, handler);
+    }
+
+    /**
+     * Creates a loop with another time between ticks; it handles nothing before {@link #start}.
+     *
+     * @param name name of the thread
+     * @param ringSize events that may wait, a power of two of at least 8
+     * @param tickNanos longest time between two ticks while the thread is not busy, positive
+     * @param tick event that tells that time has passed
+     * @param clock the present time in nanoseconds since the Unix epoch, never stepping back
+     * @param handler handles each event on the control thread
+     * @throws IllegalArgumentException if a number is out of its bounds
+     */
+    public ControlLoop(
+            String name,
+            int ringSize,
+            long tickNanos,
+            E tick,
+            LongSupplier clock,
+            Handler<E> handler) {
+        if (tickNanos <= 0) {
+            throw new IllegalArgumentException("time between ticks: " + tickNanos);
+        }
         if (ringSize < 2 * RESERVE_FRACTION || Integer.bitCount(ringSize) != 1) {
             throw new IllegalArgumentException("not a power of two of at least 8: " + ringSize);
         }
+        mTickNanos = tickNanos;
         mTick = Objects.requireNonNull(tick, "tick");
         mClock = Objects.requireNonNull(clock, "clock");
         mHandler = Objects.requireNonNull(handler, "handler");
@@ -77,7 +103,7 @@
                             return thread;
                         },
                         ProducerType.MULTI,
-                        new TimeoutBlockingWaitStrategy(TICK_INTERVAL_NANOS, TimeUnit.NANOSECONDS));
+                        new TimeoutBlockingWaitStrategy(tickNanos, TimeUnit.NANOSECONDS));
         mDisruptor.handleEventsWith(new Consumer());
         mRing = mDisruptor.getRingBuffer();
     }
@@ -225,7 +251,7 @@
 
     private void tickIfDue() {
         long now = mClock.getAsLong();
-        if (now - mLastTickNanos < TICK_INTERVAL_NANOS) {
+        if (now - mLastTickNanos < mTickNanos) {
             return;
         }
         mLastTickNanos = now;
--- a/src/main/java/ebonygw/process/NodeRuntime.java
+++ b/src/main/java/ebonygw/process/NodeRuntime.java
@@ -6,7 +6,6 @@
 import ebonygw.membership.Member;
 import ebonygw.peer.PeerCodec;
 import ebonygw.peer.PeerListener;
-import ebonygw.peer.PeerOptions;
 import ebonygw.peer.PeerTransport;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
@@ -32,9 +31,9 @@
  */
 final class NodeRuntime<E> implements AutoCloseable {
     private static final long DUMP_TIMEOUT_SECONDS = 5;
-    private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final NodeEvents<E> mEvents;
+    private final long mLingerNanos;
     private final WallClock mClock = new WallClock();
     private final long mStartedAtNanos = mClock.nanos();
     private final ControlLoop<E> mLoop;
@@ -48,24 +47,26 @@
     /**
      * Starts to listen for links; nothing is handled before {@link #start}.
      *
-     * @param settings the settings of the process
+     * @param options sizes, times and certificates
      * @param self this process without its incarnation
      * @param keyValue carries key-value calls
      * @param events makes the common events
      * @param handler handles each event on the control thread
      */
     NodeRuntime(
-            CommonSettings settings,
+            RuntimeOptions options,
             Member self,
             KeyValueCaller keyValue,
             NodeEvents<E> events,
             ControlLoop.Handler<E> handler) {
         mEvents = events;
+        mLingerNanos = options.lingerNanos();
         mKeyValue = keyValue;
         mLoop =
                 new ControlLoop<>(
                         "control-" + self.id(),
-                        settings.controlRing(),
+                        options.controlRing(),
+                        options.tickNanos(),
                         events.tick(),
                         mClock::nanos,
                         handler);
@@ -81,9 +82,9 @@
         mPeers =
                 new PeerTransport(
                         incarnated,
-                        PeerOptions.defaults(),
+                        options.peers(),
                         new PeerCodec(List.of()),
-                        settings.peerTls(),
+                        options.peerTls(),
                         new Random(mStartedAtNanos),
                         new Links());
     }
@@ -170,6 +171,11 @@
         return mLoop;
     }
 
+    /** Returns the present time of the process's clock. */
+    long nowNanos() {
+        return mClock.nanos();
+    }
+
     /** Returns the links. */
     PeerTransport peers() {
         return mPeers;
@@ -210,7 +216,7 @@
     }
 
     private void linger() {
-        long left = mStopAskedNanos + LINGER_NANOS - mClock.nanos();
+        long left = mStopAskedNanos + mLingerNanos - mClock.nanos();
         try {
             TimeUnit.NANOSECONDS.sleep(Math.max(0, left));
         } catch (InterruptedException interrupted) {
--- a/src/main/java/ebonygw/process/ProcessShell.java
+++ b/src/main/java/ebonygw/process/ProcessShell.java
@@ -55,7 +55,9 @@
             Map<String, HttpHandler> further)
             throws IOException {
         mKeyValue = new KeyValueClient(KeyValueClientOptions.of(settings.keyValue()));
-        mRuntime = new NodeRuntime<>(settings, self, mKeyValue::call, events, this::handle);
+        mRuntime =
+                new NodeRuntime<>(
+                        RuntimeOptions.of(settings), self, mKeyValue::call, events, this::handle);
         mHosts = hosts(settings.hostList());
         mOperatorAddress = settings.operatorAddress();
         mOperators =
--- a/src/main/java/ebonygw/process/SettingsException.java
+++ b/src/main/java/ebonygw/process/SettingsException.java
@@ -14,4 +14,13 @@
     public SettingsException(List<String> faults) {
         super(String.join("; ", faults));
     }
+
+    /**
+     * Creates an exception of one fault.
+     *
+     * @param fault what is wrong, with the name of its setting
+     */
+    public SettingsException(String fault) {
+        this(List.of(fault));
+    }
 }
--- a/src/main/java/ebonygw/request/RefusalCode.java
+++ b/src/main/java/ebonygw/request/RefusalCode.java
@@ -24,6 +24,8 @@
     BROKEN_ANSWER(502),
     /** The connection to the target or its process was lost after the request was sent. */
     LOST(502),
+    /** The time of a request that was sent is up. */
+    TIMEOUT(504),
     /** The queue is full. */
     OVERLOADED(503),
     /** No target can take the request now. */
--- a/src/main/java/ebonygw/retry/RetryBudget.java
+++ b/src/main/java/ebonygw/retry/RetryBudget.java
@@ -1,28 +1,37 @@
 package ebonygw.retry;
 
 /** Retries that requests earn and retries spend. Not thread-safe. */
-final class RetryBudget {
+public final class RetryBudget {
     private final RetryOptions mOptions;
     private double mSaved;
     private long mUpdatedNanos;
 
-    RetryBudget(RetryOptions options, long nowNanos) {
+    /**
+     * Creates a budget that allows its whole saving at once.
+     *
+     * @param options its bounds
+     * @param nowNanos the present time
+     */
+    public RetryBudget(RetryOptions options, long nowNanos) {
         mOptions = options;
         mSaved = options.maxSaved();
         mUpdatedNanos = nowNanos;
     }
 
-    boolean hasRoom(long nowNanos) {
+    /** Returns whether a retry may be paid now. */
+    public boolean hasRoom(long nowNanos) {
         refill(nowNanos);
         return mSaved >= 1;
     }
 
-    void onRequest(int percent, long nowNanos) {
+    /** Earns part of a retry, given in hundredths, for a first attempt. */
+    public void onRequest(int percent, long nowNanos) {
         refill(nowNanos);
         mSaved = Math.min(mOptions.maxSaved(), mSaved + percent / 100.0);
     }
 
-    void spend() {
+    /** Pays for a retry. */
+    public void spend() {
         mSaved -= 1;
     }
 
--- a/src/main/java/ebonygw/routing/TargetHealth.java
+++ b/src/main/java/ebonygw/routing/TargetHealth.java
@@ -1,7 +1,7 @@
 package ebonygw.routing;
 
 /** Ejects a target that fails and lets it return slowly. Not thread-safe. */
-final class TargetHealth {
+public final class TargetHealth {
     private static final double LEAST_USE = 0.1;
 
     private final RouterOptions mOptions;
@@ -10,20 +10,27 @@
     private long mEjectedUntilNanos = Long.MIN_VALUE;
     private long mReturnFromNanos = Long.MIN_VALUE;
 
-    TargetHealth(RouterOptions options) {
+    /**
+     * Creates the health of a target that has not failed.
+     *
+     * @param options when it is ejected and how it returns
+     */
+    public TargetHealth(RouterOptions options) {
         mOptions = options;
     }
 
-    boolean isEjected(long nowNanos) {
+    /** Returns whether no work is to go there. */
+    public boolean isEjected(long nowNanos) {
         return nowNanos < mEjectedUntilNanos;
     }
 
     /** Starts a slow return, as after a cold start. */
-    void onColdStart(long nowNanos) {
+    public void onColdStart(long nowNanos) {
         mReturnFromNanos = nowNanos;
     }
 
-    void onFailure(long nowNanos) {
+    /** Notes a failure. */
+    public void onFailure(long nowNanos) {
         mFailuresInRow++;
         if (mFailuresInRow < mOptions.failuresToEject() || isEjected(nowNanos)) {
             return;
@@ -35,7 +42,8 @@
         mFailuresInRow = mOptions.failuresToEject() - 1;
     }
 
-    void onSuccess(long nowNanos) {
+    /** Notes a success, which ends a row of failures. */
+    public void onSuccess(long nowNanos) {
         mFailuresInRow = 0;
         if (use(nowNanos) >= 1) {
             mEjections = 0;
@@ -43,7 +51,7 @@
     }
 
     /** Returns the part of its concurrency that may be used now, above 0 and at most 1. */
-    double use(long nowNanos) {
+    public double use(long nowNanos) {
         if (mReturnFromNanos == Long.MIN_VALUE) {
             return 1;
         }
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -285,6 +285,21 @@
      */
     ebonygw.wire.SharesProtocol.SharesEnvelopeOrBuilder getSharesOrBuilder();
 
+    /**
+     * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+     * @return Whether the gatewayUsage field is set.
+     */
+    boolean hasGatewayUsage();
+    /**
+     * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+     * @return The gatewayUsage.
+     */
+    ebonygw.wire.PeerProtocol.GatewayUsage getGatewayUsage();
+    /**
+     * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+     */
+    ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder getGatewayUsageOrBuilder();
+
     ebonygw.wire.PeerProtocol.Envelope.KindCase getKindCase();
   }
   /**
@@ -352,6 +367,7 @@
       CREDIT(16),
       SETTINGS(30),
       SHARES(31),
+      GATEWAY_USAGE(40),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -386,6 +402,7 @@
           case 16: return CREDIT;
           case 30: return SETTINGS;
           case 31: return SHARES;
+          case 40: return GATEWAY_USAGE;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -928,6 +945,37 @@
       return ebonygw.wire.SharesProtocol.SharesEnvelope.getDefaultInstance();
     }
 
+    public static final int GATEWAY_USAGE_FIELD_NUMBER = 40;
+    /**
+     * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+     * @return Whether the gatewayUsage field is set.
+     */
+    @java.lang.Override
+    public boolean hasGatewayUsage() {
+      return kindCase_ == 40;
+    }
+    /**
+     * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+     * @return The gatewayUsage.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.GatewayUsage getGatewayUsage() {
+      if (kindCase_ == 40) {
+         return (ebonygw.wire.PeerProtocol.GatewayUsage) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder getGatewayUsageOrBuilder() {
+      if (kindCase_ == 40) {
+         return (ebonygw.wire.PeerProtocol.GatewayUsage) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -993,6 +1041,9 @@
       if (kindCase_ == 31) {
         output.writeMessage(31, (ebonygw.wire.SharesProtocol.SharesEnvelope) kind_);
       }
+      if (kindCase_ == 40) {
+        output.writeMessage(40, (ebonygw.wire.PeerProtocol.GatewayUsage) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1065,6 +1116,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(31, (ebonygw.wire.SharesProtocol.SharesEnvelope) kind_);
       }
+      if (kindCase_ == 40) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(40, (ebonygw.wire.PeerProtocol.GatewayUsage) kind_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1159,6 +1214,10 @@
           if (!getShares()
               .equals(other.getShares())) return false;
           break;
+        case 40:
+          if (!getGatewayUsage()
+              .equals(other.getGatewayUsage())) return false;
+          break;
         case 0:
         default:
       }
@@ -1242,6 +1301,10 @@
           hash = (37 * hash) + SHARES_FIELD_NUMBER;
           hash = (53 * hash) + getShares().hashCode();
           break;
+        case 40:
+          hash = (37 * hash) + GATEWAY_USAGE_FIELD_NUMBER;
+          hash = (53 * hash) + getGatewayUsage().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1427,6 +1490,9 @@
         if (sharesBuilder_ != null) {
           sharesBuilder_.clear();
         }
+        if (gatewayUsageBuilder_ != null) {
+          gatewayUsageBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -1536,6 +1602,10 @@
             sharesBuilder_ != null) {
           result.kind_ = sharesBuilder_.build();
         }
+        if (kindCase_ == 40 &&
+            gatewayUsageBuilder_ != null) {
+          result.kind_ = gatewayUsageBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1619,6 +1689,10 @@
             mergeShares(other.getShares());
             break;
           }
+          case GATEWAY_USAGE: {
+            mergeGatewayUsage(other.getGatewayUsage());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -1766,6 +1840,13 @@
                 kindCase_ = 31;
                 break;
               } // case 250
+              case 322: {
+                input.readMessage(
+                    internalGetGatewayUsageFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 40;
+                break;
+              } // case 322
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4178,6 +4259,146 @@
         return sharesBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.GatewayUsage, ebonygw.wire.PeerProtocol.GatewayUsage.Builder, ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder> gatewayUsageBuilder_;
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       * @return Whether the gatewayUsage field is set.
+       */
+      @java.lang.Override
+      public boolean hasGatewayUsage() {
+        return kindCase_ == 40;
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       * @return The gatewayUsage.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.GatewayUsage getGatewayUsage() {
+        if (gatewayUsageBuilder_ == null) {
+          if (kindCase_ == 40) {
+            return (ebonygw.wire.PeerProtocol.GatewayUsage) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+        } else {
+          if (kindCase_ == 40) {
+            return gatewayUsageBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      public Builder setGatewayUsage(ebonygw.wire.PeerProtocol.GatewayUsage value) {
+        if (gatewayUsageBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          gatewayUsageBuilder_.setMessage(value);
+        }
+        kindCase_ = 40;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      public Builder setGatewayUsage(
+          ebonygw.wire.PeerProtocol.GatewayUsage.Builder builderForValue) {
+        if (gatewayUsageBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          gatewayUsageBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 40;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      public Builder mergeGatewayUsage(ebonygw.wire.PeerProtocol.GatewayUsage value) {
+        if (gatewayUsageBuilder_ == null) {
+          if (kindCase_ == 40 &&
+              kind_ != ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.GatewayUsage.newBuilder((ebonygw.wire.PeerProtocol.GatewayUsage) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 40) {
+            gatewayUsageBuilder_.mergeFrom(value);
+          } else {
+            gatewayUsageBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 40;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      public Builder clearGatewayUsage() {
+        if (gatewayUsageBuilder_ == null) {
+          if (kindCase_ == 40) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 40) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          gatewayUsageBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      public ebonygw.wire.PeerProtocol.GatewayUsage.Builder getGatewayUsageBuilder() {
+        return internalGetGatewayUsageFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder getGatewayUsageOrBuilder() {
+        if ((kindCase_ == 40) && (gatewayUsageBuilder_ != null)) {
+          return gatewayUsageBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 40) {
+            return (ebonygw.wire.PeerProtocol.GatewayUsage) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.GatewayUsage gateway_usage = 40;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.GatewayUsage, ebonygw.wire.PeerProtocol.GatewayUsage.Builder, ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder> 
+          internalGetGatewayUsageFieldBuilder() {
+        if (gatewayUsageBuilder_ == null) {
+          if (!(kindCase_ == 40)) {
+            kind_ = ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+          }
+          gatewayUsageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.GatewayUsage, ebonygw.wire.PeerProtocol.GatewayUsage.Builder, ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.GatewayUsage) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 40;
+        onChanged();
+        return gatewayUsageBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.Envelope)
     }
 
@@ -21235,194 +21456,1572 @@
 
   }
 
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Envelope_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Envelope_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Member_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Member_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Hello_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Hello_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Heartbeat_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Heartbeat_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_LinkUse_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_LinkUse_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterVersion_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberDigest_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberUpdates_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Prefetch_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Prefetch_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_TargetLoad_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_TargetLoad_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_TargetReport_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_TargetReport_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_RequestId_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_RequestId_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Header_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Header_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Run_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Run_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Head_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Head_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Body_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Body_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_End_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_End_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Failed_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Failed_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Cancel_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Cancel_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Credit_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Credit_fieldAccessorTable;
+  public interface GatewayUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.GatewayUsage)
+      com.google.protobuf.MessageOrBuilder {
 
-  public static com.google.protobuf.Descriptors.FileDescriptor
-      getDescriptor() {
-    return descriptor;
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> 
+        getChargedList();
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index);
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    int getChargedCount();
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
+        getChargedOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+        int index);
   }
-  private static final com.google.protobuf.Descriptors.FileDescriptor
-      descriptor;
-  static {
-    java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\201\005\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
-      "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
-      "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
-      "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
-      "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
-      "ebonygw.MemberUpdatesH\000\022\037\n\003use\030\010 \001(\0132\020.e" +
-      "bonygw.LinkUseH\000\022#\n\004load\030\006 \001(\0132\023.ebonygw" +
-      ".TargetLoadH\000\022%\n\010prefetch\030\007 \001(\0132\021.ebonyg" +
-      "w.PrefetchH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.RunH" +
-      "\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004body" +
-      "\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014.e" +
-      "bonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw.F" +
-      "ailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cancel" +
-      "H\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-\n" +
-      "\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvelo" +
-      "peH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEnv" +
-      "elopeH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030\001 \001(\t\022\023" +
-      "\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005\022\r\n\005sta" +
-      "te\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_center\030" +
-      "\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030\010 \001(\t\"[" +
-      "\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.Member\022\031" +
-      "\n\021settings_revision\030\002 \001(\004\022\030\n\020protocol_ve" +
-      "rsion\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequence\030\001 \001" +
-      "(\004\022\031\n\021settings_revision\030\002 \001(\004\"\031\n\007LinkUse" +
-      "\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersion\022\017\n\007ad" +
-      "apter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014MemberDi" +
-      "gest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberUpdates\022 " +
-      "\n\007members\030\001 \003(\0132\017.ebonygw.Member\022\014\n\004news" +
-      "\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapter\030\001 \001(\0132\027.eb" +
-      "onygw.AdapterVersion\"k\n\nTargetLoad\022\020\n\010se" +
-      "quence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030" +
-      "\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_tok" +
-      "ens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010sequence\030\001" +
-      " \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n" +
-      "\013concurrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(" +
-      "\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.AdapterVer" +
-      "sion\022(\n\007loading\030\007 \003(\0132\027.ebonygw.AdapterV" +
-      "ersion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013in" +
-      "carnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Hea" +
-      "der\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run" +
-      "\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007atte" +
-      "mpt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006key_id\030\004 " +
-      "\001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.eb" +
-      "onygw.AdapterVersion\022\022\n\nidempotent\030\007 \001(\010" +
-      "\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(" +
-      "\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001" +
-      "(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004" +
-      "path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebonygw.He" +
-      "ader\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(" +
-      "\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022." +
-      "ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006st" +
-      "atus\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebonygw.He" +
-      "ader\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
-      "stId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004" +
-      "data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw." +
-      "RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(" +
-      "\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030" +
-      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
-      "(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006det" +
-      "ail\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004\"9\n\006" +
-      "Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017" +
-      "\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022." +
-      "ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005pa" +
-      "rts\030\003 \001(\rB\034\n\014ebonygw.wireB\014PeerProtocolb" +
-      "\006proto3"
-    };
-    descriptor = com.google.protobuf.Descriptors.FileDescriptor
-      .internalBuildGeneratedFileFrom(descriptorData,
-        new com.google.protobuf.Descriptors.FileDescriptor[] {
-          ebonygw.wire.SettingsProtocol.getDescriptor(),
-          ebonygw.wire.SharesProtocol.getDescriptor(),
+  /**
+   * <pre>
+   * Tokens that an entry has charged since its last message of this kind.
+   * </pre>
+   *
+   * Protobuf type {@code ebonygw.GatewayUsage}
+   */
+  public static final class GatewayUsage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.GatewayUsage)
+      GatewayUsageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "GatewayUsage");
+    }
+    // Use GatewayUsage.newBuilder() to construct.
+    private GatewayUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private GatewayUsage() {
+      charged_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_GatewayUsage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_GatewayUsage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_GatewayUsage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.GatewayUsage.class, ebonygw.wire.PeerProtocol.GatewayUsage.Builder.class);
+    }
+
+    public static final int CHARGED_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> charged_;
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> getChargedList() {
+      return charged_;
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
+        getChargedOrBuilderList() {
+      return charged_;
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    @java.lang.Override
+    public int getChargedCount() {
+      return charged_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index) {
+      return charged_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+        int index) {
+      return charged_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < charged_.size(); i++) {
+        output.writeMessage(1, charged_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+
+          {
+            final int count = charged_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(charged_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.GatewayUsage)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.GatewayUsage other = (ebonygw.wire.PeerProtocol.GatewayUsage) obj;
+
+      if (!getChargedList()
+          .equals(other.getChargedList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getChargedCount() > 0) {
+        hash = (37 * hash) + CHARGED_FIELD_NUMBER;
+        hash = (53 * hash) + getChargedList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.GatewayUsage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.GatewayUsage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Tokens that an entry has charged since its last message of this kind.
+     * </pre>
+     *
+     * Protobuf type {@code ebonygw.GatewayUsage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.GatewayUsage)
+        ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_GatewayUsage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_GatewayUsage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.GatewayUsage.class, ebonygw.wire.PeerProtocol.GatewayUsage.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.GatewayUsage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (chargedBuilder_ == null) {
+          charged_ = java.util.Collections.emptyList();
+        } else {
+          charged_ = null;
+          chargedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_GatewayUsage_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.GatewayUsage build() {
+        ebonygw.wire.PeerProtocol.GatewayUsage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.GatewayUsage buildPartial() {
+        ebonygw.wire.PeerProtocol.GatewayUsage result = new ebonygw.wire.PeerProtocol.GatewayUsage(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.GatewayUsage result) {
+        if (chargedBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            charged_ = java.util.Collections.unmodifiableList(charged_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.charged_ = charged_;
+        } else {
+          result.charged_ = chargedBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.GatewayUsage result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.GatewayUsage) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.GatewayUsage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.GatewayUsage other) {
+        if (other == ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance()) return this;
+        if (chargedBuilder_ == null) {
+          if (!other.charged_.isEmpty()) {
+            if (charged_.isEmpty()) {
+              charged_ = other.charged_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureChargedIsMutable();
+              charged_.addAll(other.charged_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.charged_.isEmpty()) {
+            if (chargedBuilder_.isEmpty()) {
+              chargedBuilder_.dispose();
+              chargedBuilder_ = null;
+              charged_ = other.charged_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              chargedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChargedFieldBuilder() : null;
+            } else {
+              chargedBuilder_.addAllMessages(other.charged_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                ebonygw.wire.PeerProtocol.CustomerTokens m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.CustomerTokens.parser(),
+                        extensionRegistry);
+                if (chargedBuilder_ == null) {
+                  ensureChargedIsMutable();
+                  charged_.add(m);
+                } else {
+                  chargedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> charged_ =
+        java.util.Collections.emptyList();
+      private void ensureChargedIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          charged_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.CustomerTokens>(charged_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.CustomerTokens, ebonygw.wire.PeerProtocol.CustomerTokens.Builder, ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> chargedBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> getChargedList() {
+        if (chargedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(charged_);
+        } else {
+          return chargedBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public int getChargedCount() {
+        if (chargedBuilder_ == null) {
+          return charged_.size();
+        } else {
+          return chargedBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index) {
+        if (chargedBuilder_ == null) {
+          return charged_.get(index);
+        } else {
+          return chargedBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder setCharged(
+          int index, ebonygw.wire.PeerProtocol.CustomerTokens value) {
+        if (chargedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureChargedIsMutable();
+          charged_.set(index, value);
+          onChanged();
+        } else {
+          chargedBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder setCharged(
+          int index, ebonygw.wire.PeerProtocol.CustomerTokens.Builder builderForValue) {
+        if (chargedBuilder_ == null) {
+          ensureChargedIsMutable();
+          charged_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          chargedBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder addCharged(ebonygw.wire.PeerProtocol.CustomerTokens value) {
+        if (chargedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureChargedIsMutable();
+          charged_.add(value);
+          onChanged();
+        } else {
+          chargedBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder addCharged(
+          int index, ebonygw.wire.PeerProtocol.CustomerTokens value) {
+        if (chargedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureChargedIsMutable();
+          charged_.add(index, value);
+          onChanged();
+        } else {
+          chargedBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder addCharged(
+          ebonygw.wire.PeerProtocol.CustomerTokens.Builder builderForValue) {
+        if (chargedBuilder_ == null) {
+          ensureChargedIsMutable();
+          charged_.add(builderForValue.build());
+          onChanged();
+        } else {
+          chargedBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder addCharged(
+          int index, ebonygw.wire.PeerProtocol.CustomerTokens.Builder builderForValue) {
+        if (chargedBuilder_ == null) {
+          ensureChargedIsMutable();
+          charged_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          chargedBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder addAllCharged(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.CustomerTokens> values) {
+        if (chargedBuilder_ == null) {
+          ensureChargedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, charged_);
+          onChanged();
+        } else {
+          chargedBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder clearCharged() {
+        if (chargedBuilder_ == null) {
+          charged_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          chargedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public Builder removeCharged(int index) {
+        if (chargedBuilder_ == null) {
+          ensureChargedIsMutable();
+          charged_.remove(index);
+          onChanged();
+        } else {
+          chargedBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.CustomerTokens.Builder getChargedBuilder(
+          int index) {
+        return internalGetChargedFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+          int index) {
+        if (chargedBuilder_ == null) {
+          return charged_.get(index);  } else {
+          return chargedBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
+           getChargedOrBuilderList() {
+        if (chargedBuilder_ != null) {
+          return chargedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(charged_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.CustomerTokens.Builder addChargedBuilder() {
+        return internalGetChargedFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.CustomerTokens.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.CustomerTokens.Builder addChargedBuilder(
+          int index) {
+        return internalGetChargedFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.CustomerTokens.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens.Builder> 
+           getChargedBuilderList() {
+        return internalGetChargedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.CustomerTokens, ebonygw.wire.PeerProtocol.CustomerTokens.Builder, ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
+          internalGetChargedFieldBuilder() {
+        if (chargedBuilder_ == null) {
+          chargedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.CustomerTokens, ebonygw.wire.PeerProtocol.CustomerTokens.Builder, ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder>(
+                  charged_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          charged_ = null;
+        }
+        return chargedBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.GatewayUsage)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.GatewayUsage)
+    private static final ebonygw.wire.PeerProtocol.GatewayUsage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.GatewayUsage();
+    }
+
+    public static ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<GatewayUsage>
+        PARSER = new com.google.protobuf.AbstractParser<GatewayUsage>() {
+      @java.lang.Override
+      public GatewayUsage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<GatewayUsage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<GatewayUsage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface CustomerTokensOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.CustomerTokens)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
+
+    /**
+     * <pre>
+     * Below 0 if more was given back than charged.
+     * </pre>
+     *
+     * <code>sint64 tokens = 2;</code>
+     * @return The tokens.
+     */
+    long getTokens();
+  }
+  /**
+   * Protobuf type {@code ebonygw.CustomerTokens}
+   */
+  public static final class CustomerTokens extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.CustomerTokens)
+      CustomerTokensOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CustomerTokens");
+    }
+    // Use CustomerTokens.newBuilder() to construct.
+    private CustomerTokens(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CustomerTokens() {
+      customer_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_CustomerTokens_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_CustomerTokens_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_CustomerTokens_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.CustomerTokens.class, ebonygw.wire.PeerProtocol.CustomerTokens.Builder.class);
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <code>string customer = 1;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 2;
+    private long tokens_ = 0L;
+    /**
+     * <pre>
+     * Below 0 if more was given back than charged.
+     * </pre>
+     *
+     * <code>sint64 tokens = 2;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+      }
+      if (tokens_ != 0L) {
+        output.writeSInt64(2, tokens_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+      }
+      if (tokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt64Size(2, tokens_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.CustomerTokens)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.CustomerTokens other = (ebonygw.wire.PeerProtocol.CustomerTokens) obj;
+
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.CustomerTokens parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.CustomerTokens prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.CustomerTokens}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.CustomerTokens)
+        ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_CustomerTokens_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_CustomerTokens_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.CustomerTokens.class, ebonygw.wire.PeerProtocol.CustomerTokens.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.CustomerTokens.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        customer_ = "";
+        tokens_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_CustomerTokens_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.CustomerTokens getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.CustomerTokens.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.CustomerTokens build() {
+        ebonygw.wire.PeerProtocol.CustomerTokens result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.CustomerTokens buildPartial() {
+        ebonygw.wire.PeerProtocol.CustomerTokens result = new ebonygw.wire.PeerProtocol.CustomerTokens(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.CustomerTokens result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.customer_ = customer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.tokens_ = tokens_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.CustomerTokens) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.CustomerTokens)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.CustomerTokens other) {
+        if (other == ebonygw.wire.PeerProtocol.CustomerTokens.getDefaultInstance()) return this;
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                tokens_ = input.readSInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <code>string customer = 1;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long tokens_ ;
+      /**
+       * <pre>
+       * Below 0 if more was given back than charged.
+       * </pre>
+       *
+       * <code>sint64 tokens = 2;</code>
+       * @return The tokens.
+       */
+      @java.lang.Override
+      public long getTokens() {
+        return tokens_;
+      }
+      /**
+       * <pre>
+       * Below 0 if more was given back than charged.
+       * </pre>
+       *
+       * <code>sint64 tokens = 2;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(long value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Below 0 if more was given back than charged.
+       * </pre>
+       *
+       * <code>sint64 tokens = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        tokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.CustomerTokens)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.CustomerTokens)
+    private static final ebonygw.wire.PeerProtocol.CustomerTokens DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.CustomerTokens();
+    }
+
+    public static ebonygw.wire.PeerProtocol.CustomerTokens getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<CustomerTokens>
+        PARSER = new com.google.protobuf.AbstractParser<CustomerTokens>() {
+      @java.lang.Override
+      public CustomerTokens parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<CustomerTokens> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<CustomerTokens> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.CustomerTokens getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Envelope_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Envelope_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Member_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Member_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Hello_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Hello_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Heartbeat_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Heartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_LinkUse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_LinkUse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterVersion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberDigest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberUpdates_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Prefetch_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Prefetch_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_TargetLoad_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_TargetLoad_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_TargetReport_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_TargetReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_RequestId_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_RequestId_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Header_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Header_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Run_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Run_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Head_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Head_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Body_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Body_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_End_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_End_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Failed_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Failed_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Cancel_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Cancel_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Credit_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Credit_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_GatewayUsage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_GatewayUsage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_CustomerTokens_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_CustomerTokens_fieldAccessorTable;
+
+  public static com.google.protobuf.Descriptors.FileDescriptor
+      getDescriptor() {
+    return descriptor;
+  }
+  private static final com.google.protobuf.Descriptors.FileDescriptor
+      descriptor;
+  static {
+    java.lang.String[] descriptorData = {
+      "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
+      "hares.proto\"\261\005\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
+      "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
+      "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
+      "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
+      "ebonygw.MemberUpdatesH\000\022\037\n\003use\030\010 \001(\0132\020.e" +
+      "bonygw.LinkUseH\000\022#\n\004load\030\006 \001(\0132\023.ebonygw" +
+      ".TargetLoadH\000\022%\n\010prefetch\030\007 \001(\0132\021.ebonyg" +
+      "w.PrefetchH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.RunH" +
+      "\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004body" +
+      "\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014.e" +
+      "bonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw.F" +
+      "ailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cancel" +
+      "H\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-\n" +
+      "\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvelo" +
+      "peH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEnv" +
+      "elopeH\000\022.\n\rgateway_usage\030( \001(\0132\025.ebonygw" +
+      ".GatewayUsageH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(" +
+      "\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data" +
+      "_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves" +
+      "\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw." +
+      "Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020pro" +
+      "tocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequ" +
+      "ence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004\"\031\n" +
+      "\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersi" +
+      "on\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014" +
+      "MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberU" +
+      "pdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Member" +
+      "\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapter\030\001 " +
+      "\001(\0132\027.ebonygw.AdapterVersion\"k\n\nTargetLo" +
+      "ad\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n" +
+      "\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqu" +
+      "eued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010se" +
+      "quence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030" +
+      "\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_tok" +
+      "ens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.Ad" +
+      "apterVersion\022(\n\007loading\030\007 \003(\0132\027.ebonygw." +
+      "AdapterVersion\"A\n\tRequestId\022\r\n\005entry\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(" +
+      "\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t" +
+      "\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId" +
+      "\022\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006k" +
+      "ey_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 " +
+      "\001(\0132\027.ebonygw.AdapterVersion\022\022\n\nidempote" +
+      "nt\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_tok" +
+      "ens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_" +
+      "hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r" +
+      " \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.eb" +
+      "onygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_na" +
+      "nos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030" +
+      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
+      "(\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.eb" +
+      "onygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebony" +
+      "gw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003" +
+      " \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022." +
+      "ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005pa" +
+      "rts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Faile" +
+      "d\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007att" +
+      "empt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(" +
+      "\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006" +
+      " \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Req" +
+      "uestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030" +
+      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
+      "(\r\022\r\n\005parts\030\003 \001(\r\"8\n\014GatewayUsage\022(\n\007cha" +
+      "rged\030\001 \003(\0132\027.ebonygw.CustomerTokens\"2\n\016C" +
+      "ustomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006token" +
+      "s\030\002 \001(\022B\034\n\014ebonygw.wireB\014PeerProtocolb\006p" +
+      "roto3"
+    };
+    descriptor = com.google.protobuf.Descriptors.FileDescriptor
+      .internalBuildGeneratedFileFrom(descriptorData,
+        new com.google.protobuf.Descriptors.FileDescriptor[] {
+          ebonygw.wire.SettingsProtocol.getDescriptor(),
+          ebonygw.wire.SharesProtocol.getDescriptor(),
         });
     internal_static_ebonygw_Envelope_descriptor =
       getDescriptor().getMessageType(0);
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -21537,6 +23136,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Credit_descriptor,
         new java.lang.String[] { "Id", "Attempt", "Parts", });
+    internal_static_ebonygw_GatewayUsage_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_ebonygw_GatewayUsage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_GatewayUsage_descriptor,
+        new java.lang.String[] { "Charged", });
+    internal_static_ebonygw_CustomerTokens_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_ebonygw_CustomerTokens_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_CustomerTokens_descriptor,
+        new java.lang.String[] { "Customer", "Tokens", });
     descriptor.resolveAllFeaturesImmutable();
     ebonygw.wire.SettingsProtocol.getDescriptor();
     ebonygw.wire.SharesProtocol.getDescriptor();
