--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -58,6 +58,7 @@
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
     private GatewaySettings mSettings;
     private TargetStatus mStatus;
+    private String mInstance;
     private MemberMessage.TargetReport mReported;
     private long mReportSequence;
     private long mFencingToken;
@@ -65,7 +66,7 @@
     private long mClaimSinceNanos;
     private long mNextClaimNanos = Long.MIN_VALUE;
     private boolean mReading;
-    private long mReadNanos = Long.MIN_VALUE;
+    private long mReadNanos;
     private boolean mOrderOpen;
     private long mNextOrderNanos = Long.MIN_VALUE;
     private boolean mStopping;
@@ -186,7 +187,7 @@
             mOptions.reader()
                     .settings(change.entry())
                     .filter(it -> mSettings == null || it.revision() > mSettings.revision())
-                    .ifPresent(it -> mSettings = it);
+                    .ifPresent(this::take);
             mOptions.reader()
                     .wantedVersion(change.entry())
                     .ifPresent(it -> mWantedVersions.merge(it.name(), it.version(), Math::max));
@@ -224,10 +225,25 @@
     private void onStatus(Optional<TargetStatus> status, long nowNanos) {
         mReading = false;
         if (status.isEmpty()) {
+            if (mInstance != null) {
+                mInstance = null;
+                mOut.log(LogLine.of("replica_lost").with("address", mOptions.address()));
+            }
             mStatus = null;
             return;
         }
         mStatus = status.get();
+        String instance = mStatus.instance() + '/' + mStatus.startedAtMillis();
+        if (!instance.equals(mInstance)) {
+            mInstance = instance;
+            mOut.log(
+                    LogLine.of("replica_seen")
+                            .with("instance", mStatus.instance())
+                            .with("started_at_ms", mStatus.startedAtMillis())
+                            .with("orders", mStatus.orders())
+                            .with("models", mStatus.models())
+                            .with("adapters", mStatus.adapters()));
+        }
         mDemands.trim(mStatus.adapters(), nowNanos);
         report();
     }
@@ -373,6 +389,14 @@
         mEntries.forEach(entry -> mOut.send(entry, mReported));
     }
 
+    private void take(GatewaySettings settings) {
+        mSettings = settings;
+        mOut.log(
+                LogLine.of("configuration_in_force")
+                        .with("revision", settings.revision())
+                        .with("engine", engine().orElse(null)));
+    }
+
     private static AdapterVersion adapterVersion(String name, long version) {
         return new AdapterVersion(name, version == 0 ? "" : Long.toString(version));
     }
