--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -1,84 +1,112 @@
 package ebonygw.gateway;
 
+import ebonygw.scheduling.DecayedRate;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Which adapters entries have asked for at one replica, and what is loaded or evicted next.
+ * Which adapters entries wait for and use at one replica, and so what is loaded and evicted next.
  *
  * <p>Not thread-safe.
  */
 final class AdapterDemands {
-    /** How long a request for a load stands unless it is repeated. */
+    /** How long a wait for an adapter stands unless it is repeated. */
     private static final long STANDS_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** How long an adapter stays after its last request: a first token's latency objective. */
-    private static final long LEAST_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** How long an adapter stays after its last use; longer than entries take to tell of one. */
+    private static final long LEAST_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
-    private final Map<String, Demand> mDemands = new HashMap<>();
+    /** After how long a use counts half. */
+    private static final long HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Notes that an entry sends requests for an adapter, or waits to. */
+    /** Adapters that are not resident whose use is remembered. */
+    private static final int MOST_REMEMBERED = 500;
+
+    private final Map<String, Wait> mWaits = new HashMap<>();
+    private final Map<String, Use> mUses = new HashMap<>();
+    private Set<String> mResident = Set.of();
+
+    /** Notes that an entry waits for an adapter of at least a version. */
     void ask(String adapter, long version, long nowNanos) {
-        Demand demand = mDemands.computeIfAbsent(adapter, a -> new Demand());
-        if (nowNanos - demand.mLastNanos > STANDS_NANOS) {
-            demand.mFirstNanos = nowNanos;
-        }
-        demand.mLastNanos = nowNanos;
-        demand.mVersion = Math.max(demand.mVersion, version);
+        Wait wait = mWaits.computeIfAbsent(adapter, a -> new Wait(nowNanos));
+        wait.mLastNanos = nowNanos;
+        wait.mVersion = Math.max(wait.mVersion, version);
     }
 
-    /** Returns adapters to load, those asked for first before the others. */
-    List<String> missing(Map<String, Long> resident, List<String> loading, long nowNanos) {
+    /** Returns adapters to load, in the order in which they were asked for. */
+    List<String> missing(Map<String, Long> resident, List<String> loading) {
         List<String> missing = new ArrayList<>();
-        mDemands.forEach(
-                (adapter, demand) -> {
-                    boolean stands = nowNanos - demand.mLastNanos <= STANDS_NANOS;
-                    boolean held = resident.getOrDefault(adapter, -1L) >= demand.mVersion;
-                    if (stands && !held && !loading.contains(adapter)) {
+        mWaits.forEach(
+                (adapter, wait) -> {
+                    boolean held = resident.getOrDefault(adapter, -1L) >= wait.mVersion;
+                    if (!held && !loading.contains(adapter)) {
                         missing.add(adapter);
                     }
                 });
-        missing.sort((a, b) -> Long.compare(first(a), first(b)));
+        missing.sort((a, b) -> Long.compare(mWaits.get(a).mSinceNanos, mWaits.get(b).mSinceNanos));
         return missing;
     }
 
-    /** Returns the resident adapter that was asked for longest ago, empty if all are in use. */
-    Optional<String> victim(Map<String, Long> resident, long nowNanos) {
-        String victim = null;
+    /** Takes in what is resident: newly loaded adapters count as used, waits for them end. */
+    void resident(Map<String, Long> resident, long nowNanos) {
         for (String adapter : resident.keySet()) {
-            boolean idle = nowNanos - last(adapter) >= LEAST_IDLE_NANOS;
-            if (idle && (victim == null || last(adapter) < last(victim))) {
-                victim = adapter;
+            if (!mResident.contains(adapter)) {
+                used(adapter, 1, nowNanos);
             }
         }
-        return Optional.ofNullable(victim);
-    }
-
-    /** Forgets what was asked for long ago and is not resident. */
-    void trim(Map<String, Long> resident, long nowNanos) {
-        mDemands.entrySet()
+        mResident = new HashSet<>(resident.keySet());
+        mWaits.entrySet()
                 .removeIf(
                         it ->
-                                !resident.containsKey(it.getKey())
-                                        && nowNanos - it.getValue().mLastNanos > STANDS_NANOS);
+                                resident.getOrDefault(it.getKey(), -1L) >= it.getValue().mVersion
+                                        || nowNanos - it.getValue().mLastNanos > STANDS_NANOS);
+        if (mUses.size() > MOST_REMEMBERED) {
+            mUses.keySet().retainAll(resident.keySet());
+        }
     }
 
-    private long first(String adapter) {
-        return mDemands.get(adapter).mFirstNanos;
+    /** Notes requests for an adapter, or with 0 that earlier ones still run. */
+    void used(String adapter, int requests, long nowNanos) {
+        Use use = mUses.computeIfAbsent(adapter, a -> new Use());
+        use.mLastNanos = nowNanos;
+        for (int i = 0; i < requests; i++) {
+            use.mRate.add(1, nowNanos);
+        }
     }
 
-    private long last(String adapter) {
-        Demand demand = mDemands.get(adapter);
-        return demand == null ? 0 : demand.mLastNanos;
+    /** Returns the resident adapter used least, empty if all are in use. */
+    Optional<String> victim(Map<String, Long> resident, long nowNanos) {
+        String victim = null;
+        double least = Double.MAX_VALUE;
+        for (String adapter : resident.keySet()) {
+            Use use = mUses.computeIfAbsent(adapter, a -> new Use());
+            double rate = use.mRate.perSecond(nowNanos);
+            if (nowNanos - use.mLastNanos >= LEAST_IDLE_NANOS && rate < least) {
+                victim = adapter;
+                least = rate;
+            }
+        }
+        return Optional.ofNullable(victim);
     }
 
-    private static final class Demand {
+    private static final class Use {
+        private final DecayedRate mRate = new DecayedRate(HALF_LIFE_NANOS);
+        private long mLastNanos;
+    }
+
+    private static final class Wait {
+        private final long mSinceNanos;
         private long mVersion;
-        private long mFirstNanos;
         private long mLastNanos;
+
+        Wait(long nowNanos) {
+            mSinceNanos = nowNanos;
+        }
     }
 }
--- a/src/main/java/ebonygw/gateway/ChooserOptions.java
+++ b/src/main/java/ebonygw/gateway/ChooserOptions.java
@@ -9,7 +9,8 @@
  * @param locality where the entry runs
  * @param regionNanos round trip to another region, and what its billed traffic is worth
  * @param dataCenterNanos round trip to another data centre of the region
- * @param loadNanos a load of an adapter
+ * @param loadNanos a load of an adapter from the weight store, and what the store's work is worth
+ * @param reloadNanos a load of an adapter that the target held of late
  * @param loadingNanos a load that is under way already
  * @param queuedLoadNanos each further load under way at the same target
  * @param rankNanos each rank in an adapter's order of homes
@@ -22,6 +23,7 @@
         long regionNanos,
         long dataCenterNanos,
         long loadNanos,
+        long reloadNanos,
         long loadingNanos,
         long queuedLoadNanos,
         long rankNanos,
@@ -34,10 +36,11 @@
                 locality,
                 TimeUnit.MILLISECONDS.toNanos(100),
                 TimeUnit.MILLISECONDS.toNanos(2),
-                TimeUnit.MILLISECONDS.toNanos(300),
-                TimeUnit.MILLISECONDS.toNanos(150),
+                TimeUnit.MILLISECONDS.toNanos(600),
                 TimeUnit.MILLISECONDS.toNanos(60),
-                TimeUnit.MILLISECONDS.toNanos(20),
+                TimeUnit.MILLISECONDS.toNanos(100),
+                TimeUnit.MILLISECONDS.toNanos(60),
+                TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.MICROSECONDS.toNanos(26),
                 TimeUnit.MILLISECONDS.toNanos(200),
                 TimeUnit.MILLISECONDS.toNanos(40));
--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -323,7 +323,7 @@
         if (target == null) {
             return;
         }
-        target.onEnded(call.mUnstartedTokens);
+        target.onEnded(call.mRequest.adapter(), call.mUnstartedTokens);
         call.mUnstartedTokens = 0;
         if (good) {
             target.mHealth.onSuccess(nowNanos);
@@ -427,11 +427,8 @@
         String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.prompts().cached(owner, request.promptParts());
         call.mUnstartedTokens = Math.max(0, request.promptTokens() - cached);
-        target.onSent(call.mUnstartedTokens);
+        target.onSent(request.adapter(), call.mUnstartedTokens);
         target.prompts().read(owner, request.promptParts());
-        if (!request.adapter().isEmpty() && target.loaderUp()) {
-            ask(target, request.adapter(), wantedVersion);
-        }
         int connections =
                 mSettings
                         .get()
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -36,6 +36,9 @@
     /** Time between two messages that tell the other entries of charged tokens. */
     private static final long USAGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /** Time between two messages that tell a loader which adapters are in use. */
+    private static final long USE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     private final GatewayOptions mOptions;
     private final GatewayOutbox mOut = new GatewayOutbox();
     private final CallIds mCallIds = new CallIds(CALL_OWNER);
@@ -51,6 +54,7 @@
     private Set<Member> mLinks = Set.of();
     private boolean mLinksChanged = true;
     private long mUsageSentNanos;
+    private long mUseSentNanos;
     private long mStopNanos = Long.MIN_VALUE;
     private boolean mExited;
     private boolean mResidencyChanged;
@@ -260,6 +264,10 @@
             mUsageSentNanos = nowNanos;
             sendUsage();
         }
+        if (nowNanos - mUseSentNanos >= USE_INTERVAL_NANOS) {
+            mUseSentNanos = nowNanos;
+            mTargets.all().forEach(this::sendUse);
+        }
         if (isStopping() && !mExited) {
             stopFurther(nowNanos);
         }
@@ -304,6 +312,13 @@
         return new Member(id, 0, Role.TARGET, MemberState.LIVE, record.locality(), address, "");
     }
 
+    private void sendUse(GatewayTarget target) {
+        Map<String, Integer> used = target.takeUses();
+        if (!used.isEmpty() && target.loaderUp()) {
+            mOut.send(target.loader(), new GatewayMessage.AdapterUse(used));
+        }
+    }
+
     private void sendUsage() {
         Map<String, Long> charged = mQuota.takeUnreported();
         if (charged.isEmpty()) {
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -5,6 +5,7 @@
 import ebonygw.request.AdapterVersion;
 import ebonygw.routing.RouterOptions;
 import ebonygw.routing.TargetHealth;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -26,6 +27,9 @@
     private final Map<String, Long> mAbsentUntil = new HashMap<>();
     private final Set<String> mLoading = new HashSet<>();
     private final Map<String, Long> mAdapters = new HashMap<>();
+    private final Set<String> mHeld = Collections.newSetFromMap(new RecentNames());
+    private final Map<String, Integer> mRunning = new HashMap<>();
+    private final Map<String, Integer> mUsed = new HashMap<>();
     private TargetRecord mRecord;
     private NodeId mLoader;
     private boolean mLoaderUp;
@@ -59,6 +63,11 @@
         return mLoading.contains(adapter);
     }
 
+    /** Returns whether the target held an adapter of late, so that it loads fast. */
+    boolean heldOfLate(String adapter) {
+        return mHeld.contains(adapter);
+    }
+
     /** Returns whether the target takes new work. */
     boolean isUsable(long nowNanos) {
         return !mRecord.draining() && !mHealth.isEjected(nowNanos) && nowNanos >= mAvoidUntilNanos;
@@ -114,7 +123,8 @@
         mAbsentUntil.put(adapter, nowNanos + ABSENT_NANOS);
     }
 
-    void onEnded(long unstartedTokens) {
+    void onEnded(String adapter, long unstartedTokens) {
+        mRunning.computeIfPresent(adapter, (name, running) -> running == 1 ? null : running - 1);
         mOutstanding = Math.max(0, mOutstanding - 1);
         mEndedSinceTold++;
         onStarted(unstartedTokens);
@@ -148,6 +158,7 @@
         if (!same) {
             mPrompts.clear();
             mLoading.clear();
+            mHeld.clear();
             mReported = false;
         }
         if (!mReported) {
@@ -169,12 +180,17 @@
         boolean changed = !resident.equals(mAdapters) || !loading.equals(mLoading);
         mAdapters.clear();
         mAdapters.putAll(resident);
+        mHeld.addAll(resident.keySet());
         mLoading.clear();
         mLoading.addAll(loading);
         return changed;
     }
 
-    void onSent(long promptTokens) {
+    void onSent(String adapter, long promptTokens) {
+        if (!adapter.isEmpty()) {
+            mRunning.merge(adapter, 1, Integer::sum);
+            mUsed.merge(adapter, 1, Integer::sum);
+        }
         mOutstanding++;
         mSentSinceTold++;
         mUnstartedTokens += promptTokens;
@@ -184,6 +200,14 @@
         mUnstartedTokens = Math.max(0, mUnstartedTokens - promptTokens);
     }
 
+    /** Returns the adapters used since the last call, or in use, with the requests since then. */
+    Map<String, Integer> takeUses() {
+        mRunning.keySet().forEach(adapter -> mUsed.putIfAbsent(adapter, 0));
+        Map<String, Integer> used = Map.copyOf(mUsed);
+        mUsed.clear();
+        return used;
+    }
+
     Map<String, Object> dump(long nowNanos) {
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("address", mRecord.address());
@@ -212,4 +236,19 @@
             return 0;
         }
     }
+
+    /** The names put last, as many as a replica keeps copies of. */
+    private static final class RecentNames extends LinkedHashMap<String, Boolean> {
+        private static final long serialVersionUID = 1L;
+        private static final int MOST = 40;
+
+        RecentNames() {
+            super(16, 0.75f, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST;
+        }
+    }
 }
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -104,6 +104,9 @@
         if (event instanceof GatewayEvent.PeerSaid said) {
             if (said.message() instanceof MemberMessage.Prefetch prefetch) {
                 onDemand(prefetch.adapter(), nowNanos);
+            } else if (said.message() instanceof GatewayMessage.AdapterUse use) {
+                use.requestsByAdapter()
+                        .forEach((name, requests) -> mDemands.used(name, requests, nowNanos));
             }
         } else if (event instanceof GatewayEvent.PeerUp up) {
             mEntries.add(up.peer());
@@ -244,7 +247,7 @@
                             .with("models", mStatus.models())
                             .with("adapters", mStatus.adapters()));
         }
-        mDemands.trim(mStatus.adapters(), nowNanos);
+        mDemands.resident(mStatus.adapters(), nowNanos);
         report();
     }
 
@@ -330,7 +333,7 @@
                 return;
             }
         }
-        for (String adapter : mDemands.missing(resident, loading, nowNanos)) {
+        for (String adapter : mDemands.missing(resident, loading)) {
             String model = modelOf(adapter);
             if (!mStatus.models().containsKey(model)) {
                 continue;
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -109,9 +109,7 @@
             if (!modelHeld || request.adapter().isEmpty() || !target.loaderUp()) {
                 return null;
             }
-            boolean loading = target.isLoading(request.adapter());
-            cost += loading ? mOptions.loadingNanos() : mOptions.loadNanos();
-            cost += target.loads() * mOptions.queuedLoadNanos() + rank * mOptions.rankNanos();
+            cost += loadNanos(target, request.adapter(), rank);
         }
         String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long unread =
@@ -124,6 +122,16 @@
         return new Choice(target, resident, cost);
     }
 
+    private long loadNanos(GatewayTarget target, String adapter, int rank) {
+        if (target.isLoading(adapter)) {
+            return mOptions.loadingNanos();
+        }
+        long queued = target.loads() * mOptions.queuedLoadNanos();
+        return target.heldOfLate(adapter)
+                ? mOptions.reloadNanos() + queued
+                : mOptions.loadNanos() + queued + rank * mOptions.rankNanos();
+    }
+
     private long distanceNanos(Locality locality) {
         if (!mOptions.locality().sameRegion(locality)) {
             return mOptions.regionNanos();
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -2,6 +2,7 @@
 
 import ebonygw.gateway.GatewayMessage;
 import ebonygw.protocol.Message;
+import ebonygw.wire.PeerProtocol.AdapterRequests;
 import ebonygw.wire.PeerProtocol.CustomerTokens;
 import ebonygw.wire.PeerProtocol.Envelope;
 import java.util.HashMap;
@@ -14,6 +15,13 @@
 
     @Override
     public Optional<Message> decode(Envelope envelope) {
+        if (envelope.hasAdapterUse()) {
+            Map<String, Integer> requests = new HashMap<>();
+            for (AdapterRequests used : envelope.getAdapterUse().getUsedList()) {
+                requests.merge(used.getAdapter(), used.getRequests(), Integer::sum);
+            }
+            return Optional.of(new GatewayMessage.AdapterUse(requests));
+        }
         if (!envelope.hasGatewayUsage()) {
             return Optional.empty();
         }
@@ -26,10 +34,20 @@
 
     @Override
     public Optional<Envelope> encode(Message message) {
+        Envelope.Builder envelope = Envelope.newBuilder();
+        if (message instanceof GatewayMessage.AdapterUse use) {
+            use.requestsByAdapter()
+                    .forEach(
+                            (adapter, requests) ->
+                                    envelope.getAdapterUseBuilder()
+                                            .addUsedBuilder()
+                                            .setAdapter(adapter)
+                                            .setRequests(requests));
+            return Optional.of(envelope.build());
+        }
         if (!(message instanceof GatewayMessage.Usage usage)) {
             return Optional.empty();
         }
-        Envelope.Builder envelope = Envelope.newBuilder();
         usage.tokensByCustomer()
                 .forEach(
                         (customer, tokens) ->
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -300,6 +300,21 @@
      */
     ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder getGatewayUsageOrBuilder();
 
+    /**
+     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     * @return Whether the adapterUse field is set.
+     */
+    boolean hasAdapterUse();
+    /**
+     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     * @return The adapterUse.
+     */
+    ebonygw.wire.PeerProtocol.AdapterUse getAdapterUse();
+    /**
+     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterUseOrBuilder getAdapterUseOrBuilder();
+
     ebonygw.wire.PeerProtocol.Envelope.KindCase getKindCase();
   }
   /**
@@ -368,6 +383,7 @@
       SETTINGS(30),
       SHARES(31),
       GATEWAY_USAGE(40),
+      ADAPTER_USE(41),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -403,6 +419,7 @@
           case 30: return SETTINGS;
           case 31: return SHARES;
           case 40: return GATEWAY_USAGE;
+          case 41: return ADAPTER_USE;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -976,6 +993,37 @@
       return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
     }
 
+    public static final int ADAPTER_USE_FIELD_NUMBER = 41;
+    /**
+     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     * @return Whether the adapterUse field is set.
+     */
+    @java.lang.Override
+    public boolean hasAdapterUse() {
+      return kindCase_ == 41;
+    }
+    /**
+     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     * @return The adapterUse.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterUse getAdapterUse() {
+      if (kindCase_ == 41) {
+         return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterUseOrBuilder getAdapterUseOrBuilder() {
+      if (kindCase_ == 41) {
+         return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1044,6 +1092,9 @@
       if (kindCase_ == 40) {
         output.writeMessage(40, (ebonygw.wire.PeerProtocol.GatewayUsage) kind_);
       }
+      if (kindCase_ == 41) {
+        output.writeMessage(41, (ebonygw.wire.PeerProtocol.AdapterUse) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1120,6 +1171,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(40, (ebonygw.wire.PeerProtocol.GatewayUsage) kind_);
       }
+      if (kindCase_ == 41) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(41, (ebonygw.wire.PeerProtocol.AdapterUse) kind_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1218,6 +1273,10 @@
           if (!getGatewayUsage()
               .equals(other.getGatewayUsage())) return false;
           break;
+        case 41:
+          if (!getAdapterUse()
+              .equals(other.getAdapterUse())) return false;
+          break;
         case 0:
         default:
       }
@@ -1305,6 +1364,10 @@
           hash = (37 * hash) + GATEWAY_USAGE_FIELD_NUMBER;
           hash = (53 * hash) + getGatewayUsage().hashCode();
           break;
+        case 41:
+          hash = (37 * hash) + ADAPTER_USE_FIELD_NUMBER;
+          hash = (53 * hash) + getAdapterUse().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1493,6 +1556,9 @@
         if (gatewayUsageBuilder_ != null) {
           gatewayUsageBuilder_.clear();
         }
+        if (adapterUseBuilder_ != null) {
+          adapterUseBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -1606,6 +1672,10 @@
             gatewayUsageBuilder_ != null) {
           result.kind_ = gatewayUsageBuilder_.build();
         }
+        if (kindCase_ == 41 &&
+            adapterUseBuilder_ != null) {
+          result.kind_ = adapterUseBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1693,6 +1763,10 @@
             mergeGatewayUsage(other.getGatewayUsage());
             break;
           }
+          case ADAPTER_USE: {
+            mergeAdapterUse(other.getAdapterUse());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -1847,6 +1921,13 @@
                 kindCase_ = 40;
                 break;
               } // case 322
+              case 330: {
+                input.readMessage(
+                    internalGetAdapterUseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 41;
+                break;
+              } // case 330
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4399,6 +4480,146 @@
         return gatewayUsageBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterUse, ebonygw.wire.PeerProtocol.AdapterUse.Builder, ebonygw.wire.PeerProtocol.AdapterUseOrBuilder> adapterUseBuilder_;
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * @return Whether the adapterUse field is set.
+       */
+      @java.lang.Override
+      public boolean hasAdapterUse() {
+        return kindCase_ == 41;
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * @return The adapterUse.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterUse getAdapterUse() {
+        if (adapterUseBuilder_ == null) {
+          if (kindCase_ == 41) {
+            return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+        } else {
+          if (kindCase_ == 41) {
+            return adapterUseBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      public Builder setAdapterUse(ebonygw.wire.PeerProtocol.AdapterUse value) {
+        if (adapterUseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          adapterUseBuilder_.setMessage(value);
+        }
+        kindCase_ = 41;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      public Builder setAdapterUse(
+          ebonygw.wire.PeerProtocol.AdapterUse.Builder builderForValue) {
+        if (adapterUseBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          adapterUseBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 41;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      public Builder mergeAdapterUse(ebonygw.wire.PeerProtocol.AdapterUse value) {
+        if (adapterUseBuilder_ == null) {
+          if (kindCase_ == 41 &&
+              kind_ != ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.AdapterUse.newBuilder((ebonygw.wire.PeerProtocol.AdapterUse) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 41) {
+            adapterUseBuilder_.mergeFrom(value);
+          } else {
+            adapterUseBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 41;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      public Builder clearAdapterUse() {
+        if (adapterUseBuilder_ == null) {
+          if (kindCase_ == 41) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 41) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          adapterUseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterUse.Builder getAdapterUseBuilder() {
+        return internalGetAdapterUseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterUseOrBuilder getAdapterUseOrBuilder() {
+        if ((kindCase_ == 41) && (adapterUseBuilder_ != null)) {
+          return adapterUseBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 41) {
+            return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterUse, ebonygw.wire.PeerProtocol.AdapterUse.Builder, ebonygw.wire.PeerProtocol.AdapterUseOrBuilder> 
+          internalGetAdapterUseFieldBuilder() {
+        if (adapterUseBuilder_ == null) {
+          if (!(kindCase_ == 41)) {
+            kind_ = ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+          }
+          adapterUseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterUse, ebonygw.wire.PeerProtocol.AdapterUse.Builder, ebonygw.wire.PeerProtocol.AdapterUseOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.AdapterUse) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 41;
+        onChanged();
+        return adapterUseBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.Envelope)
     }
 
@@ -22820,195 +23041,1571 @@
 
   }
 
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Envelope_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Envelope_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Member_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Member_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Hello_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Hello_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Heartbeat_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Heartbeat_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_LinkUse_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_LinkUse_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterVersion_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberDigest_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberUpdates_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Prefetch_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Prefetch_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_TargetLoad_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_TargetLoad_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_TargetReport_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_TargetReport_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_RequestId_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_RequestId_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Header_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Header_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Run_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Run_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Head_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Head_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Body_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Body_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_End_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_End_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Failed_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Failed_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Cancel_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Cancel_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Credit_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Credit_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_GatewayUsage_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_GatewayUsage_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_CustomerTokens_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_CustomerTokens_fieldAccessorTable;
+  public interface AdapterUseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterUse)
+      com.google.protobuf.MessageOrBuilder {
 
-  public static com.google.protobuf.Descriptors.FileDescriptor
-      getDescriptor() {
-    return descriptor;
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> 
+        getUsedList();
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterRequests getUsed(int index);
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    int getUsedCount();
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
+        getUsedOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder getUsedOrBuilder(
+        int index);
   }
-  private static final com.google.protobuf.Descriptors.FileDescriptor
-      descriptor;
-  static {
-    java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\261\005\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
-      "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
-      "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
-      "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
-      "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
-      "ebonygw.MemberUpdatesH\000\022\037\n\003use\030\010 \001(\0132\020.e" +
-      "bonygw.LinkUseH\000\022#\n\004load\030\006 \001(\0132\023.ebonygw" +
-      ".TargetLoadH\000\022%\n\010prefetch\030\007 \001(\0132\021.ebonyg" +
-      "w.PrefetchH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.RunH" +
-      "\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004body" +
-      "\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014.e" +
-      "bonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw.F" +
-      "ailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cancel" +
-      "H\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-\n" +
-      "\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvelo" +
-      "peH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEnv" +
+  /**
+   * <pre>
+   * Requests that an entry has sent to a loader's replica since its last message of this kind.
+   * </pre>
+   *
+   * Protobuf type {@code ebonygw.AdapterUse}
+   */
+  public static final class AdapterUse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.AdapterUse)
+      AdapterUseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AdapterUse");
+    }
+    // Use AdapterUse.newBuilder() to construct.
+    private AdapterUse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AdapterUse() {
+      used_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.AdapterUse.class, ebonygw.wire.PeerProtocol.AdapterUse.Builder.class);
+    }
+
+    public static final int USED_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> used_;
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> getUsedList() {
+      return used_;
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
+        getUsedOrBuilderList() {
+      return used_;
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    @java.lang.Override
+    public int getUsedCount() {
+      return used_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterRequests getUsed(int index) {
+      return used_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder getUsedOrBuilder(
+        int index) {
+      return used_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < used_.size(); i++) {
+        output.writeMessage(1, used_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+
+          {
+            final int count = used_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(used_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterUse)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.AdapterUse other = (ebonygw.wire.PeerProtocol.AdapterUse) obj;
+
+      if (!getUsedList()
+          .equals(other.getUsedList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getUsedCount() > 0) {
+        hash = (37 * hash) + USED_FIELD_NUMBER;
+        hash = (53 * hash) + getUsedList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterUse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Requests that an entry has sent to a loader's replica since its last message of this kind.
+     * </pre>
+     *
+     * Protobuf type {@code ebonygw.AdapterUse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterUse)
+        ebonygw.wire.PeerProtocol.AdapterUseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.AdapterUse.class, ebonygw.wire.PeerProtocol.AdapterUse.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.AdapterUse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (usedBuilder_ == null) {
+          used_ = java.util.Collections.emptyList();
+        } else {
+          used_ = null;
+          usedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterUse getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterUse build() {
+        ebonygw.wire.PeerProtocol.AdapterUse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterUse buildPartial() {
+        ebonygw.wire.PeerProtocol.AdapterUse result = new ebonygw.wire.PeerProtocol.AdapterUse(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.AdapterUse result) {
+        if (usedBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            used_ = java.util.Collections.unmodifiableList(used_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.used_ = used_;
+        } else {
+          result.used_ = usedBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterUse result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.AdapterUse) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterUse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterUse other) {
+        if (other == ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance()) return this;
+        if (usedBuilder_ == null) {
+          if (!other.used_.isEmpty()) {
+            if (used_.isEmpty()) {
+              used_ = other.used_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureUsedIsMutable();
+              used_.addAll(other.used_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.used_.isEmpty()) {
+            if (usedBuilder_.isEmpty()) {
+              usedBuilder_.dispose();
+              usedBuilder_ = null;
+              used_ = other.used_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              usedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetUsedFieldBuilder() : null;
+            } else {
+              usedBuilder_.addAllMessages(other.used_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                ebonygw.wire.PeerProtocol.AdapterRequests m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.AdapterRequests.parser(),
+                        extensionRegistry);
+                if (usedBuilder_ == null) {
+                  ensureUsedIsMutable();
+                  used_.add(m);
+                } else {
+                  usedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> used_ =
+        java.util.Collections.emptyList();
+      private void ensureUsedIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          used_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterRequests>(used_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterRequests, ebonygw.wire.PeerProtocol.AdapterRequests.Builder, ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> usedBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> getUsedList() {
+        if (usedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(used_);
+        } else {
+          return usedBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public int getUsedCount() {
+        if (usedBuilder_ == null) {
+          return used_.size();
+        } else {
+          return usedBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterRequests getUsed(int index) {
+        if (usedBuilder_ == null) {
+          return used_.get(index);
+        } else {
+          return usedBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder setUsed(
+          int index, ebonygw.wire.PeerProtocol.AdapterRequests value) {
+        if (usedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUsedIsMutable();
+          used_.set(index, value);
+          onChanged();
+        } else {
+          usedBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder setUsed(
+          int index, ebonygw.wire.PeerProtocol.AdapterRequests.Builder builderForValue) {
+        if (usedBuilder_ == null) {
+          ensureUsedIsMutable();
+          used_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          usedBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder addUsed(ebonygw.wire.PeerProtocol.AdapterRequests value) {
+        if (usedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUsedIsMutable();
+          used_.add(value);
+          onChanged();
+        } else {
+          usedBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder addUsed(
+          int index, ebonygw.wire.PeerProtocol.AdapterRequests value) {
+        if (usedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUsedIsMutable();
+          used_.add(index, value);
+          onChanged();
+        } else {
+          usedBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder addUsed(
+          ebonygw.wire.PeerProtocol.AdapterRequests.Builder builderForValue) {
+        if (usedBuilder_ == null) {
+          ensureUsedIsMutable();
+          used_.add(builderForValue.build());
+          onChanged();
+        } else {
+          usedBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder addUsed(
+          int index, ebonygw.wire.PeerProtocol.AdapterRequests.Builder builderForValue) {
+        if (usedBuilder_ == null) {
+          ensureUsedIsMutable();
+          used_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          usedBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder addAllUsed(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterRequests> values) {
+        if (usedBuilder_ == null) {
+          ensureUsedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, used_);
+          onChanged();
+        } else {
+          usedBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder clearUsed() {
+        if (usedBuilder_ == null) {
+          used_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          usedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public Builder removeUsed(int index) {
+        if (usedBuilder_ == null) {
+          ensureUsedIsMutable();
+          used_.remove(index);
+          onChanged();
+        } else {
+          usedBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterRequests.Builder getUsedBuilder(
+          int index) {
+        return internalGetUsedFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder getUsedOrBuilder(
+          int index) {
+        if (usedBuilder_ == null) {
+          return used_.get(index);  } else {
+          return usedBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
+           getUsedOrBuilderList() {
+        if (usedBuilder_ != null) {
+          return usedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(used_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterRequests.Builder addUsedBuilder() {
+        return internalGetUsedFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.AdapterRequests.Builder addUsedBuilder(
+          int index) {
+        return internalGetUsedFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests.Builder> 
+           getUsedBuilderList() {
+        return internalGetUsedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.AdapterRequests, ebonygw.wire.PeerProtocol.AdapterRequests.Builder, ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
+          internalGetUsedFieldBuilder() {
+        if (usedBuilder_ == null) {
+          usedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterRequests, ebonygw.wire.PeerProtocol.AdapterRequests.Builder, ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder>(
+                  used_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          used_ = null;
+        }
+        return usedBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterUse)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.AdapterUse)
+    private static final ebonygw.wire.PeerProtocol.AdapterUse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterUse();
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterUse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AdapterUse>
+        PARSER = new com.google.protobuf.AbstractParser<AdapterUse>() {
+      @java.lang.Override
+      public AdapterUse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AdapterUse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AdapterUse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterUse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AdapterRequestsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterRequests)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The adapter.
+     */
+    java.lang.String getAdapter();
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The bytes for adapter.
+     */
+    com.google.protobuf.ByteString
+        getAdapterBytes();
+
+    /**
+     * <pre>
+     * 0 if requests sent earlier still run.
+     * </pre>
+     *
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+  }
+  /**
+   * Protobuf type {@code ebonygw.AdapterRequests}
+   */
+  public static final class AdapterRequests extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.AdapterRequests)
+      AdapterRequestsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AdapterRequests");
+    }
+    // Use AdapterRequests.newBuilder() to construct.
+    private AdapterRequests(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AdapterRequests() {
+      adapter_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.AdapterRequests.class, ebonygw.wire.PeerProtocol.AdapterRequests.Builder.class);
+    }
+
+    public static final int ADAPTER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object adapter_ = "";
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The adapter.
+     */
+    @java.lang.Override
+    public java.lang.String getAdapter() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        adapter_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string adapter = 1;</code>
+     * @return The bytes for adapter.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAdapterBytes() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        adapter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    private int requests_ = 0;
+    /**
+     * <pre>
+     * 0 if requests sent earlier still run.
+     * </pre>
+     *
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, adapter_);
+      }
+      if (requests_ != 0) {
+        output.writeUInt32(2, requests_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, adapter_);
+      }
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, requests_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterRequests)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.AdapterRequests other = (ebonygw.wire.PeerProtocol.AdapterRequests) obj;
+
+      if (!getAdapter()
+          .equals(other.getAdapter())) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAdapter().hashCode();
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterRequests prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.AdapterRequests}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterRequests)
+        ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.AdapterRequests.class, ebonygw.wire.PeerProtocol.AdapterRequests.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.AdapterRequests.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        adapter_ = "";
+        requests_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterRequests getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterRequests build() {
+        ebonygw.wire.PeerProtocol.AdapterRequests result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.AdapterRequests buildPartial() {
+        ebonygw.wire.PeerProtocol.AdapterRequests result = new ebonygw.wire.PeerProtocol.AdapterRequests(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterRequests result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.adapter_ = adapter_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requests_ = requests_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.AdapterRequests) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterRequests)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterRequests other) {
+        if (other == ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance()) return this;
+        if (!other.getAdapter().isEmpty()) {
+          adapter_ = other.adapter_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                adapter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                requests_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object adapter_ = "";
+      /**
+       * <code>string adapter = 1;</code>
+       * @return The adapter.
+       */
+      public java.lang.String getAdapter() {
+        java.lang.Object ref = adapter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          adapter_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @return The bytes for adapter.
+       */
+      public com.google.protobuf.ByteString
+          getAdapterBytes() {
+        java.lang.Object ref = adapter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          adapter_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @param value The adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapter(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAdapter() {
+        adapter_ = getDefaultInstance().getAdapter();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 1;</code>
+       * @param value The bytes for adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapterBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int requests_ ;
+      /**
+       * <pre>
+       * 0 if requests sent earlier still run.
+       * </pre>
+       *
+       * <code>uint32 requests = 2;</code>
+       * @return The requests.
+       */
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
+      }
+      /**
+       * <pre>
+       * 0 if requests sent earlier still run.
+       * </pre>
+       *
+       * <code>uint32 requests = 2;</code>
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(int value) {
+
+        requests_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * 0 if requests sent earlier still run.
+       * </pre>
+       *
+       * <code>uint32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        requests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterRequests)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.AdapterRequests)
+    private static final ebonygw.wire.PeerProtocol.AdapterRequests DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterRequests();
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterRequests getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AdapterRequests>
+        PARSER = new com.google.protobuf.AbstractParser<AdapterRequests>() {
+      @java.lang.Override
+      public AdapterRequests parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AdapterRequests> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AdapterRequests> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterRequests getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Envelope_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Envelope_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Member_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Member_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Hello_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Hello_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Heartbeat_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Heartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_LinkUse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_LinkUse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterVersion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberDigest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_MemberDigest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberUpdates_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_MemberUpdates_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Prefetch_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Prefetch_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_TargetLoad_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_TargetLoad_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_TargetReport_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_TargetReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_RequestId_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_RequestId_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Header_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Header_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Run_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Run_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Head_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Head_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Body_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Body_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_End_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_End_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Failed_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Failed_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Cancel_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Cancel_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Credit_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Credit_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_GatewayUsage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_GatewayUsage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_CustomerTokens_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_CustomerTokens_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterUse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterUse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterRequests_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterRequests_fieldAccessorTable;
+
+  public static com.google.protobuf.Descriptors.FileDescriptor
+      getDescriptor() {
+    return descriptor;
+  }
+  private static final com.google.protobuf.Descriptors.FileDescriptor
+      descriptor;
+  static {
+    java.lang.String[] descriptorData = {
+      "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
+      "hares.proto\"\335\005\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
+      "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
+      "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
+      "onygw.MemberDigestH\000\022)\n\007updates\030\005 \001(\0132\026." +
+      "ebonygw.MemberUpdatesH\000\022\037\n\003use\030\010 \001(\0132\020.e" +
+      "bonygw.LinkUseH\000\022#\n\004load\030\006 \001(\0132\023.ebonygw" +
+      ".TargetLoadH\000\022%\n\010prefetch\030\007 \001(\0132\021.ebonyg" +
+      "w.PrefetchH\000\022\033\n\003run\030\n \001(\0132\014.ebonygw.RunH" +
+      "\000\022\035\n\004head\030\013 \001(\0132\r.ebonygw.HeadH\000\022\035\n\004body" +
+      "\030\014 \001(\0132\r.ebonygw.BodyH\000\022\033\n\003end\030\r \001(\0132\014.e" +
+      "bonygw.EndH\000\022!\n\006failed\030\016 \001(\0132\017.ebonygw.F" +
+      "ailedH\000\022!\n\006cancel\030\017 \001(\0132\017.ebonygw.Cancel" +
+      "H\000\022!\n\006credit\030\020 \001(\0132\017.ebonygw.CreditH\000\022-\n" +
+      "\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvelo" +
+      "peH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEnv" +
       "elopeH\000\022.\n\rgateway_usage\030( \001(\0132\025.ebonygw" +
-      ".GatewayUsageH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(" +
-      "\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data" +
-      "_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves" +
-      "\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw." +
-      "Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020pro" +
-      "tocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequ" +
-      "ence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004\"\031\n" +
-      "\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersi" +
-      "on\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014" +
-      "MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberU" +
-      "pdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Member" +
-      "\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapter\030\001 " +
-      "\001(\0132\027.ebonygw.AdapterVersion\"k\n\nTargetLo" +
-      "ad\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n" +
-      "\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqu" +
-      "eued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010se" +
-      "quence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030" +
-      "\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_tok" +
-      "ens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw.Ad" +
-      "apterVersion\022(\n\007loading\030\007 \003(\0132\027.ebonygw." +
-      "AdapterVersion\"A\n\tRequestId\022\r\n\005entry\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(" +
-      "\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t" +
-      "\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId" +
-      "\022\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006k" +
-      "ey_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 " +
-      "\001(\0132\027.ebonygw.AdapterVersion\022\022\n\nidempote" +
-      "nt\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_tok" +
-      "ens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_" +
-      "hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r" +
-      " \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.eb" +
-      "onygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_na" +
-      "nos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030" +
-      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
-      "(\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.eb" +
-      "onygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebony" +
-      "gw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003" +
-      " \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022." +
-      "ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005pa" +
-      "rts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Faile" +
-      "d\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007att" +
-      "empt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(" +
-      "\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006" +
-      " \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Req" +
-      "uestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030" +
-      "\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001" +
-      "(\r\022\r\n\005parts\030\003 \001(\r\"8\n\014GatewayUsage\022(\n\007cha" +
-      "rged\030\001 \003(\0132\027.ebonygw.CustomerTokens\"2\n\016C" +
-      "ustomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006token" +
-      "s\030\002 \001(\022B\034\n\014ebonygw.wireB\014PeerProtocolb\006p" +
-      "roto3"
+      ".GatewayUsageH\000\022*\n\013adapter_use\030) \001(\0132\023.e" +
+      "bonygw.AdapterUseH\000B\006\n\004kind\"\214\001\n\006Member\022\n" +
+      "\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030" +
+      "\003 \001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013" +
+      "data_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006se" +
+      "rves\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebon" +
+      "ygw.Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n" +
+      "\020protocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010" +
+      "sequence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(" +
+      "\004\"\031\n\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterV" +
+      "ersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
+      "\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMem" +
+      "berUpdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Me" +
+      "mber\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapte" +
+      "r\030\001 \001(\0132\027.ebonygw.AdapterVersion\"k\n\nTarg" +
+      "etLoad\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(" +
+      "\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025" +
+      "\n\rqueued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020" +
+      "\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006que" +
+      "ued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued" +
+      "_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonyg" +
+      "w.AdapterVersion\022(\n\007loading\030\007 \003(\0132\027.ebon" +
+      "ygw.AdapterVersion\"A\n\tRequestId\022\r\n\005entry" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030" +
+      "\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
+      "stId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022" +
+      "\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapte" +
+      "r\030\006 \001(\0132\027.ebonygw.AdapterVersion\022\022\n\nidem" +
+      "potent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt" +
+      "_tokens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013pre" +
+      "fix_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006meth" +
+      "od\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132" +
+      "\017.ebonygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeou" +
+      "t_nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n" +
+      "\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt" +
+      "\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132" +
+      "\017.ebonygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.e" +
+      "bonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005ind" +
+      "ex\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(" +
+      "\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r" +
+      "\n\005parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006F" +
+      "ailed\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
+      "\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030" +
+      "\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nan" +
+      "os\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw" +
+      ".RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n" +
+      "\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt" +
+      "\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\"8\n\014GatewayUsage\022(\n" +
+      "\007charged\030\001 \003(\0132\027.ebonygw.CustomerTokens\"" +
+      "2\n\016CustomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006t" +
+      "okens\030\002 \001(\022\"4\n\nAdapterUse\022&\n\004used\030\001 \003(\0132" +
+      "\030.ebonygw.AdapterRequests\"4\n\017AdapterRequ" +
+      "ests\022\017\n\007adapter\030\001 \001(\t\022\020\n\010requests\030\002 \001(\rB" +
+      "\034\n\014ebonygw.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -23021,7 +24618,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterUse", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -23148,6 +24745,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_CustomerTokens_descriptor,
         new java.lang.String[] { "Customer", "Tokens", });
+    internal_static_ebonygw_AdapterUse_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_ebonygw_AdapterUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_AdapterUse_descriptor,
+        new java.lang.String[] { "Used", });
+    internal_static_ebonygw_AdapterRequests_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_ebonygw_AdapterRequests_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_AdapterRequests_descriptor,
+        new java.lang.String[] { "Adapter", "Requests", });
     descriptor.resolveAllFeaturesImmutable();
     ebonygw.wire.SettingsProtocol.getDescriptor();
     ebonygw.wire.SharesProtocol.getDescriptor();
