--- a/src/main/java/ebonygw/log/KeyValueWriter.java
+++ b/src/main/java/ebonygw/log/KeyValueWriter.java
@@ -6,17 +6,20 @@
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Map;
+import org.tinylog.Level;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
 
 /**
  * Writes each log entry, of our own code and of libraries, as one line of key=value pairs on the
- * standard error stream.
+ * standard error stream, or in the background on standard output for processes that serve.
  *
  * <p>The logging library finds it as {@code key value}. Thread-safe.
  */
 public final class KeyValueWriter implements Writer {
+    private static volatile LineQueue sQueue;
+
     private final PrintStream mOut = System.err;
 
     /**
@@ -26,6 +29,13 @@
      */
     public KeyValueWriter(Map<String, String> properties) {}
 
+    /** Writes to standard output from now on, in the background. */
+    static void inBackground() {
+        LineQueue queue = new LineQueue(System.out);
+        queue.start();
+        sQueue = queue;
+    }
+
     /** Returns an entry as a line without its end. */
     static String line(LogEntry entry) {
         StringBuilder line = new StringBuilder();
@@ -48,13 +58,22 @@
         return line.toString();
     }
 
+    /** Writes what waits. */
+    static void drain() {
+        LineQueue queue = sQueue;
+        if (queue != null) {
+            queue.drain();
+        }
+    }
+
     @Override
     public void close() {
-        mOut.flush();
+        flush();
     }
 
     @Override
     public void flush() {
+        drain();
         mOut.flush();
     }
 
@@ -70,6 +89,18 @@
 
     @Override
     public void write(LogEntry entry) {
-        mOut.println(line(entry));
+        LineQueue queue = sQueue;
+        if (queue == null) {
+            mOut.println(line(entry));
+        } else {
+            queue.offer(budget(entry), line(entry), System.nanoTime());
+        }
+    }
+
+    private static String budget(LogEntry entry) {
+        String message = entry.getMessage() == null ? "" : entry.getMessage();
+        int end = message.indexOf(' ');
+        String event = LogLine.isLine(message) && end > 0 ? message.substring(0, end) : "log";
+        return entry.getLevel().ordinal() >= Level.WARN.ordinal() ? event + " failed" : event;
     }
 }
--- a/src/main/java/ebonygw/log/LogLine.java
+++ b/src/main/java/ebonygw/log/LogLine.java
@@ -86,7 +86,10 @@
         if (mText.length() > 0) {
             mText.append(' ');
         }
-        mText.append(key.replaceAll("[^A-Za-z0-9_.-]", "_")).append('=');
+        for (int i = 0; i < key.length(); i++) {
+            mText.append(isOfName(key.charAt(i)) ? key.charAt(i) : '_');
+        }
+        mText.append('=');
         mText.append(quoted(value == null ? null : value.toString()));
         return this;
     }
@@ -127,6 +130,15 @@
         }
     }
 
+    private static boolean isOfName(char c) {
+        return c >= 'a' && c <= 'z'
+                || c >= 'A' && c <= 'Z'
+                || c >= '0' && c <= '9'
+                || c == '_'
+                || c == '.'
+                || c == '-';
+    }
+
     private static boolean isPlain(String value) {
         for (int i = 0; i < value.length(); i++) {
             char c = value.charAt(i);
--- a/src/main/java/ebonygw/log/Logs.java
+++ b/src/main/java/ebonygw/log/Logs.java
@@ -10,4 +10,14 @@
     public static void bind() {
         System.setProperty(JBOSS_PROVIDER, "slf4j");
     }
+
+    /** Sends log lines to standard output in the background, for processes that serve. */
+    public static void inBackground() {
+        KeyValueWriter.inBackground();
+    }
+
+    /** Writes the lines that wait; call before the process ends. */
+    public static void drain() {
+        KeyValueWriter.drain();
+    }
 }
--- a/src/main/java/ebonygw/process/ProcessRunner.java
+++ b/src/main/java/ebonygw/process/ProcessRunner.java
@@ -1,6 +1,7 @@
 package ebonygw.process;
 
 import ebonygw.log.LogLine;
+import ebonygw.log.Logs;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -69,6 +70,7 @@
         }
         mProcess.close();
         LogLine.of("stopped").with("graceful", graceful).info();
+        Logs.drain();
         mStatus.complete(graceful ? 0 : 1);
         return mStatus.join();
     }
--- /dev/null
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -0,0 +1,318 @@
+package ebonygw.gateway;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.KeyValueCall;
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.keyvalue.KeyValueReply.Entry;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberMessage.TargetReport;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.request.Refusal;
+import ebonygw.settings.CallerKeys;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/** An entry's node in virtual time with a key-value service that answers at once. */
+final class GatewayFixture {
+    static final String KEY = "secret-of-a";
+    static final Locality KINGSTON = new Locality("kingston", "kgn-a");
+    static final Locality MONTEGO = new Locality("montego", "mbj-a");
+    static final int LOADER_PORT = 7600;
+
+    final List<GatewayEffect> mEffects = new ArrayList<>();
+    final Map<String, GatewaySettings> mSettings = new TreeMap<>();
+    final Map<String, TargetRecord> mTargets = new TreeMap<>();
+    final Map<String, Entry> mStore = new TreeMap<>();
+    final GatewayNode mNode;
+    long mNowNanos = TimeUnit.SECONDS.toNanos(1_000);
+    private long mRevision = 1;
+    private long mExchange;
+    private boolean mStoreUp = true;
+
+    GatewayFixture() {
+        Member self =
+                new Member(
+                        new NodeId("entry-1"),
+                        1,
+                        Role.ENTRY,
+                        MemberState.LIVE,
+                        KINGSTON,
+                        "10.0.0.1:7600",
+                        "");
+        mNode =
+                new GatewayNode(
+                        new GatewayOptions(
+                                self,
+                                new Reader(),
+                                LOADER_PORT,
+                                0,
+                                0.2,
+                                56,
+                                TimeUnit.SECONDS.toNanos(10),
+                                TimeUnit.SECONDS.toNanos(3),
+                                TimeUnit.SECONDS.toNanos(7),
+                                1));
+    }
+
+    /** Starts with the usual settings, two plain targets and two replicas. */
+    static GatewayFixture started() {
+        GatewayFixture fixture = new GatewayFixture();
+        fixture.settings(settings(1, 0, 0));
+        fixture.target(plain("desk-1", "10.1.0.1:80", KINGSTON));
+        fixture.target(plain("desk-2", "10.1.0.2:80", KINGSTON));
+        fixture.target(replica("model-1", "10.2.0.1:80", KINGSTON));
+        fixture.target(replica("model-2", "10.2.0.2:80", MONTEGO));
+        fixture.tick();
+        fixture.tick();
+        fixture.linkLoader("10.2.0.1");
+        fixture.linkLoader("10.2.0.2");
+        return fixture;
+    }
+
+    static TargetRecord plain(String id, String address, Locality locality) {
+        return new TargetRecord(id, 1, "desk", address, locality, 6, false, Map.of(), Map.of());
+    }
+
+    static TargetRecord replica(String id, String address, Locality locality) {
+        return new TargetRecord(
+                id, 1, "model", address, locality, 96, false, Map.of("m0", 1L), Map.of());
+    }
+
+    static GatewayRoute route(String name, String prefix, RequestKind kind, String service) {
+        return new GatewayRoute(
+                name,
+                "host.example",
+                prefix,
+                kind,
+                List.of(new GatewayRoute.WeightedService(service, 1)),
+                TimeUnit.SECONDS.toNanos(2),
+                TimeUnit.MILLISECONDS.toNanos(300),
+                2,
+                1,
+                false,
+                false);
+    }
+
+    static GatewaySettings settings(long revision, long tokensPerSecond, long burst) {
+        EngineLimits engine =
+                new EngineLimits(
+                        96, 100_000, 8, 35_000, Map.of("m0", new EngineLimits.Model(34_000, 40)));
+        return new GatewaySettings(
+                revision,
+                List.of(
+                        route("book", "/book/", RequestKind.NON_IDEMPOTENT, "desk"),
+                        route("look", "/look/", RequestKind.IDEMPOTENT, "desk"),
+                        route("ask", "/ask/", RequestKind.STREAMING, "model")),
+                List.of(
+                        new GatewayService("desk", 110, Optional.empty()),
+                        new GatewayService("model", 500, Optional.of(engine))),
+                List.of(
+                        new GatewayCustomer(
+                                "a",
+                                -1,
+                                tokensPerSecond,
+                                burst,
+                                200,
+                                List.of(CallerKeys.hash(KEY)))),
+                new GatewaySettings.CallerLimits(16_384, 4 << 20, 3_000_000_000L, 15_000_000_000L));
+    }
+
+    static GatewayRequest request(String id, String path, String key, String adapter) {
+        boolean model = path.startsWith("/ask/");
+        return new GatewayRequest(
+                id,
+                "POST",
+                "host.example",
+                path,
+                key.isEmpty() ? "" : CallerKeys.hash(key),
+                model ? "m0" : "",
+                adapter,
+                model ? 1_000 : -1,
+                model ? 100 : 0,
+                List.of(),
+                TimeUnit.SECONDS.toNanos(2),
+                "",
+                Map.of(),
+                ByteString.EMPTY);
+    }
+
+    void advance(long millis) {
+        mNowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        tick();
+    }
+
+    /** Asks with the usual key; returns the exchange. */
+    long ask(String path) {
+        return ask(path, KEY, "");
+    }
+
+    long ask(String path, String key, String adapter) {
+        long exchange = ++mExchange;
+        handle(
+                new GatewayEvent.CallerAsked(
+                        exchange, request("request-" + exchange, path, key, adapter)));
+        return exchange;
+    }
+
+    /** Returns the attempts sent for an exchange, in order. */
+    List<AttemptTerms> attempts(long exchange) {
+        return mEffects.stream()
+                .filter(GatewayEffect.Attempt.class::isInstance)
+                .map(GatewayEffect.Attempt.class::cast)
+                .filter(it -> it.exchange() == exchange)
+                .map(GatewayEffect.Attempt::terms)
+                .toList();
+    }
+
+    void fail(long exchange, int attempt, boolean mayHaveRun) {
+        handle(
+                new GatewayEvent.AttemptFailed(
+                        exchange, attempt, mayHaveRun, false, false, "connection lost"));
+    }
+
+    void handle(GatewayEvent event) {
+        mNode.handle(event, mNowNanos, this::take);
+    }
+
+    void linkLoader(String host) {
+        handle(new GatewayEvent.PeerUp(loader(host), 1));
+    }
+
+    static NodeId loader(String host) {
+        return new NodeId(host + ":" + LOADER_PORT);
+    }
+
+    Optional<Refusal> refusal(long exchange) {
+        return mEffects.stream()
+                .filter(GatewayEffect.Refused.class::isInstance)
+                .map(GatewayEffect.Refused.class::cast)
+                .filter(it -> it.exchange() == exchange)
+                .map(GatewayEffect.Refused::refusal)
+                .findFirst();
+    }
+
+    void removeTarget(String id) {
+        mTargets.remove(id);
+        Entry entry = mStore.remove("servers/" + id);
+        changed(new Entry(entry.key(), null, ++mRevision, 0));
+    }
+
+    void report(String host, long sequence, String... resident) {
+        List<AdapterVersion> versions = new ArrayList<>();
+        for (String adapter : resident) {
+            versions.add(new AdapterVersion(adapter, "1"));
+        }
+        handle(
+                new GatewayEvent.PeerSaid(
+                        loader(host),
+                        1,
+                        new TargetReport(sequence, 0, 0, 96, 0, versions, List.of())));
+    }
+
+    void settings(GatewaySettings settings) {
+        mSettings.put("op/config", settings);
+        put("op/config");
+    }
+
+    /** Lets the store fail all calls, or answer again. */
+    void storeUp(boolean up) {
+        mStoreUp = up;
+        if (!up) {
+            mWatches.values().forEach(id -> reply(id, failed()));
+            mWatches.clear();
+        }
+    }
+
+    void target(TargetRecord record) {
+        mTargets.put("servers/" + record.id(), record);
+        put("servers/" + record.id());
+    }
+
+    void tick() {
+        handle(new GatewayEvent.Tick());
+    }
+
+    private final Map<String, Long> mWatches = new TreeMap<>();
+
+    private void changed(Entry entry) {
+        mWatches.forEach(
+                (prefix, id) -> {
+                    if (entry.key().startsWith(prefix)) {
+                        reply(id, new KeyValueReply.Changed(mRevision, List.of(entry)));
+                    }
+                });
+    }
+
+    private static KeyValueReply failed() {
+        return new KeyValueReply.Failed(false, "down");
+    }
+
+    private void put(String key) {
+        Entry entry = new Entry(key, ByteString.copyFromUtf8(key), ++mRevision, 0);
+        mStore.put(key, entry);
+        changed(entry);
+    }
+
+    private void reply(long callId, KeyValueReply reply) {
+        handle(new GatewayEvent.KeyValueReplied(callId, reply));
+    }
+
+    private void take(GatewayEffect effect) {
+        mEffects.add(effect);
+        if (effect instanceof GatewayEffect.KeyValue call) {
+            answer(call.callId(), call.call());
+        }
+    }
+
+    /** Answers a call in the middle of its event, as a store on the same host might. */
+    private void answer(long callId, KeyValueCall call) {
+        if (!mStoreUp) {
+            reply(callId, failed());
+        } else if (call instanceof KeyValueCall.Range range) {
+            List<Entry> found =
+                    mStore.values().stream().filter(e -> e.key().startsWith(range.key())).toList();
+            reply(callId, new KeyValueReply.Found(mRevision, found, false));
+        } else if (call instanceof KeyValueCall.Watch watch) {
+            mWatches.put(watch.key(), callId);
+        } else if (call instanceof KeyValueCall.Transaction) {
+            reply(callId, new KeyValueReply.Committed(++mRevision, true));
+        } else if (call instanceof KeyValueCall.LeaseGrant) {
+            reply(callId, new KeyValueReply.Lease(5, 15));
+        }
+    }
+
+    private final class Reader implements StoreReader {
+        @Override
+        public String operatorPrefix() {
+            return "op/";
+        }
+
+        @Override
+        public Optional<GatewaySettings> settings(Entry entry) {
+            return Optional.ofNullable(mSettings.get(entry.key()));
+        }
+
+        @Override
+        public Optional<TargetRecord> target(Entry entry) {
+            return Optional.ofNullable(mTargets.get(entry.key()));
+        }
+
+        @Override
+        public String targetPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public Optional<WantedVersion> wantedVersion(Entry entry) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -0,0 +1,233 @@
+package ebonygw.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.membership.MemberMessage;
+import ebonygw.request.Refusal;
+import ebonygw.request.RefusalCode;
+import ebonygw.request.Verdict;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class GatewayNodeTest {
+    @Test
+    void withoutConfigurationARequestIsNotRunAndMayComeBack() {
+        GatewayFixture entry = new GatewayFixture();
+
+        long exchange = entry.ask("/look/1");
+
+        Refusal refusal = entry.refusal(exchange).orElseThrow();
+        assertThat(refusal.code()).isEqualTo(RefusalCode.NOT_READY);
+        assertThat(refusal.retryAfterNanos()).isPositive();
+        assertThat(entry.mNode.ready()).isFalse();
+    }
+
+    @Test
+    void aRouteThatDoesNotExistIsRefused() {
+        GatewayFixture entry = GatewayFixture.started();
+
+        long exchange = entry.ask("/unknown/1");
+
+        assertThat(entry.refusal(exchange).orElseThrow().code()).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+
+    @Test
+    void anUnknownKeyIsRefused() {
+        GatewayFixture entry = GatewayFixture.started();
+
+        long exchange = entry.ask("/look/1", "another", "");
+
+        assertThat(entry.refusal(exchange).orElseThrow().code())
+                .isEqualTo(RefusalCode.UNAUTHENTICATED);
+        assertThat(entry.attempts(exchange)).isEmpty();
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsNotSentAgain() {
+        GatewayFixture entry = GatewayFixture.started();
+        long exchange = entry.ask("/book/1");
+
+        entry.fail(exchange, 1, true);
+
+        assertThat(entry.attempts(exchange)).hasSize(1);
+        assertThat(entry.refusal(exchange).orElseThrow().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void aRequestThatDidNotRunIsSentToAnotherTarget() {
+        GatewayFixture entry = GatewayFixture.started();
+        long exchange = entry.ask("/book/1");
+
+        entry.fail(exchange, 1, false);
+
+        assertThat(entry.attempts(exchange)).hasSize(2);
+        assertThat(entry.attempts(exchange).get(1).instance())
+                .isNotEqualTo(entry.attempts(exchange).get(0).instance());
+    }
+
+    @Test
+    void anIdempotentRequestRunsOnNoMoreTargetsThanItsRouteAllows() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.target(GatewayFixture.plain("desk-3", "10.1.0.3:80", GatewayFixture.KINGSTON));
+        long exchange = entry.ask("/look/1");
+
+        entry.fail(exchange, 1, true);
+        entry.fail(exchange, 2, true);
+
+        assertThat(entry.attempts(exchange)).hasSize(2);
+        assertThat(entry.refusal(exchange)).isPresent();
+    }
+
+    @Test
+    void aRejectedRequestWithoutAnotherTargetIsSaidNotToHaveRun() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.removeTarget("desk-2");
+        long exchange = entry.ask("/book/1");
+
+        entry.handle(new GatewayEvent.AnswerHeld(exchange, 1, 503, false, Optional.empty()));
+
+        Refusal refusal = entry.refusal(exchange).orElseThrow();
+        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(refusal.code().status()).isEqualTo(503);
+        assertThat(refusal.retryAfterNanos()).isPositive();
+    }
+
+    @Test
+    void aFailureOfTheTargetIsPassedOnWhenNoOtherAttemptFollows() {
+        GatewayFixture entry = GatewayFixture.started();
+        long exchange = entry.ask("/book/1");
+
+        entry.handle(new GatewayEvent.AnswerHeld(exchange, 1, 500, true, Optional.empty()));
+
+        assertThat(entry.mEffects).contains(new GatewayEffect.Relay(exchange));
+        assertThat(entry.refusal(exchange)).isEmpty();
+    }
+
+    @Test
+    void aRequestOverItsCustomersRateIsRefusedWithTheTimeToComeBack() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.settings(GatewayFixture.settings(2, 100, 200));
+        long first = entry.ask("/look/1");
+
+        long second = entry.ask("/look/1");
+
+        assertThat(entry.attempts(first)).hasSize(1);
+        Refusal refusal = entry.refusal(second).orElseThrow();
+        assertThat(refusal.code()).isEqualTo(RefusalCode.OVER_RATE);
+        assertThat(refusal.retryAfterNanos()).isBetween(1_900_000_000L, 2_100_000_000L);
+    }
+
+    @Test
+    void aRequestThatDidNotRunIsNotCharged() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.settings(GatewayFixture.settings(2, 100, 200));
+        entry.removeTarget("desk-2");
+        long first = entry.ask("/book/1");
+        entry.fail(first, 1, false);
+
+        entry.advance(150);
+        long second = entry.ask("/book/1");
+
+        assertThat(entry.attempts(second)).hasSize(1);
+    }
+
+    @Test
+    void aRequestWaitsForItsAdapterAndIsSentWhereItIsLoaded() {
+        GatewayFixture entry = GatewayFixture.started();
+
+        long exchange = entry.ask("/ask/1", GatewayFixture.KEY, "m0/a7");
+
+        assertThat(entry.attempts(exchange)).isEmpty();
+        GatewayEffect.Send asked =
+                entry.mEffects.stream()
+                        .filter(GatewayEffect.Send.class::isInstance)
+                        .map(GatewayEffect.Send.class::cast)
+                        .filter(it -> it.message() instanceof MemberMessage.Prefetch)
+                        .findFirst()
+                        .orElseThrow();
+        String host = asked.to().name().split(":")[0];
+        entry.report(host, 1, "m0/a7");
+        assertThat(entry.attempts(exchange)).hasSize(1);
+        assertThat(entry.attempts(exchange).get(0).address()).startsWith(host);
+    }
+
+    @Test
+    void aRequestWhoseAdapterIsNotLoadedInTimeIsSaidNotToHaveRun() {
+        GatewayFixture entry = GatewayFixture.started();
+        long exchange = entry.ask("/ask/1", GatewayFixture.KEY, "m0/a7");
+
+        entry.advance(1_990);
+
+        assertThat(entry.refusal(exchange).orElseThrow().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
+    @Test
+    void aCallersLeavingEndsTheAttempt() {
+        GatewayFixture entry = GatewayFixture.started();
+        long exchange = entry.ask("/book/1");
+
+        entry.handle(new GatewayEvent.CallerGone(exchange));
+
+        assertThat(entry.mEffects).contains(new GatewayEffect.Cancel(exchange));
+    }
+
+    @Test
+    void aDrainingTargetGetsNoNewWork() {
+        GatewayFixture entry = GatewayFixture.started();
+        TargetRecord desk = GatewayFixture.plain("desk-1", "10.1.0.1:80", GatewayFixture.KINGSTON);
+        entry.target(
+                new TargetRecord(
+                        desk.id(),
+                        desk.startedAtMillis(),
+                        desk.service(),
+                        desk.address(),
+                        desk.locality(),
+                        desk.slots(),
+                        true,
+                        desk.models(),
+                        desk.adapters()));
+
+        for (int i = 0; i < 10; i++) {
+            long exchange = entry.ask("/book/1");
+            assertThat(entry.attempts(exchange).get(0).instance()).isEqualTo("desk-2");
+        }
+    }
+
+    @Test
+    void configurationNeverStepsBack() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.settings(GatewayFixture.settings(5, 0, 0));
+
+        entry.settings(GatewayFixture.settings(4, 0, 0));
+
+        assertThat(entry.mNode.settings().revision()).isEqualTo(5);
+    }
+
+    @Test
+    void theListOfTargetsOutlivesAnOutageOfTheStore() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.storeUp(false);
+        entry.advance(5_000);
+
+        long exchange = entry.ask("/book/1");
+
+        assertThat(entry.attempts(exchange)).hasSize(1);
+        assertThat(entry.mNode.ready()).isTrue();
+    }
+
+    @Test
+    void aStoppingEntryIsNotReadyAtOnceAndEndsWhenNothingIsOpen() {
+        GatewayFixture entry = GatewayFixture.started();
+        long exchange = entry.ask("/book/1");
+
+        entry.handle(new GatewayEvent.StopAsked());
+
+        assertThat(entry.mNode.ready()).isFalse();
+        entry.advance(3_500);
+        assertThat(entry.mEffects).doesNotContain(new GatewayEffect.Exit());
+        entry.handle(new GatewayEvent.AnswerStarted(exchange, 1, 200, Optional.empty()));
+        entry.handle(new GatewayEvent.AnswerEnded(exchange, 1));
+        entry.advance(100);
+        assertThat(entry.mEffects).contains(new GatewayEffect.Exit());
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -0,0 +1,136 @@
+package ebonygw.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.membership.MemberMessage.TargetReport;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.NodeId;
+import ebonygw.request.AdapterVersion;
+import ebonygw.routing.RouterOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class TargetChooserTest {
+    private static final long NOW = 1_000_000_000_000L;
+    private static final GatewayRequest ASK =
+            GatewayFixture.request("request-1", "/ask/1", GatewayFixture.KEY, "m0/a7");
+    private static final GatewayRequest BOOK =
+            GatewayFixture.request("request-2", "/book/1", GatewayFixture.KEY, "");
+
+    private static TargetChooser chooser(Locality locality) {
+        return new TargetChooser(ChooserOptions.defaults(locality));
+    }
+
+    private static GatewayTarget target(TargetRecord record) {
+        GatewayTarget target =
+                new GatewayTarget(
+                        record, RouterOptions.defaults(new NodeId("e"), GatewayFixture.KINGSTON));
+        target.loader(GatewayFixture.loader(record.host()));
+        target.onLoaderUp();
+        return target;
+    }
+
+    private static List<GatewayTarget> replicas() {
+        List<GatewayTarget> replicas = new ArrayList<>();
+        for (int i = 1; i <= 6; i++) {
+            Locality where = i <= 3 ? GatewayFixture.KINGSTON : GatewayFixture.MONTEGO;
+            replicas.add(target(GatewayFixture.replica("r" + i, "10.2.0." + i + ":80", where)));
+        }
+        return replicas;
+    }
+
+    private static void report(GatewayTarget target, long sequence, int running, String... held) {
+        List<AdapterVersion> resident = new ArrayList<>();
+        for (String adapter : held) {
+            resident.add(new AdapterVersion(adapter, "1"));
+        }
+        target.onReport(new TargetReport(sequence, running, 0, 96, 0, resident, List.of()), NOW);
+    }
+
+    @Test
+    void entriesOfAllRegionsChooseTheSameHomeForARareAdapter() {
+        List<GatewayTarget> replicas = replicas();
+
+        GatewayTarget here =
+                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), NOW).target();
+        GatewayTarget there =
+                chooser(GatewayFixture.MONTEGO).choose(ASK, 0, replicas, Set.of(), NOW).target();
+
+        assertThat(there).isSameAs(here);
+    }
+
+    @Test
+    void aReplicaThatHoldsTheAdapterIsPreferredAlsoInAnotherRegion() {
+        List<GatewayTarget> replicas = replicas();
+        report(replicas.get(5), 1, 0, "m0/a7");
+
+        TargetChooser.Choice choice =
+                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), NOW);
+
+        assertThat(choice.resident()).isTrue();
+        assertThat(choice.target()).isSameAs(replicas.get(5));
+    }
+
+    @Test
+    void anAdapterOfAnOlderVersionThanWantedIsNotResident() {
+        List<GatewayTarget> replicas = replicas();
+        report(replicas.get(0), 1, 0, "m0/a7");
+
+        assertThat(
+                        chooser(GatewayFixture.KINGSTON)
+                                .choose(ASK, 2, replicas, Set.of(), NOW)
+                                .resident())
+                .isFalse();
+    }
+
+    @Test
+    void aReplicaThatHeldTheAdapterOfLateLoadsItAgain() {
+        List<GatewayTarget> replicas = replicas();
+        report(replicas.get(4), 1, 0, "m0/a7");
+        report(replicas.get(4), 2, 0);
+
+        assertThat(
+                        chooser(GatewayFixture.KINGSTON)
+                                .choose(ASK, 0, replicas, Set.of(), NOW)
+                                .target())
+                .isSameAs(replicas.get(4));
+    }
+
+    @Test
+    void anOverloadedHolderGivesWayToAnotherReplica() {
+        List<GatewayTarget> replicas = replicas();
+        report(replicas.get(5), 1, 110, "m0/a7");
+
+        assertThat(
+                        chooser(GatewayFixture.KINGSTON)
+                                .choose(ASK, 0, replicas, Set.of(), NOW)
+                                .target())
+                .isNotSameAs(replicas.get(5));
+    }
+
+    @Test
+    void aFullPlainTargetGivesWayToOneOfAnotherRegion() {
+        GatewayTarget near =
+                target(GatewayFixture.plain("n", "10.1.0.1:80", GatewayFixture.KINGSTON));
+        GatewayTarget far =
+                target(GatewayFixture.plain("f", "10.1.0.2:80", GatewayFixture.MONTEGO));
+        TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
+
+        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), NOW).target())
+                .isSameAs(near);
+        near.onLoad(new TargetLoad(6, 24, 6), NOW);
+        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), NOW).target())
+                .isSameAs(far);
+    }
+
+    @Test
+    void withoutALoaderAnAdapterCannotBeLoaded() {
+        List<GatewayTarget> replicas = replicas();
+        replicas.forEach(GatewayTarget::onLoaderDown);
+
+        assertThat(chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), NOW))
+                .isNull();
+    }
+}
