--- /dev/null
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -0,0 +1,258 @@
+package ebonygw.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import ebonygw.caller.GatewayServerOptions;
+import ebonygw.caller.RawCaller;
+import ebonygw.gateway.GatewayOptions;
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.platform.RawReplica.Answer;
+import ebonygw.process.GatewayProcess;
+import ebonygw.protocol.Locality;
+import ebonygw.protocol.NodeId;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** An entry over real sockets between a caller, a store and a replica that misbehaves. */
+class EntryOnPlatformTest {
+    private static final long DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final String BOOK = "/book/1";
+    private static final String LOOK = "/look/1";
+
+    private final StoreStandIn mStore = new StoreStandIn();
+    private RawReplica mReplica;
+    private GatewayProcess mEntry;
+    private int mRequests;
+
+    private static String configuration() {
+        return """
+        {"version":7,"routes":[
+          {"name":"book","hostname":"h","prefix":"/book/","type":"non_idempotent",
+           "timeout_ms":3000,"max_attempts":1,"backend":"desk","public":false},
+          {"name":"look","hostname":"h","prefix":"/look/","type":"idempotent",
+           "timeout_ms":3000,"max_attempts":2,"backend":"desk","public":false}],
+         "backends":[{"name":"desk","health_path":"/h","max_connections":10}],
+         "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+           "header_timeout_ms":3000,"idle_timeout_ms":15000},
+         "tenants":[{"name":"t1","api_keys":["k1"]}]}
+        """;
+    }
+
+    private static String registration(String address) {
+        return "{\"backend\":\"desk\",\"address\":\""
+                + address
+                + "\",\"zone\":\"z1\",\"slots\":6,\"state\":\"ready\",\"born\":1}";
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        mReplica = new RawReplica();
+        mStore.put("op/config", configuration());
+        mStore.put("servers/i-1", registration(mReplica.address()));
+        Member self =
+                new Member(
+                        new NodeId("entry-1"),
+                        0,
+                        Role.ENTRY,
+                        MemberState.LIVE,
+                        new Locality("r1", "z1"),
+                        "127.0.0.1:0",
+                        "");
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        mEntry =
+                GatewayProcess.start(
+                        new GatewayOptions(
+                                self,
+                                new OperatorReader(Map.of("z1", "r1")),
+                                7600,
+                                0,
+                                0.2,
+                                56,
+                                TimeUnit.SECONDS.toNanos(10),
+                                TimeUnit.MILLISECONDS.toNanos(100),
+                                TimeUnit.SECONDS.toNanos(7),
+                                1),
+                        GatewayServerOptions.of(any, any, "/readyz"),
+                        new PlatformHeaders(),
+                        PlatformMain.runtime(),
+                        worker ->
+                                new StoreClient(
+                                        worker,
+                                        mStore.address(),
+                                        prefix -> new StoreClient.WatchTimes(500, 0)));
+        long end = System.nanoTime() + DEADLINE_NANOS;
+        while (!mEntry.ready()) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            Thread.sleep(10);
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mEntry.close();
+        mReplica.close();
+        mStore.close();
+    }
+
+    private RawCaller caller() throws IOException {
+        return new RawCaller(mEntry.callerAddress());
+    }
+
+    private RawCaller send(RawCaller caller, String path) throws IOException {
+        mRequests++;
+        return caller.send(
+                RawCaller.post(
+                        path,
+                        "Attempt-Id: r"
+                                + mRequests
+                                + "\r\nAuthorization: Bearer k1\r\nDeadline-Ms: 2500\r\n",
+                        "body"));
+    }
+
+    private RawCaller.Answer ask(String path) throws IOException {
+        try (RawCaller caller = caller()) {
+            return send(caller, path).answer();
+        }
+    }
+
+    @Test
+    void anAnswerIsPassedOnAsTheReplicaGaveIt() throws IOException {
+        mReplica.script(Answer.status(200, "Server-Signature: s1\r\n", "whole"));
+
+        RawCaller.Answer answer = ask(BOOK);
+
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("whole");
+        assertThat(answer.head()).contains("server-signature: s1").contains("attempt-id: r1");
+        Map<String, String> request = mReplica.requests().remove();
+        assertThat(request)
+                .containsEntry("tenant", "t1")
+                .containsEntry("expect-instance", "i-1")
+                .containsEntry("host", "h")
+                .doesNotContainKey("authorization");
+        assertThat(Integer.parseInt(request.get("deadline-ms"))).isBetween(1, 2500);
+    }
+
+    @Test
+    void theAnswerOfAnotherRequestIsNeverDelivered() throws IOException {
+        mReplica.script(
+                Answer.of("HTTP/1.1 200 X\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nother"));
+
+        RawCaller.Answer answer = ask(BOOK);
+
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(answer.body()).doesNotContain("other\"}").contains("may_have_run");
+    }
+
+    @Test
+    void anExtraAnswerOnAKeptConnectionIsDiscardedWithIt() throws IOException {
+        String extra = "HTTP/1.1 200 X\r\nAttempt-Id: r1\r\nContent-Length: 5\r\n\r\nextra";
+        mReplica.script(
+                Answer.of(Answer.status(200, "", "first").text() + extra),
+                Answer.status(200, "", "second"),
+                Answer.status(200, "", "third"));
+
+        assertThat(ask(LOOK).body()).isEqualTo("first");
+        assertThat(ask(LOOK).body()).isIn("second", "third");
+    }
+
+    @Test
+    void anAnswerThatBreaksOffNeverLooksWhole() throws IOException {
+        mReplica.script(
+                new Answer(
+                        "HTTP/1.1 200 X\r\nAttempt-Id: REQUEST\r\nContent-Length: 50\r\n\r\npart",
+                        true));
+
+        try (RawCaller caller = caller()) {
+            send(caller, BOOK);
+            assertThatThrownBy(caller::answer).isInstanceOf(IOException.class);
+        }
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws IOException {
+        mReplica.script(
+                Answer.of(
+                        "HTTP/1.1 200 X\r\nAttempt-Id: REQUEST\r\nConnection: close\r\n\r\nwhole"));
+
+        assertThat(ask(BOOK).body()).isEqualTo("whole");
+    }
+
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsNotWhole() throws IOException {
+        mReplica.script(new Answer("HTTP/1.1 200 X\r\nAttempt-Id: REQUEST\r\n\r\npart", true));
+
+        try (RawCaller caller = caller()) {
+            send(caller, BOOK);
+            assertThatThrownBy(caller::answer).isInstanceOf(IOException.class);
+        }
+    }
+
+    @Test
+    void bytesThatAreNoAnswerAreAFailure() throws IOException {
+        mReplica.script(Answer.of("rubbish rubbish\r\n\r\n"));
+
+        assertThat(ask(BOOK).status()).isEqualTo(502);
+    }
+
+    @Test
+    void aRejectionWithoutAnotherReplicaIsARefusalToComeBackFrom() throws IOException {
+        mReplica.script(Answer.status(503, "Not-Executed: 1\r\n", ""));
+
+        RawCaller.Answer answer = ask(BOOK);
+
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.head()).contains("retry-after: 0.");
+        assertThat(answer.body()).contains("not_run");
+    }
+
+    @Test
+    void aFailureOfTheReplicaIsPassedOnUnchanged() throws IOException {
+        mReplica.script(Answer.status(500, "Server-Signature: s9\r\n", "failed"));
+
+        RawCaller.Answer answer = ask(BOOK);
+
+        assertThat(answer.status()).isEqualTo(500);
+        assertThat(answer.body()).isEqualTo("failed");
+        assertThat(answer.head()).contains("server-signature: s9");
+    }
+
+    @Test
+    void aCallersConnectionServesManyRequests() throws IOException {
+        mReplica.script(
+                Answer.status(200, "", "one"),
+                Answer.status(200, "", "two"),
+                Answer.status(200, "", "three"));
+
+        try (RawCaller caller = caller()) {
+            assertThat(send(caller, BOOK).answer().body()).isEqualTo("one");
+            assertThat(send(caller, BOOK).answer().body()).isEqualTo("two");
+            assertThat(send(caller, BOOK).answer().body()).isEqualTo("three");
+        }
+        assertThat(mReplica.requests()).hasSize(3);
+    }
+
+    @Test
+    void aStoppingEntryClosesIdleConnectionsAndAnswersWhatIsOpen() throws Exception {
+        mReplica.script(Answer.status(200, "", "one"), Answer.status(200, "", "two"));
+        try (RawCaller idle = caller();
+                RawCaller late = caller()) {
+            send(idle, BOOK).answer();
+
+            mEntry.askStop();
+
+            assertThat(idle.rest()).isEmpty();
+            RawCaller.Answer answer = send(late, BOOK).answer();
+            assertThat(answer.head()).contains("connection: close");
+            assertThat(mEntry.awaitExit(DEADLINE_NANOS)).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/platform/PlatformHeadersTest.java
@@ -0,0 +1,105 @@
+package ebonygw.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.gateway.AttemptTerms;
+import ebonygw.gateway.GatewayRequest;
+import ebonygw.gateway.GatewayRequest.PromptPart;
+import ebonygw.gateway.TargetLoad;
+import ebonygw.settings.CallerKeys;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class PlatformHeadersTest {
+    private static final AttemptTerms TERMS =
+            new AttemptTerms(1, "i-7", "10.0.0.1:80", 4, "customer-a", 2, 3, 1_500_000_000L);
+
+    private final PlatformHeaders mHeaders = new PlatformHeaders();
+
+    private GatewayRequest read(Map<String, String> headers) {
+        Map<String, String> all = new HashMap<>(headers);
+        all.putIfAbsent("attempt-id", "r1");
+        return mHeaders.read("POST", "host.example", "/a/1?x=2", all, ByteString.EMPTY).get();
+    }
+
+    @Test
+    void theModelNamesItsAdapterAfterASlash() {
+        GatewayRequest request = read(Map.of("model", "m0/a7", "token-usage", "1460,80"));
+
+        assertThat(request.model()).isEqualTo("m0");
+        assertThat(request.adapter()).isEqualTo("m0/a7");
+        assertThat(request.charge(200)).isEqualTo(1540);
+    }
+
+    @Test
+    void aRequestThatDeclaresNoTokensIsChargedAsItsCustomerSays() {
+        assertThat(read(Map.of()).charge(200)).isEqualTo(200);
+    }
+
+    @Test
+    void theKeyIsHashedAndNeverPassedOn() {
+        GatewayRequest request = read(Map.of("authorization", "Bearer secret"));
+
+        assertThat(request.keyHash()).isEqualTo(CallerKeys.hash("secret"));
+        assertThat(mHeaders.write(request, TERMS)).doesNotContainKey("authorization");
+    }
+
+    @Test
+    void fieldsThatAreTheSystemsToSetAreNotTakenFromCallers() {
+        GatewayRequest request =
+                read(
+                        Map.of(
+                                "tenant", "another",
+                                "pin-ms", "4000",
+                                "kv-from", "10.0.0.9:80/x",
+                                "kv-backup", "10.0.0.9:80",
+                                "hold-request", "h1",
+                                "request-priority", "0",
+                                "expect-instance", "i-1",
+                                "expect-version", "9"));
+
+        assertThat(mHeaders.write(request, TERMS))
+                .containsEntry("tenant", "customer-a")
+                .containsEntry("expect-instance", "i-7")
+                .containsEntry("expect-version", "3")
+                .containsEntry("deadline-ms", "1500")
+                .doesNotContainKeys("pin-ms", "kv-from", "kv-backup", "hold-request")
+                .doesNotContainEntry("request-priority", "0");
+    }
+
+    @Test
+    void otherFieldsArePassedOnAsTheyAre() {
+        Map<String, String> headers =
+                Map.of("prompt-prefix", "5c:800,91:410", "length-hint", "40", "x-own", "1");
+
+        GatewayRequest request = read(headers);
+
+        assertThat(request.promptParts())
+                .containsExactly(new PromptPart("5c", 800), new PromptPart("91", 410));
+        assertThat(mHeaders.write(request, TERMS)).containsAllEntriesOf(headers);
+    }
+
+    @Test
+    void aMalformedNumberIsRefused() {
+        Map<String, String> headers = Map.of("attempt-id", "r1", "token-usage", "many,few");
+
+        assertThat(mHeaders.read("POST", "h", "/", headers, ByteString.EMPTY).isLeft()).isTrue();
+    }
+
+    @Test
+    void onlyAMarkedAnswerOrOneOfAnotherInstanceSaysThatItDidNotRun() {
+        assertThat(mHeaders.answer(503, Map.of("not-executed", "1")).notRun()).isTrue();
+        assertThat(mHeaders.answer(421, Map.of()).notRun()).isTrue();
+        assertThat(mHeaders.answer(503, Map.of()).notRun()).isFalse();
+        assertThat(mHeaders.answer(500, Map.of()).notRun()).isFalse();
+    }
+
+    @Test
+    void theLoadIsReadFromAnswers() {
+        assertThat(mHeaders.answer(200, Map.of("instance-load", "3,0,8")).load())
+                .contains(new TargetLoad(3, 0, 8));
+        assertThat(mHeaders.answer(200, Map.of("instance-load", "3")).load()).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/ebonygw/platform/StoreStandIn.java
@@ -0,0 +1,173 @@
+package ebonygw.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A stand-in of the platform's store: its published calls over a map, without leases' ends. */
+final class StoreStandIn implements AutoCloseable {
+    private final Map<String, ObjectNode> mItems = new TreeMap<>();
+    private final Map<Long, ObjectNode> mEvents = new TreeMap<>();
+    private final Undertow mServer;
+    private long mRevision = 1;
+    private long mCompacted;
+    private int mPageItems = 500;
+    private volatile int mStatus;
+
+    StoreStandIn() {
+        mServer =
+                Undertow.builder()
+                        .addHttpListener(0, "127.0.0.1")
+                        .setIoThreads(1)
+                        .setWorkerThreads(8)
+                        .setHandler(new BlockingHandler(this::handle))
+                        .build();
+        mServer.start();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+
+    /** Drops the history; a watch from before it is answered 410. */
+    synchronized void compact() {
+        mCompacted = mRevision;
+    }
+
+    /** Answers all calls with a status, 0 for a store that works. */
+    void failWith(int status) {
+        mStatus = status;
+    }
+
+    synchronized void pageItems(int items) {
+        mPageItems = items;
+    }
+
+    synchronized long put(String key, String value) {
+        ObjectNode item = Json.MAPPER.createObjectNode();
+        byte[] data = value.getBytes(StandardCharsets.UTF_8);
+        item.put("key", key).put("data", Base64.getEncoder().encodeToString(data));
+        item.put("revision", ++mRevision).put("created", mRevision).put("lease_id", 0);
+        mItems.put(key, item);
+        mEvents.put(mRevision, item);
+        notifyAll();
+        return mRevision;
+    }
+
+    synchronized void remove(String key) {
+        mItems.remove(key);
+        ObjectNode event = Json.MAPPER.createObjectNode();
+        event.put("key", key).put("revision", ++mRevision).put("deleted", true);
+        mEvents.put(mRevision, event);
+        notifyAll();
+    }
+
+    synchronized String value(String key) {
+        ObjectNode item = mItems.get(key);
+        return item == null
+                ? null
+                : new String(
+                        Base64.getDecoder().decode(item.get("data").asText()),
+                        StandardCharsets.UTF_8);
+    }
+
+    private static String query(HttpServerExchange exchange, String name, String absent) {
+        return exchange.getQueryParameters().containsKey(name)
+                ? exchange.getQueryParameters().get(name).peek()
+                : absent;
+    }
+
+    private synchronized ObjectNode commit(HttpServerExchange exchange, JsonNode body) {
+        ObjectNode answer = Json.MAPPER.createObjectNode();
+        for (JsonNode condition : body.path("precondition")) {
+            ObjectNode item = mItems.get(condition.get("key").asText());
+            long revision = item == null ? 0 : item.get("revision").asLong();
+            if (revision != condition.get("revision").asLong()) {
+                exchange.setStatusCode(412);
+                return answer;
+            }
+        }
+        for (JsonNode write : body.path("write")) {
+            byte[] data = Base64.getDecoder().decode(write.get("data").asText());
+            put(write.get("key").asText(), new String(data, StandardCharsets.UTF_8));
+        }
+        body.path("remove").forEach(key -> remove(key.asText()));
+        return answer.put("revision", mRevision);
+    }
+
+    private void handle(HttpServerExchange exchange) throws IOException, InterruptedException {
+        if (mStatus != 0) {
+            exchange.setStatusCode(mStatus);
+            return;
+        }
+        byte[] bytes = exchange.getInputStream().readAllBytes();
+        JsonNode body = bytes.length == 0 ? null : Json.MAPPER.readTree(bytes);
+        String path = exchange.getRequestPath();
+        ObjectNode answer;
+        if (path.equals("/kv-range")) {
+            answer = range(query(exchange, "prefix", ""), query(exchange, "after", ""));
+        } else if (path.equals("/kv-watch")) {
+            answer = watch(exchange);
+        } else if (path.equals("/kv-txn")) {
+            answer = commit(exchange, body);
+        } else {
+            answer = Json.MAPPER.createObjectNode().put("lease_id", 9).put("ttl_ms", 15_000);
+        }
+        exchange.getResponseSender().send(answer.toString());
+    }
+
+    private synchronized ObjectNode range(String prefix, String after) {
+        ObjectNode answer = Json.MAPPER.createObjectNode();
+        ArrayNode items = answer.putArray("items");
+        boolean more = false;
+        for (Map.Entry<String, ObjectNode> item : mItems.entrySet()) {
+            if (item.getKey().startsWith(prefix) && item.getKey().compareTo(after) > 0) {
+                more = items.size() == mPageItems;
+                if (more) {
+                    break;
+                }
+                items.add(item.getValue());
+            }
+        }
+        return answer.put("has_more", more).put("at", mRevision);
+    }
+
+    private synchronized ObjectNode watch(HttpServerExchange exchange) throws InterruptedException {
+        String prefix = query(exchange, "prefix", "");
+        long after = Long.parseLong(query(exchange, "after", "0"));
+        long end = System.currentTimeMillis() + Long.parseLong(query(exchange, "wait_ms", "0"));
+        while (true) {
+            if (after < mCompacted) {
+                exchange.setStatusCode(410);
+                return Json.MAPPER.createObjectNode();
+            }
+            ObjectNode answer = Json.MAPPER.createObjectNode();
+            ArrayNode events = answer.putArray("events");
+            mEvents.forEach(
+                    (revision, event) -> {
+                        if (revision > after && event.get("key").asText().startsWith(prefix)) {
+                            events.add(event);
+                        }
+                    });
+            long left = end - System.currentTimeMillis();
+            if (!events.isEmpty() || left <= 0) {
+                return answer.put("at", mRevision);
+            }
+            wait(left);
+        }
+    }
+}
