Prompts of all entries count as waiting; a request that cannot start in time is refused at once

Cause: an entry knew only its own unread prompts, so several entries chose the same replica, and requests waited there past their deadlines.

--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -42,6 +42,9 @@
     /** Time to come back, to another entry, when this one stops. */
     private static final long STOPPING_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+    /** Weight of the newest request in the mean of tokens to be read. */
+    private static final double SMOOTHING = 0.05;
+
     /** Most targets that one request is sent to if none of them runs it. */
     private static final int MOST_REJECTIONS = 3;
 
@@ -56,6 +59,7 @@
     private final Map<String, RetryBudget> mRetries = new HashMap<>();
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
     private RetryOptions mRetryOptions;
+    private double mUnreadTokens;
 
     GatewayCalls(
             GatewayOptions options,
@@ -269,7 +273,12 @@
         long wanted = mWantedVersions.getOrDefault(request.adapter(), 0L);
         TargetChooser.Choice choice =
                 mChooser.choose(
-                        request, wanted, mTargets.ofService(call.mService), call.mTried, nowNanos);
+                        request,
+                        wanted,
+                        mTargets.ofService(call.mService),
+                        call.mTried,
+                        (long) mUnreadTokens,
+                        nowNanos);
         if (choice == null) {
             refuse(
                     call,
@@ -277,6 +286,13 @@
                     "no target of " + call.mService,
                     UNAVAILABLE_RETRY_NANOS,
                     nowNanos);
+        } else if (choice.startNanos() > left) {
+            refuse(
+                    call,
+                    call.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED,
+                    "would start in ms " + choice.startNanos() / 1_000_000,
+                    Math.max(UNAVAILABLE_RETRY_NANOS, choice.startNanos() - left),
+                    nowNanos);
         } else if (choice.resident()) {
             send(call, choice, wanted, left, nowNanos);
         } else {
@@ -337,7 +353,7 @@
         if (target == null) {
             return;
         }
-        target.onEnded(call.mRequest.adapter(), call.mUnstartedTokens);
+        target.onEnded(call.mRequest.adapter(), call.mStarted, call.mUnstartedTokens);
         call.mUnstartedTokens = 0;
         if (good) {
             target.mHealth.onSuccess(nowNanos);
@@ -442,6 +458,7 @@
         long cached = target.prompts().cached(owner, request.promptParts());
         call.mUnstartedTokens = Math.max(0, request.promptTokens() - cached);
         target.onSent(request.adapter(), call.mUnstartedTokens);
+        mUnreadTokens += SMOOTHING * (call.mUnstartedTokens - mUnreadTokens);
         target.prompts().read(owner, request.promptParts());
         int connections =
                 mSettings
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -245,6 +245,13 @@
             for (GatewayTarget target : mTargets.ofLoader(from)) {
                 mResidencyChanged |= target.onReport(report, nowNanos);
             }
+        } else if (message instanceof MemberMessage.TargetLoad load) {
+            for (GatewayTarget target : mTargets.ofLoader(from)) {
+                target.onLoad(
+                        new TargetLoad(load.running(), load.queued(), load.concurrency()),
+                        load.sequence(),
+                        nowNanos);
+            }
         }
     }
 
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -36,7 +36,9 @@
     private boolean mReported;
     private long mReportSequence = -1;
     private int mOutstanding;
+    private int mUnstarted;
     private long mUnstartedTokens;
+    private int mToldUnstarted;
     private int mToldLoad;
     private int mToldSlots;
     private long mToldNanos = Long.MIN_VALUE;
@@ -105,9 +107,16 @@
         return Math.max(1, mToldSlots > 0 ? mToldSlots : mRecord.slots());
     }
 
-    /** Returns prompt tokens of our own attempts that have not started to be answered. */
-    long unstartedTokens() {
-        return mUnstartedTokens;
+    /**
+     * Returns prompt tokens that have to be read before those of a new attempt: our own and, by
+     * their told number, those of other entries.
+     *
+     * @param tokensOfOthers tokens that a request of another entry has to have read on average
+     */
+    long unstartedTokens(long tokensOfOthers, long nowNanos) {
+        boolean told = mToldNanos != Long.MIN_VALUE && nowNanos - mToldNanos <= LOAD_AGE_NANOS;
+        int others = told ? Math.max(0, mToldUnstarted - mUnstarted) : 0;
+        return mUnstartedTokens + others * tokensOfOthers;
     }
 
     void avoidUntil(long nanos) {
@@ -123,11 +132,13 @@
         mAbsentUntil.put(adapter, nowNanos + ABSENT_NANOS);
     }
 
-    void onEnded(String adapter, long unstartedTokens) {
+    void onEnded(String adapter, boolean started, long unstartedTokens) {
         mRunning.computeIfPresent(adapter, (name, running) -> running == 1 ? null : running - 1);
         mOutstanding = Math.max(0, mOutstanding - 1);
         mEndedSinceTold++;
-        onStarted(unstartedTokens);
+        if (!started) {
+            onStarted(unstartedTokens);
+        }
     }
 
     void onLoaderDown() {
@@ -146,11 +157,20 @@
     void onLoad(TargetLoad load, long nowNanos) {
         mToldLoad = load.running() + load.queued();
         mToldSlots = load.slots();
+        mToldUnstarted = load.queued();
         mToldNanos = nowNanos;
         mSentSinceTold = 0;
         mEndedSinceTold = 0;
     }
 
+    /** Takes in a load told by the target's loader since its last report. */
+    void onLoad(TargetLoad load, long sequence, long nowNanos) {
+        if (mReported && sequence > mReportSequence) {
+            mReportSequence = sequence;
+            onLoad(load, nowNanos);
+        }
+    }
+
     /** Takes over a newer registration; a new start holds nothing of before. */
     void onRecord(TargetRecord record) {
         boolean same = mRecord.sameStart(record);
@@ -193,10 +213,12 @@
         }
         mOutstanding++;
         mSentSinceTold++;
+        mUnstarted++;
         mUnstartedTokens += promptTokens;
     }
 
     void onStarted(long promptTokens) {
+        mUnstarted = Math.max(0, mUnstarted - 1);
         mUnstartedTokens = Math.max(0, mUnstartedTokens - promptTokens);
     }
 
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -371,7 +371,7 @@
                 new MemberMessage.TargetReport(
                         mReportSequence,
                         mStatus.running(),
-                        mStatus.queued(),
+                        mStatus.unstarted(),
                         slots,
                         0,
                         resident,
@@ -379,17 +379,17 @@
         if (report.equals(mReported)) {
             return;
         }
+        boolean moved =
+                mReported == null
+                        || !resident.equals(mReported.resident())
+                        || !loading.equals(mReported.loading())
+                        || slots != mReported.concurrency();
         mReportSequence++;
-        mReported =
-                new MemberMessage.TargetReport(
-                        mReportSequence,
-                        report.running(),
-                        report.queued(),
-                        slots,
-                        0,
-                        resident,
-                        loading);
-        mEntries.forEach(entry -> mOut.send(entry, mReported));
+        MemberMessage.TargetLoad load =
+                new MemberMessage.TargetLoad(
+                        mReportSequence, report.running(), report.queued(), slots, 0);
+        mReported = report.with(load);
+        mEntries.forEach(entry -> mOut.send(entry, moved ? mReported : load));
     }
 
     private void take(GatewaySettings settings) {
--- a/src/main/java/ebonygw/gateway/LoaderOptions.java
+++ b/src/main/java/ebonygw/gateway/LoaderOptions.java
@@ -47,7 +47,7 @@
                 address,
                 reader,
                 leaseNanos,
-                TimeUnit.MILLISECONDS.toNanos(250),
+                TimeUnit.MILLISECONDS.toNanos(150),
                 TimeUnit.MILLISECONDS.toNanos(30));
     }
 }
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -26,9 +26,10 @@
      *
      * @param target the target
      * @param resident whether it can run the request now; else the adapter has to be loaded first
-     * @param costNanos its expected cost
+     * @param costNanos its expected cost, with what its work is worth
+     * @param startNanos when it is expected to start to answer
      */
-    record Choice(GatewayTarget target, boolean resident, long costNanos) {}
+    record Choice(GatewayTarget target, boolean resident, long costNanos, long startNanos) {}
 
     /**
      * Chooses among targets of one service.
@@ -37,6 +38,7 @@
      * @param wantedVersion version of the adapter that it must run on, 0 for any
      * @param targets targets of its service
      * @param excluded identifiers of targets that it was sent to
+     * @param tokensOfOthers tokens that a request of another entry has to have read on average
      * @param nowNanos the present time
      * @return the cheapest one, null if no target can take it
      */
@@ -45,6 +47,7 @@
             long wantedVersion,
             Collection<GatewayTarget> targets,
             Set<String> excluded,
+            long tokensOfOthers,
             long nowNanos) {
         List<GatewayTarget> usable = new ArrayList<>();
         for (GatewayTarget target : targets) {
@@ -59,7 +62,13 @@
         }
         for (int rank = 0; rank < usable.size(); rank++) {
             Choice choice =
-                    consider(request, wantedVersion, usable.get(rank), ranked ? rank : 0, nowNanos);
+                    consider(
+                            request,
+                            wantedVersion,
+                            usable.get(rank),
+                            ranked ? rank : 0,
+                            tokensOfOthers,
+                            nowNanos);
             if (choice != null && (best == null || choice.costNanos() < best.costNanos())) {
                 best = choice;
             }
@@ -94,6 +103,7 @@
             long wantedVersion,
             GatewayTarget target,
             int rank,
+            long tokensOfOthers,
             long nowNanos) {
         long cost = distanceNanos(target.record().locality());
         int load = target.load(nowNanos);
@@ -101,7 +111,7 @@
         if (request.model().isEmpty()) {
             long over = Math.max(0, load + 1 - slots);
             cost += mOptions.workNanos() * over / slots + mOptions.workNanos() * load / slots / 2;
-            return new Choice(target, true, cost);
+            return new Choice(target, true, cost, 0);
         }
         boolean resident = isResident(target, request, wantedVersion, nowNanos);
         if (!resident) {
@@ -114,12 +124,14 @@
         String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long unread =
                 request.promptTokens() - target.prompts().cached(owner, request.promptParts());
-        cost += (Math.max(0, unread) + target.unstartedTokens()) * mOptions.prefillNanosPerToken();
+        long tokens = Math.max(0, unread) + target.unstartedTokens(tokensOfOthers, nowNanos);
+        long start = tokens * mOptions.prefillNanosPerToken();
+        cost += start;
         cost += mOptions.fullNanos() * load / slots / 2;
         if (load >= slots) {
             cost += mOptions.fullNanos() * (1 + load - slots);
         }
-        return new Choice(target, resident, cost);
+        return new Choice(target, resident, cost, start);
     }
 
     private long loadNanos(GatewayTarget target, String adapter, int rank) {
--- a/src/main/java/ebonygw/gateway/TargetStatus.java
+++ b/src/main/java/ebonygw/gateway/TargetStatus.java
@@ -11,8 +11,8 @@
  * @param startedAtMillis when it started, in milliseconds since the Unix epoch, 0 if not known
  * @param busy whether an order on a base model is in progress
  * @param orders number of orders accepted since its start
- * @param running requests that run
- * @param queued requests that wait
+ * @param running requests that run and have begun to answer
+ * @param unstarted requests that wait, or whose prompts are still read
  * @param models version of each model that it holds
  * @param adapters version of each adapter that it holds, named MODEL/ADAPTER
  * @param loading adapters on their way, named MODEL/ADAPTER
@@ -23,7 +23,7 @@
         boolean busy,
         long orders,
         int running,
-        int queued,
+        int unstarted,
         Map<String, Long> models,
         Map<String, Long> adapters,
         List<String> loading) {
--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -257,4 +257,21 @@
             assertThat(entry.attempts(exchange)).isEmpty();
         }
     }
+
+    @Test
+    void aRequestThatCannotStartBeforeItsDeadlineIsRefusedAtOnce() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.removeTarget("model-2");
+        entry.report("10.2.0.1", 1, "m0/a7");
+        for (int i = 0; i < 100; i++) {
+            entry.ask("/ask/1", GatewayFixture.KEY, "m0/a7");
+        }
+
+        long exchange = entry.ask("/ask/1", GatewayFixture.KEY, "m0/a7");
+
+        Refusal refusal = entry.refusal(exchange).orElseThrow();
+        assertThat(refusal.code()).isEqualTo(RefusalCode.OVERLOADED);
+        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(refusal.retryAfterNanos()).isPositive();
+    }
 }
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -54,9 +54,11 @@
         List<GatewayTarget> replicas = replicas();
 
         GatewayTarget here =
-                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), NOW).target();
+                chooser(GatewayFixture.KINGSTON)
+                        .choose(ASK, 0, replicas, Set.of(), 0, NOW)
+                        .target();
         GatewayTarget there =
-                chooser(GatewayFixture.MONTEGO).choose(ASK, 0, replicas, Set.of(), NOW).target();
+                chooser(GatewayFixture.MONTEGO).choose(ASK, 0, replicas, Set.of(), 0, NOW).target();
 
         assertThat(there).isSameAs(here);
     }
@@ -67,7 +69,7 @@
         report(replicas.get(5), 1, 0, "m0/a7");
 
         TargetChooser.Choice choice =
-                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), NOW);
+                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), 0, NOW);
 
         assertThat(choice.resident()).isTrue();
         assertThat(choice.target()).isSameAs(replicas.get(5));
@@ -80,7 +82,7 @@
 
         assertThat(
                         chooser(GatewayFixture.KINGSTON)
-                                .choose(ASK, 2, replicas, Set.of(), NOW)
+                                .choose(ASK, 2, replicas, Set.of(), 0, NOW)
                                 .resident())
                 .isFalse();
     }
@@ -93,7 +95,7 @@
 
         assertThat(
                         chooser(GatewayFixture.KINGSTON)
-                                .choose(ASK, 0, replicas, Set.of(), NOW)
+                                .choose(ASK, 0, replicas, Set.of(), 0, NOW)
                                 .target())
                 .isSameAs(replicas.get(4));
     }
@@ -105,7 +107,7 @@
 
         assertThat(
                         chooser(GatewayFixture.KINGSTON)
-                                .choose(ASK, 0, replicas, Set.of(), NOW)
+                                .choose(ASK, 0, replicas, Set.of(), 0, NOW)
                                 .target())
                 .isNotSameAs(replicas.get(5));
     }
@@ -118,10 +120,10 @@
                 target(GatewayFixture.plain("f", "10.1.0.2:80", GatewayFixture.MONTEGO));
         TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
 
-        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), NOW).target())
+        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), 0, NOW).target())
                 .isSameAs(near);
         near.onLoad(new TargetLoad(6, 24, 6), NOW);
-        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), NOW).target())
+        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), 0, NOW).target())
                 .isSameAs(far);
     }
 
@@ -130,7 +132,24 @@
         List<GatewayTarget> replicas = replicas();
         replicas.forEach(GatewayTarget::onLoaderDown);
 
-        assertThat(chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), NOW))
+        assertThat(chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), 0, NOW))
                 .isNull();
     }
+
+    @Test
+    void promptsThatOtherEntriesHaveSentCountAsWaiting() {
+        GatewayTarget near =
+                target(GatewayFixture.replica("n", "10.2.0.1:80", GatewayFixture.KINGSTON));
+        GatewayTarget far =
+                target(GatewayFixture.replica("f", "10.2.0.2:80", GatewayFixture.MONTEGO));
+        report(near, 1, 0, "m0/a7");
+        report(far, 1, 0, "m0/a7");
+        near.onLoad(new TargetLoad(0, 3, 96), 2, NOW);
+
+        TargetChooser.Choice choice =
+                chooser(GatewayFixture.KINGSTON)
+                        .choose(ASK, 0, List.of(near, far), Set.of(), 9_000, NOW);
+
+        assertThat(choice.target()).isSameAs(far);
+    }
 }
