--- a/src/main/java/ebonygw/cli/Main.java
+++ b/src/main/java/ebonygw/cli/Main.java
@@ -2,6 +2,7 @@
 
 import ebonygw.bench.BenchCommand;
 import ebonygw.log.Logs;
+import ebonygw.operator.ExplainCommand;
 import ebonygw.operator.KeysCommand;
 import ebonygw.operator.SettingsCommand;
 import ebonygw.process.EntryProcess;
@@ -52,6 +53,7 @@
         commands.put("check", new CheckCommand());
         commands.put("dev", new DevCommand());
         commands.put("dump", new DumpCommand());
+        commands.put("explain", new ExplainCommand());
         commands.put(
                 "entry",
                 new ProcessCommand<>(
--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -325,6 +325,8 @@
         mCalls.remove(call.mExchange);
         count(outcome);
         long started = call.mStarted ? call.mStartedNanos - call.mArrivedNanos : -1;
+        long total = nowNanos - call.mArrivedNanos;
+        mOut.effect(new GatewayEffect.Ended(call.mRoute.kind(), outcome, started, total));
         mOut.log(
                 LogLine.of("request_ended")
                         .with("request", call.mRequest.id())
@@ -334,7 +336,7 @@
                         .with("attempts", call.mAttempts)
                         .with("may_have_run", call.mMayHaveRun)
                         .with("start_ms", started < 0 ? -1 : started / 1_000_000)
-                        .with("ms", (nowNanos - call.mArrivedNanos) / 1_000_000));
+                        .with("ms", total / 1_000_000));
     }
 
     private void giveBack(GatewayCall call) {
--- a/src/main/java/ebonygw/gateway/GatewayEffect.java
+++ b/src/main/java/ebonygw/gateway/GatewayEffect.java
@@ -27,6 +27,17 @@
      */
     record Cancel(long exchange) implements GatewayEffect {}
 
+    /**
+     * A request has ended; for metrics.
+     *
+     * @param kind kind of its route
+     * @param outcome what became of it
+     * @param startNanos time to the first byte of the answer, below 0 without one
+     * @param totalNanos time to its end
+     */
+    record Ended(RequestKind kind, String outcome, long startNanos, long totalNanos)
+            implements GatewayEffect {}
+
     /** The process may end now, with exit status 0. */
     record Exit() implements GatewayEffect {}
 
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -85,6 +85,12 @@
         dump.put("ready", ready());
         dump.put("revision", mSettings == null ? 0 : mSettings.revision());
         dump.put("open", mCalls.open());
+        dump.put("links", mLinked.size());
+        dump.put("entries", mDirectory.entries().size());
+        Map<String, Object> ages = new LinkedHashMap<>();
+        ages.put("configurationMillis", ageMillis(mOperator, nowNanos));
+        ages.put("targetsMillis", ageMillis(mTargetList, nowNanos));
+        dump.put("ages", ages);
         dump.put("counts", Map.copyOf(mCalls.counts()));
         dump.put("quota", mQuota.dump());
         dump.put("wantedVersions", Map.copyOf(mWantedVersions));
@@ -151,6 +157,13 @@
         return mSettings;
     }
 
+    /** Returns how long ago the service confirmed what is known, -1 if it never did. */
+    private static long ageMillis(PrefixMirror mirror, long nowNanos) {
+        long confirmed = mirror.confirmedNanos();
+        boolean never = confirmed == Long.MIN_VALUE;
+        return never ? -1 : TimeUnit.NANOSECONDS.toMillis(nowNanos - confirmed);
+    }
+
     private void applyOperator(PrefixMirror.Change change, long nowNanos) {
         if (change.entry() == null) {
             return;
--- a/src/main/java/ebonygw/process/GatewayProcess.java
+++ b/src/main/java/ebonygw/process/GatewayProcess.java
@@ -30,15 +30,21 @@
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile boolean mReady;
     private volatile boolean mStopping;
+    private final LatencyTable mLatencies = new LatencyTable();
+    private final OperatorListener mOperators;
+    private ProcessMetrics mMetrics;
 
     private GatewayProcess(
             GatewayOptions options,
             GatewayServerOptions server,
             GatewayHeaders headers,
             RuntimeOptions runtime,
+            InetSocketAddress operators,
             XnioWorker worker,
             Function<XnioWorker, KeyValueCaller> keyValue) {
         mWorker = worker;
+        mOperators =
+                new OperatorListener(worker, operators, this::scrape, this::dump, () -> mReady);
         mServer =
                 new GatewayServer(
                         server, worker, headers, this::post, () -> mReady, () -> mStopping);
@@ -59,6 +65,7 @@
      * @param server options of its server
      * @param headers translates header fields
      * @param runtime options of its runtime
+     * @param operators where it answers operators
      * @param keyValue makes the client of the key-value service on the process's IO thread
      * @return the process, which listens
      * @throws IOException if its IO thread cannot be started
@@ -69,13 +76,15 @@
             GatewayServerOptions server,
             GatewayHeaders headers,
             RuntimeOptions runtime,
+            InetSocketAddress operators,
             Function<XnioWorker, KeyValueCaller> keyValue)
             throws IOException {
         Objects.requireNonNull(options, "options");
         XnioWorker worker = HttpClient.worker("io");
         GatewayProcess process =
-                new GatewayProcess(options, server, headers, runtime, worker, keyValue);
+                new GatewayProcess(options, server, headers, runtime, operators, worker, keyValue);
         Listeners.start(process.mServer::start, "callers");
+        process.mOperators.start();
         process.mRuntime.start(() -> process.mNode.dump(process.mRuntime.nowNanos()));
         LogLine.of("started")
                 .with("node", options.self().id())
@@ -109,6 +118,7 @@
     public void close() {
         if (mClosed.compareAndSet(false, true)) {
             mServer.stop();
+            mOperators.close();
             mRuntime.close();
             mWorker.shutdown();
         }
@@ -119,6 +129,11 @@
         return mRuntime.dump();
     }
 
+    /** Returns the address on which it answers operators. */
+    public InetSocketAddress operatorAddress() {
+        return mOperators.address();
+    }
+
     /** Returns whether callers are welcome. */
     public boolean ready() {
         return mReady;
@@ -131,6 +146,8 @@
             mRuntime.keyValue(call.callId(), call.call());
         } else if (effect instanceof GatewayEffect.Links links) {
             mRuntime.links(links.members());
+        } else if (effect instanceof GatewayEffect.Ended ended) {
+            mLatencies.record(ended);
         } else if (effect instanceof GatewayEffect.Log log) {
             log.line().info();
         } else if (effect instanceof GatewayEffect.Exit) {
@@ -145,6 +162,16 @@
         mReady = mNode.ready() && !mStopping;
     }
 
+    /** Returns the metrics; they cost nothing until they are first read. */
+    private synchronized String scrape() throws InterruptedException {
+        if (mMetrics == null) {
+            mMetrics = new ProcessMetrics();
+            mMetrics.watch(mRuntime.loop());
+        }
+        mLatencies.register(mMetrics.registry());
+        return mMetrics.scrape(mRuntime.dump().get("node"));
+    }
+
     private boolean post(GatewayEvent event) {
         if (event instanceof GatewayEvent.CallerAsked) {
             return mRuntime.loop().offer(event);
--- a/src/main/java/ebonygw/process/LoaderProcess.java
+++ b/src/main/java/ebonygw/process/LoaderProcess.java
@@ -10,6 +10,7 @@
 import ebonygw.log.LogLine;
 import ebonygw.membership.Member;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -28,15 +29,19 @@
     private final LoaderNode mNode;
     private final ReplicaCalls mReplica;
     private final AtomicBoolean mClosed = new AtomicBoolean();
+    private final OperatorListener mOperators;
+    private ProcessMetrics mMetrics;
 
     private LoaderProcess(
             LoaderOptions options,
             Member self,
             RuntimeOptions runtime,
+            InetSocketAddress operators,
             XnioWorker worker,
             Function<XnioWorker, KeyValueCaller> keyValue,
             Function<XnioWorker, ReplicaCalls> replica) {
         mWorker = worker;
+        mOperators = new OperatorListener(worker, operators, this::scrape, this::dump, () -> true);
         mReplica = replica.apply(worker);
         mRuntime =
                 new NodeRuntime<>(
@@ -59,6 +64,7 @@
      * @param options options of its node
      * @param self this process; its address is that of its peer listener
      * @param runtime options of its runtime
+     * @param operators where it answers operators
      * @param keyValue makes the client of the key-value service on the process's IO thread
      * @param replica makes the client of the replica on the process's IO thread
      * @return the process
@@ -68,12 +74,20 @@
             LoaderOptions options,
             Member self,
             RuntimeOptions runtime,
+            InetSocketAddress operators,
             Function<XnioWorker, KeyValueCaller> keyValue,
             Function<XnioWorker, ReplicaCalls> replica)
             throws IOException {
         LoaderProcess process =
                 new LoaderProcess(
-                        options, self, runtime, HttpClient.worker("io"), keyValue, replica);
+                        options,
+                        self,
+                        runtime,
+                        operators,
+                        HttpClient.worker("io"),
+                        keyValue,
+                        replica);
+        process.mOperators.start();
         process.mRuntime.start(process.mNode::dump);
         LogLine.of("started")
                 .with("node", self.id())
@@ -96,6 +110,7 @@
     @Override
     public void close() {
         if (mClosed.compareAndSet(false, true)) {
+            mOperators.close();
             mRuntime.close();
             mWorker.shutdown();
         }
@@ -128,6 +143,15 @@
         mNode.handle(event, nowNanos, this::apply);
     }
 
+    /** Returns the metrics; they cost nothing until they are first read. */
+    private synchronized String scrape() throws InterruptedException {
+        if (mMetrics == null) {
+            mMetrics = new ProcessMetrics();
+            mMetrics.watch(mRuntime.loop());
+        }
+        return mMetrics.scrape(mRuntime.dump().get("node"));
+    }
+
     private void post(GatewayEvent event) {
         mRuntime.loop().put(event);
     }
--- a/src/main/java/ebonygw/process/OperatorListener.java
+++ b/src/main/java/ebonygw/process/OperatorListener.java
@@ -17,6 +17,8 @@
 import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import org.xnio.XnioWorker;
 
 /**
  * Answers operators over HTTP on an address that callers cannot reach: {@code /metrics}, {@code
@@ -46,6 +48,40 @@
             Callable<Map<String, Object>> dump,
             BooleanSupplier ready,
             Map<String, HttpHandler> further) {
+        this(
+                address,
+                metrics,
+                dump,
+                ready,
+                further,
+                builder -> builder.setIoThreads(1).setWorkerThreads(WORKER_THREADS));
+    }
+
+    /**
+     * Creates a listener on threads that it shares with others; it listens after {@link #start}.
+     *
+     * @param worker has the threads, at least one for tasks
+     * @param address where to listen, port 0 for any free one
+     * @param metrics reads the metrics of the process
+     * @param dump reads the state of the process, free of secrets
+     * @param ready whether the process takes requests
+     */
+    public OperatorListener(
+            XnioWorker worker,
+            InetSocketAddress address,
+            Callable<String> metrics,
+            Callable<Map<String, Object>> dump,
+            BooleanSupplier ready) {
+        this(address, metrics, dump, ready, Map.of(), builder -> builder.setWorker(worker));
+    }
+
+    private OperatorListener(
+            InetSocketAddress address,
+            Callable<String> metrics,
+            Callable<Map<String, Object>> dump,
+            BooleanSupplier ready,
+            Map<String, HttpHandler> further,
+            UnaryOperator<Undertow.Builder> threads) {
         Objects.requireNonNull(metrics, "metrics");
         PathHandler paths =
                 new PathHandler()
@@ -55,10 +91,8 @@
                         .addExactPath("/ready", exchange -> sendReady(exchange, ready));
         further.forEach(paths::addPrefixPath);
         mServer =
-                Undertow.builder()
+                threads.apply(Undertow.builder())
                         .addHttpListener(address.getPort(), address.getHostString())
-                        .setIoThreads(1)
-                        .setWorkerThreads(WORKER_THREADS)
                         .setHandler(paths)
                         .build();
     }
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -83,6 +83,7 @@
                         GatewayServerOptions.of(any, any, "/readyz"),
                         new PlatformHeaders(),
                         PlatformMain.runtime(),
+                        any,
                         worker ->
                                 new StoreClient(
                                         worker,
@@ -240,6 +241,21 @@
         assertThat(mReplica.requests()).hasSize(3);
     }
 
+    @Test
+    void metricsTellRequestsByKindAndOutcome() throws IOException {
+        mReplica.script(Answer.status(200, "", "one"));
+        ask(BOOK);
+
+        try (RawCaller operator = new RawCaller(mEntry.operatorAddress())) {
+            String metrics =
+                    operator.send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").answer().body();
+            assertThat(metrics)
+                    .contains("ebonygw_request_count{kind=\"non_idempotent\",outcome=\"served\"")
+                    .contains("ages.configurationMillis")
+                    .contains("event=\"served\"");
+        }
+    }
+
     @Test
     void aStoppingEntryClosesIdleConnectionsAndAnswersWhatIsOpen() throws Exception {
         mReplica.script(Answer.status(200, "", "one"), Answer.status(200, "", "two"));
