--- a/src/main/java/ebonygw/gateway/FleetQuota.java
+++ b/src/main/java/ebonygw/gateway/FleetQuota.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.scheduling.DecayedRate;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -16,7 +17,20 @@
 public final class FleetQuota {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Part of the overage that is used; the rest is for what is admitted before it is heard of. */
+    private static final double OVERAGE_PART = 0.5;
+
+    /** Part of the tolerance that is used as slack. */
+    private static final double SLACK_PART = 0.75;
+
+    /** Longest time until other entries have heard of a use: an interval and a long link. */
+    private static final double EXCHANGE_SECONDS = 0.3;
+
+    /** After how long a request counts half in what is asked for. */
+    private static final long ASKED_HALF_LIFE_NANOS = 500_000_000L;
+
     private final double mToleranceTokens;
+    private final double mFactor;
     private final Map<String, Bucket> mBuckets = new HashMap<>();
     private final Map<String, Long> mUnreported = new HashMap<>();
     private int mReachable = 1;
@@ -26,13 +40,15 @@
      * Creates quotas without customers.
      *
      * @param toleranceTokens tokens that all entries together may use beyond a customer's quota
-     * @throws IllegalArgumentException if it is below 0
+     * @param overage part of a customer's rate and burst that may be used beyond them
+     * @throws IllegalArgumentException if one is below 0
      */
-    public FleetQuota(double toleranceTokens) {
-        if (!(toleranceTokens >= 0)) {
-            throw new IllegalArgumentException("tolerance below 0: " + toleranceTokens);
+    public FleetQuota(double toleranceTokens, double overage) {
+        if (!(toleranceTokens >= 0 && overage >= 0)) {
+            throw new IllegalArgumentException("tolerance or overage below 0");
         }
         mToleranceTokens = toleranceTokens;
+        mFactor = 1 + overage * OVERAGE_PART;
     }
 
     /**
@@ -49,7 +65,8 @@
             return 0;
         }
         bucket.refill(nowNanos);
-        double missing = tokens - slack() - bucket.mLevel;
+        bucket.mAsked.add(tokens, nowNanos);
+        double missing = tokens - bucket.slack(nowNanos) - bucket.mLevel;
         if (missing > 0 && bucket.mLevel < bucket.capacity()) {
             double rate = Math.max(1, bucket.rate());
             double reachable = Math.min(missing, bucket.capacity() - bucket.mLevel);
@@ -147,13 +164,9 @@
         return (double) mReachable / mEntries;
     }
 
-    /** Returns the part of the tolerance that this entry may use before it has heard of others. */
-    private double slack() {
-        return mToleranceTokens / (2 * mEntries);
-    }
-
     private final class Bucket {
         private GatewayCustomer mQuota;
+        private final DecayedRate mAsked = new DecayedRate(ASKED_HALF_LIFE_NANOS);
         private double mLevel;
         private long mRefilledNanos;
 
@@ -165,11 +178,21 @@
         }
 
         double capacity() {
-            return mQuota.burst() * share();
+            return mQuota.burst() * mFactor * share();
+        }
+
+        /**
+         * Returns tokens that may be used beyond the quota, so that uses not yet heard of refuse
+         * nothing that is within it: part of the tolerance, less what all entries may admit before
+         * they hear of each other.
+         */
+        double slack(long nowNanos) {
+            double unheard = mAsked.perSecond(nowNanos) * mReachable * EXCHANGE_SECONDS;
+            return Math.max(0, mToleranceTokens * SLACK_PART * share() - unheard);
         }
 
         double rate() {
-            return mQuota.tokensPerSecond() * share();
+            return mQuota.tokensPerSecond() * mFactor * share();
         }
 
         void refill(long nowNanos) {
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -73,7 +73,7 @@
         mOperator = new PrefixMirror(options.reader().operatorPrefix(), mCallIds);
         mTargetList = new PrefixMirror(options.reader().targetPrefix(), mCallIds);
         mDirectory = new EntryDirectory(self, mCallIds, new SplittableRandom(options.seed()));
-        mQuota = new FleetQuota(options.quotaToleranceTokens());
+        mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
         mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
         mCalls =
                 new GatewayCalls(options, () -> mSettings, mWantedVersions, mTargets, mQuota, mOut);
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -10,6 +10,7 @@
  * @param reader reads what operators and targets write
  * @param loaderPort port at which the loader beside a replica listens for links
  * @param quotaToleranceTokens tokens that all entries together may use beyond a customer's quota
+ * @param quotaOverage part of a customer's rate and burst that may be used beyond them
  * @param retryRatio repeated arrivals allowed for each request of a service
  * @param retryExtra repeated arrivals allowed besides in each window
  * @param retryWindowNanos the window
@@ -22,6 +23,7 @@
         StoreReader reader,
         int loaderPort,
         double quotaToleranceTokens,
+        double quotaOverage,
         double retryRatio,
         double retryExtra,
         long retryWindowNanos,
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -54,6 +54,7 @@
                                 new Reader(),
                                 LOADER_PORT,
                                 0,
+                                0,
                                 0.2,
                                 56,
                                 TimeUnit.SECONDS.toNanos(10),
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -74,6 +74,7 @@
                                 new OperatorReader(Map.of("z1", "r1")),
                                 7600,
                                 0,
+                                0,
                                 0.2,
                                 56,
                                 TimeUnit.SECONDS.toNanos(10),
