--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -2,6 +2,7 @@
 
 import ebonygw.scheduling.DecayedRate;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,8 +17,10 @@
  * <p>Not thread-safe.
  */
 final class AdapterDemands {
-    /** How long a wait for an adapter stands unless it is repeated. */
-    private static final long STANDS_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /**
+     * How long a wait stands unless it is repeated; a little longer than entries take to repeat.
+     */
+    private static final long STANDS_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
     /** How long an adapter stays after its last use; longer than entries take to tell of one. */
     private static final long LEAST_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
@@ -36,10 +39,11 @@
     void ask(String adapter, long version, long nowNanos) {
         Wait wait = mWaits.computeIfAbsent(adapter, a -> new Wait(nowNanos));
         wait.mLastNanos = nowNanos;
+        wait.mAsks++;
         wait.mVersion = Math.max(wait.mVersion, version);
     }
 
-    /** Returns adapters to load, in the order in which they were asked for. */
+    /** Returns adapters to load, those that most requests wait for first, else the oldest wait. */
     List<String> missing(Map<String, Long> resident, List<String> loading) {
         List<String> missing = new ArrayList<>();
         mWaits.forEach(
@@ -49,7 +53,9 @@
                         missing.add(adapter);
                     }
                 });
-        missing.sort((a, b) -> Long.compare(mWaits.get(a).mSinceNanos, mWaits.get(b).mSinceNanos));
+        missing.sort(
+                Comparator.comparingInt((String adapter) -> -mWaits.get(adapter).mAsks)
+                        .thenComparingLong(adapter -> mWaits.get(adapter).mSinceNanos));
         return missing;
     }
 
@@ -104,6 +110,7 @@
         private final long mSinceNanos;
         private long mVersion;
         private long mLastNanos;
+        private int mAsks;
 
         Wait(long nowNanos) {
             mSinceNanos = nowNanos;
