--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -45,6 +45,12 @@
     /** Weight of the newest request in the mean of tokens to be read. */
     private static final double SMOOTHING = 0.05;
 
+    /** Part of a target's connections that entries use, as others call it too. */
+    private static final double CONNECTIONS_PART = 0.8;
+
+    /** Least connections of an entry to a target: one that is used and one that is opened. */
+    private static final int LEAST_CONNECTIONS = 2;
+
     /** Most targets that one request is sent to if none of them runs it. */
     private static final int MOST_REJECTIONS = 3;
 
@@ -60,6 +66,7 @@
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
     private RetryOptions mRetryOptions;
     private double mUnreadTokens;
+    private int mEntries;
 
     GatewayCalls(
             GatewayOptions options,
@@ -193,6 +200,10 @@
 
     /** Takes in how many entries share the fleet's allowance of retries. */
     void onEntries(int entries) {
+        if (entries == mEntries) {
+            return;
+        }
+        mEntries = entries;
         double extra = mOptions.retryExtra() / entries / 2;
         double perSecond = extra * 1e9 / mOptions.retryWindowNanos();
         int percent = (int) (mOptions.retryRatio() * 100);
@@ -257,6 +268,12 @@
         mCounts.merge(what, 1L, Long::sum);
     }
 
+    /** Returns this entry's part of the connections that a target of a service takes. */
+    private int connections(String service) {
+        int all = mSettings.get().service(service).map(GatewayService::maxConnections).orElse(1);
+        return (int) Math.max(LEAST_CONNECTIONS, all * CONNECTIONS_PART / mEntries);
+    }
+
     private GatewayCall current(long exchange, int attempt) {
         GatewayCall call = mCalls.get(exchange);
         return call != null && call.mAttempts == attempt && !call.mTargetId.isEmpty() ? call : null;
@@ -462,12 +479,6 @@
         target.onSent(request.adapter(), call.mUnstartedTokens);
         mUnreadTokens += SMOOTHING * (call.mUnstartedTokens - mUnreadTokens);
         target.prompts().read(owner, request.promptParts());
-        int connections =
-                mSettings
-                        .get()
-                        .service(call.mService)
-                        .map(GatewayService::maxConnections)
-                        .orElse(1);
         mOut.log(
                 LogLine.of("attempt_sent")
                         .with("request", request.id())
@@ -489,7 +500,7 @@
                                 call.mAttempts,
                                 call.mTargetId,
                                 target.record().address(),
-                                connections,
+                                connections(call.mService),
                                 call.mCustomer,
                                 call.mPriority,
                                 wantedVersion,
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -142,9 +142,15 @@
         publishLinks(nowNanos);
     }
 
-    /** Returns whether callers are welcome: configuration and targets are known, no stop asked. */
+    /**
+     * Returns whether callers are welcome: configuration, targets and other entries are known, and
+     * no stop was asked for.
+     */
     public boolean ready() {
-        return mSettings != null && mTargetList.isLoaded() && !isStopping();
+        return mSettings != null
+                && mTargetList.isLoaded()
+                && mDirectory.isLoaded()
+                && !isStopping();
     }
 
     /** Returns whether a stop was asked for. */
--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -274,4 +274,13 @@
         assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
         assertThat(refusal.retryAfterNanos()).isPositive();
     }
+
+    @Test
+    void entriesTogetherOpenFewerConnectionsThanATargetTakes() {
+        GatewayFixture entry = GatewayFixture.started();
+
+        long exchange = entry.ask("/book/1");
+
+        assertThat(entry.attempts(exchange).get(0).maxConnections()).isEqualTo(88);
+    }
 }
