An empty replica loads the model that it held before; one collector of answers, one lazy registry

Ejections are logged when they begin, not for each failure after. No change of what is decided on deployments with one base model.

--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -377,8 +377,9 @@
         if (good) {
             target.mHealth.onSuccess(nowNanos);
         } else {
+            boolean before = target.mHealth.isEjected(nowNanos);
             target.mHealth.onFailure(nowNanos);
-            if (target.mHealth.isEjected(nowNanos)) {
+            if (!before && target.mHealth.isEjected(nowNanos)) {
                 mOut.log(LogLine.of("target_ejected").with("target", target.record().id()));
             }
         }
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -60,6 +60,7 @@
     private TargetStatus mStatus;
     private String mInstance;
     private MemberMessage.TargetReport mReported;
+    private Set<String> mLastModels = Set.of();
     private long mReportSequence;
     private long mFencingToken;
     private long mClaimCall;
@@ -160,6 +161,18 @@
         return slash < 0 ? adapter : adapter.substring(0, slash);
     }
 
+    /**
+     * Returns what an empty replica loads: what it held before, else one that its address picks.
+     */
+    private Optional<String> modelOfEmpty(EngineLimits engine) {
+        List<String> models = engine.models().keySet().stream().sorted().toList();
+        Optional<String> held = models.stream().filter(mLastModels::contains).findFirst();
+        if (held.isPresent() || models.isEmpty()) {
+            return held;
+        }
+        return Optional.of(models.get(Math.floorMod(mOptions.address().hashCode(), models.size())));
+    }
+
     private void onDemand(AdapterVersion adapter, long nowNanos) {
         long version = adapter.version().isEmpty() ? 0 : Long.parseLong(adapter.version());
         long wanted = mWantedVersions.getOrDefault(adapter.adapter(), 0L);
@@ -298,10 +311,11 @@
             return true;
         }
         if (mStatus.models().isEmpty()) {
-            Optional<String> model = engine.models().keySet().stream().sorted().findFirst();
+            Optional<String> model = modelOfEmpty(engine);
             model.ifPresent(it -> order(TargetOrder.Operation.LOAD, it, "", nowNanos));
             return model.isPresent();
         }
+        mLastModels = mStatus.models().keySet();
         for (Map.Entry<String, Long> model : mStatus.models().entrySet()) {
             if (mWantedVersions.getOrDefault(model.getKey(), 0L) <= model.getValue()) {
                 mModelReloads.remove(model.getKey());
--- a/src/main/java/ebonygw/http/WholeAnswer.java
+++ b/src/main/java/ebonygw/http/WholeAnswer.java
@@ -12,6 +12,8 @@
     private final int mMaxBytes;
     private final Consumer<WholeAnswer> mDone;
     private int mStatus = NO_STATUS;
+    private Map<String, String> mHeaders = Map.of();
+    private boolean mSent = true;
     private boolean mWhole;
     private String mFault = "";
     private ByteString mBody = ByteString.EMPTY;
@@ -41,7 +43,8 @@
 
     @Override
     public void failed(HttpFailure failure) {
-        mFault = failure.detail();
+        mFault = failure.kind() + ": " + failure.detail();
+        mSent = failure.sent();
         mDone.accept(this);
     }
 
@@ -53,6 +56,21 @@
         return ok() ? "" : "status " + mStatus;
     }
 
+    /** Returns the answer's header fields, names in lower case; none if no answer started. */
+    public Map<String, String> headers() {
+        return mHeaders;
+    }
+
+    /** Returns whether the answer is whole, whatever its status. */
+    public boolean isWhole() {
+        return mWhole;
+    }
+
+    /** Returns whether a byte of the request may have been sent. */
+    public boolean mayHaveBeenSent() {
+        return mSent;
+    }
+
     /** Returns whether a whole answer with a status of success came. */
     public boolean ok() {
         return mWhole && mStatus / 100 == 2;
@@ -70,6 +88,7 @@
     @Override
     public void started(int status, Map<String, String> headers) {
         mStatus = status;
+        mHeaders = headers;
     }
 
     /** Returns the HTTP status, 0 if no answer started. */
--- a/src/main/java/ebonygw/process/GatewayProcess.java
+++ b/src/main/java/ebonygw/process/GatewayProcess.java
@@ -32,7 +32,7 @@
     private volatile boolean mStopping;
     private final LatencyTable mLatencies = new LatencyTable();
     private final OperatorListener mOperators;
-    private ProcessMetrics mMetrics;
+    private final LazyMetrics mMetrics;
 
     private GatewayProcess(
             GatewayOptions options,
@@ -43,8 +43,6 @@
             XnioWorker worker,
             Function<XnioWorker, KeyValueCaller> keyValue) {
         mWorker = worker;
-        mOperators =
-                new OperatorListener(worker, operators, this::scrape, this::dump, () -> mReady);
         mServer =
                 new GatewayServer(
                         server, worker, headers, this::post, () -> mReady, () -> mStopping);
@@ -55,6 +53,9 @@
                         keyValue.apply(worker),
                         new GatewayEvents(),
                         this::handle);
+        mMetrics = new LazyMetrics(mRuntime, mLatencies::register);
+        mOperators =
+                new OperatorListener(worker, operators, mMetrics::scrape, this::dump, () -> mReady);
         mNode = new GatewayNode(options);
     }
 
@@ -162,16 +163,6 @@
         mReady = mNode.ready() && !mStopping;
     }
 
-    /** Returns the metrics; they cost nothing until they are first read. */
-    private synchronized String scrape() throws InterruptedException {
-        if (mMetrics == null) {
-            mMetrics = new ProcessMetrics();
-            mMetrics.watch(mRuntime.loop());
-        }
-        mLatencies.register(mMetrics.registry());
-        return mMetrics.scrape(mRuntime.dump().get("node"));
-    }
-
     private boolean post(GatewayEvent event) {
         if (event instanceof GatewayEvent.CallerAsked) {
             return mRuntime.loop().offer(event);
--- a/src/main/java/ebonygw/process/LoaderProcess.java
+++ b/src/main/java/ebonygw/process/LoaderProcess.java
@@ -30,7 +30,7 @@
     private final ReplicaCalls mReplica;
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private final OperatorListener mOperators;
-    private ProcessMetrics mMetrics;
+    private final LazyMetrics mMetrics;
 
     private LoaderProcess(
             LoaderOptions options,
@@ -41,11 +41,13 @@
             Function<XnioWorker, KeyValueCaller> keyValue,
             Function<XnioWorker, ReplicaCalls> replica) {
         mWorker = worker;
-        mOperators = new OperatorListener(worker, operators, this::scrape, this::dump, () -> true);
         mReplica = replica.apply(worker);
         mRuntime =
                 new NodeRuntime<>(
                         runtime, self, keyValue.apply(worker), new GatewayEvents(), this::handle);
+        mMetrics = new LazyMetrics(mRuntime, registry -> {});
+        mOperators =
+                new OperatorListener(worker, operators, mMetrics::scrape, this::dump, () -> true);
         mNode = new LoaderNode(options);
     }
 
@@ -143,15 +145,6 @@
         mNode.handle(event, nowNanos, this::apply);
     }
 
-    /** Returns the metrics; they cost nothing until they are first read. */
-    private synchronized String scrape() throws InterruptedException {
-        if (mMetrics == null) {
-            mMetrics = new ProcessMetrics();
-            mMetrics.watch(mRuntime.loop());
-        }
-        return mMetrics.scrape(mRuntime.dump().get("node"));
-    }
-
     private void post(GatewayEvent event) {
         mRuntime.loop().put(event);
     }
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -23,10 +23,10 @@
     private final List<GatewayEffect> mEffects = new ArrayList<>();
     private final Map<String, Long> mAdapters = new TreeMap<>();
     private final List<String> mLoading = new ArrayList<>();
-    private final LoaderNode mNode =
-            new LoaderNode(
-                    LoaderOptions.of(
-                            "side-1", "model", "10.2.0.1:80", new Reader(), 3_000 * MILLI));
+    private final Map<String, Long> mModels = new TreeMap<>(Map.of("m0", 1L));
+    private final Map<String, EngineLimits.Model> mEngineModels =
+            new TreeMap<>(Map.of("m0", new EngineLimits.Model(34_000, 40)));
+    private final LoaderNode mNode = node();
     private long mNowNanos = 1_792_756_569_002_000_070L;
     private long mOrders;
     private long mToken = 40;
@@ -65,29 +65,44 @@
     }
 
     private void take(GatewayEffect effect) {
+        answerOf(mNode, effect);
+    }
+
+    /** Notes an effect and answers it as replica and store. */
+    private void answerOf(LoaderNode node, GatewayEffect effect) {
         mEffects.add(effect);
         if (effect instanceof GatewayEffect.ReadReport) {
-            handle(new GatewayEvent.StatusRead(Optional.of(status())));
+            GatewayEvent read = new GatewayEvent.StatusRead(Optional.of(status()));
+            node.handle(read, mNowNanos, next -> answerOf(node, next));
         } else if (effect instanceof GatewayEffect.KeyValue call) {
-            answer(call.callId(), call.call());
+            answer(node, call.callId(), call.call());
         }
     }
 
-    private void answer(long id, KeyValueCall call) {
+    private LoaderNode node() {
+        return new LoaderNode(
+                LoaderOptions.of("side-1", "model", "10.2.0.1:80", new Reader(), 3_000 * MILLI));
+    }
+
+    private void answer(LoaderNode node, long id, KeyValueCall call) {
         if (call instanceof KeyValueCall.Range) {
             Entry entry = new Entry("op/config", ByteString.EMPTY, 1, 0);
             KeyValueReply found = new KeyValueReply.Found(1, List.of(entry), false);
-            handle(new GatewayEvent.KeyValueReplied(id, found));
+            reply(node, id, found);
         } else if (call instanceof KeyValueCall.Transaction && mClaimsAnswered) {
-            handle(
-                    new GatewayEvent.KeyValueReplied(
-                            id, new KeyValueReply.Committed(++mToken, true)));
+            reply(node, id, new KeyValueReply.Committed(++mToken, true));
         }
     }
 
+    private void reply(LoaderNode node, long id, KeyValueReply reply) {
+        node.handle(
+                new GatewayEvent.KeyValueReplied(id, reply),
+                mNowNanos,
+                next -> answerOf(node, next));
+    }
+
     private TargetStatus status() {
-        return new TargetStatus(
-                "i-1", 1, false, mOrders, 3, 0, Map.of("m0", 1L), mAdapters, mLoading);
+        return new TargetStatus("i-1", 1, false, mOrders, 3, 0, mModels, mAdapters, mLoading);
     }
 
     @Test
@@ -201,6 +216,38 @@
         assertThat(orders().get(1).fencingToken()).isEqualTo(42);
     }
 
+    @Test
+    void anEmptyReplicaLoadsAModel() {
+        start();
+        mModels.clear();
+
+        advance(200);
+
+        assertThat(orders()).hasSize(1);
+        assertThat(orders().get(0).model()).isEqualTo("m0");
+        assertThat(orders().get(0).adapter()).isEmpty();
+    }
+
+    @Test
+    void anEmptyReplicaOfSeveralModelsLoadsTheOneThatItHeldBefore() {
+        mEngineModels.put("m1", new EngineLimits.Model(300, 40));
+        mEngineModels.put("m2", new EngineLimits.Model(300, 40));
+        for (String held : List.of("m1", "m2")) {
+            mModels.clear();
+            mModels.put(held, 1L);
+            LoaderNode node = node();
+            node.handle(new GatewayEvent.Tick(), mNowNanos, effect -> answerOf(node, effect));
+            mModels.clear();
+            mEffects.clear();
+            node.handle(
+                    new GatewayEvent.Tick(),
+                    mNowNanos + 500 * MILLI,
+                    effect -> answerOf(node, effect));
+
+            assertThat(orders()).extracting(TargetOrder::model).containsExactly(held);
+        }
+    }
+
     @Test
     void entriesAreToldWhatIsResident() {
         mAdapters.put("m0/b1", 3L);
@@ -218,7 +265,7 @@
                         });
     }
 
-    private static final class Reader implements StoreReader {
+    private final class Reader implements StoreReader {
         @Override
         public String operatorPrefix() {
             return "op/";
@@ -226,7 +273,14 @@
 
         @Override
         public Optional<GatewaySettings> settings(Entry entry) {
-            return Optional.of(GatewayFixture.settings(1, 0, 0));
+            EngineLimits engine = new EngineLimits(96, 100_000, 8, 35_000, mEngineModels);
+            return Optional.of(
+                    new GatewaySettings(
+                            1,
+                            List.of(),
+                            List.of(new GatewayService("model", 500, Optional.of(engine))),
+                            List.of(),
+                            new GatewaySettings.CallerLimits(1, 1, 1, 1)));
         }
 
         @Override
