--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -283,4 +283,28 @@
 
         assertThat(entry.attempts(exchange).get(0).maxConnections()).isEqualTo(88);
     }
+
+    @Test
+    void repeatedArrivalsStayWithinTheAllowanceOfTheirWindow() {
+        GatewayFixture entry = GatewayFixture.started();
+        for (int i = 3; i <= 6; i++) {
+            entry.target(
+                    GatewayFixture.plain(
+                            "desk-" + i, "10.1.0." + i + ":80", GatewayFixture.KINGSTON));
+        }
+        int requests = 66;
+        int repeats = 0;
+        for (int i = 0; i < requests; i++) {
+            long exchange = entry.ask("/book/1");
+            for (int attempt = 1; attempt <= entry.attempts(exchange).size(); attempt++) {
+                entry.handle(
+                        new GatewayEvent.AnswerHeld(
+                                exchange, attempt, 503, false, Optional.empty()));
+            }
+            repeats += entry.attempts(exchange).size() - 1;
+            entry.advance(150);
+        }
+
+        assertThat(repeats).isBetween(1, (int) (0.2 * requests + 56));
+    }
 }
