--- a/src/main/java/ebonygw/standin/EngineRequest.java
+++ b/src/main/java/ebonygw/standin/EngineRequest.java
@@ -16,6 +16,7 @@
  * @param tokens tokens of the answer
  * @param streamed whether the answer is a stream of events
  * @param usage whether a stream ends with its usage
+ * @param chat whether the prompt is a list of messages, and so the answer one of a chat
  * @param prompt the prompt as JSON text
  */
 record EngineRequest(
@@ -26,8 +27,10 @@
         int tokens,
         boolean streamed,
         boolean usage,
+        boolean chat,
         String prompt) {
     private static final int BYTES_PER_TOKEN = 4;
+    private static final String CHUNK = ".chunk";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     static EngineRequest read(String id, byte[] body, int mostTokens) throws IOException {
@@ -35,7 +38,8 @@
         if (root == null || !root.path("model").isTextual()) {
             throw new IOException("no model");
         }
-        JsonNode prompt = root.has("messages") ? root.get("messages") : root.path("prompt");
+        boolean chat = root.has("messages");
+        JsonNode prompt = chat ? root.get("messages") : root.path("prompt");
         int limit = root.path("max_tokens").asInt(root.path("max_completion_tokens").asInt(16));
         return new EngineRequest(
                 id,
@@ -45,15 +49,19 @@
                 Math.max(1, Math.min(limit, mostTokens)),
                 root.path("stream").asBoolean(false),
                 root.path("stream_options").path("include_usage").asBoolean(false),
+                chat,
                 prompt.toString());
     }
 
     String chunk(String token, boolean last) {
-        ObjectNode root = root();
+        ObjectNode root = root(CHUNK);
         ObjectNode choice = root.putArray("choices").addObject();
         choice.put("index", 0);
-        choice.put("text", token);
-        choice.putObject("delta").put("content", token);
+        if (chat) {
+            choice.putObject("delta").put("content", token);
+        } else {
+            choice.put("text", token);
+        }
         choice.put("finish_reason", last ? "length" : null);
         return event(root);
     }
@@ -67,18 +75,21 @@
         if (!usage) {
             return "";
         }
-        ObjectNode root = root();
+        ObjectNode root = root(CHUNK);
         root.putArray("choices");
         putUsage(root, generated);
         return event(root);
     }
 
     String whole(String text, int generated) {
-        ObjectNode root = root();
+        ObjectNode root = root("");
         ObjectNode choice = root.putArray("choices").addObject();
         choice.put("index", 0);
-        choice.put("text", text);
-        choice.putObject("message").put("role", "assistant").put("content", text);
+        if (chat) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
         choice.put("finish_reason", "length");
         putUsage(root, generated);
         return text(root);
@@ -103,10 +114,11 @@
         used.put("total_tokens", promptTokens + generated);
     }
 
-    private ObjectNode root() {
+    /** Returns an answer or a part of one, whose kind of object ends differently in a chat. */
+    private ObjectNode root(String chatSuffix) {
         ObjectNode root = MAPPER.createObjectNode();
         root.put("id", id);
-        root.put("object", "text_completion");
+        root.put("object", chat ? "chat.completion" + chatSuffix : "text_completion");
         root.put("model", adapter);
         return root;
     }
