Orders name the instance that is meant

An order of before, which named only the count, met the same count again and loaded beyond the replica's places. The loader's report does not tell its instance, so orders went out without one. The instance is now asked for once for each start of the replica, and nothing is ordered before it is known. Ruled out: orders late within one start (the count has moved on), replaced versions.

--- a/src/main/java/ebonygw/gateway/GatewayEffect.java
+++ b/src/main/java/ebonygw/gateway/GatewayEffect.java
@@ -70,8 +70,12 @@
      */
     record Order(TargetOrder order) implements GatewayEffect {}
 
-    /** Reads the report of the loader's own target. */
-    record ReadReport() implements GatewayEffect {}
+    /**
+     * Reads the report of the loader's own target.
+     *
+     * @param healthPath path at which the target tells its instance, empty if not known yet
+     */
+    record ReadReport(String healthPath) implements GatewayEffect {}
 
     /**
      * Refuses a request, or breaks its answer off if that has started.
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -25,9 +25,9 @@
 /**
  * The state machine of a loader: it alone orders its replica what to load and evict.
  *
- * <p>One order is open at a time and each names the number of orders accepted before, so that an
- * order that is carried out late cannot follow a newer one. Events in, effects out; not
- * thread-safe.
+ * <p>One order is open at a time. Each names the number of orders accepted before, so that an order
+ * that is carried out late cannot follow a newer one, and the instance that is meant, so that it
+ * cannot reach a replica that has started again. Events in, effects out; not thread-safe.
  */
 public final class LoaderNode {
     /** Prefix of the keys under which loaders claim the right to order. */
@@ -295,6 +295,7 @@
         if (mOrderOpen
                 || mStopping
                 || mStatus == null
+                || mStatus.instance().isEmpty()
                 || mFencingToken == 0
                 || engine.isEmpty()
                 || nowNanos < mNextOrderNanos) {
@@ -369,7 +370,14 @@
         if (!mReading) {
             mReading = true;
             mReadNanos = nowNanos;
-            mOut.effect(new GatewayEffect.ReadReport());
+            String healthPath =
+                    mSettings == null
+                            ? ""
+                            : mSettings
+                                    .service(mOptions.service())
+                                    .map(GatewayService::healthPath)
+                                    .orElse("");
+            mOut.effect(new GatewayEffect.ReadReport(healthPath));
         }
     }
 
--- a/src/main/java/ebonygw/gateway/TargetStatus.java
+++ b/src/main/java/ebonygw/gateway/TargetStatus.java
@@ -34,4 +34,18 @@
         adapters = Map.copyOf(adapters);
         loading = List.copyOf(loading);
     }
+
+    /** Returns the same status of a known instance. */
+    public TargetStatus withInstance(String known) {
+        return new TargetStatus(
+                known,
+                startedAtMillis,
+                busy,
+                orders,
+                running,
+                unstarted,
+                models,
+                adapters,
+                loading);
+    }
 }
--- a/src/main/java/ebonygw/process/LoaderProcess.java
+++ b/src/main/java/ebonygw/process/LoaderProcess.java
@@ -56,8 +56,13 @@
         /** Sends an order. */
         void order(TargetOrder order, Consumer<TargetOrder.Outcome> outcome);
 
-        /** Reads the replica's report, empty if it cannot be had. */
-        void report(Consumer<Optional<TargetStatus>> status);
+        /**
+         * Reads the replica's report, empty if it cannot be had.
+         *
+         * @param healthPath path at which it tells its instance, empty if not known yet
+         * @param status takes the report
+         */
+        void report(String healthPath, Consumer<Optional<TargetStatus>> status);
     }
 
     /**
@@ -130,8 +135,8 @@
             mRuntime.keyValue(call.callId(), call.call());
         } else if (effect instanceof GatewayEffect.Log log) {
             log.line().info();
-        } else if (effect instanceof GatewayEffect.ReadReport) {
-            mReplica.report(status -> post(new GatewayEvent.StatusRead(status)));
+        } else if (effect instanceof GatewayEffect.ReadReport read) {
+            mReplica.report(read.healthPath(), status -> post(new GatewayEvent.StatusRead(status)));
         } else if (effect instanceof GatewayEffect.Order order) {
             mReplica.order(
                     order.order(),
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -113,8 +113,8 @@
                         route("look", "/look/", RequestKind.IDEMPOTENT, "desk"),
                         route("ask", "/ask/", RequestKind.STREAMING, "model")),
                 List.of(
-                        new GatewayService("desk", 110, Optional.empty()),
-                        new GatewayService("model", 500, Optional.of(engine))),
+                        new GatewayService("desk", 110, "/health", Optional.empty()),
+                        new GatewayService("model", 500, "/health", Optional.of(engine))),
                 List.of(
                         new GatewayCustomer(
                                 "a",
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -28,6 +28,7 @@
             new TreeMap<>(Map.of("m0", new EngineLimits.Model(34_000, 40)));
     private final LoaderNode mNode = node();
     private long mNowNanos = 1_792_756_569_002_000_070L;
+    private String mInstance = "i-1";
     private long mOrders;
     private long mToken = 40;
     private boolean mClaimsAnswered = true;
@@ -102,14 +103,14 @@
     }
 
     private TargetStatus status() {
-        return new TargetStatus("i-1", 1, false, mOrders, 3, 0, mModels, mAdapters, mLoading);
+        return new TargetStatus(mInstance, 1, false, mOrders, 3, 0, mModels, mAdapters, mLoading);
     }
 
     @Test
     void theReplicaIsReadAtTheFirstTick() {
         handle(new GatewayEvent.Tick());
 
-        assertThat(mEffects).contains(new GatewayEffect.ReadReport());
+        assertThat(mEffects).contains(new GatewayEffect.ReadReport("/health"));
     }
 
     @Test
@@ -138,6 +139,20 @@
         assertThat(order.expectedOrders()).isEqualTo(7);
     }
 
+    @Test
+    void nothingIsOrderedOfAReplicaWhoseInstanceIsNotKnown() {
+        mInstance = "";
+        start();
+
+        ask("m0/a1");
+        advance(200);
+        assertThat(orders()).isEmpty();
+        mInstance = "i-2";
+        advance(200);
+
+        assertThat(orders()).extracting(TargetOrder::instance).containsExactly("i-2");
+    }
+
     @Test
     void oneOrderIsOpenAtATime() {
         start();
@@ -278,7 +293,9 @@
                     new GatewaySettings(
                             1,
                             List.of(),
-                            List.of(new GatewayService("model", 500, Optional.of(engine))),
+                            List.of(
+                                    new GatewayService(
+                                            "model", 500, "/health", Optional.of(engine))),
                             List.of(),
                             new GatewaySettings.CallerLimits(1, 1, 1, 1)));
         }
--- a/src/test/java/ebonygw/platform/RawReplica.java
+++ b/src/test/java/ebonygw/platform/RawReplica.java
@@ -98,7 +98,8 @@
                 if (answer == null) {
                     return;
                 }
-                String text = answer.text().replace("REQUEST", fields.get("attempt-id"));
+                String text =
+                        answer.text().replace("REQUEST", fields.getOrDefault("attempt-id", ""));
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
                 if (answer.reset()) {
                     Thread.sleep(50);
--- /dev/null
+++ b/src/test/java/ebonygw/platform/ReplicaClientTest.java
@@ -0,0 +1,96 @@
+package ebonygw.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ebonygw.gateway.TargetOrder;
+import ebonygw.gateway.TargetStatus;
+import ebonygw.http.HttpClient;
+import ebonygw.platform.RawReplica.Answer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.XnioWorker;
+
+class ReplicaClientTest {
+    private static final String REPORT =
+            """
+            {"born":%d,"models":[{"name":"m0","version":1,"adapters":["a1@2"]}],"busy":false,
+             "sequence":4,"queued":1,"active":3,"pending":["m0/a2@1"],
+             "runs":[["r1",10,0,1],["r2",10,5,1]]}
+            """;
+
+    private final BlockingQueue<Object> mAnswers = new LinkedBlockingQueue<>();
+    private RawReplica mReplica;
+    private XnioWorker mWorker;
+    private ReplicaClient mClient;
+
+    @BeforeEach
+    void start() throws IOException {
+        mReplica = new RawReplica();
+        mWorker = HttpClient.worker("test");
+        int port = Integer.parseInt(mReplica.address().split(":")[1]);
+        mClient = new ReplicaClient(mWorker, new InetSocketAddress("127.0.0.1", port), "side-1");
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mWorker.shutdown();
+        mReplica.close();
+    }
+
+    private static Answer report(long start) {
+        return Answer.status(200, "", REPORT.formatted(start));
+    }
+
+    private TargetStatus read() throws InterruptedException {
+        mClient.report("/health", mAnswers::add);
+        Optional<?> read = (Optional<?>) mAnswers.poll(10, TimeUnit.SECONDS);
+        return (TargetStatus) read.orElseThrow();
+    }
+
+    @Test
+    void aReportTellsWhatIsHeldAndHowManyRequestsHaveNotBegunToAnswer() throws Exception {
+        mReplica.script(report(7), Answer.status(200, "Instance-Id: i-1\r\n", ""));
+
+        TargetStatus status = read();
+
+        assertThat(status.adapters()).containsEntry("m0/a1", 2L);
+        assertThat(status.loading()).containsExactly("m0/a2");
+        assertThat(status.orders()).isEqualTo(4);
+        assertThat(status.running()).isEqualTo(2);
+        assertThat(status.unstarted()).isEqualTo(2);
+    }
+
+    @Test
+    void theInstanceIsAskedForOnceForEachStart() throws Exception {
+        mReplica.script(
+                report(7),
+                Answer.status(503, "Instance-Id: i-1\r\n", ""),
+                report(7),
+                report(8),
+                Answer.status(200, "Instance-Id: i-2\r\n", ""));
+
+        assertThat(read().instance()).isEqualTo("i-1");
+        assertThat(read().instance()).isEqualTo("i-1");
+        assertThat(read().instance()).isEqualTo("i-2");
+        assertThat(mReplica.requests()).hasSize(5);
+    }
+
+    @Test
+    void anOrderNamesTheInstanceThatIsMeant() throws Exception {
+        mReplica.script(Answer.status(202, "", ""));
+
+        mClient.order(
+                new TargetOrder(TargetOrder.Operation.LOAD, "m0", "m0/a1", 0, 9, 4, "i-1"),
+                mAnswers::add);
+
+        assertThat(mAnswers.poll(10, TimeUnit.SECONDS)).isEqualTo(TargetOrder.Outcome.ACCEPTED);
+        assertThat(mReplica.requests().remove()).containsEntry("expect-instance", "i-1");
+    }
+}
