--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -17,6 +17,7 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
@@ -142,7 +143,9 @@
     /**
      * Closes a connection at once, also in the middle of an answer.
      *
-     * <p>Closing the connection itself would first wait for the rest of the answer.
+     * <p>Closing the connection itself would first wait for the rest of the answer. The connection
+     * is reset, so that bytes of the request which the network still holds are dropped rather than
+     * delivered later.
      */
     static void abort(ClientConnection connection) {
         if (connection == null || !connection.isOpen()) {
@@ -150,7 +153,9 @@
             return;
         }
         try {
-            IoUtils.safeClose(connection.performUpgrade());
+            StreamConnection stream = connection.performUpgrade();
+            stream.setOption(Options.CLOSE_ABORT, true);
+            IoUtils.safeClose(stream);
         } catch (IOException cause) {
             Logger.debug("event=abort_failed cause=\"{}\"", cause);
             IoUtils.safeClose(connection);
