One class for what operators set, one shell for direct gateways; calls split

GatewayNode and LoaderNode each held a mirror of the operators' keys, the settings in force and the wanted versions: both now use OperatorState. GatewayProcess and LoaderProcess share GatewayShell. A version's text is read by one function, which logs what is no number.

--- /dev/null
+++ b/src/main/java/ebonygw/gateway/GatewayAdmission.java
@@ -0,0 +1,69 @@
+package ebonygw.gateway;
+
+import ebonygw.request.Refusal;
+import ebonygw.request.RefusalCode;
+import ebonygw.request.Verdict;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides which new requests are taken: by the state of the entry, the route and the caller's key.
+ *
+ * <p>Not thread-safe.
+ */
+final class GatewayAdmission {
+    /** Time to come back when there is no configuration yet: about as long as a start takes. */
+    private static final long NOT_READY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /** Time to come back, to another entry, when this one stops. */
+    private static final long STOPPING_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private final OperatorState mOperator;
+
+    GatewayAdmission(OperatorState operator) {
+        mOperator = operator;
+    }
+
+    /**
+     * Decides about a request, apart from its customer's quota.
+     *
+     * @param stopping whether too little time is left before the process ends
+     * @return the request with its route and customer, or why it is not taken
+     */
+    Either<Refusal, GatewayCall> admit(
+            long exchange, GatewayRequest request, boolean stopping, long nowNanos) {
+        if (stopping) {
+            return refusal(RefusalCode.STOPPING, STOPPING_RETRY_NANOS);
+        }
+        GatewaySettings settings = mOperator.settings();
+        if (settings == null) {
+            return refusal(RefusalCode.NOT_READY, NOT_READY_RETRY_NANOS);
+        }
+        Optional<GatewayRoute> route = settings.route(request.host(), request.path());
+        if (route.isEmpty()) {
+            return refusal(RefusalCode.NOT_FOUND, 0);
+        }
+        Optional<GatewayCustomer> customer = settings.customerByKey(request.keyHash());
+        boolean needsKey = !route.get().openToAll() && !settings.customers().isEmpty();
+        if (needsKey && customer.isEmpty()) {
+            return refusal(RefusalCode.UNAUTHENTICATED, 0);
+        }
+        return Either.right(
+                new GatewayCall(
+                        exchange,
+                        request,
+                        route.get(),
+                        route.get().service(request.hash()),
+                        customer.map(GatewayCustomer::name).orElse(""),
+                        customer.map(GatewayCustomer::priority)
+                                .filter(priority -> priority >= 0)
+                                .orElse(route.get().priority()),
+                        customer.map(it -> request.charge(it.plainTokens())).orElse(0L),
+                        nowNanos));
+    }
+
+    private static Either<Refusal, GatewayCall> refusal(RefusalCode code, long retryNanos) {
+        return Either.left(new Refusal(code, Verdict.NOT_RUN, "", retryNanos));
+    }
+}
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -11,11 +11,9 @@
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.routing.RouterOptions;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -45,15 +43,13 @@
     private final GatewayOptions mOptions;
     private final GatewayOutbox mOut = new GatewayOutbox();
     private final CallIds mCallIds = new CallIds(CALL_OWNER);
-    private final PrefixMirror mOperator;
+    private final OperatorState mOperator;
     private final PrefixMirror mTargetList;
     private final EntryDirectory mDirectory;
     private final FleetQuota mQuota;
     private final TargetTable mTargets;
     private final GatewayCalls mCalls;
-    private final Map<String, Long> mWantedVersions = new HashMap<>();
     private final Map<NodeId, Long> mLinked = new HashMap<>();
-    private GatewaySettings mSettings;
     private Set<Member> mLinks = Set.of();
     private boolean mLinksChanged = true;
     private long mUsageSentNanos;
@@ -70,30 +66,29 @@
     public GatewayNode(GatewayOptions options) {
         mOptions = Objects.requireNonNull(options, "options");
         Member self = options.self();
-        mOperator = new PrefixMirror(options.reader().operatorPrefix(), mCallIds);
+        mOperator = new OperatorState(options.reader(), mCallIds, mOut, this::onSettings);
         mTargetList = new PrefixMirror(options.reader().targetPrefix(), mCallIds);
         mDirectory = new EntryDirectory(self, mCallIds, new SplittableRandom(options.seed()));
         mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
         mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
-        mCalls =
-                new GatewayCalls(options, () -> mSettings, mWantedVersions, mTargets, mQuota, mOut);
+        mCalls = new GatewayCalls(options, mOperator, mTargets, mQuota, mOut);
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers, free of secrets. */
     public Map<String, Object> dump(long nowNanos) {
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("ready", ready());
-        dump.put("revision", mSettings == null ? 0 : mSettings.revision());
+        dump.put("revision", mOperator.revision());
         dump.put("open", mCalls.open());
         dump.put("links", mLinked.size());
         dump.put("entries", mDirectory.entries().size());
         Map<String, Object> ages = new LinkedHashMap<>();
-        ages.put("configurationMillis", ageMillis(mOperator, nowNanos));
-        ages.put("targetsMillis", ageMillis(mTargetList, nowNanos));
+        ages.put("configurationMillis", mOperator.ageMillis(nowNanos));
+        ages.put("targetsMillis", mTargetList.ageMillis(nowNanos));
         dump.put("ages", ages);
         dump.put("counts", Map.copyOf(mCalls.counts()));
         dump.put("quota", mQuota.dump());
-        dump.put("wantedVersions", Map.copyOf(mWantedVersions));
+        dump.put("wantedVersions", mOperator.wantedVersions());
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
         dump.put("targets", targets);
@@ -147,7 +142,7 @@
      * no stop was asked for.
      */
     public boolean ready() {
-        return mSettings != null
+        return mOperator.settings() != null
                 && mTargetList.isLoaded()
                 && mDirectory.isLoaded()
                 && !isStopping();
@@ -160,29 +155,7 @@
 
     /** Returns the configuration in force, null before the first. */
     public GatewaySettings settings() {
-        return mSettings;
-    }
-
-    /** Returns how long ago the service confirmed what is known, -1 if it never did. */
-    private static long ageMillis(PrefixMirror mirror, long nowNanos) {
-        long confirmed = mirror.confirmedNanos();
-        boolean never = confirmed == Long.MIN_VALUE;
-        return never ? -1 : TimeUnit.NANOSECONDS.toMillis(nowNanos - confirmed);
-    }
-
-    private void applyOperator(PrefixMirror.Change change, long nowNanos) {
-        if (change.entry() == null) {
-            return;
-        }
-        try {
-            mOptions.reader().settings(change.entry()).ifPresent(it -> take(it, nowNanos));
-            mOptions.reader().wantedVersion(change.entry()).ifPresent(this::want);
-        } catch (IllegalArgumentException malformed) {
-            mOut.log(
-                    LogLine.of("configuration_malformed")
-                            .with("key", change.key())
-                            .with("cause", malformed.getMessage()));
-        }
+        return mOperator.settings();
     }
 
     private void applyTarget(PrefixMirror.Change change) {
@@ -222,7 +195,7 @@
                         || mTargetList.onReply(callId, reply, nowNanos)
                         || mDirectory.onReply(callId, reply, nowNanos);
         if (known) {
-            takeChanges(nowNanos);
+            takeTargets();
         }
     }
 
@@ -274,6 +247,11 @@
         }
     }
 
+    private void onSettings(GatewaySettings settings, long nowNanos) {
+        mLinksChanged = true;
+        mQuota.onSettings(settings.customers(), nowNanos);
+    }
+
     private void onStop(long nowNanos) {
         if (!isStopping()) {
             mStopNanos = nowNanos;
@@ -282,13 +260,13 @@
     }
 
     private void onTick(long nowNanos) {
-        mOperator.onTick(nowNanos, mOut);
+        mOperator.onTick(nowNanos);
         mTargetList.onTick(nowNanos, mOut);
         if (mDirectory.onTick(nowNanos, mOut)) {
             mLinksChanged = true;
             countEntries(nowNanos);
         }
-        takeChanges(nowNanos);
+        takeTargets();
         mCalls.wake(nowNanos);
         if (nowNanos - mUsageSentNanos >= USAGE_INTERVAL_NANOS) {
             mUsageSentNanos = nowNanos;
@@ -316,13 +294,7 @@
         }
         for (GatewayTarget target : mTargets.all()) {
             TargetRecord record = target.record();
-            boolean engine =
-                    mSettings != null
-                            && mSettings
-                                    .service(record.service())
-                                    .flatMap(GatewayService::engine)
-                                    .isPresent();
-            if (engine) {
+            if (mOperator.service(record.service()).flatMap(GatewayService::engine).isPresent()) {
                 links.add(loader(target, record));
             }
         }
@@ -374,27 +346,7 @@
         }
     }
 
-    private void take(GatewaySettings settings, long nowNanos) {
-        if (mSettings != null && settings.revision() <= mSettings.revision()) {
-            return;
-        }
-        mSettings = settings;
-        mLinksChanged = true;
-        mQuota.onSettings(settings.customers(), nowNanos);
-        mOut.log(LogLine.of("configuration_in_force").with("revision", settings.revision()));
-    }
-
-    private void takeChanges(long nowNanos) {
-        List<PrefixMirror.Change> operator = new ArrayList<>(mOperator.drain());
-        operator.forEach(change -> applyOperator(change, nowNanos));
+    private void takeTargets() {
         mTargetList.drain().forEach(this::applyTarget);
     }
-
-    private void want(StoreReader.WantedVersion wanted) {
-        mWantedVersions.merge(wanted.name(), wanted.version(), Math::max);
-        mOut.log(
-                LogLine.of("version_wanted")
-                        .with("name", wanted.name())
-                        .with("version", wanted.version()));
-    }
 }
--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -17,7 +17,7 @@
     private final long mRevision;
     private final Map<String, List<GatewayRoute>> mRoutesByHost = new HashMap<>();
     private final Map<String, GatewayService> mServices = new HashMap<>();
-    private final Map<String, GatewayCustomer> mCustomers = new HashMap<>();
+    private final List<GatewayCustomer> mCustomers;
     private final Map<String, GatewayCustomer> mCustomersByKey = new HashMap<>();
     private final CallerLimits mLimits;
 
@@ -38,6 +38,7 @@
             List<GatewayCustomer> customers,
             CallerLimits limits) {
         mRevision = revision;
+        mCustomers = List.copyOf(customers);
         mLimits = Objects.requireNonNull(limits, "limits");
         for (GatewayRoute route : routes) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -47,7 +48,6 @@
         mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> mServices.put(service.name(), service));
         for (GatewayCustomer customer : customers) {
-            mCustomers.put(customer.name(), customer);
             customer.keyHashes().forEach(hash -> mCustomersByKey.put(hash, customer));
         }
     }
@@ -62,11 +62,6 @@
      */
     public record CallerLimits(int headerBytes, long bodyBytes, long headerNanos, long idleNanos) {}
 
-    /** Returns the customer of that name. */
-    public Optional<GatewayCustomer> customer(String name) {
-        return Optional.ofNullable(mCustomers.get(name));
-    }
-
     /** Returns the customer that holds a key with that SHA-256. */
     public Optional<GatewayCustomer> customerByKey(String keyHash) {
         return Optional.ofNullable(mCustomersByKey.get(keyHash));
@@ -74,7 +69,7 @@
 
     /** Returns all customers. */
     public List<GatewayCustomer> customers() {
-        return List.copyOf(mCustomers.values());
+        return mCustomers;
     }
 
     /** Returns the bounds of what callers may send. */
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -246,19 +246,11 @@
     private static Map<String, Long> versions(List<AdapterVersion> versions) {
         Map<String, Long> byName = new HashMap<>();
         for (AdapterVersion version : versions) {
-            byName.put(version.adapter(), parse(version.version()));
+            byName.put(version.adapter(), VersionNumbers.parse(version));
         }
         return byName;
     }
 
-    private static long parse(String version) {
-        try {
-            return version.isEmpty() ? 0 : Long.parseLong(version);
-        } catch (NumberFormatException notNumeric) {
-            return 0;
-        }
-    }
-
     /** The names put last, as many as a replica keeps copies of. */
     private static final class RecentNames extends LinkedHashMap<String, Boolean> {
         private static final long serialVersionUID = 1L;
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -4,7 +4,6 @@
 import ebonygw.keyvalue.CallIds;
 import ebonygw.keyvalue.KeyValueCall;
 import ebonygw.keyvalue.KeyValueReply;
-import ebonygw.keyvalue.PrefixMirror;
 import ebonygw.log.LogLine;
 import ebonygw.membership.MemberMessage;
 import ebonygw.protocol.NodeId;
@@ -50,13 +49,11 @@
     private final LoaderOptions mOptions;
     private final GatewayOutbox mOut = new GatewayOutbox();
     private final CallIds mCallIds = new CallIds(CALL_OWNER);
-    private final PrefixMirror mOperator;
+    private final OperatorState mOperator;
     private final AdapterDemands mDemands = new AdapterDemands();
-    private final Map<String, Long> mWantedVersions = new HashMap<>();
     private final Map<String, Long> mModelReloads = new HashMap<>();
     private final Set<NodeId> mEntries = new TreeSet<>();
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
-    private GatewaySettings mSettings;
     private TargetStatus mStatus;
     private String mInstance;
     private MemberMessage.TargetReport mReported;
@@ -79,14 +76,14 @@
      */
     public LoaderNode(LoaderOptions options) {
         mOptions = Objects.requireNonNull(options, "options");
-        mOperator = new PrefixMirror(options.reader().operatorPrefix(), mCallIds);
+        mOperator = new OperatorState(options.reader(), mCallIds, mOut, (settings, nowNanos) -> {});
     }
 
     /** Returns the state as JSON-able maps, lists, strings and numbers. */
     public Map<String, Object> dump() {
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("fencingToken", mFencingToken);
-        dump.put("revision", mSettings == null ? 0 : mSettings.revision());
+        dump.put("revision", mOperator.revision());
         dump.put("status", String.valueOf(mStatus));
         dump.put("entries", mEntries.toString());
         dump.put("counts", Map.copyOf(mCounts));
@@ -151,9 +148,7 @@
     }
 
     private Optional<EngineLimits> engine() {
-        return mSettings == null
-                ? Optional.empty()
-                : mSettings.service(mOptions.service()).flatMap(GatewayService::engine);
+        return mOperator.service(mOptions.service()).flatMap(GatewayService::engine);
     }
 
     private static String modelOf(String adapter) {
@@ -174,9 +169,9 @@
     }
 
     private void onDemand(AdapterVersion adapter, long nowNanos) {
-        long version = adapter.version().isEmpty() ? 0 : Long.parseLong(adapter.version());
-        long wanted = mWantedVersions.getOrDefault(adapter.adapter(), 0L);
-        mDemands.ask(adapter.adapter(), Math.max(version, wanted), nowNanos);
+        long wanted = mOperator.wantedVersion(adapter.adapter());
+        long version = Math.max(VersionNumbers.parse(adapter), wanted);
+        mDemands.ask(adapter.adapter(), version, nowNanos);
     }
 
     private void onKeyValue(long callId, KeyValueReply reply, long nowNanos) {
@@ -190,29 +185,7 @@
             }
             return;
         }
-        if (mOperator.onReply(callId, reply, nowNanos)) {
-            mOperator.drain().forEach(change -> apply(change, nowNanos));
-        }
-    }
-
-    private void apply(PrefixMirror.Change change, long nowNanos) {
-        if (change.entry() == null) {
-            return;
-        }
-        try {
-            mOptions.reader()
-                    .settings(change.entry())
-                    .filter(it -> mSettings == null || it.revision() > mSettings.revision())
-                    .ifPresent(this::take);
-            mOptions.reader()
-                    .wantedVersion(change.entry())
-                    .ifPresent(it -> mWantedVersions.merge(it.name(), it.version(), Math::max));
-        } catch (IllegalArgumentException malformed) {
-            mOut.log(
-                    LogLine.of("configuration_malformed")
-                            .with("key", change.key())
-                            .with("cause", malformed.getMessage()));
-        }
+        mOperator.onReply(callId, reply, nowNanos);
     }
 
     private void onOrderDone(TargetOrder order, TargetOrder.Outcome outcome, long nowNanos) {
@@ -265,8 +238,7 @@
     }
 
     private void onTick(long nowNanos) {
-        mOperator.onTick(nowNanos, mOut);
-        mOperator.drain().forEach(change -> apply(change, nowNanos));
+        mOperator.onTick(nowNanos);
         claim(nowNanos);
         boolean busy = mStatus == null || mStatus.busy() || !mStatus.loading().isEmpty();
         long interval = busy ? mOptions.busyReadNanos() : mOptions.idleReadNanos();
@@ -318,7 +290,7 @@
         }
         mLastModels = mStatus.models().keySet();
         for (Map.Entry<String, Long> model : mStatus.models().entrySet()) {
-            if (mWantedVersions.getOrDefault(model.getKey(), 0L) <= model.getValue()) {
+            if (mOperator.wantedVersion(model.getKey()) <= model.getValue()) {
                 mModelReloads.remove(model.getKey());
                 continue;
             }
@@ -338,7 +310,7 @@
         Map<String, Long> resident = mStatus.adapters();
         List<String> loading = mStatus.loading();
         for (Map.Entry<String, Long> adapter : resident.entrySet()) {
-            long wanted = mWantedVersions.getOrDefault(adapter.getKey(), 0L);
+            long wanted = mOperator.wantedVersion(adapter.getKey());
             if (wanted > adapter.getValue() && !loading.contains(adapter.getKey())) {
                 order(
                         TargetOrder.Operation.LOAD,
@@ -371,12 +343,10 @@
             mReading = true;
             mReadNanos = nowNanos;
             String healthPath =
-                    mSettings == null
-                            ? ""
-                            : mSettings
-                                    .service(mOptions.service())
-                                    .map(GatewayService::healthPath)
-                                    .orElse("");
+                    mOperator
+                            .service(mOptions.service())
+                            .map(GatewayService::healthPath)
+                            .orElse("");
             mOut.effect(new GatewayEffect.ReadReport(healthPath));
         }
     }
@@ -385,9 +355,9 @@
     private void report() {
         List<AdapterVersion> resident = new ArrayList<>();
         new TreeMap<>(mStatus.adapters())
-                .forEach((name, version) -> resident.add(adapterVersion(name, version)));
+                .forEach((name, version) -> resident.add(VersionNumbers.named(name, version)));
         List<AdapterVersion> loading = new ArrayList<>();
-        mStatus.loading().forEach(name -> loading.add(adapterVersion(name, 0)));
+        mStatus.loading().forEach(name -> loading.add(VersionNumbers.named(name, 0)));
         int slots = engine().map(EngineLimits::slots).orElse(0);
         MemberMessage.TargetReport report =
                 new MemberMessage.TargetReport(
@@ -413,16 +383,4 @@
         mReported = report.with(load);
         mEntries.forEach(entry -> mOut.send(entry, moved ? mReported : load));
     }
-
-    private void take(GatewaySettings settings) {
-        mSettings = settings;
-        mOut.log(
-                LogLine.of("configuration_in_force")
-                        .with("revision", settings.revision())
-                        .with("engine", engine().orElse(null)));
-    }
-
-    private static AdapterVersion adapterVersion(String name, long version) {
-        return new AdapterVersion(name, version == 0 ? "" : Long.toString(version));
-    }
 }
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/VersionNumbers.java
@@ -0,0 +1,31 @@
+package ebonygw.gateway;
+
+import ebonygw.log.LogLine;
+import ebonygw.request.AdapterVersion;
+
+/** Versions of models and adapters as numbers, where 0 stands for any version. */
+final class VersionNumbers {
+    private VersionNumbers() {}
+
+    /** Returns the reference to a version of an adapter, 0 for any. */
+    static AdapterVersion named(String adapter, long version) {
+        return new AdapterVersion(adapter, version == 0 ? "" : Long.toString(version));
+    }
+
+    /** Returns the number of a version; what is not a number counts as any version. */
+    static long parse(AdapterVersion version) {
+        String text = version.version();
+        if (text.isEmpty()) {
+            return 0;
+        }
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException notNumeric) {
+            LogLine.of("version_malformed")
+                    .with("adapter", version.adapter())
+                    .with("version", text)
+                    .warn();
+            return 0;
+        }
+    }
+}
--- a/src/main/java/ebonygw/keyvalue/PrefixMirror.java
+++ b/src/main/java/ebonygw/keyvalue/PrefixMirror.java
@@ -78,9 +78,10 @@
         return prefix.substring(0, last) + (char) (prefix.charAt(last) + 1);
     }
 
-    /** Returns when the service last confirmed the copy, {@link Long#MIN_VALUE} if never. */
-    public long confirmedNanos() {
-        return mConfirmedNanos;
+    /** Returns how long ago the service last confirmed the copy, -1 if it never did. */
+    public long ageMillis(long nowNanos) {
+        boolean never = mConfirmedNanos == Long.MIN_VALUE;
+        return never ? -1 : TimeUnit.NANOSECONDS.toMillis(nowNanos - mConfirmedNanos);
     }
 
     /** Returns the changes since the last call, in order. */
@@ -98,11 +99,6 @@
         return mLoaded;
     }
 
-    /** Returns the revision up to which all changes are known. */
-    public long revision() {
-        return mRevision;
-    }
-
     /**
      * Takes in a reply.
      *
--- a/src/main/java/ebonygw/process/GatewayProcess.java
+++ b/src/main/java/ebonygw/process/GatewayProcess.java
@@ -13,8 +13,6 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Function;
 import org.xnio.XnioWorker;
 
 /**
@@ -23,39 +21,30 @@
  * <p>Thread-safe.
  */
 public final class GatewayProcess implements RunningProcess {
-    private final XnioWorker mWorker;
-    private final NodeRuntime<GatewayEvent> mRuntime;
+    private final GatewayShell mShell;
     private final GatewayNode mNode;
     private final GatewayServer mServer;
-    private final AtomicBoolean mClosed = new AtomicBoolean();
+    private final LatencyTable mLatencies = new LatencyTable();
     private volatile boolean mReady;
     private volatile boolean mStopping;
-    private final LatencyTable mLatencies = new LatencyTable();
-    private final OperatorListener mOperators;
-    private final LazyMetrics mMetrics;
 
     private GatewayProcess(
             GatewayOptions options,
             GatewayServerOptions server,
             GatewayHeaders headers,
-            RuntimeOptions runtime,
-            InetSocketAddress operators,
-            XnioWorker worker,
-            Function<XnioWorker, KeyValueCaller> keyValue) {
-        mWorker = worker;
+            GatewayRuntimeOptions common,
+            XnioWorker worker) {
         mServer =
                 new GatewayServer(
                         server, worker, headers, this::post, () -> mReady, () -> mStopping);
-        mRuntime =
-                new NodeRuntime<>(
-                        runtime,
+        mShell =
+                new GatewayShell(
+                        common,
                         options.self(),
-                        keyValue.apply(worker),
-                        new GatewayEvents(),
-                        this::handle);
-        mMetrics = new LazyMetrics(mRuntime, mLatencies::register);
-        mOperators =
-                new OperatorListener(worker, operators, mMetrics::scrape, this::dump, () -> mReady);
+                        worker,
+                        this::handle,
+                        mLatencies::register,
+                        () -> mReady);
         mNode = new GatewayNode(options);
     }
 
@@ -65,9 +54,7 @@
      * @param options options of its node
      * @param server options of its server
      * @param headers translates header fields
-     * @param runtime options of its runtime
-     * @param operators where it answers operators
-     * @param keyValue makes the client of the key-value service on the process's IO thread
+     * @param common options of what surrounds its node
      * @return the process, which listens
      * @throws IOException if its IO thread cannot be started
      * @throws IllegalStateException if an address cannot be listened on
@@ -76,21 +63,18 @@
             GatewayOptions options,
             GatewayServerOptions server,
             GatewayHeaders headers,
-            RuntimeOptions runtime,
-            InetSocketAddress operators,
-            Function<XnioWorker, KeyValueCaller> keyValue)
+            GatewayRuntimeOptions common)
             throws IOException {
         Objects.requireNonNull(options, "options");
-        XnioWorker worker = HttpClient.worker("io");
         GatewayProcess process =
-                new GatewayProcess(options, server, headers, runtime, operators, worker, keyValue);
+                new GatewayProcess(options, server, headers, common, HttpClient.worker("io"));
         Listeners.start(process.mServer::start, "callers");
-        process.mOperators.start();
-        process.mRuntime.start(() -> process.mNode.dump(process.mRuntime.nowNanos()));
+        NodeRuntime<GatewayEvent> runtime = process.mShell.runtime();
+        process.mShell.start(() -> process.mNode.dump(runtime.nowNanos()));
         LogLine.of("started")
                 .with("node", options.self().id())
                 .with("role", "entry")
-                .with("incarnation", process.mRuntime.startedAtNanos())
+                .with("incarnation", runtime.startedAtNanos())
                 .with("callers", process.mServer.callerAddress())
                 .with("peers", options.self().address())
                 .info();
@@ -102,12 +86,12 @@
         mReady = false;
         mStopping = true;
         mServer.drain();
-        mRuntime.askStop();
+        mShell.runtime().askStop();
     }
 
     @Override
     public boolean awaitExit(long timeoutNanos) throws InterruptedException {
-        return mRuntime.awaitExit(timeoutNanos);
+        return mShell.runtime().awaitExit(timeoutNanos);
     }
 
     /** Returns the address on which it listens for callers. */
@@ -117,22 +101,18 @@
 
     @Override
     public void close() {
-        if (mClosed.compareAndSet(false, true)) {
-            mServer.stop();
-            mOperators.close();
-            mRuntime.close();
-            mWorker.shutdown();
-        }
+        mServer.stop();
+        mShell.close();
     }
 
     @Override
     public Map<String, Object> dump() throws InterruptedException {
-        return mRuntime.dump();
+        return mShell.runtime().dump();
     }
 
     /** Returns the address on which it answers operators. */
     public InetSocketAddress operatorAddress() {
-        return mOperators.address();
+        return mShell.operatorAddress();
     }
 
     /** Returns whether callers are welcome. */
@@ -141,19 +121,9 @@
     }
 
     private void apply(GatewayEffect effect) {
-        if (effect instanceof GatewayEffect.Send send) {
-            mRuntime.send(send.to(), send.message());
-        } else if (effect instanceof GatewayEffect.KeyValue call) {
-            mRuntime.keyValue(call.callId(), call.call());
-        } else if (effect instanceof GatewayEffect.Links links) {
-            mRuntime.links(links.members());
-        } else if (effect instanceof GatewayEffect.Ended ended) {
+        if (effect instanceof GatewayEffect.Ended ended) {
             mLatencies.record(ended);
-        } else if (effect instanceof GatewayEffect.Log log) {
-            log.line().info();
-        } else if (effect instanceof GatewayEffect.Exit) {
-            mRuntime.exit();
-        } else {
+        } else if (!mShell.apply(effect)) {
             mServer.apply(effect);
         }
     }
@@ -165,9 +135,9 @@
 
     private boolean post(GatewayEvent event) {
         if (event instanceof GatewayEvent.CallerAsked) {
-            return mRuntime.loop().offer(event);
+            return mShell.runtime().loop().offer(event);
         }
-        mRuntime.loop().put(event);
+        mShell.runtime().loop().put(event);
         return true;
     }
 }
--- a/src/main/java/ebonygw/process/LoaderProcess.java
+++ b/src/main/java/ebonygw/process/LoaderProcess.java
@@ -10,10 +10,8 @@
 import ebonygw.log.LogLine;
 import ebonygw.membership.Member;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.xnio.XnioWorker;
@@ -24,30 +22,18 @@
  * <p>Thread-safe.
  */
 public final class LoaderProcess implements RunningProcess {
-    private final XnioWorker mWorker;
-    private final NodeRuntime<GatewayEvent> mRuntime;
+    private final GatewayShell mShell;
     private final LoaderNode mNode;
     private final ReplicaCalls mReplica;
-    private final AtomicBoolean mClosed = new AtomicBoolean();
-    private final OperatorListener mOperators;
-    private final LazyMetrics mMetrics;
 
     private LoaderProcess(
             LoaderOptions options,
             Member self,
-            RuntimeOptions runtime,
-            InetSocketAddress operators,
+            GatewayRuntimeOptions common,
             XnioWorker worker,
-            Function<XnioWorker, KeyValueCaller> keyValue,
             Function<XnioWorker, ReplicaCalls> replica) {
-        mWorker = worker;
         mReplica = replica.apply(worker);
-        mRuntime =
-                new NodeRuntime<>(
-                        runtime, self, keyValue.apply(worker), new GatewayEvents(), this::handle);
-        mMetrics = new LazyMetrics(mRuntime, registry -> {});
-        mOperators =
-                new OperatorListener(worker, operators, mMetrics::scrape, this::dump, () -> true);
+        mShell = new GatewayShell(common, self, worker, this::handle, registry -> {}, () -> true);
         mNode = new LoaderNode(options);
     }
 
@@ -70,32 +56,21 @@
      *
      * @param options options of its node
      * @param self this process; its address is that of its peer listener
-     * @param runtime options of its runtime
-     * @param operators where it answers operators
-     * @param keyValue makes the client of the key-value service on the process's IO thread
+     * @param common options of what surrounds its node
      * @param replica makes the client of the replica on the process's IO thread
      * @return the process
      * @throws IOException if its IO thread cannot be started
+     * @throws IllegalStateException if an address cannot be listened on
      */
     public static LoaderProcess start(
             LoaderOptions options,
             Member self,
-            RuntimeOptions runtime,
-            InetSocketAddress operators,
-            Function<XnioWorker, KeyValueCaller> keyValue,
+            GatewayRuntimeOptions common,
             Function<XnioWorker, ReplicaCalls> replica)
             throws IOException {
         LoaderProcess process =
-                new LoaderProcess(
-                        options,
-                        self,
-                        runtime,
-                        operators,
-                        HttpClient.worker("io"),
-                        keyValue,
-                        replica);
-        process.mOperators.start();
-        process.mRuntime.start(process.mNode::dump);
+                new LoaderProcess(options, self, common, HttpClient.worker("io"), replica);
+        process.mShell.start(process.mNode::dump);
         LogLine.of("started")
                 .with("node", self.id())
                 .with("role", "loader")
@@ -106,43 +81,33 @@
 
     @Override
     public void askStop() {
-        mRuntime.askStop();
+        mShell.runtime().askStop();
     }
 
     @Override
     public boolean awaitExit(long timeoutNanos) throws InterruptedException {
-        return mRuntime.awaitExit(timeoutNanos);
+        return mShell.runtime().awaitExit(timeoutNanos);
     }
 
     @Override
     public void close() {
-        if (mClosed.compareAndSet(false, true)) {
-            mOperators.close();
-            mRuntime.close();
-            mWorker.shutdown();
-        }
+        mShell.close();
     }
 
     @Override
     public Map<String, Object> dump() throws InterruptedException {
-        return mRuntime.dump();
+        return mShell.runtime().dump();
     }
 
     private void apply(GatewayEffect effect) {
-        if (effect instanceof GatewayEffect.Send send) {
-            mRuntime.send(send.to(), send.message());
-        } else if (effect instanceof GatewayEffect.KeyValue call) {
-            mRuntime.keyValue(call.callId(), call.call());
-        } else if (effect instanceof GatewayEffect.Log log) {
-            log.line().info();
-        } else if (effect instanceof GatewayEffect.ReadReport read) {
+        if (effect instanceof GatewayEffect.ReadReport read) {
             mReplica.report(read.healthPath(), status -> post(new GatewayEvent.StatusRead(status)));
         } else if (effect instanceof GatewayEffect.Order order) {
             mReplica.order(
                     order.order(),
                     outcome -> post(new GatewayEvent.OrderDone(order.order(), outcome)));
-        } else if (effect instanceof GatewayEffect.Exit) {
-            mRuntime.exit();
+        } else {
+            mShell.apply(effect);
         }
     }
 
@@ -151,6 +116,6 @@
     }
 
     private void post(GatewayEvent event) {
-        mRuntime.loop().put(event);
+        mShell.runtime().loop().put(event);
     }
 }
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -11,6 +11,7 @@
 import ebonygw.membership.Role;
 import ebonygw.platform.RawReplica.Answer;
 import ebonygw.process.GatewayProcess;
+import ebonygw.process.GatewayRuntimeOptions;
 import ebonygw.protocol.Locality;
 import ebonygw.protocol.NodeId;
 import java.io.IOException;
@@ -83,13 +84,14 @@
                                 1),
                         GatewayServerOptions.of(any, any, "/readyz"),
                         new PlatformHeaders(),
-                        PlatformMain.runtime(),
-                        any,
-                        worker ->
-                                new StoreClient(
-                                        worker,
-                                        mStore.address(),
-                                        prefix -> new StoreClient.WatchTimes(500, 0)));
+                        new GatewayRuntimeOptions(
+                                PlatformMain.runtime(),
+                                any,
+                                worker ->
+                                        new StoreClient(
+                                                worker,
+                                                mStore.address(),
+                                                prefix -> new StoreClient.WatchTimes(500, 0))));
         long end = System.nanoTime() + DEADLINE_NANOS;
         while (!mEntry.ready()) {
             assertThat(System.nanoTime()).isLessThan(end);
