--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.protocol.NodeId;
 import ebonygw.scheduling.DecayedRate;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,12 +19,10 @@
  */
 final class AdapterDemands {
     /**
-     * How long a wait stands unless it is repeated; a little longer than entries take to repeat.
+     * How long an adapter stays after its last use: as long as an entry takes to tell of a request
+     * that it has sent, with a link between regions on the way.
      */
-    private static final long STANDS_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
-
-    /** How long an adapter stays after its last use; longer than entries take to tell of one. */
-    private static final long LEAST_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    private static final long LEAST_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
     /** After how long a use counts half. */
     private static final long HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -31,16 +30,15 @@
     /** Adapters that are not resident whose use is remembered. */
     private static final int MOST_REMEMBERED = 500;
 
+    private final Map<NodeId, Map<String, GatewayMessage.AdapterNeed>> mNeeds = new HashMap<>();
     private final Map<String, Wait> mWaits = new HashMap<>();
     private final Map<String, Use> mUses = new HashMap<>();
     private Set<String> mResident = Set.of();
 
-    /** Notes that an entry waits for an adapter of at least a version. */
-    void ask(String adapter, long version, long nowNanos) {
-        Wait wait = mWaits.computeIfAbsent(adapter, a -> new Wait(nowNanos));
-        wait.mLastNanos = nowNanos;
-        wait.mAsks++;
-        wait.mVersion = Math.max(wait.mVersion, version);
+    /** Forgets what an entry needs whose link is lost; its requests may run for a while yet. */
+    void forget(NodeId entry, long nowNanos) {
+        told(entry, List.of(), nowNanos);
+        mNeeds.remove(entry);
     }
 
     /** Returns adapters to load, those that most requests wait for first, else the oldest wait. */
@@ -54,36 +52,56 @@
                     }
                 });
         missing.sort(
-                Comparator.comparingInt((String adapter) -> -mWaits.get(adapter).mAsks)
+                Comparator.comparingInt((String adapter) -> -mWaits.get(adapter).mRequests)
                         .thenComparingLong(adapter -> mWaits.get(adapter).mSinceNanos));
         return missing;
     }
 
-    /** Takes in what is resident: newly loaded adapters count as used, waits for them end. */
+    /**
+     * Returns how many more adapters can be placed at once, below 0 if some wait for a place.
+     *
+     * @param capacity adapters that the replica holds at most
+     */
+    int openPlaces(Map<String, Long> resident, List<String> loading, int capacity, long nowNanos) {
+        int kept = 0;
+        for (String adapter : resident.keySet()) {
+            if (isKept(adapter, nowNanos)) {
+                kept++;
+            }
+        }
+        int waiting = 0;
+        for (String adapter : missing(resident, loading)) {
+            waiting += resident.containsKey(adapter) ? 0 : 1;
+        }
+        return capacity - kept - loading.size() - waiting;
+    }
+
+    /** Takes in what is resident; newly loaded adapters count as used. */
     void resident(Map<String, Long> resident, long nowNanos) {
         for (String adapter : resident.keySet()) {
             if (!mResident.contains(adapter)) {
-                used(adapter, 1, nowNanos);
+                use(adapter).mLastNanos = nowNanos;
             }
         }
         mResident = new HashSet<>(resident.keySet());
-        mWaits.entrySet()
-                .removeIf(
-                        it ->
-                                resident.getOrDefault(it.getKey(), -1L) >= it.getValue().mVersion
-                                        || nowNanos - it.getValue().mLastNanos > STANDS_NANOS);
         if (mUses.size() > MOST_REMEMBERED) {
-            mUses.keySet().retainAll(resident.keySet());
+            mUses.keySet().retainAll(mResident);
         }
     }
 
-    /** Notes requests for an adapter, or with 0 that earlier ones still run. */
-    void used(String adapter, int requests, long nowNanos) {
-        Use use = mUses.computeIfAbsent(adapter, a -> new Use());
-        use.mLastNanos = nowNanos;
-        for (int i = 0; i < requests; i++) {
-            use.mRate.add(1, nowNanos);
+    /** Takes in all that an entry needs, in place of what it told before. */
+    void told(NodeId entry, List<GatewayMessage.AdapterNeed> needs, long nowNanos) {
+        Map<String, GatewayMessage.AdapterNeed> now = new HashMap<>();
+        for (GatewayMessage.AdapterNeed need : needs) {
+            now.put(need.adapter(), need);
+            use(need.adapter()).mRate.add(need.sent(), nowNanos);
+        }
+        Map<String, GatewayMessage.AdapterNeed> before = mNeeds.put(entry, now);
+        if (before != null) {
+            before.keySet().forEach(adapter -> use(adapter).mLastNanos = nowNanos);
         }
+        now.keySet().forEach(adapter -> use(adapter).mLastNanos = nowNanos);
+        countWaits(nowNanos);
     }
 
     /** Returns the resident adapter used least, empty if all are in use. */
@@ -91,9 +109,8 @@
         String victim = null;
         double least = Double.MAX_VALUE;
         for (String adapter : resident.keySet()) {
-            Use use = mUses.computeIfAbsent(adapter, a -> new Use());
-            double rate = use.mRate.perSecond(nowNanos);
-            if (nowNanos - use.mLastNanos >= LEAST_IDLE_NANOS && rate < least) {
+            double rate = use(adapter).mRate.perSecond(nowNanos);
+            if (rate < least && !isKept(adapter, nowNanos)) {
                 victim = adapter;
                 least = rate;
             }
@@ -101,19 +118,52 @@
         return Optional.ofNullable(victim);
     }
 
+    private void countWaits(long nowNanos) {
+        Map<String, Wait> waits = new HashMap<>();
+        for (Map<String, GatewayMessage.AdapterNeed> needs : mNeeds.values()) {
+            for (GatewayMessage.AdapterNeed need : needs.values()) {
+                if (need.waiting() > 0) {
+                    Wait wait = waits.computeIfAbsent(need.adapter(), a -> new Wait());
+                    wait.mRequests += need.waiting();
+                    wait.mVersion = Math.max(wait.mVersion, need.version());
+                }
+            }
+        }
+        waits.forEach(
+                (adapter, wait) -> {
+                    Wait before = mWaits.get(adapter);
+                    wait.mSinceNanos = before == null ? nowNanos : before.mSinceNanos;
+                });
+        mWaits.clear();
+        mWaits.putAll(waits);
+    }
+
+    /** Returns whether an adapter is in use, or may be before this process hears of it. */
+    private boolean isKept(String adapter, long nowNanos) {
+        if (nowNanos - use(adapter).mLastNanos < LEAST_IDLE_NANOS) {
+            return true;
+        }
+        for (Map<String, GatewayMessage.AdapterNeed> needs : mNeeds.values()) {
+            GatewayMessage.AdapterNeed need = needs.get(adapter);
+            if (need != null && (need.running() > 0 || need.waiting() > 0)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Use use(String adapter) {
+        return mUses.computeIfAbsent(adapter, a -> new Use());
+    }
+
     private static final class Use {
         private final DecayedRate mRate = new DecayedRate(HALF_LIFE_NANOS);
         private long mLastNanos;
     }
 
     private static final class Wait {
-        private final long mSinceNanos;
+        private long mSinceNanos;
         private long mVersion;
-        private long mLastNanos;
-        private int mAsks;
-
-        Wait(long nowNanos) {
-            mSinceNanos = nowNanos;
-        }
+        private int mRequests;
     }
 }
--- a/src/main/java/ebonygw/gateway/ChooserOptions.java
+++ b/src/main/java/ebonygw/gateway/ChooserOptions.java
@@ -13,6 +13,7 @@
  * @param reloadNanos a load of an adapter that the target held of late
  * @param loadingNanos a load that is under way already
  * @param queuedLoadNanos each further load under way at the same target
+ * @param stayNanos what another target must save for a request to wait there instead
  * @param rankNanos each rank in an adapter's order of homes
  * @param prefillNanosPerToken reading of a prompt token that is not kept
  * @param fullNanos a target with all slots taken
@@ -26,6 +27,7 @@
         long reloadNanos,
         long loadingNanos,
         long queuedLoadNanos,
+        long stayNanos,
         long rankNanos,
         long prefillNanosPerToken,
         long fullNanos,
@@ -40,6 +42,7 @@
                 TimeUnit.MILLISECONDS.toNanos(60),
                 TimeUnit.MILLISECONDS.toNanos(100),
                 TimeUnit.MILLISECONDS.toNanos(60),
+                TimeUnit.MILLISECONDS.toNanos(500),
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.MICROSECONDS.toNanos(26),
                 TimeUnit.MILLISECONDS.toNanos(200),
--- a/src/main/java/ebonygw/gateway/EngineLimits.java
+++ b/src/main/java/ebonygw/gateway/EngineLimits.java
@@ -31,8 +31,8 @@
      */
     public record Model(double megabytes, double adapterMegabytes) {}
 
-    /** Returns how many adapters of a model fit beside its weights. */
-    public int adaptersThatFit(String model) {
+    /** Returns how many adapters of a model a replica has places for, beside its weights. */
+    public int adapterPlaces(String model) {
         Model found = models.get(model);
         if (found == null || found.adapterMegabytes() <= 0) {
             return adapterSlots;
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -1,7 +1,6 @@
 package ebonygw.gateway;
 
 import ebonygw.log.LogLine;
-import ebonygw.membership.MemberMessage;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -47,21 +46,37 @@
         mOut = out;
     }
 
-    /** Asks a target's loader for the adapter of a request. */
-    void askForAdapter(GatewayCall call, GatewayTarget target, boolean again) {
+    /** Lets a request wait until a target has loaded its adapter. */
+    void await(GatewayCall call, GatewayTarget target) {
+        String id = target.record().id();
+        if (id.equals(call.mAwaitedTargetId)) {
+            return;
+        }
+        boolean again = call.isWaiting();
+        awaitEnded(call);
         String adapter = call.mRequest.adapter();
         long wanted = mOperator.wantedVersion(adapter);
-        mOut.send(
-                target.loader(), new MemberMessage.Prefetch(VersionNumbers.named(adapter, wanted)));
+        call.mAwaitedTargetId = id;
+        target.onWaiting(adapter, wanted);
         mOut.log(
                 LogLine.of("adapter_awaited")
                         .with("request", call.mRequest.id())
                         .with("adapter", adapter)
                         .with("version", wanted)
-                        .with("target", target.record().id())
+                        .with("target", id)
+                        .with("open_places", target.openPlaces())
                         .with("again", again));
     }
 
+    /** Ends the wait of a request for its adapter, if it waits. */
+    void awaitEnded(GatewayCall call) {
+        GatewayTarget target = mTargets.get(call.mAwaitedTargetId);
+        call.mAwaitedTargetId = "";
+        if (target != null) {
+            target.needs().waitingEnded(call.mRequest.adapter());
+        }
+    }
+
     /** Returns the cheapest target of a request that it was not sent to, null if there is none. */
     TargetChooser.Choice choose(GatewayCall call, long nowNanos) {
         return mChooser.choose(
@@ -69,6 +84,7 @@
                 mOperator.wantedVersion(call.mRequest.adapter()),
                 mTargets.ofService(call.mService),
                 call.mTried,
+                call.mAwaitedTargetId,
                 (long) mUnreadTokens,
                 nowNanos);
     }
@@ -129,7 +145,7 @@
             long nowNanos) {
         GatewayRequest request = call.mRequest;
         long wanted = mOperator.wantedVersion(request.adapter());
-        call.mWaitingSinceNanos = Long.MIN_VALUE;
+        awaitEnded(call);
         call.mHeld = false;
         call.mAttempts++;
         call.mTargetId = target.record().id();
--- a/src/main/java/ebonygw/gateway/GatewayCall.java
+++ b/src/main/java/ebonygw/gateway/GatewayCall.java
@@ -23,7 +23,7 @@
     boolean mHeld;
     String mTargetId = "";
     long mUnstartedTokens;
-    long mWaitingSinceNanos = Long.MIN_VALUE;
+    String mAwaitedTargetId = "";
     long mStartedNanos;
 
     GatewayCall(
@@ -50,7 +50,7 @@
 
     /** Returns whether it waits for its adapter to be loaded. */
     boolean isWaiting() {
-        return mWaitingSinceNanos != Long.MIN_VALUE;
+        return !mAwaitedTargetId.isEmpty();
     }
 
     /** Returns whether a request that may have run may be sent again. */
--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -18,9 +18,6 @@
  * <p>Not thread-safe.
  */
 final class GatewayCalls {
-    /** How long a load may take before another home is asked: four times one load's duration. */
-    private static final long LOAD_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
     /** Time to come back when no target can take a request. */
     private static final long UNAVAILABLE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -207,21 +204,13 @@
             long quotaLeft = mQuota.level(call.mCustomer);
             mAttempts.send(call, choice.target(), choice.costNanos(), quotaLeft, left, nowNanos);
         } else {
-            await(call, choice.target(), nowNanos);
-        }
-    }
-
-    private void await(GatewayCall call, GatewayTarget target, long nowNanos) {
-        boolean again = call.isWaiting();
-        if (again && nowNanos - call.mWaitingSinceNanos < LOAD_PATIENCE_NANOS) {
-            return;
+            mAttempts.await(call, choice.target());
         }
-        call.mWaitingSinceNanos = nowNanos;
-        mAttempts.askForAdapter(call, target, again);
     }
 
     private void end(GatewayCall call, String outcome, long nowNanos) {
         mCalls.remove(call.mExchange);
+        mAttempts.awaitEnded(call);
         count(outcome);
         long started = call.mStarted ? call.mStartedNanos - call.mArrivedNanos : -1;
         long total = nowNanos - call.mArrivedNanos;
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -34,9 +34,6 @@
     /** Time between two messages that tell the other entries of charged tokens. */
     private static final long USAGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-    /** Time between two messages that tell a loader which adapters are in use. */
-    private static final long USE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-
     /** How long after the last accepted request refusals may still be on their way. */
     private static final long LAST_ANSWERS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -53,7 +50,6 @@
     private Set<Member> mLinks = Set.of();
     private boolean mLinksChanged = true;
     private long mUsageSentNanos;
-    private long mUseSentNanos;
     private long mStopNanos = Long.MIN_VALUE;
     private boolean mExited;
     private boolean mResidencyChanged;
@@ -134,6 +130,7 @@
             mResidencyChanged = false;
             mCalls.wake(nowNanos);
         }
+        mTargets.all().forEach(target -> sendNeeds(target, nowNanos));
         publishLinks(nowNanos);
     }
 
@@ -233,6 +230,8 @@
     private void onMessage(NodeId from, Message message, long nowNanos) {
         if (message instanceof GatewayMessage.Usage usage) {
             mQuota.onUsage(usage.tokensByCustomer(), nowNanos);
+        } else if (message instanceof GatewayMessage.OpenPlaces places) {
+            mTargets.ofLoader(from).forEach(target -> target.onOpenPlaces(places.count()));
         } else if (message instanceof MemberMessage.TargetReport report) {
             for (GatewayTarget target : mTargets.ofLoader(from)) {
                 mResidencyChanged |= target.onReport(report, nowNanos);
@@ -272,10 +271,6 @@
             mUsageSentNanos = nowNanos;
             sendUsage();
         }
-        if (nowNanos - mUseSentNanos >= USE_INTERVAL_NANOS) {
-            mUseSentNanos = nowNanos;
-            mTargets.all().forEach(this::sendUse);
-        }
         if (isStopping() && !mExited) {
             stopFurther(nowNanos);
         }
@@ -314,10 +309,12 @@
         return new Member(id, 0, Role.TARGET, MemberState.LIVE, record.locality(), address, "");
     }
 
-    private void sendUse(GatewayTarget target) {
-        Map<String, Integer> used = target.takeUses();
-        if (!used.isEmpty() && target.loaderUp()) {
-            mOut.send(target.loader(), new GatewayMessage.AdapterUse(used));
+    private void sendNeeds(GatewayTarget target, long nowNanos) {
+        if (target.loaderUp()) {
+            target.needs()
+                    .due(nowNanos)
+                    .map(GatewayMessage.AdapterNeeds::new)
+                    .ifPresent(needs -> mOut.send(target.loader(), needs));
         }
     }
 
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -22,17 +22,20 @@
     /** How long an adapter that the target said to lack is taken as absent despite reports. */
     private static final long ABSENT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+    /** Open places of a target whose loader has not told them: enough for one adapter. */
+    private static final int UNTOLD_PLACES = 1;
+
     final TargetHealth mHealth;
     private final PromptMemory mPrompts = new PromptMemory();
     private final Map<String, Long> mAbsentUntil = new HashMap<>();
     private final Set<String> mLoading = new HashSet<>();
     private final Map<String, Long> mAdapters = new HashMap<>();
     private final Set<String> mHeld = Collections.newSetFromMap(new RecentNames());
-    private final Map<String, Integer> mRunning = new HashMap<>();
-    private final Map<String, Integer> mUsed = new HashMap<>();
+    private final TargetNeeds mNeeds = new TargetNeeds();
     private TargetRecord mRecord;
     private NodeId mLoader;
     private boolean mLoaderUp;
+    private int mOpenPlaces = UNTOLD_PLACES;
     private boolean mReported;
     private long mReportSequence = -1;
     private int mOutstanding;
@@ -95,6 +98,15 @@
         return mLoading.size();
     }
 
+    TargetNeeds needs() {
+        return mNeeds;
+    }
+
+    /** Returns how many more adapters there are places for, below 0 if some wait for one. */
+    int openPlaces() {
+        return mOpenPlaces;
+    }
+
     PromptMemory prompts() {
         return mPrompts;
     }
@@ -133,7 +145,7 @@
     }
 
     void onEnded(String adapter, boolean started, long unstartedTokens) {
-        mRunning.computeIfPresent(adapter, (name, running) -> running == 1 ? null : running - 1);
+        mNeeds.ended(adapter);
         mOutstanding = Math.max(0, mOutstanding - 1);
         mEndedSinceTold++;
         if (!started) {
@@ -145,12 +157,14 @@
         mLoaderUp = false;
         mReported = false;
         mReportSequence = -1;
+        mOpenPlaces = UNTOLD_PLACES;
         mLoading.clear();
     }
 
     void onLoaderUp() {
         onLoaderDown();
         mLoaderUp = true;
+        mNeeds.tellAgain();
     }
 
     /** Takes in what the target told with an answer. */
@@ -171,6 +185,19 @@
         }
     }
 
+    /** Takes in how many more adapters the target has places for. */
+    void onOpenPlaces(int count) {
+        mOpenPlaces = count;
+    }
+
+    /** Notes that a request waits for an adapter of at least a version, 0 for any. */
+    void onWaiting(String adapter, long version) {
+        if (!mNeeds.isAwaited(adapter)) {
+            mOpenPlaces--;
+        }
+        mNeeds.waiting(adapter, version);
+    }
+
     /** Takes over a newer registration; a new start holds nothing of before. */
     void onRecord(TargetRecord record) {
         boolean same = mRecord.sameStart(record);
@@ -208,8 +235,7 @@
 
     void onSent(String adapter, long promptTokens) {
         if (!adapter.isEmpty()) {
-            mRunning.merge(adapter, 1, Integer::sum);
-            mUsed.merge(adapter, 1, Integer::sum);
+            mNeeds.sent(adapter);
         }
         mOutstanding++;
         mSentSinceTold++;
@@ -222,14 +248,6 @@
         mUnstartedTokens = Math.max(0, mUnstartedTokens - promptTokens);
     }
 
-    /** Returns the adapters used since the last call, or in use, with the requests since then. */
-    Map<String, Integer> takeUses() {
-        mRunning.keySet().forEach(adapter -> mUsed.putIfAbsent(adapter, 0));
-        Map<String, Integer> used = Map.copyOf(mUsed);
-        mUsed.clear();
-        return used;
-    }
-
     Map<String, Object> dump(long nowNanos) {
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("address", mRecord.address());
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -43,6 +43,9 @@
     /** Wait after a failed claim or order. */
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /** Time between two reports of open places, for each entry that is told. */
+    private static final long PLACES_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+
     /** Window over which replicas spread the reloads of a new version of a base model. */
     private static final long MODEL_SPREAD_MILLIS = 2_000;
 
@@ -57,6 +60,8 @@
     private TargetStatus mStatus;
     private String mInstance;
     private MemberMessage.TargetReport mReported;
+    private int mToldPlaces;
+    private long mToldPlacesNanos;
     private Set<String> mLastModels = Set.of();
     private long mReportSequence;
     private long mFencingToken;
@@ -100,19 +105,18 @@
     public void handle(GatewayEvent event, long nowNanos, Consumer<GatewayEffect> effects) {
         mOut.attach(effects);
         if (event instanceof GatewayEvent.PeerSaid said) {
-            if (said.message() instanceof MemberMessage.Prefetch prefetch) {
-                onDemand(prefetch.adapter(), nowNanos);
-            } else if (said.message() instanceof GatewayMessage.AdapterUse use) {
-                use.requestsByAdapter()
-                        .forEach((name, requests) -> mDemands.used(name, requests, nowNanos));
+            if (said.message() instanceof GatewayMessage.AdapterNeeds needs) {
+                mDemands.told(said.peer(), needs.needs(), nowNanos);
             }
         } else if (event instanceof GatewayEvent.PeerUp up) {
             mEntries.add(up.peer());
             if (mReported != null) {
                 mOut.send(up.peer(), mReported);
+                mOut.send(up.peer(), new GatewayMessage.OpenPlaces(mToldPlaces));
             }
         } else if (event instanceof GatewayEvent.PeerDown down) {
             mEntries.remove(down.peer());
+            mDemands.forget(down.peer(), nowNanos);
         } else if (event instanceof GatewayEvent.KeyValueReplied replied) {
             onKeyValue(replied.callId(), replied.reply(), nowNanos);
         } else if (event instanceof GatewayEvent.StatusRead read) {
@@ -125,6 +129,7 @@
             onTick(nowNanos);
         }
         orderNext(nowNanos);
+        tellPlaces(nowNanos);
         if (mStopping && !mOrderOpen) {
             mOut.effect(new GatewayEffect.Exit());
         }
@@ -168,12 +173,6 @@
         return Optional.of(models.get(Math.floorMod(mOptions.address().hashCode(), models.size())));
     }
 
-    private void onDemand(AdapterVersion adapter, long nowNanos) {
-        long wanted = mOperator.wantedVersion(adapter.adapter());
-        long version = Math.max(VersionNumbers.parse(adapter), wanted);
-        mDemands.ask(adapter.adapter(), version, nowNanos);
-    }
-
     private void onKeyValue(long callId, KeyValueReply reply, long nowNanos) {
         if (callId == mClaimCall && callId != 0) {
             mClaimCall = 0;
@@ -325,7 +324,7 @@
             if (!mStatus.models().containsKey(model)) {
                 continue;
             }
-            int capacity = Math.min(engine.adapterSlots(), engine.adaptersThatFit(model));
+            int capacity = engine.adapterPlaces(model);
             if (resident.size() + loading.size() < capacity || resident.containsKey(adapter)) {
                 order(TargetOrder.Operation.LOAD, model, adapter, nowNanos);
                 return;
@@ -383,4 +382,26 @@
         mReported = report.with(load);
         mEntries.forEach(entry -> mOut.send(entry, moved ? mReported : load));
     }
+
+    /** Tells all entries how many more adapters there are places for, if that has changed. */
+    private void tellPlaces(long nowNanos) {
+        long interval = Math.max(1, mEntries.size()) * PLACES_INTERVAL_NANOS;
+        Optional<EngineLimits> engine = engine();
+        if (mStatus == null
+                || engine.isEmpty()
+                || mStatus.models().isEmpty()
+                || nowNanos - mToldPlacesNanos < interval) {
+            return;
+        }
+        int capacity = 0;
+        for (String model : mStatus.models().keySet()) {
+            capacity = Math.max(capacity, engine.get().adapterPlaces(model));
+        }
+        int open = mDemands.openPlaces(mStatus.adapters(), mStatus.loading(), capacity, nowNanos);
+        if (open != mToldPlaces) {
+            mToldPlaces = open;
+            mToldPlacesNanos = nowNanos;
+            mEntries.forEach(entry -> mOut.send(entry, new GatewayMessage.OpenPlaces(open)));
+        }
+    }
 }
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -38,6 +38,7 @@
      * @param wantedVersion version of the adapter that it must run on, 0 for any
      * @param targets targets of its service
      * @param excluded identifiers of targets that it was sent to
+     * @param awaited identifier of the target where it waits for its adapter, empty if none
      * @param tokensOfOthers tokens that a request of another entry has to have read on average
      * @param nowNanos the present time
      * @return the cheapest one, null if no target can take it
@@ -47,6 +48,7 @@
             long wantedVersion,
             Collection<GatewayTarget> targets,
             Set<String> excluded,
+            String awaited,
             long tokensOfOthers,
             long nowNanos) {
         List<GatewayTarget> usable = new ArrayList<>();
@@ -67,6 +69,7 @@
                             wantedVersion,
                             usable.get(rank),
                             ranked ? rank : 0,
+                            awaited,
                             tokensOfOthers,
                             nowNanos);
             if (choice != null && (best == null || choice.costNanos() < best.costNanos())) {
@@ -103,6 +106,7 @@
             long wantedVersion,
             GatewayTarget target,
             int rank,
+            String awaited,
             long tokensOfOthers,
             long nowNanos) {
         long cost = distanceNanos(target.record().locality());
@@ -120,6 +124,9 @@
                 return null;
             }
             cost += loadNanos(target, request.adapter(), rank);
+            if (target.record().id().equals(awaited)) {
+                cost -= mOptions.stayNanos();
+            }
         }
         String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long unread =
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -2,10 +2,14 @@
 
 import ebonygw.gateway.GatewayMessage;
 import ebonygw.protocol.Message;
-import ebonygw.wire.PeerProtocol.AdapterRequests;
+import ebonygw.wire.PeerProtocol.AdapterNeed;
+import ebonygw.wire.PeerProtocol.AdapterNeeds;
 import ebonygw.wire.PeerProtocol.CustomerTokens;
 import ebonygw.wire.PeerProtocol.Envelope;
+import ebonygw.wire.PeerProtocol.GatewayUsage;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -15,46 +19,67 @@
 
     @Override
     public Optional<Message> decode(Envelope envelope) {
-        if (envelope.hasAdapterUse()) {
-            Map<String, Integer> requests = new HashMap<>();
-            for (AdapterRequests used : envelope.getAdapterUse().getUsedList()) {
-                requests.merge(used.getAdapter(), used.getRequests(), Integer::sum);
-            }
-            return Optional.of(new GatewayMessage.AdapterUse(requests));
-        }
-        if (!envelope.hasGatewayUsage()) {
-            return Optional.empty();
-        }
-        Map<String, Long> tokens = new HashMap<>();
-        for (CustomerTokens charged : envelope.getGatewayUsage().getChargedList()) {
-            tokens.merge(charged.getCustomer(), charged.getTokens(), Long::sum);
-        }
-        return Optional.of(new GatewayMessage.Usage(tokens));
+        return switch (envelope.getKindCase()) {
+            case ADAPTER_NEEDS -> Optional.of(needs(envelope.getAdapterNeeds()));
+            case GATEWAY_USAGE -> Optional.of(usage(envelope.getGatewayUsage()));
+            case OPEN_PLACES ->
+                    Optional.of(new GatewayMessage.OpenPlaces(envelope.getOpenPlaces().getCount()));
+            default -> Optional.empty();
+        };
     }
 
     @Override
     public Optional<Envelope> encode(Message message) {
         Envelope.Builder envelope = Envelope.newBuilder();
-        if (message instanceof GatewayMessage.AdapterUse use) {
-            use.requestsByAdapter()
-                    .forEach(
-                            (adapter, requests) ->
-                                    envelope.getAdapterUseBuilder()
-                                            .addUsedBuilder()
-                                            .setAdapter(adapter)
-                                            .setRequests(requests));
-            return Optional.of(envelope.build());
-        }
-        if (!(message instanceof GatewayMessage.Usage usage)) {
+        if (message instanceof GatewayMessage.AdapterNeeds needs) {
+            encode(needs, envelope.getAdapterNeedsBuilder());
+        } else if (message instanceof GatewayMessage.OpenPlaces places) {
+            envelope.getOpenPlacesBuilder().setCount(places.count());
+        } else if (message instanceof GatewayMessage.Usage usage) {
+            encode(usage, envelope.getGatewayUsageBuilder());
+        } else {
             return Optional.empty();
         }
+        return Optional.of(envelope.build());
+    }
+
+    private static void encode(GatewayMessage.AdapterNeeds needs, AdapterNeeds.Builder to) {
+        for (GatewayMessage.AdapterNeed need : needs.needs()) {
+            to.addNeedsBuilder()
+                    .setAdapter(need.adapter())
+                    .setVersion(need.version())
+                    .setWaiting(need.waiting())
+                    .setRunning(need.running())
+                    .setSent(need.sent());
+        }
+    }
+
+    private static void encode(GatewayMessage.Usage usage, GatewayUsage.Builder to) {
         usage.tokensByCustomer()
                 .forEach(
                         (customer, tokens) ->
-                                envelope.getGatewayUsageBuilder()
-                                        .addChargedBuilder()
-                                        .setCustomer(customer)
-                                        .setTokens(tokens));
-        return Optional.of(envelope.build());
+                                to.addChargedBuilder().setCustomer(customer).setTokens(tokens));
+    }
+
+    private static GatewayMessage.AdapterNeeds needs(AdapterNeeds from) {
+        List<GatewayMessage.AdapterNeed> needs = new ArrayList<>();
+        for (AdapterNeed need : from.getNeedsList()) {
+            needs.add(
+                    new GatewayMessage.AdapterNeed(
+                            need.getAdapter(),
+                            need.getVersion(),
+                            need.getWaiting(),
+                            need.getRunning(),
+                            need.getSent()));
+        }
+        return new GatewayMessage.AdapterNeeds(needs);
+    }
+
+    private static GatewayMessage.Usage usage(GatewayUsage from) {
+        Map<String, Long> tokens = new HashMap<>();
+        for (CustomerTokens charged : from.getChargedList()) {
+            tokens.merge(charged.getCustomer(), charged.getTokens(), Long::sum);
+        }
+        return new GatewayMessage.Usage(tokens);
     }
 }
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -301,19 +301,34 @@
     ebonygw.wire.PeerProtocol.GatewayUsageOrBuilder getGatewayUsageOrBuilder();
 
     /**
-     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
-     * @return Whether the adapterUse field is set.
+     * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
+     * @return Whether the adapterNeeds field is set.
      */
-    boolean hasAdapterUse();
+    boolean hasAdapterNeeds();
     /**
-     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
-     * @return The adapterUse.
+     * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
+     * @return The adapterNeeds.
      */
-    ebonygw.wire.PeerProtocol.AdapterUse getAdapterUse();
+    ebonygw.wire.PeerProtocol.AdapterNeeds getAdapterNeeds();
     /**
-     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
      */
-    ebonygw.wire.PeerProtocol.AdapterUseOrBuilder getAdapterUseOrBuilder();
+    ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder getAdapterNeedsOrBuilder();
+
+    /**
+     * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+     * @return Whether the openPlaces field is set.
+     */
+    boolean hasOpenPlaces();
+    /**
+     * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+     * @return The openPlaces.
+     */
+    ebonygw.wire.PeerProtocol.OpenPlaces getOpenPlaces();
+    /**
+     * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+     */
+    ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder getOpenPlacesOrBuilder();
 
     ebonygw.wire.PeerProtocol.Envelope.KindCase getKindCase();
   }
@@ -383,7 +398,8 @@
       SETTINGS(30),
       SHARES(31),
       GATEWAY_USAGE(40),
-      ADAPTER_USE(41),
+      ADAPTER_NEEDS(41),
+      OPEN_PLACES(42),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -419,7 +435,8 @@
           case 30: return SETTINGS;
           case 31: return SHARES;
           case 40: return GATEWAY_USAGE;
-          case 41: return ADAPTER_USE;
+          case 41: return ADAPTER_NEEDS;
+          case 42: return OPEN_PLACES;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -993,35 +1010,66 @@
       return ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance();
     }
 
-    public static final int ADAPTER_USE_FIELD_NUMBER = 41;
+    public static final int ADAPTER_NEEDS_FIELD_NUMBER = 41;
     /**
-     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
-     * @return Whether the adapterUse field is set.
+     * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
+     * @return Whether the adapterNeeds field is set.
      */
     @java.lang.Override
-    public boolean hasAdapterUse() {
+    public boolean hasAdapterNeeds() {
       return kindCase_ == 41;
     }
     /**
-     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
-     * @return The adapterUse.
+     * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
+     * @return The adapterNeeds.
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterUse getAdapterUse() {
+    public ebonygw.wire.PeerProtocol.AdapterNeeds getAdapterNeeds() {
       if (kindCase_ == 41) {
-         return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+         return (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_;
       }
-      return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+      return ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
     }
     /**
-     * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+     * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterUseOrBuilder getAdapterUseOrBuilder() {
+    public ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder getAdapterNeedsOrBuilder() {
       if (kindCase_ == 41) {
-         return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+         return (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
+    }
+
+    public static final int OPEN_PLACES_FIELD_NUMBER = 42;
+    /**
+     * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+     * @return Whether the openPlaces field is set.
+     */
+    @java.lang.Override
+    public boolean hasOpenPlaces() {
+      return kindCase_ == 42;
+    }
+    /**
+     * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+     * @return The openPlaces.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.OpenPlaces getOpenPlaces() {
+      if (kindCase_ == 42) {
+         return (ebonygw.wire.PeerProtocol.OpenPlaces) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder getOpenPlacesOrBuilder() {
+      if (kindCase_ == 42) {
+         return (ebonygw.wire.PeerProtocol.OpenPlaces) kind_;
       }
-      return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+      return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
     }
 
     private byte memoizedIsInitialized = -1;
@@ -1093,7 +1141,10 @@
         output.writeMessage(40, (ebonygw.wire.PeerProtocol.GatewayUsage) kind_);
       }
       if (kindCase_ == 41) {
-        output.writeMessage(41, (ebonygw.wire.PeerProtocol.AdapterUse) kind_);
+        output.writeMessage(41, (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_);
+      }
+      if (kindCase_ == 42) {
+        output.writeMessage(42, (ebonygw.wire.PeerProtocol.OpenPlaces) kind_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -1173,7 +1224,11 @@
       }
       if (kindCase_ == 41) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(41, (ebonygw.wire.PeerProtocol.AdapterUse) kind_);
+          .computeMessageSize(41, (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_);
+      }
+      if (kindCase_ == 42) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(42, (ebonygw.wire.PeerProtocol.OpenPlaces) kind_);
       }
       return size;
     }
@@ -1274,8 +1329,12 @@
               .equals(other.getGatewayUsage())) return false;
           break;
         case 41:
-          if (!getAdapterUse()
-              .equals(other.getAdapterUse())) return false;
+          if (!getAdapterNeeds()
+              .equals(other.getAdapterNeeds())) return false;
+          break;
+        case 42:
+          if (!getOpenPlaces()
+              .equals(other.getOpenPlaces())) return false;
           break;
         case 0:
         default:
@@ -1365,8 +1424,12 @@
           hash = (53 * hash) + getGatewayUsage().hashCode();
           break;
         case 41:
-          hash = (37 * hash) + ADAPTER_USE_FIELD_NUMBER;
-          hash = (53 * hash) + getAdapterUse().hashCode();
+          hash = (37 * hash) + ADAPTER_NEEDS_FIELD_NUMBER;
+          hash = (53 * hash) + getAdapterNeeds().hashCode();
+          break;
+        case 42:
+          hash = (37 * hash) + OPEN_PLACES_FIELD_NUMBER;
+          hash = (53 * hash) + getOpenPlaces().hashCode();
           break;
         case 0:
         default:
@@ -1556,8 +1619,11 @@
         if (gatewayUsageBuilder_ != null) {
           gatewayUsageBuilder_.clear();
         }
-        if (adapterUseBuilder_ != null) {
-          adapterUseBuilder_.clear();
+        if (adapterNeedsBuilder_ != null) {
+          adapterNeedsBuilder_.clear();
+        }
+        if (openPlacesBuilder_ != null) {
+          openPlacesBuilder_.clear();
         }
         kindCase_ = 0;
         kind_ = null;
@@ -1673,8 +1739,12 @@
           result.kind_ = gatewayUsageBuilder_.build();
         }
         if (kindCase_ == 41 &&
-            adapterUseBuilder_ != null) {
-          result.kind_ = adapterUseBuilder_.build();
+            adapterNeedsBuilder_ != null) {
+          result.kind_ = adapterNeedsBuilder_.build();
+        }
+        if (kindCase_ == 42 &&
+            openPlacesBuilder_ != null) {
+          result.kind_ = openPlacesBuilder_.build();
         }
       }
 
@@ -1763,8 +1833,12 @@
             mergeGatewayUsage(other.getGatewayUsage());
             break;
           }
-          case ADAPTER_USE: {
-            mergeAdapterUse(other.getAdapterUse());
+          case ADAPTER_NEEDS: {
+            mergeAdapterNeeds(other.getAdapterNeeds());
+            break;
+          }
+          case OPEN_PLACES: {
+            mergeOpenPlaces(other.getOpenPlaces());
             break;
           }
           case KIND_NOT_SET: {
@@ -1923,11 +1997,18 @@
               } // case 322
               case 330: {
                 input.readMessage(
-                    internalGetAdapterUseFieldBuilder().getBuilder(),
+                    internalGetAdapterNeedsFieldBuilder().getBuilder(),
                     extensionRegistry);
                 kindCase_ = 41;
                 break;
               } // case 330
+              case 338: {
+                input.readMessage(
+                    internalGetOpenPlacesFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 42;
+                break;
+              } // case 338
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4481,69 +4562,69 @@
       }
 
       private com.google.protobuf.SingleFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterUse, ebonygw.wire.PeerProtocol.AdapterUse.Builder, ebonygw.wire.PeerProtocol.AdapterUseOrBuilder> adapterUseBuilder_;
+          ebonygw.wire.PeerProtocol.AdapterNeeds, ebonygw.wire.PeerProtocol.AdapterNeeds.Builder, ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder> adapterNeedsBuilder_;
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
-       * @return Whether the adapterUse field is set.
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
+       * @return Whether the adapterNeeds field is set.
        */
       @java.lang.Override
-      public boolean hasAdapterUse() {
+      public boolean hasAdapterNeeds() {
         return kindCase_ == 41;
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
-       * @return The adapterUse.
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
+       * @return The adapterNeeds.
        */
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterUse getAdapterUse() {
-        if (adapterUseBuilder_ == null) {
+      public ebonygw.wire.PeerProtocol.AdapterNeeds getAdapterNeeds() {
+        if (adapterNeedsBuilder_ == null) {
           if (kindCase_ == 41) {
-            return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+            return (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_;
           }
-          return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+          return ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
         } else {
           if (kindCase_ == 41) {
-            return adapterUseBuilder_.getMessage();
+            return adapterNeedsBuilder_.getMessage();
           }
-          return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+          return ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
         }
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
-      public Builder setAdapterUse(ebonygw.wire.PeerProtocol.AdapterUse value) {
-        if (adapterUseBuilder_ == null) {
+      public Builder setAdapterNeeds(ebonygw.wire.PeerProtocol.AdapterNeeds value) {
+        if (adapterNeedsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
           kind_ = value;
           onChanged();
         } else {
-          adapterUseBuilder_.setMessage(value);
+          adapterNeedsBuilder_.setMessage(value);
         }
         kindCase_ = 41;
         return this;
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
-      public Builder setAdapterUse(
-          ebonygw.wire.PeerProtocol.AdapterUse.Builder builderForValue) {
-        if (adapterUseBuilder_ == null) {
+      public Builder setAdapterNeeds(
+          ebonygw.wire.PeerProtocol.AdapterNeeds.Builder builderForValue) {
+        if (adapterNeedsBuilder_ == null) {
           kind_ = builderForValue.build();
           onChanged();
         } else {
-          adapterUseBuilder_.setMessage(builderForValue.build());
+          adapterNeedsBuilder_.setMessage(builderForValue.build());
         }
         kindCase_ = 41;
         return this;
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
-      public Builder mergeAdapterUse(ebonygw.wire.PeerProtocol.AdapterUse value) {
-        if (adapterUseBuilder_ == null) {
+      public Builder mergeAdapterNeeds(ebonygw.wire.PeerProtocol.AdapterNeeds value) {
+        if (adapterNeedsBuilder_ == null) {
           if (kindCase_ == 41 &&
-              kind_ != ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance()) {
-            kind_ = ebonygw.wire.PeerProtocol.AdapterUse.newBuilder((ebonygw.wire.PeerProtocol.AdapterUse) kind_)
+              kind_ != ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.AdapterNeeds.newBuilder((ebonygw.wire.PeerProtocol.AdapterNeeds) kind_)
                 .mergeFrom(value).buildPartial();
           } else {
             kind_ = value;
@@ -4551,19 +4632,19 @@
           onChanged();
         } else {
           if (kindCase_ == 41) {
-            adapterUseBuilder_.mergeFrom(value);
+            adapterNeedsBuilder_.mergeFrom(value);
           } else {
-            adapterUseBuilder_.setMessage(value);
+            adapterNeedsBuilder_.setMessage(value);
           }
         }
         kindCase_ = 41;
         return this;
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
-      public Builder clearAdapterUse() {
-        if (adapterUseBuilder_ == null) {
+      public Builder clearAdapterNeeds() {
+        if (adapterNeedsBuilder_ == null) {
           if (kindCase_ == 41) {
             kindCase_ = 0;
             kind_ = null;
@@ -4574,50 +4655,190 @@
             kindCase_ = 0;
             kind_ = null;
           }
-          adapterUseBuilder_.clear();
+          adapterNeedsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterUse.Builder getAdapterUseBuilder() {
-        return internalGetAdapterUseFieldBuilder().getBuilder();
+      public ebonygw.wire.PeerProtocol.AdapterNeeds.Builder getAdapterNeedsBuilder() {
+        return internalGetAdapterNeedsFieldBuilder().getBuilder();
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterUseOrBuilder getAdapterUseOrBuilder() {
-        if ((kindCase_ == 41) && (adapterUseBuilder_ != null)) {
-          return adapterUseBuilder_.getMessageOrBuilder();
+      public ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder getAdapterNeedsOrBuilder() {
+        if ((kindCase_ == 41) && (adapterNeedsBuilder_ != null)) {
+          return adapterNeedsBuilder_.getMessageOrBuilder();
         } else {
           if (kindCase_ == 41) {
-            return (ebonygw.wire.PeerProtocol.AdapterUse) kind_;
+            return (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_;
           }
-          return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+          return ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
         }
       }
       /**
-       * <code>.ebonygw.AdapterUse adapter_use = 41;</code>
+       * <code>.ebonygw.AdapterNeeds adapter_needs = 41;</code>
        */
       private com.google.protobuf.SingleFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterUse, ebonygw.wire.PeerProtocol.AdapterUse.Builder, ebonygw.wire.PeerProtocol.AdapterUseOrBuilder> 
-          internalGetAdapterUseFieldBuilder() {
-        if (adapterUseBuilder_ == null) {
+          ebonygw.wire.PeerProtocol.AdapterNeeds, ebonygw.wire.PeerProtocol.AdapterNeeds.Builder, ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder> 
+          internalGetAdapterNeedsFieldBuilder() {
+        if (adapterNeedsBuilder_ == null) {
           if (!(kindCase_ == 41)) {
-            kind_ = ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+            kind_ = ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
           }
-          adapterUseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              ebonygw.wire.PeerProtocol.AdapterUse, ebonygw.wire.PeerProtocol.AdapterUse.Builder, ebonygw.wire.PeerProtocol.AdapterUseOrBuilder>(
-                  (ebonygw.wire.PeerProtocol.AdapterUse) kind_,
+          adapterNeedsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterNeeds, ebonygw.wire.PeerProtocol.AdapterNeeds.Builder, ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.AdapterNeeds) kind_,
                   getParentForChildren(),
                   isClean());
           kind_ = null;
         }
         kindCase_ = 41;
         onChanged();
-        return adapterUseBuilder_;
+        return adapterNeedsBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.OpenPlaces, ebonygw.wire.PeerProtocol.OpenPlaces.Builder, ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder> openPlacesBuilder_;
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       * @return Whether the openPlaces field is set.
+       */
+      @java.lang.Override
+      public boolean hasOpenPlaces() {
+        return kindCase_ == 42;
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       * @return The openPlaces.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces getOpenPlaces() {
+        if (openPlacesBuilder_ == null) {
+          if (kindCase_ == 42) {
+            return (ebonygw.wire.PeerProtocol.OpenPlaces) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+        } else {
+          if (kindCase_ == 42) {
+            return openPlacesBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      public Builder setOpenPlaces(ebonygw.wire.PeerProtocol.OpenPlaces value) {
+        if (openPlacesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          openPlacesBuilder_.setMessage(value);
+        }
+        kindCase_ = 42;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      public Builder setOpenPlaces(
+          ebonygw.wire.PeerProtocol.OpenPlaces.Builder builderForValue) {
+        if (openPlacesBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          openPlacesBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 42;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      public Builder mergeOpenPlaces(ebonygw.wire.PeerProtocol.OpenPlaces value) {
+        if (openPlacesBuilder_ == null) {
+          if (kindCase_ == 42 &&
+              kind_ != ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.OpenPlaces.newBuilder((ebonygw.wire.PeerProtocol.OpenPlaces) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 42) {
+            openPlacesBuilder_.mergeFrom(value);
+          } else {
+            openPlacesBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 42;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      public Builder clearOpenPlaces() {
+        if (openPlacesBuilder_ == null) {
+          if (kindCase_ == 42) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 42) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          openPlacesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      public ebonygw.wire.PeerProtocol.OpenPlaces.Builder getOpenPlacesBuilder() {
+        return internalGetOpenPlacesFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder getOpenPlacesOrBuilder() {
+        if ((kindCase_ == 42) && (openPlacesBuilder_ != null)) {
+          return openPlacesBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 42) {
+            return (ebonygw.wire.PeerProtocol.OpenPlaces) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.OpenPlaces open_places = 42;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.OpenPlaces, ebonygw.wire.PeerProtocol.OpenPlaces.Builder, ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder> 
+          internalGetOpenPlacesFieldBuilder() {
+        if (openPlacesBuilder_ == null) {
+          if (!(kindCase_ == 42)) {
+            kind_ = ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+          }
+          openPlacesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.OpenPlaces, ebonygw.wire.PeerProtocol.OpenPlaces.Builder, ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.OpenPlaces) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 42;
+        onChanged();
+        return openPlacesBuilder_;
       }
 
       // @@protoc_insertion_point(builder_scope:ebonygw.Envelope)
@@ -23041,45 +23262,45 @@
 
   }
 
-  public interface AdapterUseOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterUse)
+  public interface AdapterNeedsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterNeeds)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
-    java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> 
-        getUsedList();
+    java.util.List<ebonygw.wire.PeerProtocol.AdapterNeed> 
+        getNeedsList();
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
-    ebonygw.wire.PeerProtocol.AdapterRequests getUsed(int index);
+    ebonygw.wire.PeerProtocol.AdapterNeed getNeeds(int index);
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
-    int getUsedCount();
+    int getNeedsCount();
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
-    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
-        getUsedOrBuilderList();
+    java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder> 
+        getNeedsOrBuilderList();
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
-    ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder getUsedOrBuilder(
+    ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder getNeedsOrBuilder(
         int index);
   }
   /**
    * <pre>
-   * Requests that an entry has sent to a loader's replica since its last message of this kind.
+   * All that an entry needs of a loader's replica, in place of its last message of this kind.
    * </pre>
    *
-   * Protobuf type {@code ebonygw.AdapterUse}
+   * Protobuf type {@code ebonygw.AdapterNeeds}
    */
-  public static final class AdapterUse extends
+  public static final class AdapterNeeds extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.AdapterUse)
-      AdapterUseOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.AdapterNeeds)
+      AdapterNeedsOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -23088,73 +23309,73 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "AdapterUse");
+        "AdapterNeeds");
     }
-    // Use AdapterUse.newBuilder() to construct.
-    private AdapterUse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use AdapterNeeds.newBuilder() to construct.
+    private AdapterNeeds(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private AdapterUse() {
-      used_ = java.util.Collections.emptyList();
+    private AdapterNeeds() {
+      needs_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeeds_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeeds_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeeds_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.AdapterUse.class, ebonygw.wire.PeerProtocol.AdapterUse.Builder.class);
+              ebonygw.wire.PeerProtocol.AdapterNeeds.class, ebonygw.wire.PeerProtocol.AdapterNeeds.Builder.class);
     }
 
-    public static final int USED_FIELD_NUMBER = 1;
+    public static final int NEEDS_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> used_;
+    private java.util.List<ebonygw.wire.PeerProtocol.AdapterNeed> needs_;
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
     @java.lang.Override
-    public java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> getUsedList() {
-      return used_;
+    public java.util.List<ebonygw.wire.PeerProtocol.AdapterNeed> getNeedsList() {
+      return needs_;
     }
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
     @java.lang.Override
-    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
-        getUsedOrBuilderList() {
-      return used_;
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder> 
+        getNeedsOrBuilderList() {
+      return needs_;
     }
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
     @java.lang.Override
-    public int getUsedCount() {
-      return used_.size();
+    public int getNeedsCount() {
+      return needs_.size();
     }
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterRequests getUsed(int index) {
-      return used_.get(index);
+    public ebonygw.wire.PeerProtocol.AdapterNeed getNeeds(int index) {
+      return needs_.get(index);
     }
     /**
-     * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+     * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder getUsedOrBuilder(
+    public ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder getNeedsOrBuilder(
         int index) {
-      return used_.get(index);
+      return needs_.get(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -23171,8 +23392,8 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      for (int i = 0; i < used_.size(); i++) {
-        output.writeMessage(1, used_.get(i));
+      for (int i = 0; i < needs_.size(); i++) {
+        output.writeMessage(1, needs_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -23180,10 +23401,10 @@
       int size = 0;
 
           {
-            final int count = used_.size();
+            final int count = needs_.size();
             for (int i = 0; i < count; i++) {
               size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(used_.get(i));
+                .computeMessageSizeNoTag(needs_.get(i));
             }
             size += 1 * count;
           }
@@ -23206,13 +23427,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterUse)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterNeeds)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.AdapterUse other = (ebonygw.wire.PeerProtocol.AdapterUse) obj;
+      ebonygw.wire.PeerProtocol.AdapterNeeds other = (ebonygw.wire.PeerProtocol.AdapterNeeds) obj;
 
-      if (!getUsedList()
-          .equals(other.getUsedList())) return false;
+      if (!getNeedsList()
+          .equals(other.getNeedsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -23224,53 +23445,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      if (getUsedCount() > 0) {
-        hash = (37 * hash) + USED_FIELD_NUMBER;
-        hash = (53 * hash) + getUsedList().hashCode();
+      if (getNeedsCount() > 0) {
+        hash = (37 * hash) + NEEDS_FIELD_NUMBER;
+        hash = (53 * hash) + getNeedsList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -23278,26 +23499,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterUse parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -23310,7 +23531,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterUse prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterNeeds prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -23327,29 +23548,29 @@
     }
     /**
      * <pre>
-     * Requests that an entry has sent to a loader's replica since its last message of this kind.
+     * All that an entry needs of a loader's replica, in place of its last message of this kind.
      * </pre>
      *
-     * Protobuf type {@code ebonygw.AdapterUse}
+     * Protobuf type {@code ebonygw.AdapterNeeds}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterUse)
-        ebonygw.wire.PeerProtocol.AdapterUseOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterNeeds)
+        ebonygw.wire.PeerProtocol.AdapterNeedsOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeeds_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeeds_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.AdapterUse.class, ebonygw.wire.PeerProtocol.AdapterUse.Builder.class);
+                ebonygw.wire.PeerProtocol.AdapterNeeds.class, ebonygw.wire.PeerProtocol.AdapterNeeds.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.AdapterUse.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.AdapterNeeds.newBuilder()
       private Builder() {
 
       }
@@ -23363,11 +23584,11 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        if (usedBuilder_ == null) {
-          used_ = java.util.Collections.emptyList();
+        if (needsBuilder_ == null) {
+          needs_ = java.util.Collections.emptyList();
         } else {
-          used_ = null;
-          usedBuilder_.clear();
+          needs_ = null;
+          needsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000001);
         return this;
@@ -23376,17 +23597,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterUse_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeeds_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterUse getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.AdapterNeeds getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterUse build() {
-        ebonygw.wire.PeerProtocol.AdapterUse result = buildPartial();
+      public ebonygw.wire.PeerProtocol.AdapterNeeds build() {
+        ebonygw.wire.PeerProtocol.AdapterNeeds result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -23394,65 +23615,65 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterUse buildPartial() {
-        ebonygw.wire.PeerProtocol.AdapterUse result = new ebonygw.wire.PeerProtocol.AdapterUse(this);
+      public ebonygw.wire.PeerProtocol.AdapterNeeds buildPartial() {
+        ebonygw.wire.PeerProtocol.AdapterNeeds result = new ebonygw.wire.PeerProtocol.AdapterNeeds(this);
         buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.AdapterUse result) {
-        if (usedBuilder_ == null) {
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.AdapterNeeds result) {
+        if (needsBuilder_ == null) {
           if (((bitField0_ & 0x00000001) != 0)) {
-            used_ = java.util.Collections.unmodifiableList(used_);
+            needs_ = java.util.Collections.unmodifiableList(needs_);
             bitField0_ = (bitField0_ & ~0x00000001);
           }
-          result.used_ = used_;
+          result.needs_ = needs_;
         } else {
-          result.used_ = usedBuilder_.build();
+          result.needs_ = needsBuilder_.build();
         }
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterUse result) {
+      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterNeeds result) {
         int from_bitField0_ = bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.AdapterUse) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterUse)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.AdapterNeeds) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterNeeds)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterUse other) {
-        if (other == ebonygw.wire.PeerProtocol.AdapterUse.getDefaultInstance()) return this;
-        if (usedBuilder_ == null) {
-          if (!other.used_.isEmpty()) {
-            if (used_.isEmpty()) {
-              used_ = other.used_;
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterNeeds other) {
+        if (other == ebonygw.wire.PeerProtocol.AdapterNeeds.getDefaultInstance()) return this;
+        if (needsBuilder_ == null) {
+          if (!other.needs_.isEmpty()) {
+            if (needs_.isEmpty()) {
+              needs_ = other.needs_;
               bitField0_ = (bitField0_ & ~0x00000001);
             } else {
-              ensureUsedIsMutable();
-              used_.addAll(other.used_);
+              ensureNeedsIsMutable();
+              needs_.addAll(other.needs_);
             }
             onChanged();
           }
         } else {
-          if (!other.used_.isEmpty()) {
-            if (usedBuilder_.isEmpty()) {
-              usedBuilder_.dispose();
-              usedBuilder_ = null;
-              used_ = other.used_;
+          if (!other.needs_.isEmpty()) {
+            if (needsBuilder_.isEmpty()) {
+              needsBuilder_.dispose();
+              needsBuilder_ = null;
+              needs_ = other.needs_;
               bitField0_ = (bitField0_ & ~0x00000001);
-              usedBuilder_ = 
+              needsBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetUsedFieldBuilder() : null;
+                   internalGetNeedsFieldBuilder() : null;
             } else {
-              usedBuilder_.addAllMessages(other.used_);
+              needsBuilder_.addAllMessages(other.needs_);
             }
           }
         }
@@ -23481,15 +23702,15 @@
                 done = true;
                 break;
               case 10: {
-                ebonygw.wire.PeerProtocol.AdapterRequests m =
+                ebonygw.wire.PeerProtocol.AdapterNeed m =
                     input.readMessage(
-                        ebonygw.wire.PeerProtocol.AdapterRequests.parser(),
+                        ebonygw.wire.PeerProtocol.AdapterNeed.parser(),
                         extensionRegistry);
-                if (usedBuilder_ == null) {
-                  ensureUsedIsMutable();
-                  used_.add(m);
+                if (needsBuilder_ == null) {
+                  ensureNeedsIsMutable();
+                  needs_.add(m);
                 } else {
-                  usedBuilder_.addMessage(m);
+                  needsBuilder_.addMessage(m);
                 }
                 break;
               } // case 10
@@ -23510,257 +23731,257 @@
       }
       private int bitField0_;
 
-      private java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> used_ =
+      private java.util.List<ebonygw.wire.PeerProtocol.AdapterNeed> needs_ =
         java.util.Collections.emptyList();
-      private void ensureUsedIsMutable() {
+      private void ensureNeedsIsMutable() {
         if (!((bitField0_ & 0x00000001) != 0)) {
-          used_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterRequests>(used_);
+          needs_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.AdapterNeed>(needs_);
           bitField0_ |= 0x00000001;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterRequests, ebonygw.wire.PeerProtocol.AdapterRequests.Builder, ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> usedBuilder_;
+          ebonygw.wire.PeerProtocol.AdapterNeed, ebonygw.wire.PeerProtocol.AdapterNeed.Builder, ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder> needsBuilder_;
 
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests> getUsedList() {
-        if (usedBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(used_);
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterNeed> getNeedsList() {
+        if (needsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(needs_);
         } else {
-          return usedBuilder_.getMessageList();
+          return needsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public int getUsedCount() {
-        if (usedBuilder_ == null) {
-          return used_.size();
+      public int getNeedsCount() {
+        if (needsBuilder_ == null) {
+          return needs_.size();
         } else {
-          return usedBuilder_.getCount();
+          return needsBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterRequests getUsed(int index) {
-        if (usedBuilder_ == null) {
-          return used_.get(index);
+      public ebonygw.wire.PeerProtocol.AdapterNeed getNeeds(int index) {
+        if (needsBuilder_ == null) {
+          return needs_.get(index);
         } else {
-          return usedBuilder_.getMessage(index);
+          return needsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder setUsed(
-          int index, ebonygw.wire.PeerProtocol.AdapterRequests value) {
-        if (usedBuilder_ == null) {
+      public Builder setNeeds(
+          int index, ebonygw.wire.PeerProtocol.AdapterNeed value) {
+        if (needsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureUsedIsMutable();
-          used_.set(index, value);
+          ensureNeedsIsMutable();
+          needs_.set(index, value);
           onChanged();
         } else {
-          usedBuilder_.setMessage(index, value);
+          needsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder setUsed(
-          int index, ebonygw.wire.PeerProtocol.AdapterRequests.Builder builderForValue) {
-        if (usedBuilder_ == null) {
-          ensureUsedIsMutable();
-          used_.set(index, builderForValue.build());
+      public Builder setNeeds(
+          int index, ebonygw.wire.PeerProtocol.AdapterNeed.Builder builderForValue) {
+        if (needsBuilder_ == null) {
+          ensureNeedsIsMutable();
+          needs_.set(index, builderForValue.build());
           onChanged();
         } else {
-          usedBuilder_.setMessage(index, builderForValue.build());
+          needsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder addUsed(ebonygw.wire.PeerProtocol.AdapterRequests value) {
-        if (usedBuilder_ == null) {
+      public Builder addNeeds(ebonygw.wire.PeerProtocol.AdapterNeed value) {
+        if (needsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureUsedIsMutable();
-          used_.add(value);
+          ensureNeedsIsMutable();
+          needs_.add(value);
           onChanged();
         } else {
-          usedBuilder_.addMessage(value);
+          needsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder addUsed(
-          int index, ebonygw.wire.PeerProtocol.AdapterRequests value) {
-        if (usedBuilder_ == null) {
+      public Builder addNeeds(
+          int index, ebonygw.wire.PeerProtocol.AdapterNeed value) {
+        if (needsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureUsedIsMutable();
-          used_.add(index, value);
+          ensureNeedsIsMutable();
+          needs_.add(index, value);
           onChanged();
         } else {
-          usedBuilder_.addMessage(index, value);
+          needsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder addUsed(
-          ebonygw.wire.PeerProtocol.AdapterRequests.Builder builderForValue) {
-        if (usedBuilder_ == null) {
-          ensureUsedIsMutable();
-          used_.add(builderForValue.build());
+      public Builder addNeeds(
+          ebonygw.wire.PeerProtocol.AdapterNeed.Builder builderForValue) {
+        if (needsBuilder_ == null) {
+          ensureNeedsIsMutable();
+          needs_.add(builderForValue.build());
           onChanged();
         } else {
-          usedBuilder_.addMessage(builderForValue.build());
+          needsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder addUsed(
-          int index, ebonygw.wire.PeerProtocol.AdapterRequests.Builder builderForValue) {
-        if (usedBuilder_ == null) {
-          ensureUsedIsMutable();
-          used_.add(index, builderForValue.build());
+      public Builder addNeeds(
+          int index, ebonygw.wire.PeerProtocol.AdapterNeed.Builder builderForValue) {
+        if (needsBuilder_ == null) {
+          ensureNeedsIsMutable();
+          needs_.add(index, builderForValue.build());
           onChanged();
         } else {
-          usedBuilder_.addMessage(index, builderForValue.build());
+          needsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder addAllUsed(
-          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterRequests> values) {
-        if (usedBuilder_ == null) {
-          ensureUsedIsMutable();
+      public Builder addAllNeeds(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.AdapterNeed> values) {
+        if (needsBuilder_ == null) {
+          ensureNeedsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, used_);
+              values, needs_);
           onChanged();
         } else {
-          usedBuilder_.addAllMessages(values);
+          needsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder clearUsed() {
-        if (usedBuilder_ == null) {
-          used_ = java.util.Collections.emptyList();
+      public Builder clearNeeds() {
+        if (needsBuilder_ == null) {
+          needs_ = java.util.Collections.emptyList();
           bitField0_ = (bitField0_ & ~0x00000001);
           onChanged();
         } else {
-          usedBuilder_.clear();
+          needsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public Builder removeUsed(int index) {
-        if (usedBuilder_ == null) {
-          ensureUsedIsMutable();
-          used_.remove(index);
+      public Builder removeNeeds(int index) {
+        if (needsBuilder_ == null) {
+          ensureNeedsIsMutable();
+          needs_.remove(index);
           onChanged();
         } else {
-          usedBuilder_.remove(index);
+          needsBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterRequests.Builder getUsedBuilder(
+      public ebonygw.wire.PeerProtocol.AdapterNeed.Builder getNeedsBuilder(
           int index) {
-        return internalGetUsedFieldBuilder().getBuilder(index);
+        return internalGetNeedsFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder getUsedOrBuilder(
+      public ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder getNeedsOrBuilder(
           int index) {
-        if (usedBuilder_ == null) {
-          return used_.get(index);  } else {
-          return usedBuilder_.getMessageOrBuilder(index);
+        if (needsBuilder_ == null) {
+          return needs_.get(index);  } else {
+          return needsBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
-           getUsedOrBuilderList() {
-        if (usedBuilder_ != null) {
-          return usedBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder> 
+           getNeedsOrBuilderList() {
+        if (needsBuilder_ != null) {
+          return needsBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(used_);
+          return java.util.Collections.unmodifiableList(needs_);
         }
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterRequests.Builder addUsedBuilder() {
-        return internalGetUsedFieldBuilder().addBuilder(
-            ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance());
+      public ebonygw.wire.PeerProtocol.AdapterNeed.Builder addNeedsBuilder() {
+        return internalGetNeedsFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.AdapterNeed.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public ebonygw.wire.PeerProtocol.AdapterRequests.Builder addUsedBuilder(
+      public ebonygw.wire.PeerProtocol.AdapterNeed.Builder addNeedsBuilder(
           int index) {
-        return internalGetUsedFieldBuilder().addBuilder(
-            index, ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance());
+        return internalGetNeedsFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.AdapterNeed.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.AdapterRequests used = 1;</code>
+       * <code>repeated .ebonygw.AdapterNeed needs = 1;</code>
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.AdapterRequests.Builder> 
-           getUsedBuilderList() {
-        return internalGetUsedFieldBuilder().getBuilderList();
+      public java.util.List<ebonygw.wire.PeerProtocol.AdapterNeed.Builder> 
+           getNeedsBuilderList() {
+        return internalGetNeedsFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.AdapterRequests, ebonygw.wire.PeerProtocol.AdapterRequests.Builder, ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder> 
-          internalGetUsedFieldBuilder() {
-        if (usedBuilder_ == null) {
-          usedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              ebonygw.wire.PeerProtocol.AdapterRequests, ebonygw.wire.PeerProtocol.AdapterRequests.Builder, ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder>(
-                  used_,
+          ebonygw.wire.PeerProtocol.AdapterNeed, ebonygw.wire.PeerProtocol.AdapterNeed.Builder, ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder> 
+          internalGetNeedsFieldBuilder() {
+        if (needsBuilder_ == null) {
+          needsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.AdapterNeed, ebonygw.wire.PeerProtocol.AdapterNeed.Builder, ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder>(
+                  needs_,
                   ((bitField0_ & 0x00000001) != 0),
                   getParentForChildren(),
                   isClean());
-          used_ = null;
+          needs_ = null;
         }
-        return usedBuilder_;
+        return needsBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterUse)
+      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterNeeds)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.AdapterUse)
-    private static final ebonygw.wire.PeerProtocol.AdapterUse DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.AdapterNeeds)
+    private static final ebonygw.wire.PeerProtocol.AdapterNeeds DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterUse();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterNeeds();
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterUse getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.AdapterNeeds getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<AdapterUse>
-        PARSER = new com.google.protobuf.AbstractParser<AdapterUse>() {
+    private static final com.google.protobuf.Parser<AdapterNeeds>
+        PARSER = new com.google.protobuf.AbstractParser<AdapterNeeds>() {
       @java.lang.Override
-      public AdapterUse parsePartialFrom(
+      public AdapterNeeds parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -23779,24 +24000,24 @@
       }
     };
 
-    public static com.google.protobuf.Parser<AdapterUse> parser() {
+    public static com.google.protobuf.Parser<AdapterNeeds> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<AdapterUse> getParserForType() {
+    public com.google.protobuf.Parser<AdapterNeeds> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterUse getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.AdapterNeeds getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface AdapterRequestsOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterRequests)
+  public interface AdapterNeedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.AdapterNeed)
       com.google.protobuf.MessageOrBuilder {
 
     /**
@@ -23813,21 +24034,43 @@
 
     /**
      * <pre>
-     * 0 if requests sent earlier still run.
+     * Least version that the waiting requests may run on, 0 for any.
+     * </pre>
+     *
+     * <code>uint64 version = 2;</code>
+     * @return The version.
+     */
+    long getVersion();
+
+    /**
+     * <code>uint32 waiting = 3;</code>
+     * @return The waiting.
+     */
+    int getWaiting();
+
+    /**
+     * <code>uint32 running = 4;</code>
+     * @return The running.
+     */
+    int getRunning();
+
+    /**
+     * <pre>
+     * Requests sent since the last message.
      * </pre>
      *
-     * <code>uint32 requests = 2;</code>
-     * @return The requests.
+     * <code>uint32 sent = 5;</code>
+     * @return The sent.
      */
-    int getRequests();
+    int getSent();
   }
   /**
-   * Protobuf type {@code ebonygw.AdapterRequests}
+   * Protobuf type {@code ebonygw.AdapterNeed}
    */
-  public static final class AdapterRequests extends
+  public static final class AdapterNeed extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.AdapterRequests)
-      AdapterRequestsOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.AdapterNeed)
+      AdapterNeedOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -23836,32 +24079,32 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "AdapterRequests");
+        "AdapterNeed");
     }
-    // Use AdapterRequests.newBuilder() to construct.
-    private AdapterRequests(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use AdapterNeed.newBuilder() to construct.
+    private AdapterNeed(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private AdapterRequests() {
+    private AdapterNeed() {
       adapter_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeed_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeed_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeed_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.AdapterRequests.class, ebonygw.wire.PeerProtocol.AdapterRequests.Builder.class);
+              ebonygw.wire.PeerProtocol.AdapterNeed.class, ebonygw.wire.PeerProtocol.AdapterNeed.Builder.class);
     }
 
     public static final int ADAPTER_FIELD_NUMBER = 1;
@@ -23903,19 +24146,56 @@
       }
     }
 
-    public static final int REQUESTS_FIELD_NUMBER = 2;
-    private int requests_ = 0;
+    public static final int VERSION_FIELD_NUMBER = 2;
+    private long version_ = 0L;
+    /**
+     * <pre>
+     * Least version that the waiting requests may run on, 0 for any.
+     * </pre>
+     *
+     * <code>uint64 version = 2;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    public static final int WAITING_FIELD_NUMBER = 3;
+    private int waiting_ = 0;
+    /**
+     * <code>uint32 waiting = 3;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+
+    public static final int RUNNING_FIELD_NUMBER = 4;
+    private int running_ = 0;
+    /**
+     * <code>uint32 running = 4;</code>
+     * @return The running.
+     */
+    @java.lang.Override
+    public int getRunning() {
+      return running_;
+    }
+
+    public static final int SENT_FIELD_NUMBER = 5;
+    private int sent_ = 0;
     /**
      * <pre>
-     * 0 if requests sent earlier still run.
+     * Requests sent since the last message.
      * </pre>
      *
-     * <code>uint32 requests = 2;</code>
-     * @return The requests.
+     * <code>uint32 sent = 5;</code>
+     * @return The sent.
      */
     @java.lang.Override
-    public int getRequests() {
-      return requests_;
+    public int getSent() {
+      return sent_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -23935,8 +24215,17 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, adapter_);
       }
-      if (requests_ != 0) {
-        output.writeUInt32(2, requests_);
+      if (version_ != 0L) {
+        output.writeUInt64(2, version_);
+      }
+      if (waiting_ != 0) {
+        output.writeUInt32(3, waiting_);
+      }
+      if (running_ != 0) {
+        output.writeUInt32(4, running_);
+      }
+      if (sent_ != 0) {
+        output.writeUInt32(5, sent_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -23945,9 +24234,21 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, adapter_);
       }
-      if (requests_ != 0) {
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, version_);
+      }
+      if (waiting_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, waiting_);
+      }
+      if (running_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, running_);
+      }
+      if (sent_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(2, requests_);
+          .computeUInt32Size(5, sent_);
       }
       return size;
     }
@@ -23968,15 +24269,21 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterRequests)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.AdapterNeed)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.AdapterRequests other = (ebonygw.wire.PeerProtocol.AdapterRequests) obj;
+      ebonygw.wire.PeerProtocol.AdapterNeed other = (ebonygw.wire.PeerProtocol.AdapterNeed) obj;
 
       if (!getAdapter()
           .equals(other.getAdapter())) return false;
-      if (getRequests()
-          != other.getRequests()) return false;
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (getWaiting()
+          != other.getWaiting()) return false;
+      if (getRunning()
+          != other.getRunning()) return false;
+      if (getSent()
+          != other.getSent()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -23990,51 +24297,58 @@
       hash = (19 * hash) + getDescriptor().hashCode();
       hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
       hash = (53 * hash) + getAdapter().hashCode();
-      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
-      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      hash = (37 * hash) + WAITING_FIELD_NUMBER;
+      hash = (53 * hash) + getWaiting();
+      hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+      hash = (53 * hash) + getRunning();
+      hash = (37 * hash) + SENT_FIELD_NUMBER;
+      hash = (53 * hash) + getSent();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -24042,26 +24356,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.AdapterRequests parseFrom(
+    public static ebonygw.wire.PeerProtocol.AdapterNeed parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -24074,7 +24388,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterRequests prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.AdapterNeed prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -24090,26 +24404,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.AdapterRequests}
+     * Protobuf type {@code ebonygw.AdapterNeed}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterRequests)
-        ebonygw.wire.PeerProtocol.AdapterRequestsOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.AdapterNeed)
+        ebonygw.wire.PeerProtocol.AdapterNeedOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeed_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeed_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.AdapterRequests.class, ebonygw.wire.PeerProtocol.AdapterRequests.Builder.class);
+                ebonygw.wire.PeerProtocol.AdapterNeed.class, ebonygw.wire.PeerProtocol.AdapterNeed.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.AdapterRequests.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.AdapterNeed.newBuilder()
       private Builder() {
 
       }
@@ -24124,24 +24438,27 @@
         super.clear();
         bitField0_ = 0;
         adapter_ = "";
-        requests_ = 0;
+        version_ = 0L;
+        waiting_ = 0;
+        running_ = 0;
+        sent_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterRequests_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_AdapterNeed_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterRequests getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.AdapterNeed getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.AdapterNeed.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterRequests build() {
-        ebonygw.wire.PeerProtocol.AdapterRequests result = buildPartial();
+      public ebonygw.wire.PeerProtocol.AdapterNeed build() {
+        ebonygw.wire.PeerProtocol.AdapterNeed result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -24149,42 +24466,60 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.AdapterRequests buildPartial() {
-        ebonygw.wire.PeerProtocol.AdapterRequests result = new ebonygw.wire.PeerProtocol.AdapterRequests(this);
+      public ebonygw.wire.PeerProtocol.AdapterNeed buildPartial() {
+        ebonygw.wire.PeerProtocol.AdapterNeed result = new ebonygw.wire.PeerProtocol.AdapterNeed(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterRequests result) {
+      private void buildPartial0(ebonygw.wire.PeerProtocol.AdapterNeed result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.adapter_ = adapter_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.requests_ = requests_;
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.waiting_ = waiting_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.running_ = running_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.sent_ = sent_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.AdapterRequests) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterRequests)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.AdapterNeed) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.AdapterNeed)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterRequests other) {
-        if (other == ebonygw.wire.PeerProtocol.AdapterRequests.getDefaultInstance()) return this;
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.AdapterNeed other) {
+        if (other == ebonygw.wire.PeerProtocol.AdapterNeed.getDefaultInstance()) return this;
         if (!other.getAdapter().isEmpty()) {
           adapter_ = other.adapter_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (other.getRequests() != 0) {
-          setRequests(other.getRequests());
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        if (other.getWaiting() != 0) {
+          setWaiting(other.getWaiting());
+        }
+        if (other.getRunning() != 0) {
+          setRunning(other.getRunning());
+        }
+        if (other.getSent() != 0) {
+          setSent(other.getSent());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -24216,10 +24551,25 @@
                 break;
               } // case 10
               case 16: {
-                requests_ = input.readUInt32();
+                version_ = input.readUInt64();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
+              case 24: {
+                waiting_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                running_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                sent_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24309,96 +24659,665 @@
         return this;
       }
 
-      private int requests_ ;
+      private long version_ ;
       /**
        * <pre>
-       * 0 if requests sent earlier still run.
+       * Least version that the waiting requests may run on, 0 for any.
        * </pre>
        *
-       * <code>uint32 requests = 2;</code>
-       * @return The requests.
+       * <code>uint64 version = 2;</code>
+       * @return The version.
        */
       @java.lang.Override
-      public int getRequests() {
-        return requests_;
+      public long getVersion() {
+        return version_;
       }
       /**
        * <pre>
-       * 0 if requests sent earlier still run.
+       * Least version that the waiting requests may run on, 0 for any.
        * </pre>
        *
-       * <code>uint32 requests = 2;</code>
-       * @param value The requests to set.
+       * <code>uint64 version = 2;</code>
+       * @param value The version to set.
        * @return This builder for chaining.
        */
-      public Builder setRequests(int value) {
+      public Builder setVersion(long value) {
 
-        requests_ = value;
+        version_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * 0 if requests sent earlier still run.
+       * Least version that the waiting requests may run on, 0 for any.
        * </pre>
        *
-       * <code>uint32 requests = 2;</code>
+       * <code>uint64 version = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearRequests() {
+      public Builder clearVersion() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        requests_ = 0;
+        version_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterRequests)
-    }
-
-    // @@protoc_insertion_point(class_scope:ebonygw.AdapterRequests)
-    private static final ebonygw.wire.PeerProtocol.AdapterRequests DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterRequests();
-    }
-
-    public static ebonygw.wire.PeerProtocol.AdapterRequests getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<AdapterRequests>
-        PARSER = new com.google.protobuf.AbstractParser<AdapterRequests>() {
+      private int waiting_ ;
+      /**
+       * <code>uint32 waiting = 3;</code>
+       * @return The waiting.
+       */
       @java.lang.Override
-      public AdapterRequests parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
+      public int getWaiting() {
+        return waiting_;
       }
-    };
+      /**
+       * <code>uint32 waiting = 3;</code>
+       * @param value The waiting to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaiting(int value) {
 
-    public static com.google.protobuf.Parser<AdapterRequests> parser() {
-      return PARSER;
-    }
+        waiting_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 waiting = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaiting() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        waiting_ = 0;
+        onChanged();
+        return this;
+      }
 
-    @java.lang.Override
-    public com.google.protobuf.Parser<AdapterRequests> getParserForType() {
-      return PARSER;
-    }
+      private int running_ ;
+      /**
+       * <code>uint32 running = 4;</code>
+       * @return The running.
+       */
+      @java.lang.Override
+      public int getRunning() {
+        return running_;
+      }
+      /**
+       * <code>uint32 running = 4;</code>
+       * @param value The running to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunning(int value) {
+
+        running_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 running = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunning() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        running_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int sent_ ;
+      /**
+       * <pre>
+       * Requests sent since the last message.
+       * </pre>
+       *
+       * <code>uint32 sent = 5;</code>
+       * @return The sent.
+       */
+      @java.lang.Override
+      public int getSent() {
+        return sent_;
+      }
+      /**
+       * <pre>
+       * Requests sent since the last message.
+       * </pre>
+       *
+       * <code>uint32 sent = 5;</code>
+       * @param value The sent to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSent(int value) {
+
+        sent_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests sent since the last message.
+       * </pre>
+       *
+       * <code>uint32 sent = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSent() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        sent_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.AdapterNeed)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.AdapterNeed)
+    private static final ebonygw.wire.PeerProtocol.AdapterNeed DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.AdapterNeed();
+    }
+
+    public static ebonygw.wire.PeerProtocol.AdapterNeed getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AdapterNeed>
+        PARSER = new com.google.protobuf.AbstractParser<AdapterNeed>() {
+      @java.lang.Override
+      public AdapterNeed parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AdapterNeed> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AdapterNeed> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.AdapterNeed getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface OpenPlacesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.OpenPlaces)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Adapters that can be placed at once, below 0 if some wait for a place.
+     * </pre>
+     *
+     * <code>sint32 count = 1;</code>
+     * @return The count.
+     */
+    int getCount();
+  }
+  /**
+   * Protobuf type {@code ebonygw.OpenPlaces}
+   */
+  public static final class OpenPlaces extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.OpenPlaces)
+      OpenPlacesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "OpenPlaces");
+    }
+    // Use OpenPlaces.newBuilder() to construct.
+    private OpenPlaces(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private OpenPlaces() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.OpenPlaces.class, ebonygw.wire.PeerProtocol.OpenPlaces.Builder.class);
+    }
+
+    public static final int COUNT_FIELD_NUMBER = 1;
+    private int count_ = 0;
+    /**
+     * <pre>
+     * Adapters that can be placed at once, below 0 if some wait for a place.
+     * </pre>
+     *
+     * <code>sint32 count = 1;</code>
+     * @return The count.
+     */
+    @java.lang.Override
+    public int getCount() {
+      return count_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (count_ != 0) {
+        output.writeSInt32(1, count_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (count_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt32Size(1, count_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.OpenPlaces)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.OpenPlaces other = (ebonygw.wire.PeerProtocol.OpenPlaces) obj;
+
+      if (getCount()
+          != other.getCount()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + COUNT_FIELD_NUMBER;
+      hash = (53 * hash) + getCount();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.OpenPlaces prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.AdapterRequests getDefaultInstanceForType() {
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.OpenPlaces}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.OpenPlaces)
+        ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.OpenPlaces.class, ebonygw.wire.PeerProtocol.OpenPlaces.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.OpenPlaces.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        count_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces build() {
+        ebonygw.wire.PeerProtocol.OpenPlaces result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces buildPartial() {
+        ebonygw.wire.PeerProtocol.OpenPlaces result = new ebonygw.wire.PeerProtocol.OpenPlaces(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.OpenPlaces result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.count_ = count_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.OpenPlaces) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.OpenPlaces)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.OpenPlaces other) {
+        if (other == ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance()) return this;
+        if (other.getCount() != 0) {
+          setCount(other.getCount());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                count_ = input.readSInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int count_ ;
+      /**
+       * <pre>
+       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * </pre>
+       *
+       * <code>sint32 count = 1;</code>
+       * @return The count.
+       */
+      @java.lang.Override
+      public int getCount() {
+        return count_;
+      }
+      /**
+       * <pre>
+       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * </pre>
+       *
+       * <code>sint32 count = 1;</code>
+       * @param value The count to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCount(int value) {
+
+        count_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * </pre>
+       *
+       * <code>sint32 count = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCount() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        count_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.OpenPlaces)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.OpenPlaces)
+    private static final ebonygw.wire.PeerProtocol.OpenPlaces DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.OpenPlaces();
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<OpenPlaces>
+        PARSER = new com.google.protobuf.AbstractParser<OpenPlaces>() {
+      @java.lang.Override
+      public OpenPlaces parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<OpenPlaces> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<OpenPlaces> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -24515,15 +25434,20 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_CustomerTokens_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterUse_descriptor;
+    internal_static_ebonygw_AdapterNeeds_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterNeeds_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterNeed_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterUse_fieldAccessorTable;
+      internal_static_ebonygw_AdapterNeed_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterRequests_descriptor;
+    internal_static_ebonygw_OpenPlaces_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterRequests_fieldAccessorTable;
+      internal_static_ebonygw_OpenPlaces_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -24534,7 +25458,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\335\005\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\215\006\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
       "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
@@ -24551,61 +25475,64 @@
       "\010settings\030\036 \001(\0132\031.ebonygw.SettingsEnvelo" +
       "peH\000\022)\n\006shares\030\037 \001(\0132\027.ebonygw.SharesEnv" +
       "elopeH\000\022.\n\rgateway_usage\030( \001(\0132\025.ebonygw" +
-      ".GatewayUsageH\000\022*\n\013adapter_use\030) \001(\0132\023.e" +
-      "bonygw.AdapterUseH\000B\006\n\004kind\"\214\001\n\006Member\022\n" +
-      "\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030" +
-      "\003 \001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013" +
-      "data_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006se" +
-      "rves\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebon" +
-      "ygw.Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n" +
-      "\020protocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010" +
-      "sequence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(" +
-      "\004\"\031\n\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterV" +
-      "ersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
-      "\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMem" +
-      "berUpdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Me" +
-      "mber\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapte" +
-      "r\030\001 \001(\0132\027.ebonygw.AdapterVersion\"k\n\nTarg" +
-      "etLoad\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(" +
+      ".GatewayUsageH\000\022.\n\radapter_needs\030) \001(\0132\025" +
+      ".ebonygw.AdapterNeedsH\000\022*\n\013open_places\030*" +
+      " \001(\0132\023.ebonygw.OpenPlacesH\000B\006\n\004kind\"\214\001\n\006" +
+      "Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022" +
+      "\014\n\004role\030\003 \001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005" +
+      " \001(\t\022\023\n\013data_center\030\006 \001(\t\022\017\n\007address\030\007 \001" +
+      "(\t\022\016\n\006serves\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(" +
+      "\0132\017.ebonygw.Member\022\031\n\021settings_revision\030" +
+      "\002 \001(\004\022\030\n\020protocol_version\030\003 \001(\r\"8\n\tHeart" +
+      "beat\022\020\n\010sequence\030\001 \001(\004\022\031\n\021settings_revis" +
+      "ion\030\002 \001(\004\"\031\n\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016" +
+      "AdapterVersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007versi" +
+      "on\030\002 \001(\t\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(" +
+      "\006\"?\n\rMemberUpdates\022 \n\007members\030\001 \003(\0132\017.eb" +
+      "onygw.Member\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(" +
+      "\n\007adapter\030\001 \001(\0132\027.ebonygw.AdapterVersion" +
+      "\"k\n\nTargetLoad\022\020\n\010sequence\030\001 \001(\004\022\017\n\007runn" +
+      "ing\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency" +
+      "\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\"\302\001\n\014Target" +
+      "Report\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(" +
       "\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025" +
-      "\n\rqueued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020" +
-      "\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006que" +
-      "ued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued" +
-      "_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonyg" +
-      "w.AdapterVersion\022(\n\007loading\030\007 \003(\0132\027.ebon" +
-      "ygw.AdapterVersion\"A\n\tRequestId\022\r\n\005entry" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030" +
-      "\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Reque" +
-      "stId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022" +
-      "\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapte" +
-      "r\030\006 \001(\0132\027.ebonygw.AdapterVersion\022\022\n\nidem" +
-      "potent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt" +
-      "_tokens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013pre" +
-      "fix_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006meth" +
-      "od\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132" +
-      "\017.ebonygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeou" +
-      "t_nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n" +
-      "\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt" +
-      "\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132" +
-      "\017.ebonygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.e" +
-      "bonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005ind" +
-      "ex\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(" +
-      "\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r" +
-      "\n\005parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006F" +
-      "ailed\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
-      "\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030" +
-      "\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nan" +
-      "os\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw" +
-      ".RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n" +
+      "\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132" +
+      "\027.ebonygw.AdapterVersion\022(\n\007loading\030\007 \003(" +
+      "\0132\027.ebonygw.AdapterVersion\"A\n\tRequestId\022" +
+      "\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010s" +
+      "equence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebony" +
+      "gw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010custome" +
+      "r\030\003 \001(\t\022\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(" +
+      "\n\007adapter\030\006 \001(\0132\027.ebonygw.AdapterVersion" +
+      "\022\022\n\nidempotent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025" +
+      "\n\rprompt_tokens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(" +
+      "\004\022\023\n\013prefix_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010" +
+      "\022\016\n\006method\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007header" +
+      "s\030\017 \003(\0132\017.ebonygw.Header\022\014\n\004body\030\020 \001(\014\022\025" +
+      "\n\rtimeout_nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n" +
+      "\004Head\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
+      "\007attempt\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007header" +
+      "s\030\004 \003(\0132\017.ebonygw.Header\"T\n\004Body\022\036\n\002id\030\001" +
+      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
+      "\r\022\r\n\005index\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n" +
       "\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt" +
-      "\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\"8\n\014GatewayUsage\022(\n" +
-      "\007charged\030\001 \003(\0132\027.ebonygw.CustomerTokens\"" +
-      "2\n\016CustomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006t" +
-      "okens\030\002 \001(\022\"4\n\nAdapterUse\022&\n\004used\030\001 \003(\0132" +
-      "\030.ebonygw.AdapterRequests\"4\n\017AdapterRequ" +
-      "ests\022\017\n\007adapter\030\001 \001(\t\022\020\n\010requests\030\002 \001(\rB" +
-      "\034\n\014ebonygw.wireB\014PeerProtocolb\006proto3"
+      "\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001" +
+      "(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Requ" +
+      "estId\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007" +
+      "verdict\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_a" +
+      "fter_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022" +
+      ".ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006C" +
+      "redit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
+      "\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\"8\n\014Gateway" +
+      "Usage\022(\n\007charged\030\001 \003(\0132\027.ebonygw.Custome" +
+      "rTokens\"2\n\016CustomerTokens\022\020\n\010customer\030\001 " +
+      "\001(\t\022\016\n\006tokens\030\002 \001(\022\"3\n\014AdapterNeeds\022#\n\005n" +
+      "eeds\030\001 \003(\0132\024.ebonygw.AdapterNeed\"_\n\013Adap" +
+      "terNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(" +
+      "\004\022\017\n\007waiting\030\003 \001(\r\022\017\n\007running\030\004 \001(\r\022\014\n\004s" +
+      "ent\030\005 \001(\r\"\033\n\nOpenPlaces\022\r\n\005count\030\001 \001(\021B\034" +
+      "\n\014ebonygw.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -24618,7 +25545,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterUse", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterNeeds", "OpenPlaces", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -24745,18 +25672,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_CustomerTokens_descriptor,
         new java.lang.String[] { "Customer", "Tokens", });
-    internal_static_ebonygw_AdapterUse_descriptor =
+    internal_static_ebonygw_AdapterNeeds_descriptor =
       getDescriptor().getMessageType(22);
-    internal_static_ebonygw_AdapterUse_fieldAccessorTable = new
+    internal_static_ebonygw_AdapterNeeds_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_ebonygw_AdapterUse_descriptor,
-        new java.lang.String[] { "Used", });
-    internal_static_ebonygw_AdapterRequests_descriptor =
+        internal_static_ebonygw_AdapterNeeds_descriptor,
+        new java.lang.String[] { "Needs", });
+    internal_static_ebonygw_AdapterNeed_descriptor =
       getDescriptor().getMessageType(23);
-    internal_static_ebonygw_AdapterRequests_fieldAccessorTable = new
+    internal_static_ebonygw_AdapterNeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_AdapterNeed_descriptor,
+        new java.lang.String[] { "Adapter", "Version", "Waiting", "Running", "Sent", });
+    internal_static_ebonygw_OpenPlaces_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_ebonygw_OpenPlaces_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_ebonygw_AdapterRequests_descriptor,
-        new java.lang.String[] { "Adapter", "Requests", });
+        internal_static_ebonygw_OpenPlaces_descriptor,
+        new java.lang.String[] { "Count", });
     descriptor.resolveAllFeaturesImmutable();
     ebonygw.wire.SettingsProtocol.getDescriptor();
     ebonygw.wire.SharesProtocol.getDescriptor();
--- a/src/test/java/ebonygw/gateway/AdapterDemandsTest.java
+++ b/src/test/java/ebonygw/gateway/AdapterDemandsTest.java
@@ -2,73 +2,112 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ebonygw.protocol.NodeId;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class AdapterDemandsTest {
-    private static final long SECOND = 1_000_000_000L;
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
     private static final long NOW = 100 * SECOND;
+    private static final NodeId ENTRY = new NodeId("entry-1");
+    private static final NodeId OTHER = new NodeId("entry-2");
+
+    private final AdapterDemands mDemands = new AdapterDemands();
+
+    private static GatewayMessage.AdapterNeed running(String adapter, int sent) {
+        return new GatewayMessage.AdapterNeed(adapter, 0, 0, 1, sent);
+    }
+
+    private static GatewayMessage.AdapterNeed waiting(String adapter, long version, int requests) {
+        return new GatewayMessage.AdapterNeed(adapter, version, requests, 0, 0);
+    }
+
+    private void told(NodeId entry, long nowNanos, GatewayMessage.AdapterNeed... needs) {
+        mDemands.told(entry, List.of(needs), nowNanos);
+    }
 
     @Test
     void adaptersThatMostRequestsWaitForAreLoadedFirstAndOfEqualsTheOldest() {
-        AdapterDemands demands = new AdapterDemands();
-        demands.ask("m/b", 0, NOW);
-        demands.ask("m/a", 0, NOW + 1);
-        demands.ask("m/c", 0, NOW + 2);
-        demands.ask("m/c", 0, NOW + 3);
+        told(ENTRY, NOW, waiting("m/b", 0, 1));
+        told(ENTRY, NOW + 1, waiting("m/b", 0, 1), waiting("m/a", 0, 1), waiting("m/c", 0, 1));
+        told(OTHER, NOW + 2, waiting("m/c", 0, 1));
+
+        List<String> missing = mDemands.missing(Map.of(), List.of());
 
-        assertThat(demands.missing(Map.of(), List.of())).containsExactly("m/c", "m/b", "m/a");
+        assertThat(missing).startsWith("m/c", "m/b").containsExactlyInAnyOrder("m/a", "m/b", "m/c");
     }
 
     @Test
     void anAdapterThatNoRequestWaitsForAnyMoreIsNotLoaded() {
-        AdapterDemands demands = new AdapterDemands();
-        demands.ask("m/a", 0, NOW);
+        told(ENTRY, NOW, waiting("m/a", 0, 1));
+        told(ENTRY, NOW + MILLI);
+
+        assertThat(mDemands.missing(Map.of(), List.of())).isEmpty();
+    }
 
-        demands.resident(Map.of(), NOW + 2 * SECOND);
+    @Test
+    void requestsOfAnEntryWhoseLinkIsLostWaitNoMore() {
+        told(ENTRY, NOW, waiting("m/a", 0, 1));
+        told(OTHER, NOW, waiting("m/b", 0, 1));
+
+        mDemands.forget(ENTRY, NOW + MILLI);
 
-        assertThat(demands.missing(Map.of(), List.of())).isEmpty();
+        assertThat(mDemands.missing(Map.of(), List.of())).containsExactly("m/b");
     }
 
     @Test
     void aResidentAdapterOfAnOlderVersionIsMissing() {
-        AdapterDemands demands = new AdapterDemands();
-        demands.ask("m/a", 2, NOW);
+        told(ENTRY, NOW, waiting("m/a", 2, 1));
 
-        assertThat(demands.missing(Map.of("m/a", 1L), List.of())).containsExactly("m/a");
-        assertThat(demands.missing(Map.of("m/a", 2L), List.of())).isEmpty();
+        assertThat(mDemands.missing(Map.of("m/a", 1L), List.of())).containsExactly("m/a");
+        assertThat(mDemands.missing(Map.of("m/a", 2L), List.of())).isEmpty();
     }
 
     @Test
     void anEvictedAdapterIsNotLoadedAgainUnlessARequestWaitsForIt() {
-        AdapterDemands demands = new AdapterDemands();
-        demands.ask("m/a", 0, NOW);
-        demands.resident(Map.of("m/a", 1L), NOW);
-        demands.used("m/a", 3, NOW);
-
-        demands.resident(Map.of(), NOW + SECOND);
+        told(ENTRY, NOW, running("m/a", 3));
+        mDemands.resident(Map.of("m/a", 1L), NOW);
+        mDemands.resident(Map.of(), NOW + SECOND);
 
-        assertThat(demands.missing(Map.of(), List.of())).isEmpty();
+        assertThat(mDemands.missing(Map.of(), List.of())).isEmpty();
     }
 
     @Test
     void aNewlyLoadedAdapterIsKeptUntilItsFirstUseCanBeTold() {
-        AdapterDemands demands = new AdapterDemands();
-        demands.resident(Map.of("m/a", 1L), NOW);
+        mDemands.resident(Map.of("m/a", 1L), NOW);
 
-        assertThat(demands.victim(Map.of("m/a", 1L), NOW + SECOND / 2)).isEmpty();
-        assertThat(demands.victim(Map.of("m/a", 1L), NOW + SECOND)).contains("m/a");
+        assertThat(mDemands.victim(Map.of("m/a", 1L), NOW + 100 * MILLI)).isEmpty();
+        assertThat(mDemands.victim(Map.of("m/a", 1L), NOW + 200 * MILLI)).contains("m/a");
     }
 
     @Test
     void theLeastUsedIdleAdapterIsEvictedAndNeverOneInUse() {
-        AdapterDemands demands = new AdapterDemands();
         Map<String, Long> resident = Map.of("m/often", 1L, "m/rare", 1L, "m/busy", 1L);
-        demands.resident(resident, NOW);
-        demands.used("m/often", 9, NOW);
-        demands.used("m/busy", 0, NOW + 2 * SECOND);
+        mDemands.resident(resident, NOW);
+        told(ENTRY, NOW, running("m/often", 9), running("m/rare", 1), running("m/busy", 0));
+        told(ENTRY, NOW + SECOND, running("m/busy", 0));
+
+        assertThat(mDemands.victim(resident, NOW + 2 * SECOND)).contains("m/rare");
+    }
 
-        assertThat(demands.victim(resident, NOW + 2 * SECOND)).contains("m/rare");
+    @Test
+    void anAdapterForWhichARequestStillWaitsIsNotEvicted() {
+        mDemands.resident(Map.of("m/a", 1L), NOW);
+        told(ENTRY, NOW, waiting("m/a", 0, 1));
+
+        assertThat(mDemands.victim(Map.of("m/a", 1L), NOW + SECOND)).isEmpty();
+    }
+
+    @Test
+    void placesAreOpenThatAreFreeOrHoldIdleAdaptersLessThoseThatWait() {
+        Map<String, Long> resident = Map.of("m/idle", 1L, "m/busy", 1L);
+        mDemands.resident(resident, NOW);
+        told(ENTRY, NOW, running("m/busy", 1), waiting("m/a", 0, 1), waiting("m/b", 0, 2));
+        long later = NOW + SECOND;
+
+        assertThat(mDemands.openPlaces(resident, List.of("m/a"), 8, later)).isEqualTo(5);
+        assertThat(mDemands.openPlaces(resident, List.of("m/a"), 2, later)).isEqualTo(-1);
     }
 }
--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import ebonygw.membership.MemberMessage;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
@@ -142,7 +141,7 @@
                 entry.mEffects.stream()
                         .filter(GatewayEffect.Send.class::isInstance)
                         .map(GatewayEffect.Send.class::cast)
-                        .filter(it -> it.message() instanceof MemberMessage.Prefetch)
+                        .filter(it -> it.message() instanceof GatewayMessage.AdapterNeeds)
                         .findFirst()
                         .orElseThrow();
         String host = asked.to().name().split(":")[0];
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -23,6 +23,7 @@
     private final List<GatewayEffect> mEffects = new ArrayList<>();
     private final Map<String, Long> mAdapters = new TreeMap<>();
     private final List<String> mLoading = new ArrayList<>();
+    private final List<GatewayMessage.AdapterNeed> mNeeds = new ArrayList<>();
     private final Map<String, Long> mModels = new TreeMap<>(Map.of("m0", 1L));
     private final Map<String, EngineLimits.Model> mEngineModels =
             new TreeMap<>(Map.of("m0", new EngineLimits.Model(34_000, 40)));
@@ -39,9 +40,17 @@
     }
 
     private void ask(String adapter) {
-        handle(
-                new GatewayEvent.PeerSaid(
-                        ENTRY, 1, new MemberMessage.Prefetch(new AdapterVersion(adapter, ""))));
+        mNeeds.add(new GatewayMessage.AdapterNeed(adapter, 0, 1, 0, 0));
+        tellNeeds();
+    }
+
+    private void run(String adapter) {
+        mNeeds.add(new GatewayMessage.AdapterNeed(adapter, 0, 0, 1, 1));
+        tellNeeds();
+    }
+
+    private void tellNeeds() {
+        handle(new GatewayEvent.PeerSaid(ENTRY, 1, new GatewayMessage.AdapterNeeds(mNeeds)));
     }
 
     private void done(TargetOrder order, TargetOrder.Outcome outcome) {
@@ -173,9 +182,7 @@
         mLoading.add("m0/c2");
         start();
         for (int i = 0; i < 6; i++) {
-            handle(
-                    new GatewayEvent.PeerSaid(
-                            ENTRY, 1, new GatewayMessage.AdapterUse(Map.of("m0/b" + i, 0))));
+            run("m0/b" + i);
         }
 
         ask("m0/a1");
@@ -190,9 +197,8 @@
         }
         start();
         advance(1_000);
-        handle(
-                new GatewayEvent.PeerSaid(
-                        ENTRY, 1, new GatewayMessage.AdapterUse(Map.of("m0/b0", 1, "m0/b1", 0))));
+        run("m0/b0");
+        run("m0/b1");
 
         ask("m0/a1");
 
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -55,21 +55,38 @@
 
         GatewayTarget here =
                 chooser(GatewayFixture.KINGSTON)
-                        .choose(ASK, 0, replicas, Set.of(), 0, NOW)
+                        .choose(ASK, 0, replicas, Set.of(), "", 0, NOW)
                         .target();
         GatewayTarget there =
-                chooser(GatewayFixture.MONTEGO).choose(ASK, 0, replicas, Set.of(), 0, NOW).target();
+                chooser(GatewayFixture.MONTEGO)
+                        .choose(ASK, 0, replicas, Set.of(), "", 0, NOW)
+                        .target();
 
         assertThat(there).isSameAs(here);
     }
 
+    @Test
+    void aWaitingRequestStaysWhereItsAdapterWasAskedForUnlessAnotherTargetSavesMuch() {
+        List<GatewayTarget> replicas = replicas();
+        TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
+        GatewayTarget home = chooser.choose(ASK, 0, replicas, Set.of(), "", 0, NOW).target();
+        GatewayTarget next =
+                chooser.choose(ASK, 0, replicas, Set.of(home.record().id()), "", 0, NOW).target();
+
+        assertThat(chooser.choose(ASK, 0, replicas, Set.of(), next.record().id(), 0, NOW).target())
+                .isSameAs(next);
+        report(home, 1, 0, "m0/a7");
+        assertThat(chooser.choose(ASK, 0, replicas, Set.of(), next.record().id(), 0, NOW).target())
+                .isSameAs(home);
+    }
+
     @Test
     void aReplicaThatHoldsTheAdapterIsPreferredAlsoInAnotherRegion() {
         List<GatewayTarget> replicas = replicas();
         report(replicas.get(5), 1, 0, "m0/a7");
 
         TargetChooser.Choice choice =
-                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), 0, NOW);
+                chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), "", 0, NOW);
 
         assertThat(choice.resident()).isTrue();
         assertThat(choice.target()).isSameAs(replicas.get(5));
@@ -82,7 +99,7 @@
 
         assertThat(
                         chooser(GatewayFixture.KINGSTON)
-                                .choose(ASK, 2, replicas, Set.of(), 0, NOW)
+                                .choose(ASK, 2, replicas, Set.of(), "", 0, NOW)
                                 .resident())
                 .isFalse();
     }
@@ -95,7 +112,7 @@
 
         assertThat(
                         chooser(GatewayFixture.KINGSTON)
-                                .choose(ASK, 0, replicas, Set.of(), 0, NOW)
+                                .choose(ASK, 0, replicas, Set.of(), "", 0, NOW)
                                 .target())
                 .isSameAs(replicas.get(4));
     }
@@ -107,7 +124,7 @@
 
         assertThat(
                         chooser(GatewayFixture.KINGSTON)
-                                .choose(ASK, 0, replicas, Set.of(), 0, NOW)
+                                .choose(ASK, 0, replicas, Set.of(), "", 0, NOW)
                                 .target())
                 .isNotSameAs(replicas.get(5));
     }
@@ -120,10 +137,10 @@
                 target(GatewayFixture.plain("f", "10.1.0.2:80", GatewayFixture.MONTEGO));
         TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
 
-        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), 0, NOW).target())
+        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), "", 0, NOW).target())
                 .isSameAs(near);
         near.onLoad(new TargetLoad(6, 24, 6), NOW);
-        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), 0, NOW).target())
+        assertThat(chooser.choose(BOOK, 0, List.of(near, far), Set.of(), "", 0, NOW).target())
                 .isSameAs(far);
     }
 
@@ -132,7 +149,7 @@
         List<GatewayTarget> replicas = replicas();
         replicas.forEach(GatewayTarget::onLoaderDown);
 
-        assertThat(chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), 0, NOW))
+        assertThat(chooser(GatewayFixture.KINGSTON).choose(ASK, 0, replicas, Set.of(), "", 0, NOW))
                 .isNull();
     }
 
@@ -148,7 +165,7 @@
 
         TargetChooser.Choice choice =
                 chooser(GatewayFixture.KINGSTON)
-                        .choose(ASK, 0, List.of(near, far), Set.of(), 9_000, NOW);
+                        .choose(ASK, 0, List.of(near, far), Set.of(), "", 9_000, NOW);
 
         assertThat(choice.target()).isSameAs(far);
     }
