Adapters are loaded where a place is open

Cause: homes of rare adapters are chosen by rank; a home whose places are all in use let requests wait while others had idle places. Change: a loader tells how many more adapters it can place, and each missing place adds 250 ms to the cost of a load there.

--- a/src/main/java/ebonygw/gateway/ChooserOptions.java
+++ b/src/main/java/ebonygw/gateway/ChooserOptions.java
@@ -13,6 +13,7 @@
  * @param reloadNanos a load of an adapter that the target held of late
  * @param loadingNanos a load that is under way already
  * @param queuedLoadNanos each further load under way at the same target
+ * @param placeNanos wait for each place that is missing at a target, as some become idle
  * @param stayNanos what another target must save for a request to wait there instead
  * @param rankNanos each rank in an adapter's order of homes
  * @param prefillNanosPerToken reading of a prompt token that is not kept
@@ -27,6 +28,7 @@
         long reloadNanos,
         long loadingNanos,
         long queuedLoadNanos,
+        long placeNanos,
         long stayNanos,
         long rankNanos,
         long prefillNanosPerToken,
@@ -42,6 +44,7 @@
                 TimeUnit.MILLISECONDS.toNanos(60),
                 TimeUnit.MILLISECONDS.toNanos(100),
                 TimeUnit.MILLISECONDS.toNanos(60),
+                TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.MILLISECONDS.toNanos(500),
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.MICROSECONDS.toNanos(26),
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -145,7 +145,9 @@
         if (target.isLoading(adapter)) {
             return mOptions.loadingNanos();
         }
-        long queued = target.loads() * mOptions.queuedLoadNanos();
+        long queued =
+                target.loads() * mOptions.queuedLoadNanos()
+                        + Math.max(0, 1 - target.openPlaces()) * mOptions.placeNanos();
         return target.heldOfLate(adapter)
                 ? mOptions.reloadNanos() + queued
                 : mOptions.loadNanos() + queued + rank * mOptions.rankNanos();
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -80,6 +80,18 @@
                 .isSameAs(home);
     }
 
+    @Test
+    void whereAdaptersWaitForPlacesARareAdapterIsLoadedAtAnotherTarget() {
+        List<GatewayTarget> replicas = replicas();
+        TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
+        GatewayTarget home = chooser.choose(ASK, 0, replicas, Set.of(), "", 0, NOW).target();
+
+        home.onOpenPlaces(-4);
+
+        assertThat(chooser.choose(ASK, 0, replicas, Set.of(), "", 0, NOW).target())
+                .isNotSameAs(home);
+    }
+
     @Test
     void aReplicaThatHoldsTheAdapterIsPreferredAlsoInAnotherRegion() {
         List<GatewayTarget> replicas = replicas();
