Rare adapters are loaded in the region that asks for them

Cause: the home of a rare adapter was chosen by rank over all regions, so that two thirds of its requests crossed regions and homes with free places nearby were passed over. Ruled out: copies (an adapter that another region holds or loads is still used there). Change: 50 ms for each rank in place of 250, less than what another region costs. Test: the one that asked for the same home from all regions now asks for it from all entries of a region, and that a load under way in another region is not repeated.

--- a/src/main/java/ebonygw/gateway/ChooserOptions.java
+++ b/src/main/java/ebonygw/gateway/ChooserOptions.java
@@ -46,7 +46,7 @@
                 TimeUnit.MILLISECONDS.toNanos(60),
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.MILLISECONDS.toNanos(500),
-                TimeUnit.MILLISECONDS.toNanos(250),
+                TimeUnit.MILLISECONDS.toNanos(50),
                 TimeUnit.MICROSECONDS.toNanos(26),
                 TimeUnit.MILLISECONDS.toNanos(200),
                 TimeUnit.MILLISECONDS.toNanos(40));
