Places go to requests that can start in time; late ones are told when to come back

Cause: under overload of places, waits grew until nearly all requests for rare adapters were late, and 60 to 76 were held to their end without an attempt. Change: adapters by which more requests can still start within their objective are loaded first; a request that has waited for two objectives behind others for a place is refused as not run, with its objective as the time to come back.

--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -41,7 +41,10 @@
         mNeeds.remove(entry);
     }
 
-    /** Returns adapters to load, those that most requests wait for first, else the oldest wait. */
+    /**
+     * Returns adapters to load: first those by which most requests can still start within their
+     * latency objectives, then those that most requests wait for, then the oldest wait.
+     */
     List<String> missing(Map<String, Long> resident, List<String> loading) {
         List<String> missing = new ArrayList<>();
         mWaits.forEach(
@@ -52,7 +55,8 @@
                     }
                 });
         missing.sort(
-                Comparator.comparingInt((String adapter) -> -mWaits.get(adapter).mRequests)
+                Comparator.comparingInt((String adapter) -> -mWaits.get(adapter).mPunctual)
+                        .thenComparingInt(adapter -> -mWaits.get(adapter).mRequests)
                         .thenComparingLong(adapter -> mWaits.get(adapter).mSinceNanos));
         return missing;
     }
@@ -125,6 +129,7 @@
                 if (need.waiting() > 0) {
                     Wait wait = waits.computeIfAbsent(need.adapter(), a -> new Wait());
                     wait.mRequests += need.waiting();
+                    wait.mPunctual += need.punctual();
                     wait.mVersion = Math.max(wait.mVersion, need.version());
                 }
             }
@@ -165,5 +170,6 @@
         private long mSinceNanos;
         private long mVersion;
         private int mRequests;
+        private int mPunctual;
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -11,6 +11,9 @@
  * <p>Not thread-safe.
  */
 final class GatewayAttempts {
+    /** Duration of a load from the weight store, by the brief. */
+    private static final long LOAD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     /** How long a target that rejected a request is left alone. */
     private static final long REJECTED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -47,9 +50,14 @@
     }
 
     /** Lets a request wait until a target has loaded its adapter. */
-    void await(GatewayCall call, GatewayTarget target) {
+    void await(GatewayCall call, GatewayTarget target, long nowNanos) {
         String id = target.record().id();
+        boolean punctual = call.isPunctual(LOAD_NANOS, nowNanos);
         if (id.equals(call.mAwaitedTargetId)) {
+            if (call.mAwaitedPunctually && !punctual) {
+                call.mAwaitedPunctually = false;
+                target.needs().late(call.mRequest.adapter());
+            }
             return;
         }
         boolean again = call.isWaiting();
@@ -57,7 +65,8 @@
         String adapter = call.mRequest.adapter();
         long wanted = mOperator.wantedVersion(adapter);
         call.mAwaitedTargetId = id;
-        target.onWaiting(adapter, wanted);
+        call.mAwaitedPunctually = punctual;
+        target.onWaiting(adapter, wanted, punctual);
         mOut.log(
                 LogLine.of("adapter_awaited")
                         .with("request", call.mRequest.id())
@@ -73,7 +82,7 @@
         GatewayTarget target = mTargets.get(call.mAwaitedTargetId);
         call.mAwaitedTargetId = "";
         if (target != null) {
-            target.needs().waitingEnded(call.mRequest.adapter());
+            target.needs().waitingEnded(call.mRequest.adapter(), call.mAwaitedPunctually);
         }
     }
 
--- a/src/main/java/ebonygw/gateway/GatewayCall.java
+++ b/src/main/java/ebonygw/gateway/GatewayCall.java
@@ -24,6 +24,7 @@
     String mTargetId = "";
     long mUnstartedTokens;
     String mAwaitedTargetId = "";
+    boolean mAwaitedPunctually;
     long mStartedNanos;
 
     GatewayCall(
@@ -48,6 +49,11 @@
                 nowNanos + (wait > 0 ? Math.min(wait, route.timeoutNanos()) : route.timeoutNanos());
     }
 
+    /** Returns whether an attempt that starts after a time would start within its objective. */
+    boolean isPunctual(long startNanos, long nowNanos) {
+        return nowNanos + startNanos - mArrivedNanos <= mRoute.objectiveNanos();
+    }
+
     /** Returns whether it waits for its adapter to be loaded. */
     boolean isWaiting() {
         return !mAwaitedTargetId.isEmpty();
--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -18,6 +18,9 @@
  * <p>Not thread-safe.
  */
 final class GatewayCalls {
+    /** Latency objectives after which a request waits no longer behind others for a place. */
+    private static final int HOPELESS_OBJECTIVES = 2;
+
     /** Time to come back when no target can take a request. */
     private static final long UNAVAILABLE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -203,8 +206,15 @@
         } else if (choice.resident()) {
             long quotaLeft = mQuota.level(call.mCustomer);
             mAttempts.send(call, choice.target(), choice.costNanos(), quotaLeft, left, nowNanos);
+        } else if (isHopeless(call, choice.target(), nowNanos)) {
+            refuse(
+                    call,
+                    call.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED,
+                    "no place for " + call.mRequest.adapter(),
+                    call.mRoute.objectiveNanos(),
+                    nowNanos);
         } else {
-            mAttempts.await(call, choice.target());
+            mAttempts.await(call, choice.target(), nowNanos);
         }
     }
 
@@ -233,6 +243,14 @@
         }
     }
 
+    /** Returns whether a request that is late already waits behind others for a place. */
+    private static boolean isHopeless(GatewayCall call, GatewayTarget target, long nowNanos) {
+        return call.isWaiting()
+                && target.openPlaces() < 0
+                && nowNanos - call.mArrivedNanos
+                        > HOPELESS_OBJECTIVES * call.mRoute.objectiveNanos();
+    }
+
     private static RefusalCode lateCode(GatewayCall call) {
         return call.mMayHaveRun ? RefusalCode.TIMEOUT : RefusalCode.DEADLINE;
     }
--- a/src/main/java/ebonygw/gateway/GatewayMessage.java
+++ b/src/main/java/ebonygw/gateway/GatewayMessage.java
@@ -13,10 +13,12 @@
      * @param adapter the adapter as MODEL/ADAPTER
      * @param version least version that the waiting requests may run on, 0 for any
      * @param waiting requests that wait until it is loaded
+     * @param punctual those of them that can still start within their latency objective
      * @param running requests that were sent and have not ended
      * @param sent requests sent since the last message
      */
-    record AdapterNeed(String adapter, long version, int waiting, int running, int sent) {
+    record AdapterNeed(
+            String adapter, long version, int waiting, int punctual, int running, int sent) {
         /** Creates the need. */
         public AdapterNeed {
             Objects.requireNonNull(adapter, "adapter");
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -190,12 +190,17 @@
         mOpenPlaces = count;
     }
 
-    /** Notes that a request waits for an adapter of at least a version, 0 for any. */
-    void onWaiting(String adapter, long version) {
+    /**
+     * Notes that a request waits for an adapter.
+     *
+     * @param version least version that it may run on, 0 for any
+     * @param punctual whether it can still start within its latency objective
+     */
+    void onWaiting(String adapter, long version, boolean punctual) {
         if (!mNeeds.isAwaited(adapter)) {
             mOpenPlaces--;
         }
-        mNeeds.waiting(adapter, version);
+        mNeeds.waiting(adapter, version, punctual);
     }
 
     /** Takes over a newer registration; a new start holds nothing of before. */
--- a/src/main/java/ebonygw/gateway/TargetNeeds.java
+++ b/src/main/java/ebonygw/gateway/TargetNeeds.java
@@ -49,6 +49,7 @@
                                     adapter,
                                     need.mVersion,
                                     need.mWaiting,
+                                    need.mPunctual,
                                     need.mRunning,
                                     need.mSent));
                     need.mSent = 0;
@@ -72,6 +73,15 @@
         return need != null && need.mWaiting > 0;
     }
 
+    /** Notes that a waiting request can no more start within its latency objective. */
+    void late(String adapter) {
+        Need need = mNeeds.get(adapter);
+        if (need != null && need.mPunctual > 0) {
+            need.mPunctual--;
+            mChanged = true;
+        }
+    }
+
     /** Notes that a request has been sent. */
     void sent(String adapter) {
         Need need = mNeeds.computeIfAbsent(adapter, a -> new Need());
@@ -86,19 +96,30 @@
         mChanged = true;
     }
 
-    /** Notes that a request waits for an adapter of at least a version, 0 for any. */
-    void waiting(String adapter, long version) {
+    /**
+     * Notes that a request waits for an adapter.
+     *
+     * @param version least version that it may run on, 0 for any
+     * @param punctual whether it can still start within its latency objective
+     */
+    void waiting(String adapter, long version, boolean punctual) {
         Need need = mNeeds.computeIfAbsent(adapter, a -> new Need());
         need.mWaiting++;
+        need.mPunctual += punctual ? 1 : 0;
         need.mVersion = Math.max(need.mVersion, version);
         mChanged = true;
     }
 
-    /** Notes that a request waits no more. */
-    void waitingEnded(String adapter) {
+    /**
+     * Notes that a request waits no more.
+     *
+     * @param punctual whether it could still have started within its latency objective
+     */
+    void waitingEnded(String adapter, boolean punctual) {
         Need need = mNeeds.get(adapter);
         if (need != null && need.mWaiting > 0) {
             need.mWaiting--;
+            need.mPunctual -= punctual && need.mPunctual > 0 ? 1 : 0;
             mChanged = true;
         }
     }
@@ -106,6 +127,7 @@
     private static final class Need {
         private long mVersion;
         private int mWaiting;
+        private int mPunctual;
         private int mRunning;
         private int mSent;
     }
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -49,6 +49,7 @@
                     .setAdapter(need.adapter())
                     .setVersion(need.version())
                     .setWaiting(need.waiting())
+                    .setPunctual(need.punctual())
                     .setRunning(need.running())
                     .setSent(need.sent());
         }
@@ -69,6 +70,7 @@
                             need.getAdapter(),
                             need.getVersion(),
                             need.getWaiting(),
+                            need.getPunctual(),
                             need.getRunning(),
                             need.getSent()));
         }
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -24049,7 +24049,17 @@
     int getWaiting();
 
     /**
-     * <code>uint32 running = 4;</code>
+     * <pre>
+     * Those of the waiting requests that can still start within their latency objective.
+     * </pre>
+     *
+     * <code>uint32 punctual = 4;</code>
+     * @return The punctual.
+     */
+    int getPunctual();
+
+    /**
+     * <code>uint32 running = 5;</code>
      * @return The running.
      */
     int getRunning();
@@ -24059,7 +24069,7 @@
      * Requests sent since the last message.
      * </pre>
      *
-     * <code>uint32 sent = 5;</code>
+     * <code>uint32 sent = 6;</code>
      * @return The sent.
      */
     int getSent();
@@ -24172,10 +24182,25 @@
       return waiting_;
     }
 
-    public static final int RUNNING_FIELD_NUMBER = 4;
+    public static final int PUNCTUAL_FIELD_NUMBER = 4;
+    private int punctual_ = 0;
+    /**
+     * <pre>
+     * Those of the waiting requests that can still start within their latency objective.
+     * </pre>
+     *
+     * <code>uint32 punctual = 4;</code>
+     * @return The punctual.
+     */
+    @java.lang.Override
+    public int getPunctual() {
+      return punctual_;
+    }
+
+    public static final int RUNNING_FIELD_NUMBER = 5;
     private int running_ = 0;
     /**
-     * <code>uint32 running = 4;</code>
+     * <code>uint32 running = 5;</code>
      * @return The running.
      */
     @java.lang.Override
@@ -24183,14 +24208,14 @@
       return running_;
     }
 
-    public static final int SENT_FIELD_NUMBER = 5;
+    public static final int SENT_FIELD_NUMBER = 6;
     private int sent_ = 0;
     /**
      * <pre>
      * Requests sent since the last message.
      * </pre>
      *
-     * <code>uint32 sent = 5;</code>
+     * <code>uint32 sent = 6;</code>
      * @return The sent.
      */
     @java.lang.Override
@@ -24221,11 +24246,14 @@
       if (waiting_ != 0) {
         output.writeUInt32(3, waiting_);
       }
+      if (punctual_ != 0) {
+        output.writeUInt32(4, punctual_);
+      }
       if (running_ != 0) {
-        output.writeUInt32(4, running_);
+        output.writeUInt32(5, running_);
       }
       if (sent_ != 0) {
-        output.writeUInt32(5, sent_);
+        output.writeUInt32(6, sent_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -24242,13 +24270,17 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(3, waiting_);
       }
+      if (punctual_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, punctual_);
+      }
       if (running_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(4, running_);
+          .computeUInt32Size(5, running_);
       }
       if (sent_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(5, sent_);
+          .computeUInt32Size(6, sent_);
       }
       return size;
     }
@@ -24280,6 +24312,8 @@
           != other.getVersion()) return false;
       if (getWaiting()
           != other.getWaiting()) return false;
+      if (getPunctual()
+          != other.getPunctual()) return false;
       if (getRunning()
           != other.getRunning()) return false;
       if (getSent()
@@ -24302,6 +24336,8 @@
           getVersion());
       hash = (37 * hash) + WAITING_FIELD_NUMBER;
       hash = (53 * hash) + getWaiting();
+      hash = (37 * hash) + PUNCTUAL_FIELD_NUMBER;
+      hash = (53 * hash) + getPunctual();
       hash = (37 * hash) + RUNNING_FIELD_NUMBER;
       hash = (53 * hash) + getRunning();
       hash = (37 * hash) + SENT_FIELD_NUMBER;
@@ -24440,6 +24476,7 @@
         adapter_ = "";
         version_ = 0L;
         waiting_ = 0;
+        punctual_ = 0;
         running_ = 0;
         sent_ = 0;
         return this;
@@ -24485,9 +24522,12 @@
           result.waiting_ = waiting_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.running_ = running_;
+          result.punctual_ = punctual_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.running_ = running_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
           result.sent_ = sent_;
         }
       }
@@ -24515,6 +24555,9 @@
         if (other.getWaiting() != 0) {
           setWaiting(other.getWaiting());
         }
+        if (other.getPunctual() != 0) {
+          setPunctual(other.getPunctual());
+        }
         if (other.getRunning() != 0) {
           setRunning(other.getRunning());
         }
@@ -24561,15 +24604,20 @@
                 break;
               } // case 24
               case 32: {
-                running_ = input.readUInt32();
+                punctual_ = input.readUInt32();
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
               case 40: {
-                sent_ = input.readUInt32();
+                running_ = input.readUInt32();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                sent_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24735,9 +24783,53 @@
         return this;
       }
 
+      private int punctual_ ;
+      /**
+       * <pre>
+       * Those of the waiting requests that can still start within their latency objective.
+       * </pre>
+       *
+       * <code>uint32 punctual = 4;</code>
+       * @return The punctual.
+       */
+      @java.lang.Override
+      public int getPunctual() {
+        return punctual_;
+      }
+      /**
+       * <pre>
+       * Those of the waiting requests that can still start within their latency objective.
+       * </pre>
+       *
+       * <code>uint32 punctual = 4;</code>
+       * @param value The punctual to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPunctual(int value) {
+
+        punctual_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Those of the waiting requests that can still start within their latency objective.
+       * </pre>
+       *
+       * <code>uint32 punctual = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPunctual() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        punctual_ = 0;
+        onChanged();
+        return this;
+      }
+
       private int running_ ;
       /**
-       * <code>uint32 running = 4;</code>
+       * <code>uint32 running = 5;</code>
        * @return The running.
        */
       @java.lang.Override
@@ -24745,23 +24837,23 @@
         return running_;
       }
       /**
-       * <code>uint32 running = 4;</code>
+       * <code>uint32 running = 5;</code>
        * @param value The running to set.
        * @return This builder for chaining.
        */
       public Builder setRunning(int value) {
 
         running_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>uint32 running = 4;</code>
+       * <code>uint32 running = 5;</code>
        * @return This builder for chaining.
        */
       public Builder clearRunning() {
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000010);
         running_ = 0;
         onChanged();
         return this;
@@ -24773,7 +24865,7 @@
        * Requests sent since the last message.
        * </pre>
        *
-       * <code>uint32 sent = 5;</code>
+       * <code>uint32 sent = 6;</code>
        * @return The sent.
        */
       @java.lang.Override
@@ -24785,14 +24877,14 @@
        * Requests sent since the last message.
        * </pre>
        *
-       * <code>uint32 sent = 5;</code>
+       * <code>uint32 sent = 6;</code>
        * @param value The sent to set.
        * @return This builder for chaining.
        */
       public Builder setSent(int value) {
 
         sent_ = value;
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
@@ -24801,11 +24893,11 @@
        * Requests sent since the last message.
        * </pre>
        *
-       * <code>uint32 sent = 5;</code>
+       * <code>uint32 sent = 6;</code>
        * @return This builder for chaining.
        */
       public Builder clearSent() {
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000020);
         sent_ = 0;
         onChanged();
         return this;
@@ -25528,11 +25620,12 @@
       "Usage\022(\n\007charged\030\001 \003(\0132\027.ebonygw.Custome" +
       "rTokens\"2\n\016CustomerTokens\022\020\n\010customer\030\001 " +
       "\001(\t\022\016\n\006tokens\030\002 \001(\022\"3\n\014AdapterNeeds\022#\n\005n" +
-      "eeds\030\001 \003(\0132\024.ebonygw.AdapterNeed\"_\n\013Adap" +
+      "eeds\030\001 \003(\0132\024.ebonygw.AdapterNeed\"q\n\013Adap" +
       "terNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(" +
-      "\004\022\017\n\007waiting\030\003 \001(\r\022\017\n\007running\030\004 \001(\r\022\014\n\004s" +
-      "ent\030\005 \001(\r\"\033\n\nOpenPlaces\022\r\n\005count\030\001 \001(\021B\034" +
-      "\n\014ebonygw.wireB\014PeerProtocolb\006proto3"
+      "\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r\022\017\n\007" +
+      "running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenPlace" +
+      "s\022\r\n\005count\030\001 \001(\021B\034\n\014ebonygw.wireB\014PeerPr" +
+      "otocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25683,7 +25776,7 @@
     internal_static_ebonygw_AdapterNeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterNeed_descriptor,
-        new java.lang.String[] { "Adapter", "Version", "Waiting", "Running", "Sent", });
+        new java.lang.String[] { "Adapter", "Version", "Waiting", "Punctual", "Running", "Sent", });
     internal_static_ebonygw_OpenPlaces_descriptor =
       getDescriptor().getMessageType(24);
     internal_static_ebonygw_OpenPlaces_fieldAccessorTable = new
--- a/src/test/java/ebonygw/gateway/AdapterDemandsTest.java
+++ b/src/test/java/ebonygw/gateway/AdapterDemandsTest.java
@@ -17,11 +17,11 @@
     private final AdapterDemands mDemands = new AdapterDemands();
 
     private static GatewayMessage.AdapterNeed running(String adapter, int sent) {
-        return new GatewayMessage.AdapterNeed(adapter, 0, 0, 1, sent);
+        return new GatewayMessage.AdapterNeed(adapter, 0, 0, 0, 1, sent);
     }
 
     private static GatewayMessage.AdapterNeed waiting(String adapter, long version, int requests) {
-        return new GatewayMessage.AdapterNeed(adapter, version, requests, 0, 0);
+        return new GatewayMessage.AdapterNeed(adapter, version, requests, requests, 0, 0);
     }
 
     private void told(NodeId entry, long nowNanos, GatewayMessage.AdapterNeed... needs) {
@@ -39,6 +39,17 @@
         assertThat(missing).startsWith("m/c", "m/b").containsExactlyInAnyOrder("m/a", "m/b", "m/c");
     }
 
+    @Test
+    void requestsThatCanStillStartInTimeGoBeforeThoseThatAreLateAnyway() {
+        told(
+                ENTRY,
+                NOW,
+                new GatewayMessage.AdapterNeed("m/late", 0, 3, 0, 0, 0),
+                waiting("m/fresh", 0, 1));
+
+        assertThat(mDemands.missing(Map.of(), List.of())).containsExactly("m/fresh", "m/late");
+    }
+
     @Test
     void anAdapterThatNoRequestWaitsForAnyMoreIsNotLoaded() {
         told(ENTRY, NOW, waiting("m/a", 0, 1));
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -206,6 +206,10 @@
         changed(new Entry(entry.key(), null, ++mRevision, 0));
     }
 
+    void openPlaces(String host, int count) {
+        handle(new GatewayEvent.PeerSaid(loader(host), 1, new GatewayMessage.OpenPlaces(count)));
+    }
+
     void report(String host, long sequence, String... resident) {
         List<AdapterVersion> versions = new ArrayList<>();
         for (String adapter : resident) {
--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -150,6 +150,34 @@
         assertThat(entry.attempts(exchange).get(0).address()).startsWith(host);
     }
 
+    @Test
+    void aLateRequestThatWaitsBehindOthersForAPlaceIsToldWhenToComeBack() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.openPlaces("10.2.0.1", -3);
+        entry.openPlaces("10.2.0.2", -3);
+        long exchange = entry.ask("/ask/1", GatewayFixture.KEY, "m0/a7");
+
+        entry.advance(590);
+        assertThat(entry.refusal(exchange)).isEmpty();
+        entry.advance(20);
+
+        Refusal refusal = entry.refusal(exchange).orElseThrow();
+        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(refusal.retryAfterNanos()).isEqualTo(300_000_000L);
+    }
+
+    @Test
+    void aLateRequestWaitsOnWhereAPlaceIsOpen() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.openPlaces("10.2.0.1", 1);
+        entry.openPlaces("10.2.0.2", 1);
+        long exchange = entry.ask("/ask/1", GatewayFixture.KEY, "m0/a7");
+
+        entry.advance(1_500);
+
+        assertThat(entry.refusal(exchange)).isEmpty();
+    }
+
     @Test
     void aRequestWhoseAdapterIsNotLoadedInTimeIsSaidNotToHaveRun() {
         GatewayFixture entry = GatewayFixture.started();
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -40,12 +40,12 @@
     }
 
     private void ask(String adapter) {
-        mNeeds.add(new GatewayMessage.AdapterNeed(adapter, 0, 1, 0, 0));
+        mNeeds.add(new GatewayMessage.AdapterNeed(adapter, 0, 1, 1, 0, 0));
         tellNeeds();
     }
 
     private void run(String adapter) {
-        mNeeds.add(new GatewayMessage.AdapterNeed(adapter, 0, 0, 1, 1));
+        mNeeds.add(new GatewayMessage.AdapterNeed(adapter, 0, 0, 0, 1, 1));
         tellNeeds();
     }
 
