--- a/src/test/java/ebonygw/platform/StoreStandIn.java
+++ b/src/test/java/ebonygw/platform/StoreStandIn.java
@@ -10,16 +10,22 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
-/** A stand-in of the platform's store: its published calls over a map, without leases' ends. */
+/** A stand-in of the platform's store: its published calls over a map. */
 final class StoreStandIn implements AutoCloseable {
+    private static final long LEASE_CHECK_MILLIS = 200;
+
     private final Map<String, ObjectNode> mItems = new TreeMap<>();
     private final Map<Long, ObjectNode> mEvents = new TreeMap<>();
+    private final Map<Long, Lease> mLeases = new TreeMap<>();
     private final Undertow mServer;
     private long mRevision = 1;
     private long mCompacted;
+    private long mLastLease;
     private int mPageItems = 500;
     private volatile int mStatus;
 
@@ -28,7 +34,7 @@
                 Undertow.builder()
                         .addHttpListener(0, "127.0.0.1")
                         .setIoThreads(1)
-                        .setWorkerThreads(8)
+                        .setWorkerThreads(32)
                         .setHandler(new BlockingHandler(this::handle))
                         .build();
         mServer.start();
@@ -58,10 +64,14 @@
     }
 
     synchronized long put(String key, String value) {
+        return put(key, value, 0);
+    }
+
+    private long put(String key, String value, long lease) {
         ObjectNode item = Json.MAPPER.createObjectNode();
         byte[] data = value.getBytes(StandardCharsets.UTF_8);
         item.put("key", key).put("data", Base64.getEncoder().encodeToString(data));
-        item.put("revision", ++mRevision).put("created", mRevision).put("lease_id", 0);
+        item.put("revision", ++mRevision).put("created", mRevision).put("lease_id", lease);
         mItems.put(key, item);
         mEvents.put(mRevision, item);
         notifyAll();
@@ -85,6 +95,11 @@
                         StandardCharsets.UTF_8);
     }
 
+    /** Returns how many keys start with a prefix. */
+    synchronized long count(String prefix) {
+        return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+    }
+
     private static String query(HttpServerExchange exchange, String name, String absent) {
         return exchange.getQueryParameters().containsKey(name)
                 ? exchange.getQueryParameters().get(name).peek()
@@ -103,7 +118,10 @@
         }
         for (JsonNode write : body.path("write")) {
             byte[] data = Base64.getDecoder().decode(write.get("data").asText());
-            put(write.get("key").asText(), new String(data, StandardCharsets.UTF_8));
+            put(
+                    write.get("key").asText(),
+                    new String(data, StandardCharsets.UTF_8),
+                    write.path("lease_id").asLong(0));
         }
         body.path("remove").forEach(key -> remove(key.asText()));
         return answer.put("revision", mRevision);
@@ -125,11 +143,42 @@
         } else if (path.equals("/kv-txn")) {
             answer = commit(exchange, body);
         } else {
-            answer = Json.MAPPER.createObjectNode().put("lease_id", 9).put("ttl_ms", 15_000);
+            answer = lease(exchange, path, body);
         }
         exchange.getResponseSender().send(answer.toString());
     }
 
+    private synchronized void endLeases() {
+        long now = System.nanoTime();
+        mLeases.values().removeIf(lease -> lease.mEndNanos - now <= 0);
+        for (ObjectNode item : List.copyOf(mItems.values())) {
+            long lease = item.get("lease_id").asLong();
+            if (lease != 0 && !mLeases.containsKey(lease)) {
+                remove(item.get("key").asText());
+            }
+        }
+    }
+
+    private synchronized ObjectNode lease(HttpServerExchange exchange, String path, JsonNode body) {
+        ObjectNode answer = Json.MAPPER.createObjectNode();
+        if (path.equals("/kv-lease")) {
+            long id = ++mLastLease;
+            mLeases.put(id, new Lease(body.path("ttl_ms").asLong(15_000)));
+            return answer.put("lease_id", id).put("ttl_ms", mLeases.get(id).mTtlMillis);
+        }
+        long id = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
+        Lease lease = mLeases.get(id);
+        if (lease == null) {
+            exchange.setStatusCode(404);
+        } else if (path.startsWith("/kv-lease-end/")) {
+            mLeases.remove(id);
+            endLeases();
+        } else {
+            lease.renew();
+        }
+        return answer;
+    }
+
     private synchronized ObjectNode range(String prefix, String after) {
         ObjectNode answer = Json.MAPPER.createObjectNode();
         ArrayNode items = answer.putArray("items");
@@ -167,7 +216,23 @@
             if (!events.isEmpty() || left <= 0) {
                 return answer.put("at", mRevision);
             }
-            wait(left);
+            wait(Math.min(left, LEASE_CHECK_MILLIS));
+            endLeases();
+        }
+    }
+
+    /** A lease; its keys go when it ends. */
+    private static final class Lease {
+        private final long mTtlMillis;
+        private long mEndNanos;
+
+        Lease(long ttlMillis) {
+            mTtlMillis = ttlMillis;
+            renew();
+        }
+
+        void renew() {
+            mEndNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mTtlMillis);
         }
     }
 }
