The configured longest body is enforced; tests of the new classes

The operator's limits were read and not used: a body beyond the configured length is refused as too large.

--- a/src/main/java/ebonygw/gateway/GatewayAdmission.java
+++ b/src/main/java/ebonygw/gateway/GatewayAdmission.java
@@ -44,6 +44,9 @@
         if (route.isEmpty()) {
             return refusal(RefusalCode.NOT_FOUND, 0);
         }
+        if (request.body().size() > settings.maxBodyBytes()) {
+            return refusal(RefusalCode.TOO_LARGE, 0);
+        }
         Optional<GatewayCustomer> customer = settings.customerByKey(request.keyHash());
         boolean needsKey = !route.get().openToAll() && !settings.customers().isEmpty();
         if (needsKey && customer.isEmpty()) {
--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -19,7 +18,7 @@
     private final Map<String, GatewayService> mServices = new HashMap<>();
     private final List<GatewayCustomer> mCustomers;
     private final Map<String, GatewayCustomer> mCustomersByKey = new HashMap<>();
-    private final CallerLimits mLimits;
+    private final long mMaxBodyBytes;
 
     /**
      * Creates a revision.
@@ -28,7 +27,7 @@
      * @param routes the routes
      * @param services the services
      * @param customers the customers; without any, no request needs a key
-     * @param limits bounds of what callers may send
+     * @param maxBodyBytes longest body that callers may send
      * @throws NullPointerException if an argument is null
      */
     public GatewaySettings(
@@ -36,10 +35,10 @@
             List<GatewayRoute> routes,
             List<GatewayService> services,
             List<GatewayCustomer> customers,
-            CallerLimits limits) {
+            long maxBodyBytes) {
         mRevision = revision;
         mCustomers = List.copyOf(customers);
-        mLimits = Objects.requireNonNull(limits, "limits");
+        mMaxBodyBytes = maxBodyBytes;
         for (GatewayRoute route : routes) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
         }
@@ -52,16 +51,6 @@
         }
     }
 
-    /**
-     * Bounds of what callers may send.
-     *
-     * @param headerBytes longest header
-     * @param bodyBytes longest body
-     * @param headerNanos longest time to send a header
-     * @param idleNanos how long a connection may stay idle
-     */
-    public record CallerLimits(int headerBytes, long bodyBytes, long headerNanos, long idleNanos) {}
-
     /** Returns the customer that holds a key with that SHA-256. */
     public Optional<GatewayCustomer> customerByKey(String keyHash) {
         return Optional.ofNullable(mCustomersByKey.get(keyHash));
@@ -72,9 +61,9 @@
         return mCustomers;
     }
 
-    /** Returns the bounds of what callers may send. */
-    public CallerLimits limits() {
-        return mLimits;
+    /** Returns how long a body that callers send may be. */
+    public long maxBodyBytes() {
+        return mMaxBodyBytes;
     }
 
     /** Returns the revision. */
--- /dev/null
+++ b/src/test/java/ebonygw/gateway/GatewayAdmissionTest.java
@@ -0,0 +1,38 @@
+package ebonygw.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.request.RefusalCode;
+import org.junit.jupiter.api.Test;
+
+class GatewayAdmissionTest {
+    private final GatewayFixture mEntry = GatewayFixture.started();
+
+    private RefusalCode refusal(String path, String key, int bodyBytes) {
+        ByteString body = ByteString.copyFrom(new byte[bodyBytes]);
+        long exchange = mEntry.ask(GatewayFixture.request("request-1", path, key, "", body));
+        return mEntry.refusal(exchange).map(it -> it.code()).orElse(null);
+    }
+
+    @Test
+    void aBodyUpToTheLimitOfTheConfigurationIsTaken() {
+        assertThat(refusal("/look/1", GatewayFixture.KEY, GatewayFixture.MAX_BODY_BYTES)).isNull();
+    }
+
+    @Test
+    void aLongerBodyIsRefused() {
+        assertThat(refusal("/look/1", GatewayFixture.KEY, GatewayFixture.MAX_BODY_BYTES + 1))
+                .isEqualTo(RefusalCode.TOO_LARGE);
+    }
+
+    @Test
+    void aRequestWithoutAKeyIsRefusedOnARouteThatNeedsOne() {
+        assertThat(refusal("/look/1", "", 0)).isEqualTo(RefusalCode.UNAUTHENTICATED);
+    }
+
+    @Test
+    void theRouteIsLookedUpBeforeTheKey() {
+        assertThat(refusal("/unknown/1", "", 0)).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+}
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -26,6 +26,17 @@
     static final Locality KINGSTON = new Locality("kingston", "kgn-a");
     static final Locality MONTEGO = new Locality("montego", "mbj-a");
     static final int LOADER_PORT = 7600;
+    static final int MAX_BODY_BYTES = 64;
+
+    private static final Member SELF =
+            new Member(
+                    new NodeId("entry-1"),
+                    1,
+                    Role.ENTRY,
+                    MemberState.LIVE,
+                    KINGSTON,
+                    "10.0.0.1:7600",
+                    "");
 
     final List<GatewayEffect> mEffects = new ArrayList<>();
     final Map<String, GatewaySettings> mSettings = new TreeMap<>();
@@ -38,29 +49,27 @@
     private boolean mStoreUp = true;
 
     GatewayFixture() {
-        Member self =
-                new Member(
-                        new NodeId("entry-1"),
-                        1,
-                        Role.ENTRY,
-                        MemberState.LIVE,
-                        KINGSTON,
-                        "10.0.0.1:7600",
-                        "");
-        mNode =
-                new GatewayNode(
-                        new GatewayOptions(
-                                self,
-                                new Reader(),
-                                LOADER_PORT,
-                                0,
-                                0,
-                                0.2,
-                                56,
-                                TimeUnit.SECONDS.toNanos(10),
-                                TimeUnit.SECONDS.toNanos(3),
-                                TimeUnit.SECONDS.toNanos(7),
-                                1));
+        mNode = new GatewayNode(options(SELF, new Reader()));
+    }
+
+    /** Returns options of an entry whose keys cannot be read. */
+    static GatewayOptions options() {
+        return options(SELF, new GatewayFixture().new Reader());
+    }
+
+    private static GatewayOptions options(Member self, StoreReader reader) {
+        return new GatewayOptions(
+                self,
+                reader,
+                LOADER_PORT,
+                0,
+                0,
+                0.2,
+                56,
+                TimeUnit.SECONDS.toNanos(10),
+                TimeUnit.SECONDS.toNanos(3),
+                TimeUnit.SECONDS.toNanos(7),
+                1);
     }
 
     /** Starts with the usual settings, two plain targets and two replicas. */
@@ -123,10 +132,15 @@
                                 burst,
                                 200,
                                 List.of(CallerKeys.hash(KEY)))),
-                new GatewaySettings.CallerLimits(16_384, 4 << 20, 3_000_000_000L, 15_000_000_000L));
+                MAX_BODY_BYTES);
     }
 
     static GatewayRequest request(String id, String path, String key, String adapter) {
+        return request(id, path, key, adapter, ByteString.EMPTY);
+    }
+
+    static GatewayRequest request(
+            String id, String path, String key, String adapter, ByteString body) {
         boolean model = path.startsWith("/ask/");
         return new GatewayRequest(
                 id,
@@ -142,7 +156,7 @@
                 TimeUnit.SECONDS.toNanos(2),
                 "",
                 Map.of(),
-                ByteString.EMPTY);
+                body);
     }
 
     void advance(long millis) {
@@ -156,10 +170,12 @@
     }
 
     long ask(String path, String key, String adapter) {
+        return ask(request("request-" + (mExchange + 1), path, key, adapter));
+    }
+
+    long ask(GatewayRequest request) {
         long exchange = ++mExchange;
-        handle(
-                new GatewayEvent.CallerAsked(
-                        exchange, request("request-" + exchange, path, key, adapter)));
+        handle(new GatewayEvent.CallerAsked(exchange, request));
         return exchange;
     }
 
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -303,7 +303,7 @@
                                     new GatewayService(
                                             "model", 500, "/health", Optional.of(engine))),
                             List.of(),
-                            new GatewaySettings.CallerLimits(1, 1, 1, 1)));
+                            1));
         }
 
         @Override
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import ebonygw.gateway.GatewayMessage;
 import ebonygw.membership.Member;
 import ebonygw.membership.MemberMessage;
 import ebonygw.membership.MemberState;
@@ -151,7 +152,18 @@
                         random.nextInt(9),
                         number(random),
                         List.of(adapter, adapter),
-                        List.of(adapter)));
+                        List.of(adapter)),
+                new GatewayMessage.AdapterNeeds(
+                        List.of(
+                                new GatewayMessage.AdapterNeed(
+                                        word(random),
+                                        number(random),
+                                        random.nextInt(9),
+                                        random.nextInt(9),
+                                        random.nextInt(9),
+                                        random.nextInt(9)))),
+                new GatewayMessage.OpenPlaces(random.nextInt()),
+                new GatewayMessage.Usage(Map.of(word(random), random.nextLong())));
     }
 
     private static long number(Random random) {
