--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -91,7 +91,7 @@
                                         new StoreClient(
                                                 worker,
                                                 mStore.address(),
-                                                prefix -> new StoreClient.WatchTimes(500, 0))));
+                                                new StoreClient.WatchTimes(500, 0))));
         long end = System.nanoTime() + DEADLINE_NANOS;
         while (!mEntry.ready()) {
             assertThat(System.nanoTime()).isLessThan(end);
--- /dev/null
+++ b/src/test/java/ebonygw/platform/SharedWatchTest.java
@@ -0,0 +1,129 @@
+package ebonygw.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.KeyValueReply;
+import ebonygw.keyvalue.KeyValueReply.Changed;
+import ebonygw.keyvalue.KeyValueReply.Entry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class SharedWatchTest {
+    private final List<Poll> mPolls = new ArrayList<>();
+    private final List<Runnable> mPaused = new ArrayList<>();
+    private final SharedWatch mWatch = new SharedWatch(new Store());
+
+    private record Poll(
+            String prefix,
+            long after,
+            Consumer<Changed> answered,
+            Consumer<KeyValueReply> failed) {}
+
+    private static Entry entry(String key, long revision) {
+        return new Entry(key, ByteString.EMPTY, revision, 0);
+    }
+
+    private Poll poll() {
+        List<Runnable> due = List.copyOf(mPaused);
+        mPaused.clear();
+        due.forEach(Runnable::run);
+        return mPolls.get(mPolls.size() - 1);
+    }
+
+    private List<KeyValueReply> subscribe(long callId, String prefix, long after) {
+        List<KeyValueReply> replies = new ArrayList<>();
+        mWatch.subscribe(callId, prefix, after, replies::add);
+        return replies;
+    }
+
+    @Test
+    void aSinglePrefixIsWatchedAlone() {
+        subscribe(1, "op/", 5);
+
+        assertThat(poll().prefix()).isEqualTo("op/");
+        assertThat(poll().after()).isEqualTo(5);
+    }
+
+    @Test
+    void severalPrefixesShareOneCallFromTheOldestRevision() {
+        subscribe(1, "op/", 5);
+        subscribe(2, "servers/", 3);
+
+        Poll poll = poll();
+
+        assertThat(mPolls).hasSize(1);
+        assertThat(poll.prefix()).isEmpty();
+        assertThat(poll.after()).isEqualTo(3);
+    }
+
+    @Test
+    void eachSubscriberIsToldOfItsOwnKeysAfterItsRevision() {
+        List<KeyValueReply> operator = subscribe(1, "op/", 5);
+        List<KeyValueReply> servers = subscribe(2, "servers/", 3);
+
+        poll().answered().accept(new Changed(9, List.of(entry("servers/a", 4), entry("op/c", 5))));
+
+        assertThat(operator).containsExactly(new Changed(9, List.of()));
+        assertThat(servers).containsExactly(new Changed(9, List.of(entry("servers/a", 4))));
+        assertThat(poll().after()).isEqualTo(9);
+    }
+
+    @Test
+    void aLaterSubscriberDoesNotWaitForTheCallUnderWay() {
+        List<KeyValueReply> operator = subscribe(1, "op/", 5);
+        Poll first = poll();
+        List<KeyValueReply> servers = subscribe(2, "servers/", 3);
+
+        Poll second = poll();
+        first.answered().accept(new Changed(8, List.of(entry("op/c", 8))));
+        second.answered().accept(new Changed(8, List.of(entry("op/c", 8))));
+
+        assertThat(second.prefix()).isEmpty();
+        assertThat(operator).containsExactly(new Changed(8, List.of(entry("op/c", 8))));
+        assertThat(servers).containsExactly(new Changed(8, List.of()));
+    }
+
+    @Test
+    void aFailureEndsAllSubscriptions() {
+        List<KeyValueReply> operator = subscribe(1, "op/", 5);
+        List<KeyValueReply> servers = subscribe(2, "servers/", 3);
+        KeyValueReply failure = new KeyValueReply.Failed(false, "down");
+
+        poll().failed().accept(failure);
+
+        assertThat(operator).containsExactly(failure);
+        assertThat(servers).containsExactly(failure);
+        assertThat(mPaused).isEmpty();
+    }
+
+    @Test
+    void aCancelledSubscriberIsToldNothing() {
+        List<KeyValueReply> operator = subscribe(1, "op/", 5);
+        subscribe(2, "servers/", 3);
+        mWatch.cancel(1);
+
+        poll().answered().accept(new Changed(9, List.of(entry("op/c", 9))));
+
+        assertThat(operator).isEmpty();
+        assertThat(poll().prefix()).isEqualTo("servers/");
+    }
+
+    private final class Store implements SharedWatch.Store {
+        @Override
+        public void pause(boolean events, Runnable next) {
+            mPaused.add(next);
+        }
+
+        @Override
+        public void poll(
+                String prefix,
+                long after,
+                Consumer<Changed> answered,
+                Consumer<KeyValueReply> failed) {
+            mPolls.add(new Poll(prefix, after, answered, failed));
+        }
+    }
+}
--- a/src/test/java/ebonygw/platform/StoreClientTest.java
+++ b/src/test/java/ebonygw/platform/StoreClientTest.java
@@ -27,9 +27,7 @@
     void start() throws IOException {
         mStore = new StoreStandIn();
         mWorker = HttpClient.worker("test");
-        mClient =
-                new StoreClient(
-                        mWorker, mStore.address(), prefix -> new StoreClient.WatchTimes(200, 0));
+        mClient = new StoreClient(mWorker, mStore.address(), new StoreClient.WatchTimes(200, 0));
     }
 
     @AfterEach
