--- a/src/main/java/ebonygw/gateway/GatewayCalls.java
+++ b/src/main/java/ebonygw/gateway/GatewayCalls.java
@@ -18,7 +18,7 @@
  * <p>Not thread-safe.
  */
 final class GatewayCalls {
-    /** Latency objectives after which a request waits no longer behind others for a place. */
+    /** Latency objectives after which a request waits no longer where all places are in use. */
     private static final int HOPELESS_OBJECTIVES = 2;
 
     /** Time to come back when no target can take a request. */
@@ -243,7 +243,7 @@
         }
     }
 
-    /** Returns whether a request that is late already waits behind others for a place. */
+    /** Returns whether a request has waited long while more adapters wait than places are open. */
     private static boolean isHopeless(GatewayCall call, GatewayTarget target, long nowNanos) {
         return call.isWaiting()
                 && target.openPlaces() < 0
--- a/src/main/java/ebonygw/gateway/GatewayRoute.java
+++ b/src/main/java/ebonygw/gateway/GatewayRoute.java
@@ -12,7 +12,8 @@
  * @param kind what may be repeated
  * @param services services that run it, with their weights
  * @param timeoutNanos longest time that a request may be kept
- * @param objectiveNanos time within which an answer, or its first event, is on time
+ * @param objectiveNanos the latency objective: time within which an answer, or its first event, is
+ *     on time
  * @param maxAttempts most targets that one request may be sent to
  * @param priority rank of its requests, 0 first
  * @param openToAll whether it takes requests without a key
--- a/src/test/java/ebonygw/platform/OperatorReaderTest.java
+++ b/src/test/java/ebonygw/platform/OperatorReaderTest.java
@@ -47,6 +47,17 @@
         return new Entry(key, ByteString.copyFromUtf8(value), 12, 0);
     }
 
+    @Test
+    void aRouteWithoutALatencyObjectiveHasItsTimeoutAsOne() {
+        GatewaySettings settings =
+                mReader.settings(entry("op/config", CONFIGURATION)).orElseThrow();
+
+        assertThat(settings.route("h.example", "/a/1").orElseThrow().objectiveNanos())
+                .isEqualTo(1_000_000_000L);
+        assertThat(settings.route("h.example", "/a/b/1").orElseThrow().objectiveNanos())
+                .isEqualTo(800_000_000L);
+    }
+
     @Test
     void theDocumentIsReadAsOneRevision() {
         GatewaySettings settings =
