A waiting request moves only to a target with an open place

Ruled out: stale reports alone (open places differ by up to 9 between targets at one moment). Change: another target is weighed for a waiting request only if it has an open place. Conclusion: kept, as a queue whose order holds is what callers can rely on.

--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -57,6 +57,7 @@
                 usable.add(target);
             }
         }
+        boolean waits = usable.stream().anyMatch(it -> it.record().id().equals(awaited));
         Choice best = null;
         boolean ranked = !request.adapter().isEmpty();
         if (ranked) {
@@ -69,7 +70,7 @@
                             wantedVersion,
                             usable.get(rank),
                             ranked ? rank : 0,
-                            awaited,
+                            waits ? awaited : "",
                             tokensOfOthers,
                             nowNanos);
             if (choice != null && (best == null || choice.costNanos() < best.costNanos())) {
@@ -124,9 +125,12 @@
                 return null;
             }
             cost += loadNanos(target, request.adapter(), rank);
-            if (target.record().id().equals(awaited)) {
-                cost -= mOptions.stayNanos();
+            boolean waitsHere = target.record().id().equals(awaited);
+            // Whoever moves from queue to queue comes last in each.
+            if (!waitsHere && !awaited.isEmpty() && target.openPlaces() < 1) {
+                return null;
             }
+            cost -= waitsHere ? mOptions.stayNanos() : 0;
         }
         String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long unread =
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -102,6 +102,23 @@
                 .isSameAs(home);
     }
 
+    @Test
+    void aWaitingRequestMovesOnlyToATargetWithAnOpenPlace() {
+        List<GatewayTarget> replicas = replicas();
+        TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
+        replicas.forEach(target -> target.onOpenPlaces(-1));
+        GatewayTarget home = chooser.choose(ASK, 0, replicas, Set.of(), "", 0, NOW).target();
+        String awaited = home.record().id();
+        GatewayTarget other = replicas.get(0) == home ? replicas.get(1) : replicas.get(0);
+
+        home.onOpenPlaces(-9);
+        assertThat(chooser.choose(ASK, 0, replicas, Set.of(), awaited, 0, NOW).target())
+                .isSameAs(home);
+        other.onOpenPlaces(1);
+        assertThat(chooser.choose(ASK, 0, replicas, Set.of(), awaited, 0, NOW).target())
+                .isSameAs(other);
+    }
+
     @Test
     void whereAdaptersWaitForPlacesARareAdapterIsLoadedAtAnotherTarget() {
         List<GatewayTarget> replicas = replicas();
