--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -57,7 +57,9 @@
                 usable.add(target);
             }
         }
-        boolean waits = usable.stream().anyMatch(it -> it.record().id().equals(awaited));
+        boolean waits =
+                usable.stream()
+                        .anyMatch(it -> it.record().id().equals(awaited) && canLoad(it, request));
         Choice best = null;
         boolean ranked = !request.adapter().isEmpty();
         if (ranked) {
@@ -102,6 +104,13 @@
                         LongHashFunction.xx().hashChars(target.record().address() + ' ' + adapter));
     }
 
+    /** Returns whether the adapter of a request can be loaded at a target. */
+    private static boolean canLoad(GatewayTarget target, GatewayRequest request) {
+        return !request.adapter().isEmpty()
+                && target.loaderUp()
+                && target.record().models().containsKey(request.model());
+    }
+
     private Choice consider(
             GatewayRequest request,
             long wantedVersion,
@@ -120,8 +129,7 @@
         }
         boolean resident = isResident(target, request, wantedVersion, nowNanos);
         if (!resident) {
-            boolean modelHeld = target.record().models().containsKey(request.model());
-            if (!modelHeld || request.adapter().isEmpty() || !target.loaderUp()) {
+            if (!canLoad(target, request)) {
                 return null;
             }
             cost += loadNanos(target, request.adapter(), rank);
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -119,6 +119,21 @@
                 .isSameAs(other);
     }
 
+    @Test
+    void aRequestWaitsElsewhereIfTheLinkToItsTargetsLoaderIsLost() {
+        List<GatewayTarget> replicas = replicas();
+        TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
+        replicas.forEach(target -> target.onOpenPlaces(-1));
+        GatewayTarget home = chooser.choose(ASK, 0, replicas, Set.of(), "", 0, NOW).target();
+
+        home.onLoaderDown();
+
+        TargetChooser.Choice choice =
+                chooser.choose(ASK, 0, replicas, Set.of(), home.record().id(), 0, NOW);
+        assertThat(choice).isNotNull();
+        assertThat(choice.target()).isNotSameAs(home);
+    }
+
     @Test
     void whereAdaptersWaitForPlacesARareAdapterIsLoadedAtAnotherTarget() {
         List<GatewayTarget> replicas = replicas();
