--- /dev/null
+++ b/src/test/java/ebonygw/gateway/OperatorStateTest.java
@@ -0,0 +1,132 @@
+package ebonygw.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.CallIds;
+import ebonygw.keyvalue.KeyValueReply.Changed;
+import ebonygw.keyvalue.KeyValueReply.Entry;
+import ebonygw.keyvalue.KeyValueReply.Found;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class OperatorStateTest {
+    private static final long NOW = TimeUnit.SECONDS.toNanos(100);
+
+    private final Map<String, StoreReader.WantedVersion> mVersions = new HashMap<>();
+    private final List<Long> mInForce = new ArrayList<>();
+    private final List<Long> mCalls = new ArrayList<>();
+    private OperatorState mState;
+
+    @BeforeEach
+    void start() {
+        GatewayOutbox out = new GatewayOutbox();
+        out.attach(
+                effect -> {
+                    if (effect instanceof GatewayEffect.KeyValue call) {
+                        mCalls.add(call.callId());
+                    }
+                });
+        mState =
+                new OperatorState(
+                        new Reader(),
+                        new CallIds(1),
+                        out,
+                        (settings, nowNanos) -> mInForce.add(settings.revision()));
+        mState.onTick(NOW);
+    }
+
+    private static Entry entry(String key, long revision) {
+        return new Entry(key, ByteString.EMPTY, revision, 0);
+    }
+
+    private void found(Entry... entries) {
+        assertThat(mState.onReply(lastCall(), new Found(9, List.of(entries), false), NOW)).isTrue();
+        mState.onTick(NOW);
+    }
+
+    private long lastCall() {
+        return mCalls.get(mCalls.size() - 1);
+    }
+
+    @Test
+    void nothingIsInForceBeforeTheFirstConfiguration() {
+        assertThat(mState.settings()).isNull();
+        assertThat(mState.revision()).isZero();
+        assertThat(mState.ageMillis(NOW)).isEqualTo(-1);
+    }
+
+    @Test
+    void aNewerConfigurationComesIntoForceAndAnOlderOneNever() {
+        found(entry("op/config", 5));
+        mState.onReply(lastCall(), new Changed(10, List.of(entry("op/config", 10))), NOW);
+        mState.onReply(lastCall(), new Changed(10, List.of(entry("op/config", 7))), NOW);
+
+        assertThat(mInForce).containsExactly(5L, 10L);
+        assertThat(mState.revision()).isEqualTo(10);
+        assertThat(mState.ageMillis(NOW + TimeUnit.SECONDS.toNanos(2))).isEqualTo(2_000);
+    }
+
+    @Test
+    void aWantedVersionNeverStepsBack() {
+        mVersions.put("op/version/a", new StoreReader.WantedVersion("m/a", 4));
+        found(entry("op/version/a", 5));
+        mVersions.put("op/version/a", new StoreReader.WantedVersion("m/a", 3));
+        mState.onReply(lastCall(), new Changed(10, List.of(entry("op/version/a", 10))), NOW);
+
+        assertThat(mState.wantedVersion("m/a")).isEqualTo(4);
+        assertThat(mState.wantedVersion("m/b")).isZero();
+    }
+
+    @Test
+    void aMalformedConfigurationLeavesTheFormerInForce() {
+        found(entry("op/config", 5));
+        mState.onReply(lastCall(), new Changed(10, List.of(entry("op/broken", 10))), NOW);
+
+        assertThat(mInForce).containsExactly(5L);
+    }
+
+    @Test
+    void repliesToOtherCallsAreNotTaken() {
+        assertThat(mState.onReply(lastCall() + 1_000, new Found(9, List.of(), false), NOW))
+                .isFalse();
+    }
+
+    private final class Reader implements StoreReader {
+        @Override
+        public String operatorPrefix() {
+            return "op/";
+        }
+
+        @Override
+        public Optional<GatewaySettings> settings(Entry entry) {
+            if (entry.key().equals("op/broken")) {
+                throw new IllegalArgumentException("broken");
+            }
+            return entry.key().equals("op/config")
+                    ? Optional.of(GatewayFixture.settings(entry.modRevision(), 0, 0))
+                    : Optional.empty();
+        }
+
+        @Override
+        public Optional<TargetRecord> target(Entry entry) {
+            return Optional.empty();
+        }
+
+        @Override
+        public String targetPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public Optional<WantedVersion> wantedVersion(Entry entry) {
+            return Optional.ofNullable(mVersions.get(entry.key()));
+        }
+    }
+}
--- a/src/test/java/ebonygw/platform/SoakProcess.java
+++ b/src/test/java/ebonygw/platform/SoakProcess.java
@@ -54,6 +54,11 @@
         signal("STOP");
     }
 
+    /** Tells it that its settings file may have changed. */
+    void reload() {
+        signal("HUP");
+    }
+
     void resume() {
         signal("CONT");
     }
