A watch that an outage swallows is made again within half of the contact time

Ruled out: the shared watch itself (all watches waited as long before); the retries (0.6 s at most). Change: wait and answer each take a quarter of the contact time from the settings, the pause between calls a quarter of the time in which changes have to be in force.

--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -91,7 +91,8 @@
                                         new StoreClient(
                                                 worker,
                                                 mStore.address(),
-                                                new StoreClient.WatchTimes(500, 0))));
+                                                new StoreClient.WatchTimes(
+                                                        500, 1_000_000_000L, 0))));
         long end = System.nanoTime() + DEADLINE_NANOS;
         while (!mEntry.ready()) {
             assertThat(System.nanoTime()).isLessThan(end);
--- a/src/test/java/ebonygw/platform/StoreClientTest.java
+++ b/src/test/java/ebonygw/platform/StoreClientTest.java
@@ -27,7 +27,11 @@
     void start() throws IOException {
         mStore = new StoreStandIn();
         mWorker = HttpClient.worker("test");
-        mClient = new StoreClient(mWorker, mStore.address(), new StoreClient.WatchTimes(200, 0));
+        mClient =
+                new StoreClient(
+                        mWorker,
+                        mStore.address(),
+                        new StoreClient.WatchTimes(200, 1_000_000_000L, 0));
     }
 
     @AfterEach
@@ -93,6 +97,23 @@
         }
     }
 
+    @Test
+    void aWatchThatAnOutageSwallowsIsGivenUpWithinTheContactTime() throws Exception {
+        PlatformSettings settings = PlatformSettings.parse("bounds.contact_ms=2000");
+        try (SoakLink link = new SoakLink("127.0.0.1", 0, mStore.address())) {
+            StoreClient client =
+                    new StoreClient(mWorker, link.address(), PlatformMain.entryWatch(settings));
+            client.call(1, new KeyValueCall.Range("p/", "p0", 0), mReplies::add);
+            reply();
+            link.fault(SoakLink.Fault.SILENCE, 0);
+            long sent = System.nanoTime();
+            client.call(2, new KeyValueCall.Watch("p/", "p0", 2), mReplies::add);
+
+            assertThat(reply()).isInstanceOf(KeyValueReply.Failed.class);
+            assertThat(System.nanoTime() - sent).isLessThan(TimeUnit.SECONDS.toNanos(2));
+        }
+    }
+
     @Test
     void aLostHistoryEndsTheWatch() throws InterruptedException {
         mStore.put("p/a", "v");
