--- a/src/test/java/ebonygw/platform/SoakReplica.java
+++ b/src/test/java/ebonygw/platform/SoakReplica.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.BlockingHandler;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -31,7 +29,7 @@
     private final SoakLedger mLedger;
     private final String mName;
     private final boolean mEngine;
-    private final Undertow mServer;
+    private final LoopbackServer mServer;
     private final Map<String, Long> mAdapters = new TreeMap<>();
     private final Map<String, Long> mLoadedAtMillis = new TreeMap<>();
     private final Map<String, Long> mWanted = new TreeMap<>();
@@ -44,23 +42,16 @@
         mName = name;
         mEngine = engine;
         mLedger = ledger;
-        mServer =
-                Undertow.builder()
-                        .addHttpListener(0, "127.0.0.1")
-                        .setIoThreads(1)
-                        .setWorkerThreads(64)
-                        .setHandler(new BlockingHandler(this::handle))
-                        .build();
-        mServer.start();
+        mServer = new LoopbackServer(64, this::handle);
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+        return mServer.address();
     }
 
     @Override
     public void close() {
-        mServer.stop();
+        mServer.close();
     }
 
     /** Starts it again: another instance that holds nothing. */
--- a/src/test/java/ebonygw/platform/StoreStandIn.java
+++ b/src/test/java/ebonygw/platform/StoreStandIn.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.BlockingHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -22,7 +20,7 @@
     private final Map<String, ObjectNode> mItems = new TreeMap<>();
     private final Map<Long, ObjectNode> mEvents = new TreeMap<>();
     private final Map<Long, Lease> mLeases = new TreeMap<>();
-    private final Undertow mServer;
+    private final LoopbackServer mServer;
     private long mRevision = 1;
     private long mCompacted;
     private long mLastLease;
@@ -30,23 +28,16 @@
     private volatile int mStatus;
 
     StoreStandIn() {
-        mServer =
-                Undertow.builder()
-                        .addHttpListener(0, "127.0.0.1")
-                        .setIoThreads(1)
-                        .setWorkerThreads(32)
-                        .setHandler(new BlockingHandler(this::handle))
-                        .build();
-        mServer.start();
+        mServer = new LoopbackServer(32, this::handle);
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+        return mServer.address();
     }
 
     @Override
     public void close() {
-        mServer.stop();
+        mServer.close();
     }
 
     /** Drops the history; a watch from before it is answered 410. */
