--- a/src/main/java/ebonygw/gateway/FleetQuota.java
+++ b/src/main/java/ebonygw/gateway/FleetQuota.java
@@ -24,9 +24,10 @@
     private static final double SLACK_FRACTION = 0.75;
 
     /**
-     * Maximum time until other entries receive a charge: report interval plus inter-region delay.
+     * Maximum time until other entries receive a charge: three messages through relays, each after
+     * its send interval, plus inter-region delay.
      */
-    private static final double MAX_EXCHANGE_SECONDS = 0.3;
+    private static final double MAX_EXCHANGE_SECONDS = 0.4;
 
     /** Half-life of the rate of requested tokens. */
     private static final long DEMAND_HALF_LIFE_NANOS = 500_000_000L;
--- a/src/main/java/ebonygw/gateway/GatewayMessage.java
+++ b/src/main/java/ebonygw/gateway/GatewayMessage.java
@@ -1,8 +1,8 @@
 package ebonygw.gateway;
 
 import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 
 /** Messages between entries that forward to targets directly and the loaders of the targets. */
@@ -46,14 +46,46 @@
     record OpenAdapterSlots(int count) implements GatewayMessage {}
 
     /**
-     * Tokens charged by the sender since its last message of this kind. Sent between entries.
+     * Tokens charged by entries, as far as they have changed since the sender's last message on the
+     * same link. Sent between entries.
      *
-     * @param tokensByCustomer tokens by customer, negative if more was refunded than charged
+     * @param wanted whether the sender wants such messages from the receiver
+     * @param entries the changes, at most one for each entry
      */
-    record Usage(Map<String, Long> tokensByCustomer) implements GatewayMessage {
+    record Usage(boolean wanted, List<EntryUsage> entries) implements GatewayMessage {
         /** Creates the message. */
         public Usage {
-            tokensByCustomer = Map.copyOf(tokensByCustomer);
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /**
+     * Tokens charged by one entry.
+     *
+     * @param entry the entry
+     * @param incarnation identifies a start of its process; not ordered
+     * @param sequence grows with each change and at least twice a second
+     * @param charged the changes, at most one for each customer
+     */
+    record EntryUsage(NodeId entry, long incarnation, long sequence, List<CustomerTokens> charged) {
+        /** Creates the usage. */
+        public EntryUsage {
+            Objects.requireNonNull(entry, "entry");
+            charged = List.copyOf(charged);
+        }
+    }
+
+    /**
+     * All tokens that one entry has charged for a customer since its start.
+     *
+     * @param customer name of the customer
+     * @param tokens the tokens, less those given back
+     * @param sequence sequence of the entry at which the value was set
+     */
+    record CustomerTokens(String customer, long tokens, long sequence) {
+        /** Creates the value. */
+        public CustomerTokens {
+            Objects.requireNonNull(customer, "customer");
         }
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -10,10 +10,13 @@
 import ebonygw.membership.Role;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
+import ebonygw.routing.LinkSets;
 import ebonygw.routing.RouterOptions;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -32,8 +35,11 @@
     /** Owner number of this node's correlation ids, see {@link KeyValueRequestIds}. */
     private static final int REQUEST_ID_OWNER = 7;
 
-    /** Interval at which charged tokens are reported to the other entries. */
-    private static final long USAGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /**
+     * Maximum number of loaders of a service that an entry is connected to. An entry has loads done
+     * at these replicas only; together they hold about two hundred adapters.
+     */
+    private static final int MAX_LOADER_LINKS_PER_SERVICE = 24;
 
     /** Time after the end of acceptance that refusals in transmission get before the exit. */
     private static final long FINAL_RESPONSES_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -45,12 +51,12 @@
     private final PrefixMirror mTargetMirror;
     private final EntryDirectory mDirectory;
     private final FleetQuota mQuota;
+    private final UsageExchange mUsage;
     private final TargetTable mTargets;
     private final PendingRequests mRequests;
     private final Map<NodeId, Long> mConnectedPeers = new HashMap<>();
     private Set<Member> mPublishedLinks = Set.of();
     private boolean mLinksChanged = true;
-    private long mUsageSentNanos;
     private long mStopRequestedNanos = Long.MIN_VALUE;
     private boolean mExited;
     private boolean mResidencyChanged;
@@ -65,8 +71,10 @@
         Member self = options.self();
         mOperator = new OperatorState(options.reader(), mRequestIds, mOut, this::onSettings);
         mTargetMirror = new PrefixMirror(options.reader().targetPrefix(), mRequestIds);
-        mDirectory = new EntryDirectory(self, mRequestIds, new SplittableRandom(options.seed()));
+        SplittableRandom random = new SplittableRandom(options.seed());
+        mDirectory = new EntryDirectory(self, mRequestIds, random.split());
         mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
+        mUsage = new UsageExchange(self.id(), self.locality(), random.nextLong(), mQuota);
         mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
         mRequests = new PendingRequests(options, mOperator, mTargets, mQuota, mOut);
     }
@@ -79,6 +87,7 @@
         dump.put("open", mRequests.size());
         dump.put("links", mConnectedPeers.size());
         dump.put("entries", mDirectory.entries().size());
+        dump.put("reachableEntries", mUsage.reachable());
         Map<String, Object> ages = new LinkedHashMap<>();
         ages.put("configurationMillis", mOperator.ageMillis(nowNanos));
         ages.put("targetsMillis", mTargetMirror.ageMillis(nowNanos));
@@ -160,13 +169,13 @@
     private void applyTarget(PrefixMirror.Change change) {
         String id = change.key().substring(mOptions.reader().targetPrefix().length());
         mResidencyChanged = true;
-        mLinksChanged = true;
         TargetRecord record =
                 change.entry() == null
                         ? null
                         : mOptions.reader().target(change.entry()).orElse(null);
         if (record == null) {
             if (mTargets.remove(id) != null) {
+                mLinksChanged = true;
                 mOut.log(LogLine.of("target_gone").with("target", id));
             }
             return;
@@ -176,6 +185,7 @@
                 known == null
                         || !known.record().isSameIncarnation(record)
                         || known.record().draining() != record.draining();
+        mLinksChanged |= changed || !known.record().service().equals(record.service());
         mTargets.put(record);
         if (changed) {
             mOut.log(
@@ -213,27 +223,12 @@
             }
             mResidencyChanged = true;
         }
-        updateEntryCounts(nowNanos);
-    }
-
-    /** Applies the numbers of registered and connected entries to quotas and retry budgets. */
-    private void updateEntryCounts(long nowNanos) {
-        Set<NodeId> entries = new HashSet<>();
-        entries.add(mOptions.self().id());
-        mDirectory.entries().forEach(entry -> entries.add(entry.id()));
-        int reachable = 0;
-        for (NodeId entry : entries) {
-            if (mConnectedPeers.containsKey(entry) || entry.equals(mOptions.self().id())) {
-                reachable++;
-            }
-        }
-        mQuota.onEntries(reachable, entries.size(), nowNanos);
-        mRequests.onEntries(entries.size());
+        mUsage.onLink(peer, mConnectedPeers.containsKey(peer));
     }
 
     private void onMessage(NodeId from, Message message, long nowNanos) {
         if (message instanceof GatewayMessage.Usage usage) {
-            mQuota.onUsage(usage.tokensByCustomer(), nowNanos);
+            mUsage.onMessage(from, usage, nowNanos);
         } else if (message instanceof GatewayMessage.OpenAdapterSlots slots) {
             mTargets.ofLoader(from).forEach(target -> target.onOpenAdapterSlots(slots.count()));
         } else if (message instanceof MemberMessage.TargetReport report) {
@@ -267,35 +262,46 @@
         mTargetMirror.onTick(nowNanos, mOut);
         if (mDirectory.onTick(nowNanos, mOut)) {
             mLinksChanged = true;
-            updateEntryCounts(nowNanos);
+            mUsage.onEntries(mDirectory.entries());
+            mRequests.onEntries(mUsage.entries());
         }
         applyTargetChanges();
         mRequests.dispatchWaiting(nowNanos);
-        if (nowNanos - mUsageSentNanos >= USAGE_INTERVAL_NANOS) {
-            mUsageSentNanos = nowNanos;
-            sendUsage();
-        }
+        mUsage.onTick(nowNanos, mOut::send);
         if (isStopping() && !mExited) {
             continueStop(nowNanos);
         }
     }
 
-    /** Emits the set of processes to connect to if it has changed: other entries and loaders. */
+    /**
+     * Emits the set of processes to connect to if it has changed: the entries that usage is
+     * exchanged with, and a bounded set of loaders, those of this region first.
+     */
     private void publishLinks(long nowNanos) {
         if (!mLinksChanged) {
             return;
         }
         mLinksChanged = false;
         Set<Member> links = new HashSet<>();
+        List<Member> members = new ArrayList<>(mDirectory.entries());
+        Set<NodeId> entries = mUsage.links();
         for (Member entry : mDirectory.entries()) {
-            if (!entry.id().equals(mOptions.self().id())) {
+            if (entries.contains(entry.id())) {
                 links.add(entry.withState(MemberState.LIVE));
             }
         }
         for (GatewayTarget target : mTargets.all()) {
             TargetRecord record = target.record();
             if (mOperator.service(record.service()).flatMap(GatewayService::engine).isPresent()) {
-                links.add(loader(target, record));
+                members.add(loader(target, record));
+            }
+        }
+        Member self = mOptions.self();
+        Set<NodeId> loaders =
+                LinkSets.choose(self.id(), self.locality(), members, MAX_LOADER_LINKS_PER_SERVICE);
+        for (Member member : members) {
+            if (member.role() == Role.TARGET && loaders.contains(member.id())) {
+                links.add(member);
             }
         }
         if (!links.equals(mPublishedLinks)) {
@@ -312,7 +318,8 @@
         if (mConnectedPeers.containsKey(id) && !target.isLoaderUp()) {
             target.onLoaderUp();
         }
-        return new Member(id, 0, Role.TARGET, MemberState.LIVE, record.locality(), address, "");
+        return new Member(
+                id, 0, Role.TARGET, MemberState.LIVE, record.locality(), address, record.service());
     }
 
     private void applyTargetChanges() {
@@ -341,18 +348,4 @@
                     .ifPresent(needs -> mOut.send(target.loader(), needs));
         }
     }
-
-    /** Sends the tokens charged since the last report to all other entries. */
-    private void sendUsage() {
-        Map<String, Long> charged = mQuota.drainUnreported();
-        if (charged.isEmpty()) {
-            return;
-        }
-        GatewayMessage.Usage usage = new GatewayMessage.Usage(charged);
-        for (Member entry : mDirectory.entries()) {
-            if (!entry.id().equals(mOptions.self().id())) {
-                mOut.send(entry.id(), usage);
-            }
-        }
-    }
 }
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -49,8 +49,12 @@
     /** Delay before the next attempt after a failed token request or order. */
     private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    /** Minimum interval between two reports of open adapter slots, for each connected entry. */
-    private static final long OPEN_SLOTS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+    /**
+     * Minimum interval between two reports of open adapter slots and between two reports of the
+     * load alone, for each connected entry. It bounds the messages of a loader at about 130 a
+     * second for any number of entries; entries also learn the load from responses.
+     */
+    private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
     /** Window over which replicas spread their reloads when a base model has a new version. */
     private static final long MODEL_RELOAD_SPREAD_MILLIS = 2_000;
@@ -68,6 +72,7 @@
     private MemberMessage.TargetReport mLastReport;
     private int mReportedOpenSlots;
     private long mOpenSlotsReportedNanos;
+    private long mReportedNanos;
     private Set<String> mLastModels = Set.of();
     private long mReportSequence;
     private long mFencingToken;
@@ -244,7 +249,7 @@
                             .with("adapters", mStatus.adapters()));
         }
         mDemands.onResident(mStatus.adapters(), nowNanos);
-        sendReport();
+        sendReport(nowNanos);
     }
 
     private void onTick(long nowNanos) {
@@ -371,11 +376,16 @@
         }
     }
 
+    private long reportIntervalNanos() {
+        return Math.max(1, mEntries.size()) * REPORT_INTERVAL_NANOS;
+    }
+
     /**
      * Reports adapters and load of the replica to all entries if they have changed. If only the
-     * load has changed, the shorter {@link MemberMessage.TargetLoad} is sent.
+     * load has changed, the shorter {@link MemberMessage.TargetLoad} is sent, not more often than
+     * once in the report interval; a later status read repeats a report that was left out.
      */
-    private void sendReport() {
+    private void sendReport(long nowNanos) {
         List<AdapterVersion> resident = new ArrayList<>();
         new TreeMap<>(mStatus.adapters())
                 .forEach(
@@ -401,6 +411,10 @@
                         || !resident.equals(mLastReport.resident())
                         || !loading.equals(mLastReport.loading())
                         || slots != mLastReport.concurrency();
+        if (!adaptersChanged && nowNanos - mReportedNanos < reportIntervalNanos()) {
+            return;
+        }
+        mReportedNanos = nowNanos;
         mReportSequence++;
         MemberMessage.TargetLoad load =
                 new MemberMessage.TargetLoad(
@@ -411,7 +425,7 @@
 
     /** Reports the number of open adapter slots to all entries if it has changed. */
     private void sendOpenSlots(long nowNanos) {
-        long interval = Math.max(1, mEntries.size()) * OPEN_SLOTS_INTERVAL_NANOS;
+        long interval = reportIntervalNanos();
         Optional<EngineLimits> engine = engine();
         if (mStatus == null
                 || engine.isEmpty()
--- a/src/main/java/ebonygw/gateway/UsageExchange.java
+++ b/src/main/java/ebonygw/gateway/UsageExchange.java
@@ -25,10 +25,10 @@
  *
  * <p>The relays of a region are the first entries by hash. An entry sends its usage to the first
  * relay of its region that it is linked to, its upstream, and receives the usage of all others from
- * it. A relay without an upstream receives the usage of each other region from the first relay there
- * that it is linked to. Usage is a set of registers, one for each entry and customer, each with a
- * sequence, so that losing, repeating and reordering messages does no harm; a message contains what
- * has changed since the last one on the same link.
+ * it. A relay without an upstream receives the usage of each other region from the first relay
+ * there that it is linked to. Usage is a set of registers, one for each entry and customer, each
+ * with a sequence, so that losing, repeating and reordering messages does no harm; a message
+ * contains what has changed since the last one on the same link.
  *
  * <p>Entries that have not been heard of for a while count as unreachable: their part of each quota
  * is set aside, and what they charge meanwhile is not counted again later. Not thread-safe.
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -2,15 +2,15 @@
 
 import ebonygw.gateway.GatewayMessage;
 import ebonygw.protocol.Message;
+import ebonygw.protocol.NodeId;
 import ebonygw.wire.PeerProtocol.AdapterNeed;
 import ebonygw.wire.PeerProtocol.AdapterNeeds;
 import ebonygw.wire.PeerProtocol.CustomerTokens;
+import ebonygw.wire.PeerProtocol.EntryUsage;
 import ebonygw.wire.PeerProtocol.Envelope;
 import ebonygw.wire.PeerProtocol.GatewayUsage;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /** Converts {@link GatewayMessage}s to and from protobuf. */
@@ -58,10 +58,20 @@
     }
 
     private static void encode(GatewayMessage.Usage usage, GatewayUsage.Builder to) {
-        usage.tokensByCustomer()
-                .forEach(
-                        (customer, tokens) ->
-                                to.addChargedBuilder().setCustomer(customer).setTokens(tokens));
+        to.setWanted(usage.wanted());
+        for (GatewayMessage.EntryUsage entry : usage.entries()) {
+            EntryUsage.Builder row =
+                    to.addEntriesBuilder()
+                            .setEntry(entry.entry().name())
+                            .setIncarnation(entry.incarnation())
+                            .setSequence(entry.sequence());
+            for (GatewayMessage.CustomerTokens tokens : entry.charged()) {
+                row.addChargedBuilder()
+                        .setCustomer(tokens.customer())
+                        .setTokens(tokens.tokens())
+                        .setSequence(tokens.sequence());
+            }
+        }
     }
 
     private static GatewayMessage.AdapterNeeds needs(AdapterNeeds from) {
@@ -80,10 +90,21 @@
     }
 
     private static GatewayMessage.Usage usage(GatewayUsage from) {
-        Map<String, Long> tokens = new HashMap<>();
-        for (CustomerTokens charged : from.getChargedList()) {
-            tokens.merge(charged.getCustomer(), charged.getTokens(), Long::sum);
+        List<GatewayMessage.EntryUsage> entries = new ArrayList<>();
+        for (EntryUsage row : from.getEntriesList()) {
+            List<GatewayMessage.CustomerTokens> charged = new ArrayList<>();
+            for (CustomerTokens tokens : row.getChargedList()) {
+                charged.add(
+                        new GatewayMessage.CustomerTokens(
+                                tokens.getCustomer(), tokens.getTokens(), tokens.getSequence()));
+            }
+            entries.add(
+                    new GatewayMessage.EntryUsage(
+                            new NodeId(row.getEntry()),
+                            row.getIncarnation(),
+                            row.getSequence(),
+                            charged));
         }
-        return new GatewayMessage.Usage(tokens);
+        return new GatewayMessage.Usage(from.getWanted(), entries);
     }
 }
--- a/src/main/java/ebonygw/routing/LinkSets.java
+++ b/src/main/java/ebonygw/routing/LinkSets.java
@@ -22,10 +22,17 @@
  * the targets of each region and service are partitioned by hash into a power of two of cells, and
  * the entries of the region into as many groups; each entry connects to one cell. All entries of a
  * group have the same set, so they agree on the preferred target of each adapter, and each adapter
- * has a preferred target in every cell. Entries are grouped by the rank of their hashes instead of
- * by the hash itself, which would leave cells without an entry.
+ * has a preferred target in every cell. If the region of the entry has few targets, the entry
+ * connects to these and to a cell of all targets. Entries are grouped by the rank of their hashes
+ * instead of by the hash itself, which would leave cells without an entry.
  */
 public final class LinkSets {
+    /**
+     * A region with fewer targets of a service than the limit divided by this cannot take the load
+     * of its entries; they connect to targets of other regions too.
+     */
+    private static final int MIN_LOCAL_DIVISOR = 4;
+
     private LinkSets() {}
 
     /**
@@ -67,7 +74,13 @@
         }
         List<Member> local =
                 targets.stream().filter(t -> t.locality().sameRegion(locality)).toList();
-        List<Member> nearest = local.isEmpty() ? targets : local;
+        List<Member> nearest = local;
+        int room = limit;
+        if (local.size() < limit / MIN_LOCAL_DIVISOR) {
+            local.forEach(t -> chosen.add(t.id()));
+            nearest = targets;
+            room -= local.size();
+        }
         int cells = 1;
         // Keep the mean cell at three quarters of the limit at most: cell sizes vary with the hash.
         while (nearest.size() > cells * (long) limit * 3 / 4) {
@@ -78,7 +91,7 @@
         nearest.stream()
                 .filter(t -> (hash(t.id()) & mask) == cell)
                 .sorted(Comparator.comparing(Member::id))
-                .limit(limit)
+                .limit(room)
                 .forEach(t -> chosen.add(t.id()));
     }
 
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -21903,32 +21903,43 @@
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <pre>
+     * Whether the sender wants such messages from the receiver.
+     * </pre>
+     *
+     * <code>bool wanted = 2;</code>
+     * @return The wanted.
      */
-    java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> 
-        getChargedList();
+    boolean getWanted();
+
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
-    ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index);
+    java.util.List<ebonygw.wire.PeerProtocol.EntryUsage> 
+        getEntriesList();
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
-    int getChargedCount();
+    ebonygw.wire.PeerProtocol.EntryUsage getEntries(int index);
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
-    java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
-        getChargedOrBuilderList();
+    int getEntriesCount();
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
-    ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+    java.util.List<? extends ebonygw.wire.PeerProtocol.EntryUsageOrBuilder> 
+        getEntriesOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+     */
+    ebonygw.wire.PeerProtocol.EntryUsageOrBuilder getEntriesOrBuilder(
         int index);
   }
   /**
    * <pre>
-   * Tokens that an entry has charged since its last message of this kind.
+   * Tokens that entries have charged, as far as they have changed since the sender's last message of
+   * this kind on this link.
    * </pre>
    *
    * Protobuf type {@code ebonygw.GatewayUsage}
@@ -21952,7 +21963,7 @@
       super(builder);
     }
     private GatewayUsage() {
-      charged_ = java.util.Collections.emptyList();
+      entries_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -21973,45 +21984,60 @@
               ebonygw.wire.PeerProtocol.GatewayUsage.class, ebonygw.wire.PeerProtocol.GatewayUsage.Builder.class);
     }
 
-    public static final int CHARGED_FIELD_NUMBER = 1;
+    public static final int WANTED_FIELD_NUMBER = 2;
+    private boolean wanted_ = false;
+    /**
+     * <pre>
+     * Whether the sender wants such messages from the receiver.
+     * </pre>
+     *
+     * <code>bool wanted = 2;</code>
+     * @return The wanted.
+     */
+    @java.lang.Override
+    public boolean getWanted() {
+      return wanted_;
+    }
+
+    public static final int ENTRIES_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
-    private java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> charged_;
+    private java.util.List<ebonygw.wire.PeerProtocol.EntryUsage> entries_;
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
     @java.lang.Override
-    public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> getChargedList() {
-      return charged_;
+    public java.util.List<ebonygw.wire.PeerProtocol.EntryUsage> getEntriesList() {
+      return entries_;
     }
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
     @java.lang.Override
-    public java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
-        getChargedOrBuilderList() {
-      return charged_;
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.EntryUsageOrBuilder> 
+        getEntriesOrBuilderList() {
+      return entries_;
     }
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
     @java.lang.Override
-    public int getChargedCount() {
-      return charged_.size();
+    public int getEntriesCount() {
+      return entries_.size();
     }
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index) {
-      return charged_.get(index);
+    public ebonygw.wire.PeerProtocol.EntryUsage getEntries(int index) {
+      return entries_.get(index);
     }
     /**
-     * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+     * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
      */
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+    public ebonygw.wire.PeerProtocol.EntryUsageOrBuilder getEntriesOrBuilder(
         int index) {
-      return charged_.get(index);
+      return entries_.get(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -22028,19 +22054,26 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      for (int i = 0; i < charged_.size(); i++) {
-        output.writeMessage(1, charged_.get(i));
+      if (wanted_ != false) {
+        output.writeBool(2, wanted_);
+      }
+      for (int i = 0; i < entries_.size(); i++) {
+        output.writeMessage(3, entries_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
+      if (wanted_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, wanted_);
+      }
 
           {
-            final int count = charged_.size();
+            final int count = entries_.size();
             for (int i = 0; i < count; i++) {
               size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(charged_.get(i));
+                .computeMessageSizeNoTag(entries_.get(i));
             }
             size += 1 * count;
           }
@@ -22068,8 +22101,10 @@
       }
       ebonygw.wire.PeerProtocol.GatewayUsage other = (ebonygw.wire.PeerProtocol.GatewayUsage) obj;
 
-      if (!getChargedList()
-          .equals(other.getChargedList())) return false;
+      if (getWanted()
+          != other.getWanted()) return false;
+      if (!getEntriesList()
+          .equals(other.getEntriesList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -22081,9 +22116,12 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      if (getChargedCount() > 0) {
-        hash = (37 * hash) + CHARGED_FIELD_NUMBER;
-        hash = (53 * hash) + getChargedList().hashCode();
+      hash = (37 * hash) + WANTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWanted());
+      if (getEntriesCount() > 0) {
+        hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
+        hash = (53 * hash) + getEntriesList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
@@ -22184,7 +22222,8 @@
     }
     /**
      * <pre>
-     * Tokens that an entry has charged since its last message of this kind.
+     * Tokens that entries have charged, as far as they have changed since the sender's last message of
+     * this kind on this link.
      * </pre>
      *
      * Protobuf type {@code ebonygw.GatewayUsage}
@@ -22220,13 +22259,14 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        if (chargedBuilder_ == null) {
-          charged_ = java.util.Collections.emptyList();
+        wanted_ = false;
+        if (entriesBuilder_ == null) {
+          entries_ = java.util.Collections.emptyList();
         } else {
-          charged_ = null;
-          chargedBuilder_.clear();
+          entries_ = null;
+          entriesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000001);
+        bitField0_ = (bitField0_ & ~0x00000002);
         return this;
       }
 
@@ -22260,19 +22300,22 @@
       }
 
       private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.GatewayUsage result) {
-        if (chargedBuilder_ == null) {
-          if (((bitField0_ & 0x00000001) != 0)) {
-            charged_ = java.util.Collections.unmodifiableList(charged_);
-            bitField0_ = (bitField0_ & ~0x00000001);
+        if (entriesBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            entries_ = java.util.Collections.unmodifiableList(entries_);
+            bitField0_ = (bitField0_ & ~0x00000002);
           }
-          result.charged_ = charged_;
+          result.entries_ = entries_;
         } else {
-          result.charged_ = chargedBuilder_.build();
+          result.entries_ = entriesBuilder_.build();
         }
       }
 
       private void buildPartial0(ebonygw.wire.PeerProtocol.GatewayUsage result) {
         int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.wanted_ = wanted_;
+        }
       }
 
       @java.lang.Override
@@ -22285,94 +22328,1226 @@
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.GatewayUsage other) {
-        if (other == ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance()) return this;
-        if (chargedBuilder_ == null) {
-          if (!other.charged_.isEmpty()) {
-            if (charged_.isEmpty()) {
-              charged_ = other.charged_;
-              bitField0_ = (bitField0_ & ~0x00000001);
-            } else {
-              ensureChargedIsMutable();
-              charged_.addAll(other.charged_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.charged_.isEmpty()) {
-            if (chargedBuilder_.isEmpty()) {
-              chargedBuilder_.dispose();
-              chargedBuilder_ = null;
-              charged_ = other.charged_;
-              bitField0_ = (bitField0_ & ~0x00000001);
-              chargedBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetChargedFieldBuilder() : null;
-            } else {
-              chargedBuilder_.addAllMessages(other.charged_);
-            }
-          }
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.GatewayUsage other) {
+        if (other == ebonygw.wire.PeerProtocol.GatewayUsage.getDefaultInstance()) return this;
+        if (other.getWanted() != false) {
+          setWanted(other.getWanted());
+        }
+        if (entriesBuilder_ == null) {
+          if (!other.entries_.isEmpty()) {
+            if (entries_.isEmpty()) {
+              entries_ = other.entries_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureEntriesIsMutable();
+              entries_.addAll(other.entries_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.entries_.isEmpty()) {
+            if (entriesBuilder_.isEmpty()) {
+              entriesBuilder_.dispose();
+              entriesBuilder_ = null;
+              entries_ = other.entries_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              entriesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetEntriesFieldBuilder() : null;
+            } else {
+              entriesBuilder_.addAllMessages(other.entries_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 16: {
+                wanted_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 16
+              case 26: {
+                ebonygw.wire.PeerProtocol.EntryUsage m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.EntryUsage.parser(),
+                        extensionRegistry);
+                if (entriesBuilder_ == null) {
+                  ensureEntriesIsMutable();
+                  entries_.add(m);
+                } else {
+                  entriesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private boolean wanted_ ;
+      /**
+       * <pre>
+       * Whether the sender wants such messages from the receiver.
+       * </pre>
+       *
+       * <code>bool wanted = 2;</code>
+       * @return The wanted.
+       */
+      @java.lang.Override
+      public boolean getWanted() {
+        return wanted_;
+      }
+      /**
+       * <pre>
+       * Whether the sender wants such messages from the receiver.
+       * </pre>
+       *
+       * <code>bool wanted = 2;</code>
+       * @param value The wanted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWanted(boolean value) {
+
+        wanted_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the sender wants such messages from the receiver.
+       * </pre>
+       *
+       * <code>bool wanted = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWanted() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        wanted_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<ebonygw.wire.PeerProtocol.EntryUsage> entries_ =
+        java.util.Collections.emptyList();
+      private void ensureEntriesIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          entries_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.EntryUsage>(entries_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.EntryUsage, ebonygw.wire.PeerProtocol.EntryUsage.Builder, ebonygw.wire.PeerProtocol.EntryUsageOrBuilder> entriesBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.EntryUsage> getEntriesList() {
+        if (entriesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(entries_);
+        } else {
+          return entriesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public int getEntriesCount() {
+        if (entriesBuilder_ == null) {
+          return entries_.size();
+        } else {
+          return entriesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.EntryUsage getEntries(int index) {
+        if (entriesBuilder_ == null) {
+          return entries_.get(index);
+        } else {
+          return entriesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder setEntries(
+          int index, ebonygw.wire.PeerProtocol.EntryUsage value) {
+        if (entriesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEntriesIsMutable();
+          entries_.set(index, value);
+          onChanged();
+        } else {
+          entriesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder setEntries(
+          int index, ebonygw.wire.PeerProtocol.EntryUsage.Builder builderForValue) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          entriesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder addEntries(ebonygw.wire.PeerProtocol.EntryUsage value) {
+        if (entriesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEntriesIsMutable();
+          entries_.add(value);
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder addEntries(
+          int index, ebonygw.wire.PeerProtocol.EntryUsage value) {
+        if (entriesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEntriesIsMutable();
+          entries_.add(index, value);
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder addEntries(
+          ebonygw.wire.PeerProtocol.EntryUsage.Builder builderForValue) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.add(builderForValue.build());
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder addEntries(
+          int index, ebonygw.wire.PeerProtocol.EntryUsage.Builder builderForValue) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder addAllEntries(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.EntryUsage> values) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, entries_);
+          onChanged();
+        } else {
+          entriesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder clearEntries() {
+        if (entriesBuilder_ == null) {
+          entries_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          entriesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public Builder removeEntries(int index) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.remove(index);
+          onChanged();
+        } else {
+          entriesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.EntryUsage.Builder getEntriesBuilder(
+          int index) {
+        return internalGetEntriesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.EntryUsageOrBuilder getEntriesOrBuilder(
+          int index) {
+        if (entriesBuilder_ == null) {
+          return entries_.get(index);  } else {
+          return entriesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.EntryUsageOrBuilder> 
+           getEntriesOrBuilderList() {
+        if (entriesBuilder_ != null) {
+          return entriesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(entries_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.EntryUsage.Builder addEntriesBuilder() {
+        return internalGetEntriesFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.EntryUsage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.EntryUsage.Builder addEntriesBuilder(
+          int index) {
+        return internalGetEntriesFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.EntryUsage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.EntryUsage entries = 3;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.EntryUsage.Builder> 
+           getEntriesBuilderList() {
+        return internalGetEntriesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.EntryUsage, ebonygw.wire.PeerProtocol.EntryUsage.Builder, ebonygw.wire.PeerProtocol.EntryUsageOrBuilder> 
+          internalGetEntriesFieldBuilder() {
+        if (entriesBuilder_ == null) {
+          entriesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.EntryUsage, ebonygw.wire.PeerProtocol.EntryUsage.Builder, ebonygw.wire.PeerProtocol.EntryUsageOrBuilder>(
+                  entries_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          entries_ = null;
+        }
+        return entriesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.GatewayUsage)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.GatewayUsage)
+    private static final ebonygw.wire.PeerProtocol.GatewayUsage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.GatewayUsage();
+    }
+
+    public static ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<GatewayUsage>
+        PARSER = new com.google.protobuf.AbstractParser<GatewayUsage>() {
+      @java.lang.Override
+      public GatewayUsage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<GatewayUsage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<GatewayUsage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface EntryUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.EntryUsage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    java.lang.String getEntry();
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    com.google.protobuf.ByteString
+        getEntryBytes();
+
+    /**
+     * <pre>
+     * Identifies a start of the entry's process; unordered.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <pre>
+     * Grows with each change and at least twice a second.
+     * </pre>
+     *
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> 
+        getChargedList();
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index);
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    int getChargedCount();
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
+        getChargedOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.EntryUsage}
+   */
+  public static final class EntryUsage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.EntryUsage)
+      EntryUsageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "EntryUsage");
+    }
+    // Use EntryUsage.newBuilder() to construct.
+    private EntryUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private EntryUsage() {
+      entry_ = "";
+      charged_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_EntryUsage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_EntryUsage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_EntryUsage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.EntryUsage.class, ebonygw.wire.PeerProtocol.EntryUsage.Builder.class);
+    }
+
+    public static final int ENTRY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object entry_ = "";
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    @java.lang.Override
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <pre>
+     * Identifies a start of the entry's process; unordered.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <pre>
+     * Grows with each change and at least twice a second.
+     * </pre>
+     *
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int CHARGED_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> charged_;
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> getChargedList() {
+      return charged_;
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
+        getChargedOrBuilderList() {
+      return charged_;
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    @java.lang.Override
+    public int getChargedCount() {
+      return charged_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index) {
+      return charged_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
+        int index) {
+      return charged_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeFixed64(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        output.writeUInt64(3, sequence_);
+      }
+      for (int i = 0; i < charged_.size(); i++) {
+        output.writeMessage(4, charged_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, sequence_);
+      }
+
+          {
+            final int count = charged_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(charged_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.EntryUsage)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.EntryUsage other = (ebonygw.wire.PeerProtocol.EntryUsage) obj;
+
+      if (!getEntry()
+          .equals(other.getEntry())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (!getChargedList()
+          .equals(other.getChargedList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+      hash = (53 * hash) + getEntry().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      if (getChargedCount() > 0) {
+        hash = (37 * hash) + CHARGED_FIELD_NUMBER;
+        hash = (53 * hash) + getChargedList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.EntryUsage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.EntryUsage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.EntryUsage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.EntryUsage)
+        ebonygw.wire.PeerProtocol.EntryUsageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_EntryUsage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_EntryUsage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.EntryUsage.class, ebonygw.wire.PeerProtocol.EntryUsage.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.EntryUsage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        entry_ = "";
+        incarnation_ = 0L;
+        sequence_ = 0L;
+        if (chargedBuilder_ == null) {
+          charged_ = java.util.Collections.emptyList();
+        } else {
+          charged_ = null;
+          chargedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_EntryUsage_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.EntryUsage getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.EntryUsage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.EntryUsage build() {
+        ebonygw.wire.PeerProtocol.EntryUsage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.EntryUsage buildPartial() {
+        ebonygw.wire.PeerProtocol.EntryUsage result = new ebonygw.wire.PeerProtocol.EntryUsage(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.EntryUsage result) {
+        if (chargedBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            charged_ = java.util.Collections.unmodifiableList(charged_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.charged_ = charged_;
+        } else {
+          result.charged_ = chargedBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.EntryUsage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.entry_ = entry_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.EntryUsage) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.EntryUsage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.EntryUsage other) {
+        if (other == ebonygw.wire.PeerProtocol.EntryUsage.getDefaultInstance()) return this;
+        if (!other.getEntry().isEmpty()) {
+          entry_ = other.entry_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (chargedBuilder_ == null) {
+          if (!other.charged_.isEmpty()) {
+            if (charged_.isEmpty()) {
+              charged_ = other.charged_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureChargedIsMutable();
+              charged_.addAll(other.charged_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.charged_.isEmpty()) {
+            if (chargedBuilder_.isEmpty()) {
+              chargedBuilder_.dispose();
+              chargedBuilder_ = null;
+              charged_ = other.charged_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              chargedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChargedFieldBuilder() : null;
+            } else {
+              chargedBuilder_.addAllMessages(other.charged_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                entry_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                incarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 24: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                ebonygw.wire.PeerProtocol.CustomerTokens m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.CustomerTokens.parser(),
+                        extensionRegistry);
+                if (chargedBuilder_ == null) {
+                  ensureChargedIsMutable();
+                  charged_.add(m);
+                } else {
+                  chargedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object entry_ = "";
+      /**
+       * <code>string entry = 1;</code>
+       * @return The entry.
+       */
+      public java.lang.String getEntry() {
+        java.lang.Object ref = entry_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          entry_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return The bytes for entry.
+       */
+      public com.google.protobuf.ByteString
+          getEntryBytes() {
+        java.lang.Object ref = entry_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          entry_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntry(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntry() {
+        entry_ = getDefaultInstance().getEntry();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The bytes for entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntryBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <pre>
+       * Identifies a start of the entry's process; unordered.
+       * </pre>
+       *
+       * <code>fixed64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <pre>
+       * Identifies a start of the entry's process; unordered.
+       * </pre>
+       *
+       * <code>fixed64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Identifies a start of the entry's process; unordered.
+       * </pre>
+       *
+       * <code>fixed64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
         onChanged();
         return this;
       }
 
+      private long sequence_ ;
+      /**
+       * <pre>
+       * Grows with each change and at least twice a second.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @return The sequence.
+       */
       @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      public long getSequence() {
+        return sequence_;
       }
+      /**
+       * <pre>
+       * Grows with each change and at least twice a second.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
 
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        java.util.Objects.requireNonNull(extensionRegistry);
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                ebonygw.wire.PeerProtocol.CustomerTokens m =
-                    input.readMessage(
-                        ebonygw.wire.PeerProtocol.CustomerTokens.parser(),
-                        extensionRegistry);
-                if (chargedBuilder_ == null) {
-                  ensureChargedIsMutable();
-                  charged_.add(m);
-                } else {
-                  chargedBuilder_.addMessage(m);
-                }
-                break;
-              } // case 10
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Grows with each change and at least twice a second.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
         return this;
       }
-      private int bitField0_;
 
       private java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> charged_ =
         java.util.Collections.emptyList();
       private void ensureChargedIsMutable() {
-        if (!((bitField0_ & 0x00000001) != 0)) {
+        if (!((bitField0_ & 0x00000008) != 0)) {
           charged_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.CustomerTokens>(charged_);
-          bitField0_ |= 0x00000001;
+          bitField0_ |= 0x00000008;
          }
       }
 
@@ -22380,7 +23555,7 @@
           ebonygw.wire.PeerProtocol.CustomerTokens, ebonygw.wire.PeerProtocol.CustomerTokens.Builder, ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> chargedBuilder_;
 
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens> getChargedList() {
         if (chargedBuilder_ == null) {
@@ -22390,7 +23565,7 @@
         }
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public int getChargedCount() {
         if (chargedBuilder_ == null) {
@@ -22400,7 +23575,7 @@
         }
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public ebonygw.wire.PeerProtocol.CustomerTokens getCharged(int index) {
         if (chargedBuilder_ == null) {
@@ -22410,7 +23585,7 @@
         }
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder setCharged(
           int index, ebonygw.wire.PeerProtocol.CustomerTokens value) {
@@ -22425,7 +23600,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder setCharged(
           int index, ebonygw.wire.PeerProtocol.CustomerTokens.Builder builderForValue) {
@@ -22439,7 +23614,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder addCharged(ebonygw.wire.PeerProtocol.CustomerTokens value) {
         if (chargedBuilder_ == null) {
@@ -22453,7 +23628,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder addCharged(
           int index, ebonygw.wire.PeerProtocol.CustomerTokens value) {
@@ -22468,7 +23643,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder addCharged(
           ebonygw.wire.PeerProtocol.CustomerTokens.Builder builderForValue) {
@@ -22482,7 +23657,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder addCharged(
           int index, ebonygw.wire.PeerProtocol.CustomerTokens.Builder builderForValue) {
@@ -22496,7 +23671,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder addAllCharged(
           java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.CustomerTokens> values) {
@@ -22511,12 +23686,12 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder clearCharged() {
         if (chargedBuilder_ == null) {
           charged_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000001);
+          bitField0_ = (bitField0_ & ~0x00000008);
           onChanged();
         } else {
           chargedBuilder_.clear();
@@ -22524,7 +23699,7 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public Builder removeCharged(int index) {
         if (chargedBuilder_ == null) {
@@ -22537,14 +23712,14 @@
         return this;
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public ebonygw.wire.PeerProtocol.CustomerTokens.Builder getChargedBuilder(
           int index) {
         return internalGetChargedFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder getChargedOrBuilder(
           int index) {
@@ -22554,7 +23729,7 @@
         }
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public java.util.List<? extends ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder> 
            getChargedOrBuilderList() {
@@ -22565,14 +23740,14 @@
         }
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public ebonygw.wire.PeerProtocol.CustomerTokens.Builder addChargedBuilder() {
         return internalGetChargedFieldBuilder().addBuilder(
             ebonygw.wire.PeerProtocol.CustomerTokens.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public ebonygw.wire.PeerProtocol.CustomerTokens.Builder addChargedBuilder(
           int index) {
@@ -22580,7 +23755,7 @@
             index, ebonygw.wire.PeerProtocol.CustomerTokens.getDefaultInstance());
       }
       /**
-       * <code>repeated .ebonygw.CustomerTokens charged = 1;</code>
+       * <code>repeated .ebonygw.CustomerTokens charged = 4;</code>
        */
       public java.util.List<ebonygw.wire.PeerProtocol.CustomerTokens.Builder> 
            getChargedBuilderList() {
@@ -22593,7 +23768,7 @@
           chargedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               ebonygw.wire.PeerProtocol.CustomerTokens, ebonygw.wire.PeerProtocol.CustomerTokens.Builder, ebonygw.wire.PeerProtocol.CustomerTokensOrBuilder>(
                   charged_,
-                  ((bitField0_ & 0x00000001) != 0),
+                  ((bitField0_ & 0x00000008) != 0),
                   getParentForChildren(),
                   isClean());
           charged_ = null;
@@ -22601,23 +23776,23 @@
         return chargedBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.GatewayUsage)
+      // @@protoc_insertion_point(builder_scope:ebonygw.EntryUsage)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.GatewayUsage)
-    private static final ebonygw.wire.PeerProtocol.GatewayUsage DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.EntryUsage)
+    private static final ebonygw.wire.PeerProtocol.EntryUsage DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.GatewayUsage();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.EntryUsage();
     }
 
-    public static ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.EntryUsage getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<GatewayUsage>
-        PARSER = new com.google.protobuf.AbstractParser<GatewayUsage>() {
+    private static final com.google.protobuf.Parser<EntryUsage>
+        PARSER = new com.google.protobuf.AbstractParser<EntryUsage>() {
       @java.lang.Override
-      public GatewayUsage parsePartialFrom(
+      public EntryUsage parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -22636,17 +23811,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<GatewayUsage> parser() {
+    public static com.google.protobuf.Parser<EntryUsage> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<GatewayUsage> getParserForType() {
+    public com.google.protobuf.Parser<EntryUsage> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.GatewayUsage getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.EntryUsage getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -22670,13 +23845,23 @@
 
     /**
      * <pre>
-     * Below 0 if more was given back than charged.
+     * All tokens charged since the start, less those given back.
      * </pre>
      *
      * <code>sint64 tokens = 2;</code>
      * @return The tokens.
      */
     long getTokens();
+
+    /**
+     * <pre>
+     * Sequence of the entry at which the value was set.
+     * </pre>
+     *
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
   }
   /**
    * Protobuf type {@code ebonygw.CustomerTokens}
@@ -22764,7 +23949,7 @@
     private long tokens_ = 0L;
     /**
      * <pre>
-     * Below 0 if more was given back than charged.
+     * All tokens charged since the start, less those given back.
      * </pre>
      *
      * <code>sint64 tokens = 2;</code>
@@ -22775,6 +23960,21 @@
       return tokens_;
     }
 
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <pre>
+     * Sequence of the entry at which the value was set.
+     * </pre>
+     *
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -22795,6 +23995,9 @@
       if (tokens_ != 0L) {
         output.writeSInt64(2, tokens_);
       }
+      if (sequence_ != 0L) {
+        output.writeUInt64(3, sequence_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -22806,6 +24009,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeSInt64Size(2, tokens_);
       }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, sequence_);
+      }
       return size;
     }
     @java.lang.Override
@@ -22834,6 +24041,8 @@
           .equals(other.getCustomer())) return false;
       if (getTokens()
           != other.getTokens()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -22850,6 +24059,9 @@
       hash = (37 * hash) + TOKENS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getTokens());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -22983,6 +24195,7 @@
         bitField0_ = 0;
         customer_ = "";
         tokens_ = 0L;
+        sequence_ = 0L;
         return this;
       }
 
@@ -23022,6 +24235,9 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.tokens_ = tokens_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
       }
 
       @java.lang.Override
@@ -23044,6 +24260,9 @@
         if (other.getTokens() != 0L) {
           setTokens(other.getTokens());
         }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -23078,6 +24297,11 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
+              case 24: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -23170,7 +24394,7 @@
       private long tokens_ ;
       /**
        * <pre>
-       * Below 0 if more was given back than charged.
+       * All tokens charged since the start, less those given back.
        * </pre>
        *
        * <code>sint64 tokens = 2;</code>
@@ -23182,7 +24406,7 @@
       }
       /**
        * <pre>
-       * Below 0 if more was given back than charged.
+       * All tokens charged since the start, less those given back.
        * </pre>
        *
        * <code>sint64 tokens = 2;</code>
@@ -23198,7 +24422,7 @@
       }
       /**
        * <pre>
-       * Below 0 if more was given back than charged.
+       * All tokens charged since the start, less those given back.
        * </pre>
        *
        * <code>sint64 tokens = 2;</code>
@@ -23211,6 +24435,50 @@
         return this;
       }
 
+      private long sequence_ ;
+      /**
+       * <pre>
+       * Sequence of the entry at which the value was set.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <pre>
+       * Sequence of the entry at which the value was set.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Sequence of the entry at which the value was set.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.CustomerTokens)
     }
 
@@ -25520,6 +26788,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_GatewayUsage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_EntryUsage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_EntryUsage_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_CustomerTokens_descriptor;
   private static final 
@@ -25616,16 +26889,19 @@
       "fter_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022" +
       ".ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006C" +
       "redit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
-      "\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\"8\n\014Gateway" +
-      "Usage\022(\n\007charged\030\001 \003(\0132\027.ebonygw.Custome" +
-      "rTokens\"2\n\016CustomerTokens\022\020\n\010customer\030\001 " +
-      "\001(\t\022\016\n\006tokens\030\002 \001(\022\"3\n\014AdapterNeeds\022#\n\005n" +
-      "eeds\030\001 \003(\0132\024.ebonygw.AdapterNeed\"q\n\013Adap" +
-      "terNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(" +
-      "\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r\022\017\n\007" +
-      "running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenPlace" +
-      "s\022\r\n\005count\030\001 \001(\021B\034\n\014ebonygw.wireB\014PeerPr" +
-      "otocolb\006proto3"
+      "\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\"J\n\014Gateway" +
+      "Usage\022\016\n\006wanted\030\002 \001(\010\022$\n\007entries\030\003 \003(\0132\023" +
+      ".ebonygw.EntryUsageJ\004\010\001\020\002\"l\n\nEntryUsage\022" +
+      "\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010s" +
+      "equence\030\003 \001(\004\022(\n\007charged\030\004 \003(\0132\027.ebonygw" +
+      ".CustomerTokens\"D\n\016CustomerTokens\022\020\n\010cus" +
+      "tomer\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\022\022\020\n\010sequence\030" +
+      "\003 \001(\004\"3\n\014AdapterNeeds\022#\n\005needs\030\001 \003(\0132\024.e" +
+      "bonygw.AdapterNeed\"q\n\013AdapterNeed\022\017\n\007ada" +
+      "pter\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\017\n\007waiting\030\003" +
+      " \001(\r\022\020\n\010punctual\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022" +
+      "\014\n\004sent\030\006 \001(\r\"\033\n\nOpenPlaces\022\r\n\005count\030\001 \001" +
+      "(\021B\034\n\014ebonygw.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25758,27 +27034,33 @@
     internal_static_ebonygw_GatewayUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_GatewayUsage_descriptor,
-        new java.lang.String[] { "Charged", });
-    internal_static_ebonygw_CustomerTokens_descriptor =
+        new java.lang.String[] { "Wanted", "Entries", });
+    internal_static_ebonygw_EntryUsage_descriptor =
       getDescriptor().getMessageType(21);
+    internal_static_ebonygw_EntryUsage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_EntryUsage_descriptor,
+        new java.lang.String[] { "Entry", "Incarnation", "Sequence", "Charged", });
+    internal_static_ebonygw_CustomerTokens_descriptor =
+      getDescriptor().getMessageType(22);
     internal_static_ebonygw_CustomerTokens_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_CustomerTokens_descriptor,
-        new java.lang.String[] { "Customer", "Tokens", });
+        new java.lang.String[] { "Customer", "Tokens", "Sequence", });
     internal_static_ebonygw_AdapterNeeds_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_ebonygw_AdapterNeeds_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterNeeds_descriptor,
         new java.lang.String[] { "Needs", });
     internal_static_ebonygw_AdapterNeed_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_ebonygw_AdapterNeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterNeed_descriptor,
         new java.lang.String[] { "Adapter", "Version", "Waiting", "Punctual", "Running", "Sent", });
     internal_static_ebonygw_OpenPlaces_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_ebonygw_OpenPlaces_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_OpenPlaces_descriptor,
--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -5,6 +5,8 @@
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -30,6 +32,49 @@
         assertThat(entry.refusal(exchange).orElseThrow().code()).isEqualTo(RefusalCode.NOT_FOUND);
     }
 
+    @Test
+    void anEntryOfALargeFleetIsLinkedToTheLoadersOfItsRegion() {
+        GatewayFixture entry = GatewayFixture.started();
+        for (int i = 0; i < 40; i++) {
+            boolean local = i % 4 == 0;
+            entry.putTarget(
+                    GatewayFixture.replica(
+                            "replica-" + i,
+                            (local ? "10.3.0." : "10.4.0.") + i + ":80",
+                            local ? GatewayFixture.KINGSTON : GatewayFixture.MONTEGO));
+        }
+
+        List<GatewayEffect.Links> links =
+                entry.mEffects.stream()
+                        .filter(GatewayEffect.Links.class::isInstance)
+                        .map(GatewayEffect.Links.class::cast)
+                        .toList();
+        assertThat(links.get(links.size() - 1).members())
+                .hasSize(11)
+                .allSatisfy(
+                        loader -> assertThat(loader.locality()).isEqualTo(GatewayFixture.KINGSTON));
+    }
+
+    @Test
+    void aReplicaWhoseLoaderIsNotLinkedServesTheAdaptersOfItsRegistration() {
+        GatewayFixture entry = GatewayFixture.started();
+        entry.putTarget(
+                new TargetRecord(
+                        "remote",
+                        1,
+                        "model",
+                        "10.4.0.1:80",
+                        GatewayFixture.MONTEGO,
+                        96,
+                        false,
+                        Map.of("m0", 1L),
+                        Map.of("m0/a9", 1L)));
+
+        long exchange = entry.submit("/ask/1", GatewayFixture.KEY, "m0/a9");
+
+        assertThat(entry.attempts(exchange).get(0).instance()).isEqualTo("remote");
+    }
+
     @Test
     void anUnknownKeyIsRefused() {
         GatewayFixture entry = GatewayFixture.started();
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -31,6 +31,7 @@
     private long mNowNanos = 1_792_756_569_002_000_070L;
     private String mInstance = "i-1";
     private long mOrders;
+    private int mRunning = 3;
     private long mToken = 40;
     private boolean mClaimsSucceed = true;
 
@@ -114,7 +115,28 @@
     }
 
     private TargetStatus status() {
-        return new TargetStatus(mInstance, 1, false, mOrders, 3, 0, mModels, mAdapters, mLoading);
+        return new TargetStatus(
+                mInstance, 1, false, mOrders, mRunning, 0, mModels, mAdapters, mLoading);
+    }
+
+    @Test
+    void theMessagesAboutTheLoadAloneDoNotGrowWithTheNumberOfEntries() {
+        start();
+        for (int entry = 2; entry <= 60; entry++) {
+            handle(new GatewayEvent.PeerUp(new NodeId("entry-" + entry), 1));
+        }
+        mEffects.clear();
+        for (int step = 0; step < 400; step++) {
+            mRunning = step % 7;
+            advance(25);
+        }
+
+        assertThat(
+                        mEffects.stream()
+                                .filter(GatewayEffect.Send.class::isInstance)
+                                .map(it -> ((GatewayEffect.Send) it).message())
+                                .filter(MemberMessage.TargetLoad.class::isInstance))
+                .hasSizeBetween(60, 10 * 70);
     }
 
     @Test
--- a/src/test/java/ebonygw/gateway/UsageExchangeTest.java
+++ b/src/test/java/ebonygw/gateway/UsageExchangeTest.java
@@ -116,9 +116,9 @@
 
         for (Entry entry : mEntries.values()) {
             long total = entry.mLocality.equals(locality(0)) ? 2 : 4;
-            assertThat(available(entry.mId)).isBetween(BURST * total / 6 - 5, BURST * total / 6 + 5);
+            assertThat(available(entry.mId))
+                    .isBetween(BURST * total / 6 - 5, BURST * total / 6 + 5);
         }
-
     }
 
     @Test
@@ -205,8 +205,7 @@
         Entry receiver = mEntries.get(to);
         if (receiver != null) {
             long delay = receiver.mLocality.sameRegion(from.mLocality) ? 1 : INTER_REGION_MILLIS;
-            mTransits.add(
-                    new Transit(mNowMillis + delay, mTransitCount++, from.mId, to, message));
+            mTransits.add(new Transit(mNowMillis + delay, mTransitCount++, from.mId, to, message));
         }
     }
 
@@ -265,8 +264,7 @@
         Entry(NodeId id, Locality locality) {
             mId = id;
             mLocality = locality;
-            mQuota.onSettings(
-                    List.of(new GatewayCustomer("a", 0, 1, BURST, 0, List.of())), now());
+            mQuota.onSettings(List.of(new GatewayCustomer("a", 0, 1, BURST, 0, List.of())), now());
             mExchange = new UsageExchange(id, locality, ++mTransitCount, mQuota);
         }
 
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -163,7 +163,20 @@
                                         random.nextInt(9),
                                         random.nextInt(9)))),
                 new GatewayMessage.OpenAdapterSlots(random.nextInt()),
-                new GatewayMessage.Usage(Map.of(word(random), random.nextLong())));
+                usage(random));
+    }
+
+    private static Message usage(Random random) {
+        GatewayMessage.CustomerTokens tokens =
+                new GatewayMessage.CustomerTokens(
+                        word(random), random.nextLong(), random.nextLong());
+        GatewayMessage.EntryUsage entry =
+                new GatewayMessage.EntryUsage(
+                        new NodeId("n" + word(random)),
+                        random.nextLong(),
+                        random.nextLong(),
+                        List.of(tokens));
+        return new GatewayMessage.Usage(random.nextBoolean(), List.of(entry));
     }
 
     private static long number(Random random) {
--- a/src/test/java/ebonygw/routing/LinkSetsTest.java
+++ b/src/test/java/ebonygw/routing/LinkSetsTest.java
@@ -44,6 +44,19 @@
         assertThat(groups.size()).isLessThanOrEqualTo(3 * 64);
     }
 
+    @Test
+    void anEntryInARegionWithFewTargetsAlsoConnectsToOtherRegions() {
+        List<Member> members = targets(100);
+        members.removeIf(target -> target.locality().equals(region(0)));
+        Member local = member("local", Role.TARGET, 0);
+        members.add(local);
+        members.add(member("e", Role.ENTRY, 0));
+
+        Set<NodeId> chosen = LinkSets.choose(new NodeId("e"), region(0), members, 24);
+
+        assertThat(chosen).contains(local.id()).hasSizeBetween(7, 24);
+    }
+
     private static Locality region(int number) {
         return new Locality("region-" + number, "a");
     }
