--- a/src/main/java/ebonygw/gateway/FleetQuota.java
+++ b/src/main/java/ebonygw/gateway/FleetQuota.java
@@ -25,9 +25,9 @@
 
     /**
      * Maximum time until other entries receive a charge: three messages through relays, each after
-     * its send interval, plus inter-region delay.
+     * its send interval and a tick, plus inter-region delay.
      */
-    private static final double MAX_EXCHANGE_SECONDS = 0.4;
+    private static final double MAX_EXCHANGE_SECONDS = 0.5;
 
     /** Half-life of the rate of requested tokens. */
     private static final long DEMAND_HALF_LIFE_NANOS = 500_000_000L;
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -50,11 +50,16 @@
     private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /**
-     * Minimum interval between two reports of open adapter slots and between two reports of the
-     * load alone, for each connected entry. It bounds the messages of a loader at about 130 a
-     * second for any number of entries; entries also learn the load from responses.
+     * Minimum interval between two reports of open adapter slots, for each connected entry. It
+     * bounds the messages of a loader at about 67 a second for any number of entries.
      */
-    private static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+    private static final long OPEN_SLOTS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+
+    /**
+     * Minimum interval between two reports of the load alone, for each connected entry. Longer than
+     * that of open slots, because entries also learn the load from responses.
+     */
+    private static final long LOAD_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
     /** Window over which replicas spread their reloads when a base model has a new version. */
     private static final long MODEL_RELOAD_SPREAD_MILLIS = 2_000;
@@ -376,14 +381,15 @@
         }
     }
 
-    private long reportIntervalNanos() {
-        return Math.max(1, mEntries.size()) * REPORT_INTERVAL_NANOS;
+    /** Returns the interval of messages to all entries, given that for a single entry. */
+    private long intervalNanos(long nanosPerEntry) {
+        return Math.max(1, mEntries.size()) * nanosPerEntry;
     }
 
     /**
      * Reports adapters and load of the replica to all entries if they have changed. If only the
      * load has changed, the shorter {@link MemberMessage.TargetLoad} is sent, not more often than
-     * once in the report interval; a later status read repeats a report that was left out.
+     * once in the interval for it; a later status read repeats a report that was left out.
      */
     private void sendReport(long nowNanos) {
         List<AdapterVersion> resident = new ArrayList<>();
@@ -411,7 +417,7 @@
                         || !resident.equals(mLastReport.resident())
                         || !loading.equals(mLastReport.loading())
                         || slots != mLastReport.concurrency();
-        if (!adaptersChanged && nowNanos - mReportedNanos < reportIntervalNanos()) {
+        if (!adaptersChanged && nowNanos - mReportedNanos < intervalNanos(LOAD_INTERVAL_NANOS)) {
             return;
         }
         mReportedNanos = nowNanos;
@@ -425,7 +431,7 @@
 
     /** Reports the number of open adapter slots to all entries if it has changed. */
     private void sendOpenSlots(long nowNanos) {
-        long interval = reportIntervalNanos();
+        long interval = intervalNanos(OPEN_SLOTS_INTERVAL_NANOS);
         Optional<EngineLimits> engine = engine();
         if (mStatus == null
                 || engine.isEmpty()
