--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -126,9 +126,9 @@
         } else if (event instanceof GatewayEvent.PeerMessageReceived said) {
             onMessage(said.peer(), said.message(), nowNanos);
         } else if (event instanceof GatewayEvent.PeerUp up) {
-            onConnection(up.peer(), up.incarnation(), true, nowNanos);
+            onConnection(up.peer(), up.incarnation(), true);
         } else if (event instanceof GatewayEvent.PeerDown down) {
-            onConnection(down.peer(), down.incarnation(), false, nowNanos);
+            onConnection(down.peer(), down.incarnation(), false);
         } else if (event instanceof GatewayEvent.KeyValueResponseReceived replied) {
             onKeyValue(replied.requestId(), replied.response(), nowNanos);
         } else if (event instanceof GatewayEvent.StopRequested) {
@@ -141,7 +141,7 @@
             mRequests.dispatchWaiting(nowNanos);
         }
         mTargets.all().forEach(target -> sendNeeds(target, nowNanos));
-        publishLinks(nowNanos);
+        publishLinks();
     }
 
     /**
@@ -209,7 +209,7 @@
     }
 
     /** Handles that the connection to a peer is established or lost. */
-    private void onConnection(NodeId peer, long incarnation, boolean up, long nowNanos) {
+    private void onConnection(NodeId peer, long incarnation, boolean up) {
         if (up) {
             mConnectedPeers.put(peer, incarnation);
         } else if (Long.valueOf(incarnation).equals(mConnectedPeers.get(peer))) {
@@ -277,7 +277,7 @@
      * Emits the set of processes to connect to if it has changed: the entries that usage is
      * exchanged with, and a bounded set of loaders, those of this region first.
      */
-    private void publishLinks(long nowNanos) {
+    private void publishLinks() {
         if (!mLinksChanged) {
             return;
         }
