--- a/src/main/java/ebonygw/bench/path/ClosedLoopGenerator.java
+++ b/src/main/java/ebonygw/bench/path/ClosedLoopGenerator.java
@@ -1,6 +1,7 @@
 package ebonygw.bench.path;
 
 import com.google.protobuf.ByteString;
+import ebonygw.http.BodySummary;
 import ebonygw.http.HttpClient;
 import ebonygw.http.HttpClientOptions;
 import ebonygw.http.HttpFailure;
@@ -103,7 +104,7 @@
         }
 
         @Override
-        public void ended() {
+        public void ended(BodySummary body) {
             if (mStatus == STATUS_OK) {
                 mRun.mLatencies.recordValue(System.nanoTime() - mStartNanos);
             } else {
--- a/src/main/java/ebonygw/caller/GatewayExchange.java
+++ b/src/main/java/ebonygw/caller/GatewayExchange.java
@@ -6,6 +6,7 @@
 import ebonygw.gateway.GatewayEvent;
 import ebonygw.gateway.GatewayHeaders;
 import ebonygw.gateway.GatewayRequest;
+import ebonygw.http.BodySummary;
 import ebonygw.http.HttpCall;
 import ebonygw.http.HttpFailure;
 import ebonygw.http.HttpResponseHandler;
@@ -119,7 +120,7 @@
         }
 
         @Override
-        public void ended() {
+        public void ended(BodySummary body) {
             if (mDone) {
                 return;
             }
@@ -128,7 +129,7 @@
             long exchangeId = mCaller.exchangeId();
             if (mForwarding) {
                 mCaller.offer(new EntryEffect.ResponseEnded(exchangeId));
-                mEvents.accept(new GatewayEvent.ResponseEnded(exchangeId, mAttemptNumber));
+                mEvents.accept(new GatewayEvent.ResponseEnded(exchangeId, mAttemptNumber, body));
             } else {
                 mEvents.accept(
                         new GatewayEvent.ResponseHeld(
--- a/src/main/java/ebonygw/gateway/GatewayEvent.java
+++ b/src/main/java/ebonygw/gateway/GatewayEvent.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.http.BodySummary;
 import ebonygw.keyvalue.KeyValueResponse;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
@@ -21,8 +22,12 @@
     record ResponseStarted(long exchange, int attempt, int status, Optional<TargetLoad> load)
             implements GatewayEvent {}
 
-    /** A response that was passed on to the caller is complete. */
-    record ResponseEnded(long exchange, int attempt) implements GatewayEvent {}
+    /**
+     * A response that was passed on to the caller is complete.
+     *
+     * @param body framing and length of its body
+     */
+    record ResponseEnded(long exchange, int attempt, BodySummary body) implements GatewayEvent {}
 
     /**
      * The target responded with a failure or a rejection, which is held back from the caller.
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -118,7 +118,7 @@
         } else if (event instanceof GatewayEvent.ResponseStarted started) {
             mRequests.onResponseStarted(started, nowNanos);
         } else if (event instanceof GatewayEvent.ResponseEnded ended) {
-            mRequests.onResponseEnded(ended.exchange(), ended.attempt(), nowNanos);
+            mRequests.onResponseEnded(ended, nowNanos);
         } else if (event instanceof GatewayEvent.ResponseHeld held) {
             mRequests.onResponseHeld(held, nowNanos);
         } else if (event instanceof GatewayEvent.AttemptFailed failed) {
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.http.BodySummary;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -52,6 +53,9 @@
 
     long mStartedNanos;
 
+    /** Body of the response that was passed on to the caller, null before its end. */
+    BodySummary mBody;
+
     PendingRequest(
             long exchange,
             GatewayRequest request,
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -145,11 +145,13 @@
         dispatch(pending, nowNanos);
     }
 
-    void onResponseEnded(long exchange, int attempt, long nowNanos) {
-        PendingRequest pending = ofCurrentAttempt(exchange, attempt);
+    void onResponseEnded(GatewayEvent.ResponseEnded ended, long nowNanos) {
+        PendingRequest pending = ofCurrentAttempt(ended.exchange(), ended.attempt());
         if (pending == null) {
             return;
         }
+        pending.mBody = ended.body();
+        count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
     }
@@ -236,7 +238,7 @@
         long started = pending.mStarted ? pending.mStartedNanos - pending.mArrivedNanos : -1;
         long total = nowNanos - pending.mArrivedNanos;
         mOut.effect(new GatewayEffect.Ended(pending.mRoute.kind(), outcome, started, total));
-        mOut.log(
+        LogLine line =
                 LogLine.of("request_ended")
                         .with("request", pending.mRequest.id())
                         .with("route", pending.mRoute.name())
@@ -245,7 +247,11 @@
                         .with("attempts", pending.mAttempts)
                         .with("may_have_run", pending.mMayHaveRun)
                         .with("start_ms", started < 0 ? -1 : started / 1_000_000)
-                        .with("ms", total / 1_000_000));
+                        .with("ms", total / 1_000_000);
+        if (pending.mBody != null) {
+            line.with("framing", pending.mBody.framing()).with("bytes", pending.mBody.bytes());
+        }
+        mOut.log(line);
     }
 
     /** Returns whether a request has waited too long at a replica without open adapter slots. */
--- a/src/main/java/ebonygw/http/BufferedResponse.java
+++ b/src/main/java/ebonygw/http/BufferedResponse.java
@@ -37,7 +37,7 @@
     }
 
     @Override
-    public void ended() {
+    public void ended(BodySummary body) {
         mComplete = mFault.isEmpty();
         mOnDone.accept(this);
     }
--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -47,7 +47,8 @@
     private boolean mDone;
     private boolean mPaused;
     private boolean mBodySent;
-    private boolean mFramed;
+    private Framing mFraming;
+    private long mBodyBytes;
     private long mKeepAliveNanos;
 
     HttpCall(
@@ -144,14 +145,17 @@
         return true;
     }
 
-    /** Returns whether the end of the response is explicit, not just the end of the connection. */
-    private boolean isFramed(ClientResponse response) {
+    private Framing framing(ClientResponse response) {
         int status = response.getResponseCode();
-        return response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
-                || response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
-                || status == StatusCodes.NO_CONTENT
-                || status == StatusCodes.NOT_MODIFIED
-                || mRequest.method().equals("HEAD");
+        if (response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            return Framing.CHUNKED;
+        }
+        boolean hasLength =
+                response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                        || status == StatusCodes.NO_CONTENT
+                        || status == StatusCodes.NOT_MODIFIED
+                        || mRequest.method().equals("HEAD");
+        return hasLength ? Framing.LENGTH : Framing.CONNECTION_END;
     }
 
     /**
@@ -169,9 +173,13 @@
             return;
         }
         Logger.debug("event=call_lost server={} cause=\"{}\"", mClient.host(), cause);
-        abort(
-                mResponseStarted ? HttpFailure.Kind.BROKEN : HttpFailure.Kind.LOST,
-                mResponseStarted ? "answer broke off" : "connection lost");
+        if (mResponseStarted) {
+            abort(
+                    HttpFailure.Kind.BROKEN,
+                    "answer broke off, framing=" + mFraming + " bytes=" + mBodyBytes);
+        } else {
+            abort(HttpFailure.Kind.LOST, "connection lost");
+        }
     }
 
     private void read(StreamSourceChannel channel) {
@@ -188,6 +196,7 @@
                     break;
                 }
                 buffer.flip();
+                mBodyBytes += count;
                 mHandler.part(ByteString.copyFrom(buffer));
             }
             if (mDone || mPaused) {
@@ -225,7 +234,7 @@
         }
         mResponseStarted = true;
         ClientResponse response = exchange.getResponse();
-        mFramed = isFramed(response) || mClient.options().acceptsUnframed();
+        mFraming = framing(response);
         mKeepAliveNanos = keepAliveNanos(response.getResponseHeaders());
         mHandler.started(
                 response.getResponseCode(), HttpHeaders.endToEnd(response.getResponseHeaders()));
@@ -235,12 +244,12 @@
     }
 
     private void succeed() {
-        if (!mFramed) {
+        if (mFraming == Framing.CONNECTION_END && !mClient.options().acceptsUnframed()) {
             abort(HttpFailure.Kind.BROKEN, "the answer's end is not known");
             return;
         }
         if (finish()) {
-            mHandler.ended();
+            mHandler.ended(new BodySummary(mFraming, mBodyBytes));
             if (!mBodySent) {
                 IoUtils.safeClose(mConnection);
             }
--- a/src/main/java/ebonygw/http/HttpResponseHandler.java
+++ b/src/main/java/ebonygw/http/HttpResponseHandler.java
@@ -11,7 +11,7 @@
  */
 public interface HttpResponseHandler {
     /** The response is complete. */
-    void ended();
+    void ended(BodySummary body);
 
     /** The request failed; no complete response was received. */
     void failed(HttpFailure failure);
--- a/src/main/java/ebonygw/keyvalue/KeyValueClient.java
+++ b/src/main/java/ebonygw/keyvalue/KeyValueClient.java
@@ -1,6 +1,7 @@
 package ebonygw.keyvalue;
 
 import com.google.protobuf.ByteString;
+import ebonygw.http.BodySummary;
 import ebonygw.http.HttpCall;
 import ebonygw.http.HttpClient;
 import ebonygw.http.HttpClientOptions;
@@ -168,7 +169,7 @@
         }
 
         @Override
-        public void ended() {
+        public void ended(BodySummary body) {
             if (isWatch()) {
                 fail(false, "watch ended with status " + mStatus);
                 return;
--- a/src/main/java/ebonygw/operator/AdminClient.java
+++ b/src/main/java/ebonygw/operator/AdminClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
+import ebonygw.http.BodySummary;
 import ebonygw.http.HttpClient;
 import ebonygw.http.HttpClientOptions;
 import ebonygw.http.HttpFailure;
@@ -90,7 +91,7 @@
         }
 
         @Override
-        public void ended() {
+        public void ended(BodySummary body) {
             try {
                 mResponse.complete(
                         new AdminResponse(mStatus, MAPPER.readTree(mBody.toByteArray())));
--- a/src/main/java/ebonygw/target/TargetRequests.java
+++ b/src/main/java/ebonygw/target/TargetRequests.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import ebonygw.TargetEffect;
 import ebonygw.TargetEvent;
+import ebonygw.http.BodySummary;
 import ebonygw.http.HttpCall;
 import ebonygw.http.HttpClient;
 import ebonygw.http.HttpFailure;
@@ -120,7 +121,7 @@
         }
 
         @Override
-        public void ended() {
+        public void ended(BodySummary body) {
             if (mFailed) {
                 return;
             }
--- a/src/test/java/ebonygw/gateway/GatewayNodeTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayNodeTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ebonygw.http.BodySummary;
+import ebonygw.http.Framing;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
@@ -298,7 +300,8 @@
         entry.advance(3_500);
         assertThat(entry.mEffects).doesNotContain(new GatewayEffect.Exit());
         entry.handle(new GatewayEvent.ResponseStarted(exchange, 1, 200, Optional.empty()));
-        entry.handle(new GatewayEvent.ResponseEnded(exchange, 1));
+        entry.handle(
+                new GatewayEvent.ResponseEnded(exchange, 1, new BodySummary(Framing.LENGTH, 1)));
         entry.advance(100);
         assertThat(entry.mEffects).contains(new GatewayEffect.Exit());
     }
--- a/src/test/java/ebonygw/http/HttpClientTest.java
+++ b/src/test/java/ebonygw/http/HttpClientTest.java
@@ -218,7 +218,7 @@
     /** Records the response in the queue of the test. */
     private final class Recorder implements HttpResponseHandler {
         @Override
-        public void ended() {
+        public void ended(BodySummary body) {
             mReceived.add("end");
         }
 
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -258,7 +258,8 @@
             assertThat(metrics)
                     .contains("ebonygw_request_count{kind=\"non_idempotent\",outcome=\"served\"")
                     .contains("ages.configurationMillis")
-                    .contains("event=\"served\"");
+                    .contains("event=\"served\"")
+                    .contains("event=\"framing_length\"");
         }
     }
 
