--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -16,6 +16,7 @@
 import ebonygw.protocol.NodeId;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +28,9 @@
     private static final long DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final String NON_IDEMPOTENT_PATH = "/book/1";
     private static final String IDEMPOTENT_PATH = "/look/1";
+    private static final String STREAMING_PATH = "/tell/1";
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 X\r\nAttempt-Id: REQUEST\r\nContent-Type: text/event-stream\r\n";
 
     private final StoreStandIn mStore = new StoreStandIn();
     private ScriptedReplica mReplica;
@@ -39,7 +43,9 @@
           {"name":"book","hostname":"h","prefix":"/book/","type":"non_idempotent",
            "timeout_ms":3000,"max_attempts":1,"backend":"desk","public":false},
           {"name":"look","hostname":"h","prefix":"/look/","type":"idempotent",
-           "timeout_ms":3000,"max_attempts":2,"backend":"desk","public":false}],
+           "timeout_ms":3000,"max_attempts":2,"backend":"desk","public":false},
+          {"name":"tell","hostname":"h","prefix":"/tell/","type":"streaming","resumable":false,
+           "timeout_ms":3000,"max_attempts":1,"backend":"desk","public":false}],
          "backends":[{"name":"desk","health_path":"/h","max_connections":10}],
          "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
            "header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -203,6 +209,36 @@
         }
     }
 
+    // Guards against a stream that its replica broke off but its caller receives as complete.
+    @Test
+    void aStreamThatEndsInsideAnEventIsForwardedAsBroken() throws IOException {
+        List<String> broken =
+                List.of(
+                        "Connection: close\r\n\r\nid: 1\ndata: one\n\nid: 2\nda",
+                        "Connection: close\r\n\r\nid: 1\ndata: one\n\nid: 2\ndata: two\n",
+                        "Connection: close\r\n\r\n",
+                        "Content-Length: 15\r\n\r\nid: 1\ndata: one",
+                        "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: one\r\n0\r\n\r\n");
+        for (String response : broken) {
+            mReplica.script(ScriptedResponse.of(STREAM_HEAD + response));
+
+            try (RawCaller caller = caller()) {
+                send(caller, STREAMING_PATH);
+                assertThatThrownBy(caller::readResponse)
+                        .as(response)
+                        .isInstanceOf(IOException.class);
+            }
+        }
+    }
+
+    @Test
+    void aStreamWithoutLengthThatEndsAfterAnEventIsComplete() throws IOException {
+        String events = "id: 1\r\ndata: one\r\n\r\n: comment\r\n\r\nid: 2\r\ndata: two\r\n\r\n";
+        mReplica.script(ScriptedResponse.of(STREAM_HEAD + "Connection: close\r\n\r\n" + events));
+
+        assertThat(request(STREAMING_PATH).body()).isEqualTo(events);
+    }
+
     @Test
     void bytesThatAreNotHttpYieldBadGateway() throws IOException {
         mReplica.script(ScriptedResponse.of("rubbish rubbish\r\n\r\n"));
