Gateway: an event stream that ends inside an event is broken

Cause: a response may have neither a length nor chunks, so that the end of its connection ends it. The client took each orderly end of such a connection for the end of the response, although a replica that crashes closes its connections in an orderly way too. The entry then wrote its own framing, which turned a doubtful end into a certain one.

Class of fault: a weaker statement of one hop is passed on as a stronger one of the next hop.

Fix: the client follows the content of event streams; a stream that ends inside an event, or ends its connection without any event, is broken whatever its framing. This holds for every user of HttpClient, not only for the gateway.

--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -34,6 +34,7 @@
     /** Limits how long one response can occupy the IO thread. */
     private static final int MAX_READS_PER_EVENT = 16;
 
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
     private final HttpClient mClient;
@@ -48,6 +49,10 @@
     private boolean mPaused;
     private boolean mBodySent;
     private Framing mFraming;
+
+    /** Position in the event stream of the response, null if it is none. */
+    private EventStreamBoundary mEvents;
+
     private long mBodyBytes;
     private long mKeepAliveNanos;
 
@@ -158,6 +163,19 @@
         return hasLength ? Framing.LENGTH : Framing.CONNECTION_END;
     }
 
+    /**
+     * Returns whether an event stream has ended too early. One without any event is complete only
+     * if its framing says so.
+     */
+    private boolean isCutOff(EventStreamBoundary events) {
+        return events.isInsideEvent() || mFraming == Framing.CONNECTION_END && !events.hasEvents();
+    }
+
+    private static boolean isEventStream(ClientResponse response) {
+        String type = response.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
+        return type != null && type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+    }
+
     /**
      * Returns how long the server keeps an idle connection open, 0 if the response does not specify
      * it.
@@ -197,7 +215,11 @@
                 }
                 buffer.flip();
                 mBodyBytes += count;
-                mHandler.part(ByteString.copyFrom(buffer));
+                ByteString data = ByteString.copyFrom(buffer);
+                if (mEvents != null) {
+                    mEvents.accept(data);
+                }
+                mHandler.part(data);
             }
             if (mDone || mPaused) {
                 channel.suspendReads();
@@ -235,6 +257,7 @@
         mResponseStarted = true;
         ClientResponse response = exchange.getResponse();
         mFraming = framing(response);
+        mEvents = isEventStream(response) ? new EventStreamBoundary() : null;
         mKeepAliveNanos = keepAliveNanos(response.getResponseHeaders());
         mHandler.started(
                 response.getResponseCode(), HttpHeaders.endToEnd(response.getResponseHeaders()));
@@ -248,6 +271,17 @@
             abort(HttpFailure.Kind.BROKEN, "the answer's end is not known");
             return;
         }
+        if (mEvents != null && isCutOff(mEvents)) {
+            abort(
+                    HttpFailure.Kind.BROKEN,
+                    "event stream ended "
+                            + (mEvents.isInsideEvent() ? "inside" : "without")
+                            + " an event, framing="
+                            + mFraming
+                            + " bytes="
+                            + mBodyBytes);
+            return;
+        }
         if (finish()) {
             mHandler.ended(new BodySummary(mFraming, mBodyBytes));
             if (!mBodySent) {
