--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -193,6 +193,7 @@
                         .with("cost_ms", costNanos / 1_000_000)
                         .with("adapter", request.adapter())
                         .with("version", wanted)
+                        .with("parts", String.join(",", request.sharedPartIds()))
                         .with("left_ms", remainingNanos / 1_000_000));
         mOut.effect(
                 new GatewayEffect.Attempt(
--- a/src/main/java/ebonygw/gateway/GatewayRequest.java
+++ b/src/main/java/ebonygw/gateway/GatewayRequest.java
@@ -63,6 +63,14 @@
         return promptTokens < 0 ? defaultTokens : promptTokens + maxTokens;
     }
 
+    /** Returns the ids of the parts that other requests may share: all but the last one. */
+    public List<String> sharedPartIds() {
+        return promptParts.stream()
+                .limit(Math.max(0, promptParts.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
+
     /** Returns a hash of the request's identifier. */
     public long hash() {
         return LongHashFunction.xx().hashChars(id);
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -235,8 +235,15 @@
         mReadPending = false;
         if (status.isEmpty()) {
             if (mInstance != null) {
+                mCounts.merge("replica_lost", 1L, Long::sum);
+                mOut.log(
+                        LogLine.of("replica_lost")
+                                .with("address", mOptions.address())
+                                .with("instance", mInstance)
+                                .with("running", mLastReport.running())
+                                .with("adapters", mLastReport.resident().size())
+                                .with("loading", mLastReport.loading().size()));
                 mInstance = null;
-                mOut.log(LogLine.of("replica_lost").with("address", mOptions.address()));
             }
             mStatus = null;
             return;
