--- a/src/main/java/ebonygw/gateway/GatewayMessage.java
+++ b/src/main/java/ebonygw/gateway/GatewayMessage.java
@@ -2,6 +2,7 @@
 
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
+import ebonygw.quarantine.Evidence;
 import java.util.List;
 import java.util.Objects;
 
@@ -45,6 +46,31 @@
      */
     record OpenAdapterSlots(int count) implements GatewayMessage {}
 
+    /**
+     * What the sender knows of prompt parts that crash targets, as far as it has changed since its
+     * last message on the same link. Sent between entries.
+     *
+     * @param evidence the evidence
+     */
+    record PromptEvidence(Evidence evidence) implements GatewayMessage {
+        /** Creates the message. */
+        public PromptEvidence {
+            Objects.requireNonNull(evidence, "evidence");
+        }
+    }
+
+    /**
+     * An incarnation of the sender's replica has ended. Sent from a loader to the entries.
+     *
+     * @param incarnation name of the incarnation
+     */
+    record TargetEnded(String incarnation) implements GatewayMessage {
+        /** Creates the message. */
+        public TargetEnded {
+            Objects.requireNonNull(incarnation, "incarnation");
+        }
+    }
+
     /**
      * Tokens charged by entries, as far as they have changed since the sender's last message on the
      * same link. Sent between entries.
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -53,6 +53,7 @@
     private final FleetQuota mQuota;
     private final UsageExchange mUsage;
     private final TargetTable mTargets;
+    private final PromptGuard mGuard;
     private final PendingRequests mRequests;
     private final Map<NodeId, Long> mConnectedPeers = new HashMap<>();
     private Set<Member> mPublishedLinks = Set.of();
@@ -76,7 +77,8 @@
         mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
         mUsage = new UsageExchange(self.id(), self.locality(), random.nextLong(), mQuota);
         mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
-        mRequests = new PendingRequests(options, mOperator, mTargets, mQuota, mOut);
+        mGuard = new PromptGuard(self.id(), random.nextLong(), mRequestIds, mOut);
+        mRequests = new PendingRequests(options, mOperator, mTargets, mQuota, mGuard, mOut);
     }
 
     /** Returns the state as maps, lists, strings and numbers for JSON, without secrets. */
@@ -94,6 +96,7 @@
         dump.put("ages", ages);
         dump.put("counts", Map.copyOf(mRequests.counts()));
         dump.put("quota", mQuota.dump());
+        dump.put("blockedParts", mGuard.blockedParts());
         dump.put("wantedVersions", mOperator.wantedVersions());
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
@@ -152,6 +155,7 @@
         return mOperator.settings() != null
                 && mTargetMirror.isLoaded()
                 && mDirectory.isLoaded()
+                && mGuard.isLoaded()
                 && !isStopping();
     }
 
@@ -166,7 +170,7 @@
     }
 
     /** Applies a changed or removed registration of a target. */
-    private void applyTarget(PrefixMirror.Change change) {
+    private void applyTarget(PrefixMirror.Change change, long nowNanos) {
         String id = change.key().substring(mOptions.reader().targetPrefix().length());
         mResidencyChanged = true;
         TargetRecord record =
@@ -174,8 +178,10 @@
                         ? null
                         : mOptions.reader().target(change.entry()).orElse(null);
         if (record == null) {
-            if (mTargets.remove(id) != null) {
+            GatewayTarget removed = mTargets.remove(id);
+            if (removed != null) {
                 mLinksChanged = true;
+                endIncarnation(removed.record(), nowNanos);
                 mOut.log(LogLine.of("target_gone").with("target", id));
             }
             return;
@@ -185,6 +191,9 @@
                 known == null
                         || !known.record().isSameIncarnation(record)
                         || known.record().draining() != record.draining();
+        if (known != null && !known.record().isSameIncarnation(record)) {
+            endIncarnation(known.record(), nowNanos);
+        }
         mLinksChanged |= changed || !known.record().service().equals(record.service());
         mTargets.put(record);
         if (changed) {
@@ -198,13 +207,21 @@
         }
     }
 
+    /** Tells the guard of prompts that a target is gone, unless that was announced. */
+    private void endIncarnation(TargetRecord record, long nowNanos) {
+        if (!record.draining()) {
+            mGuard.onTargetEnded(record.incarnation(), nowNanos);
+        }
+    }
+
     private void onKeyValue(long requestId, KeyValueResponse response, long nowNanos) {
         boolean handled =
                 mOperator.onResponse(requestId, response, nowNanos)
                         || mTargetMirror.onResponse(requestId, response, nowNanos)
-                        || mDirectory.onResponse(requestId, response, nowNanos);
+                        || mDirectory.onResponse(requestId, response, nowNanos)
+                        || mGuard.onResponse(requestId, response, nowNanos);
         if (handled) {
-            applyTargetChanges();
+            applyTargetChanges(nowNanos);
         }
     }
 
@@ -224,11 +241,16 @@
             mResidencyChanged = true;
         }
         mUsage.onLink(peer, mConnectedPeers.containsKey(peer));
+        mGuard.onLink(peer, mConnectedPeers.containsKey(peer));
     }
 
     private void onMessage(NodeId from, Message message, long nowNanos) {
         if (message instanceof GatewayMessage.Usage usage) {
             mUsage.onMessage(from, usage, nowNanos);
+        } else if (message instanceof GatewayMessage.PromptEvidence evidence) {
+            mGuard.onEvidence(evidence.evidence(), nowNanos);
+        } else if (message instanceof GatewayMessage.TargetEnded ended) {
+            mGuard.onTargetEnded(ended.incarnation(), nowNanos);
         } else if (message instanceof GatewayMessage.OpenAdapterSlots slots) {
             mTargets.ofLoader(from).forEach(target -> target.onOpenAdapterSlots(slots.count()));
         } else if (message instanceof MemberMessage.TargetReport report) {
@@ -264,8 +286,11 @@
             mLinksChanged = true;
             mUsage.onEntries(mDirectory.entries());
             mRequests.onEntries(mUsage.entries());
+            mGuard.onEntries(mDirectory.entries().stream().map(Member::id).toList());
         }
-        applyTargetChanges();
+        applyTargetChanges(nowNanos);
+        mRequests.reportSurvivals(nowNanos);
+        mGuard.onTick(nowNanos);
         mRequests.dispatchWaiting(nowNanos);
         mUsage.onTick(nowNanos, mOut::send);
         if (isStopping() && !mExited) {
@@ -322,8 +347,8 @@
                 id, 0, Role.TARGET, MemberState.LIVE, record.locality(), address, record.service());
     }
 
-    private void applyTargetChanges() {
-        mTargetMirror.drainChanges().forEach(this::applyTarget);
+    private void applyTargetChanges(long nowNanos) {
+        mTargetMirror.drainChanges().forEach(change -> applyTarget(change, nowNanos));
     }
 
     /** Exits once no request is open and no refusal can be in transmission, or after the grace. */
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -243,14 +243,15 @@
                                 .with("running", mLastReport.running())
                                 .with("adapters", mLastReport.resident().size())
                                 .with("loading", mLastReport.loading().size()));
-                mInstance = null;
+                endInstance();
             }
             mStatus = null;
             return;
         }
         mStatus = status.get();
-        String instance = mStatus.instance() + '/' + mStatus.startedAtMillis();
+        String instance = TargetRecord.incarnation(mStatus.instance(), mStatus.startedAtMillis());
         if (!instance.equals(mInstance)) {
+            endInstance();
             mInstance = instance;
             mOut.log(
                     LogLine.of("replica_seen")
@@ -264,6 +265,15 @@
         sendReport(nowNanos);
     }
 
+    /** Tells the entries that the known incarnation of the replica, if any, has ended. */
+    private void endInstance() {
+        if (mInstance != null) {
+            GatewayMessage ended = new GatewayMessage.TargetEnded(mInstance);
+            mEntries.forEach(entry -> mOut.send(entry, ended));
+            mInstance = null;
+        }
+    }
+
     private void onTick(long nowNanos) {
         mOperator.onTick(nowNanos);
         claim(nowNanos);
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -53,6 +53,9 @@
 
     long mStartedNanos;
 
+    /** Whether the response has counted as one that its target survived. */
+    boolean mSurvived;
+
     /** Body of the response that was passed on to the caller, null before its end. */
     BodySummary mBody;
 
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -1,6 +1,7 @@
 package ebonygw.gateway;
 
 import ebonygw.log.LogLine;
+import ebonygw.quarantine.PartQuarantine;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -38,6 +40,8 @@
     private final GatewayAdmission mAdmission;
     private final FleetRetryBudgets mRetries;
     private final GatewayAttempts mAttempts;
+    private final PromptGuard mGuard;
+    private final TargetTable mTargets;
     private final GatewayOutbox mOut;
     private final Map<Long, PendingRequest> mByExchange = new LinkedHashMap<>();
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
@@ -47,8 +51,11 @@
             OperatorState operator,
             TargetTable targets,
             FleetQuota quota,
+            PromptGuard guard,
             GatewayOutbox out) {
         mQuota = quota;
+        mGuard = guard;
+        mTargets = targets;
         mOut = out;
         mAdmission = new GatewayAdmission(operator);
         mRetries = new FleetRetryBudgets(options);
@@ -82,11 +89,20 @@
         waiting.forEach(pending -> dispatch(pending, nowNanos));
     }
 
+    /** Tells the guard of prompts which responses their targets have survived. */
+    void reportSurvivals(long nowNanos) {
+        mByExchange.values().forEach(pending -> mGuard.onResponse(pending, false, nowNanos));
+    }
+
     void onAttemptFailed(GatewayEvent.AttemptFailed failed, long nowNanos) {
         PendingRequest pending = ofCurrentAttempt(failed.exchange(), failed.attempt());
         if (pending == null) {
             return;
         }
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (failed.started() && !failed.deadlineExceeded() && target != null) {
+            mGuard.onBroken(pending, target, nowNanos);
+        }
         mAttempts.endAttempt(pending, false, nowNanos);
         pending.mMayHaveRun |= failed.mayHaveRun();
         pending.mPossibleRuns += failed.mayHaveRun() ? 1 : 0;
@@ -151,6 +167,7 @@
             return;
         }
         pending.mBody = ended.body();
+        mGuard.onResponse(pending, true, nowNanos);
         count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
@@ -200,6 +217,16 @@
             refuse(pending, deadlineCode(pending), "no time left", 0, nowNanos);
             return;
         }
+        Optional<PartQuarantine.Block> block = mGuard.blocked(pending.mRequest, nowNanos);
+        if (block.isPresent()) {
+            refuse(
+                    pending,
+                    pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.CRASHING_PROMPT,
+                    "part " + block.get().part(),
+                    block.get().remainingNanos(),
+                    nowNanos);
+            return;
+        }
         TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
         if (choice == null) {
             refuse(
--- /dev/null
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -0,0 +1,251 @@
+package ebonygw.gateway;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.KeyValueRequest;
+import ebonygw.keyvalue.KeyValueRequestIds;
+import ebonygw.keyvalue.KeyValueResponse;
+import ebonygw.keyvalue.PrefixMirror;
+import ebonygw.log.LogLine;
+import ebonygw.protocol.NodeId;
+import ebonygw.quarantine.Evidence;
+import ebonygw.quarantine.PartQuarantine;
+import ebonygw.quarantine.QuarantineOptions;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps requests from targets that would crash under a part of their prompts.
+ *
+ * <p>Connects the {@link PartQuarantine} of this entry with those of the others: evidence is passed
+ * on over the links between entries, from each to all that it is linked to, and blocked parts are
+ * kept in the key-value service, where a starting entry reads them and an operator may delete them.
+ * Not thread-safe.
+ */
+final class PromptGuard {
+    /** Prefix of the keys of blocked parts, followed by the id of the part. */
+    static final String KEY_PREFIX = "/ebonygw/blocked-parts/";
+
+    /** Minimum interval between two messages on a link: a few ticks of the control thread. */
+    private static final long SEND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /**
+     * Delay of a write for each entry that precedes this one, so that normally only the first entry
+     * writes: longer than a write and the notification of it.
+     */
+    private static final long WRITE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Maximum delay of a write; beyond it, entries write concurrently. */
+    private static final long MAX_WRITE_DELAY_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Time after which a write without a response is repeated. */
+    private static final long WRITE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Maximum length of a part's id; the key-value service accepts keys of 200 bytes. */
+    private static final int MAX_ID_LENGTH = 128;
+
+    private static final String SEPARATOR = "\n";
+
+    private final NodeId mSelf;
+    private final KeyValueRequestIds mRequestIds;
+    private final GatewayOutbox mOut;
+    private final PartQuarantine mQuarantine;
+    private final PrefixMirror mMirror;
+    private final Map<NodeId, Peer> mPeers = new TreeMap<>();
+
+    /** Blocked parts that the key-value service does not hold yet, and when to write them. */
+    private final Map<String, Long> mUnwritten = new TreeMap<>();
+
+    private final Map<Long, String> mWrites = new HashMap<>();
+    private List<NodeId> mEntries = List.of();
+
+    /**
+     * Creates a guard without evidence.
+     *
+     * @param self this entry
+     * @param observer identifies this start of the process
+     */
+    PromptGuard(NodeId self, long observer, KeyValueRequestIds requestIds, GatewayOutbox out) {
+        mSelf = self;
+        mRequestIds = requestIds;
+        mOut = out;
+        mQuarantine = new PartQuarantine(observer, QuarantineOptions.defaults());
+        mMirror = new PrefixMirror(KEY_PREFIX, requestIds);
+    }
+
+    /** Returns the blocked part of a request's prompt, empty if none is blocked. */
+    Optional<PartQuarantine.Block> blocked(GatewayRequest request, long nowNanos) {
+        return mQuarantine.blocked(parts(request), nowNanos);
+    }
+
+    /** Returns the blocked parts with the incarnations that ended under them. */
+    Map<String, List<String>> blockedParts() {
+        return mQuarantine.blockedParts();
+    }
+
+    /** Returns whether the parts that were blocked before have been read. */
+    boolean isLoaded() {
+        return mMirror.isLoaded();
+    }
+
+    /** Handles that the response of a target broke off. */
+    void onBroken(PendingRequest pending, GatewayTarget target, long nowNanos) {
+        if (target.record().draining()) {
+            return;
+        }
+        mQuarantine.onBroken(
+                parts(pending.mRequest),
+                target.record().incarnation(),
+                nowNanos - pending.mStartedNanos,
+                nowNanos);
+    }
+
+    /** Applies the registered entries. */
+    void onEntries(Collection<NodeId> entries) {
+        mEntries = entries.stream().sorted().toList();
+    }
+
+    /** Applies the evidence of another entry. */
+    void onEvidence(Evidence evidence, long nowNanos) {
+        mQuarantine.onEvidence(evidence, nowNanos);
+    }
+
+    /** Handles that the link to a process is up or down. */
+    void onLink(NodeId peer, boolean up) {
+        if (up) {
+            mPeers.put(peer, new Peer());
+        } else {
+            mPeers.remove(peer);
+        }
+    }
+
+    /** Handles a response of the key-value service; returns whether it belongs to this object. */
+    boolean onResponse(long requestId, KeyValueResponse response, long nowNanos) {
+        String part = mWrites.remove(requestId);
+        if (part == null) {
+            return mMirror.onResponse(requestId, response, nowNanos);
+        }
+        if (response instanceof KeyValueResponse.TransactionResult) {
+            mUnwritten.remove(part);
+        }
+        return true;
+    }
+
+    /**
+     * Counts the requests whose response has gone on long enough, or has ended, as survivals.
+     *
+     * @param ended whether the response has ended
+     */
+    void onResponse(PendingRequest pending, boolean ended, long nowNanos) {
+        if (pending.mSurvived || !pending.mStarted) {
+            return;
+        }
+        if (ended || mQuarantine.isSurvival(nowNanos - pending.mStartedNanos)) {
+            pending.mSurvived = true;
+            mQuarantine.onSurvived(parts(pending.mRequest), nowNanos);
+        }
+    }
+
+    /** Handles that an incarnation of a target has ended without notice. */
+    void onTargetEnded(String incarnation, long nowNanos) {
+        mQuarantine.onTargetEnded(incarnation, nowNanos);
+    }
+
+    /** Updates what is blocked, and sends the messages and writes that are due. */
+    void onTick(long nowNanos) {
+        mMirror.onTick(nowNanos, mOut);
+        mMirror.drainChanges().forEach(change -> applyStored(change, nowNanos));
+        for (PartQuarantine.Change change : mQuarantine.onTick(nowNanos)) {
+            mOut.log(
+                    LogLine.of(change.blocked() ? "part_blocked" : "part_unblocked")
+                            .with("part", change.part())
+                            .with("crashed", String.join(",", change.crashed()))
+                            .with("survivals", change.survivals()));
+            if (change.blocked()) {
+                mUnwritten.putIfAbsent(change.part(), nowNanos + writeDelayNanos());
+            } else {
+                mUnwritten.remove(change.part());
+            }
+        }
+        mUnwritten.forEach((part, dueNanos) -> writeIfDue(part, dueNanos, nowNanos));
+        mPeers.forEach((peer, state) -> sendIfDue(peer, state, nowNanos));
+    }
+
+    /** Applies a blocked part that is stored, or the removal of one by an operator. */
+    private void applyStored(PrefixMirror.Change change, long nowNanos) {
+        String part = change.key().substring(KEY_PREFIX.length());
+        if (change.entry() == null) {
+            if (mQuarantine.lift(part)) {
+                mOut.log(LogLine.of("part_lifted").with("part", part));
+            }
+            return;
+        }
+        mUnwritten.remove(part);
+        List<String> crashed = List.of(change.entry().value().toStringUtf8().split(SEPARATOR));
+        mQuarantine.block(part, crashed, nowNanos);
+        mOut.log(
+                LogLine.of("part_block_read")
+                        .with("part", part)
+                        .with("crashed", String.join(",", crashed))
+                        .with("revision", change.entry().modRevision()));
+    }
+
+    private static List<String> parts(GatewayRequest request) {
+        List<String> parts = request.sharedPartIds();
+        return parts.stream().allMatch(part -> part.length() <= MAX_ID_LENGTH) ? parts : List.of();
+    }
+
+    private void sendIfDue(NodeId peer, Peer state, long nowNanos) {
+        long change = mQuarantine.change();
+        boolean early =
+                state.mSentNanos != Long.MIN_VALUE
+                        && nowNanos - state.mSentNanos < SEND_INTERVAL_NANOS;
+        if (state.mSentChange == change || early || !mEntries.contains(peer)) {
+            return;
+        }
+        Evidence evidence = mQuarantine.changedSince(state.mSentChange);
+        state.mSentChange = change;
+        if (!evidence.isEmpty()) {
+            state.mSentNanos = nowNanos;
+            mOut.send(peer, new GatewayMessage.PromptEvidence(evidence));
+        }
+    }
+
+    /** Returns the delay of a write by the number of entries that precede this one. */
+    private long writeDelayNanos() {
+        long preceding = mEntries.stream().filter(it -> it.compareTo(mSelf) < 0).count();
+        return Math.min(MAX_WRITE_DELAY_NANOS, preceding * WRITE_DELAY_NANOS);
+    }
+
+    private void writeIfDue(String part, long dueNanos, long nowNanos) {
+        if (nowNanos < dueNanos) {
+            return;
+        }
+        mUnwritten.put(part, nowNanos + WRITE_TIMEOUT_NANOS);
+        List<String> crashed =
+                new ArrayList<>(mQuarantine.blockedParts().getOrDefault(part, List.of()));
+        String key = KEY_PREFIX + part;
+        long requestId = mRequestIds.next();
+        mWrites.put(requestId, part);
+        mOut.sendKeyValueRequest(
+                requestId,
+                new KeyValueRequest.Transaction(
+                        List.of(new KeyValueRequest.Compare(key, 0)),
+                        List.of(
+                                new KeyValueRequest.Write(
+                                        key,
+                                        ByteString.copyFromUtf8(String.join(SEPARATOR, crashed)),
+                                        0))));
+    }
+
+    /** State of the link to another process. */
+    private static final class Peer {
+        private long mSentChange;
+        private long mSentNanos = Long.MIN_VALUE;
+    }
+}
--- a/src/main/java/ebonygw/gateway/TargetRecord.java
+++ b/src/main/java/ebonygw/gateway/TargetRecord.java
@@ -37,6 +37,16 @@
         adapters = Map.copyOf(adapters);
     }
 
+    /** Returns the name of this incarnation: the instance id and its start. */
+    public String incarnation() {
+        return incarnation(id, startedAtMillis);
+    }
+
+    /** Returns the name of an incarnation: its instance id and its start. */
+    static String incarnation(String id, long startedAtMillis) {
+        return id + '/' + startedAtMillis;
+    }
+
     /** Returns the IP address. */
     public String host() {
         return address.substring(0, address.lastIndexOf(':'));
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -3,12 +3,16 @@
 import ebonygw.gateway.GatewayMessage;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
+import ebonygw.quarantine.Evidence;
 import ebonygw.wire.PeerProtocol.AdapterNeed;
 import ebonygw.wire.PeerProtocol.AdapterNeeds;
 import ebonygw.wire.PeerProtocol.CustomerTokens;
 import ebonygw.wire.PeerProtocol.EntryUsage;
 import ebonygw.wire.PeerProtocol.Envelope;
 import ebonygw.wire.PeerProtocol.GatewayUsage;
+import ebonygw.wire.PeerProtocol.PartEvidence;
+import ebonygw.wire.PeerProtocol.PromptEvidence;
+import ebonygw.wire.PeerProtocol.Survivals;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +26,11 @@
         return switch (envelope.getKindCase()) {
             case ADAPTER_NEEDS -> Optional.of(needs(envelope.getAdapterNeeds()));
             case GATEWAY_USAGE -> Optional.of(usage(envelope.getGatewayUsage()));
+            case PROMPT_EVIDENCE -> Optional.of(evidence(envelope.getPromptEvidence()));
+            case TARGET_ENDED ->
+                    Optional.of(
+                            new GatewayMessage.TargetEnded(
+                                    envelope.getTargetEnded().getIncarnation()));
             case OPEN_PLACES ->
                     Optional.of(
                             new GatewayMessage.OpenAdapterSlots(
@@ -37,6 +46,10 @@
             encode(needs, envelope.getAdapterNeedsBuilder());
         } else if (message instanceof GatewayMessage.OpenAdapterSlots places) {
             envelope.getOpenPlacesBuilder().setCount(places.count());
+        } else if (message instanceof GatewayMessage.PromptEvidence evidence) {
+            encode(evidence.evidence(), envelope.getPromptEvidenceBuilder());
+        } else if (message instanceof GatewayMessage.TargetEnded ended) {
+            envelope.getTargetEndedBuilder().setIncarnation(ended.incarnation());
         } else if (message instanceof GatewayMessage.Usage usage) {
             encode(usage, envelope.getGatewayUsageBuilder());
         } else {
@@ -57,6 +70,23 @@
         }
     }
 
+    private static void encode(Evidence evidence, PromptEvidence.Builder to) {
+        for (Evidence.PartEvidence part : evidence.parts()) {
+            PartEvidence.Builder row =
+                    to.addPartsBuilder()
+                            .setPart(part.part())
+                            .addAllCrashed(part.crashed())
+                            .addAllBroken(part.broken());
+            for (Evidence.Survivals survivals : part.survivals()) {
+                row.addSurvivalsBuilder()
+                        .setObserver(survivals.observer())
+                        .setSequence(survivals.sequence())
+                        .setCount(survivals.count());
+            }
+        }
+        to.addAllEndedTargets(evidence.endedTargets());
+    }
+
     private static void encode(GatewayMessage.Usage usage, GatewayUsage.Builder to) {
         to.setWanted(usage.wanted());
         for (GatewayMessage.EntryUsage entry : usage.entries()) {
@@ -74,6 +104,22 @@
         }
     }
 
+    private static GatewayMessage.PromptEvidence evidence(PromptEvidence from) {
+        List<Evidence.PartEvidence> parts = new ArrayList<>();
+        for (PartEvidence row : from.getPartsList()) {
+            List<Evidence.Survivals> survivals = new ArrayList<>();
+            for (Survivals value : row.getSurvivalsList()) {
+                survivals.add(
+                        new Evidence.Survivals(
+                                value.getObserver(), value.getSequence(), value.getCount()));
+            }
+            parts.add(
+                    new Evidence.PartEvidence(
+                            row.getPart(), row.getCrashedList(), row.getBrokenList(), survivals));
+        }
+        return new GatewayMessage.PromptEvidence(new Evidence(parts, from.getEndedTargetsList()));
+    }
+
     private static GatewayMessage.AdapterNeeds needs(AdapterNeeds from) {
         List<GatewayMessage.AdapterNeed> needs = new ArrayList<>();
         for (AdapterNeed need : from.getNeedsList()) {
--- a/src/main/java/ebonygw/request/RefusalCode.java
+++ b/src/main/java/ebonygw/request/RefusalCode.java
@@ -30,6 +30,8 @@
     OVERLOADED(503),
     /** No target can accept the request now. */
     UNAVAILABLE(503),
+    /** Targets have crashed under a part of the prompt; it is not sent to any for a while. */
+    CRASHING_PROMPT(503),
     /** The process is stopping. */
     STOPPING(503),
     /** The process has not received its settings yet. */
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -330,6 +330,36 @@
      */
     ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder getOpenPlacesOrBuilder();
 
+    /**
+     * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+     * @return Whether the promptEvidence field is set.
+     */
+    boolean hasPromptEvidence();
+    /**
+     * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+     * @return The promptEvidence.
+     */
+    ebonygw.wire.PeerProtocol.PromptEvidence getPromptEvidence();
+    /**
+     * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+     */
+    ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder getPromptEvidenceOrBuilder();
+
+    /**
+     * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+     * @return Whether the targetEnded field is set.
+     */
+    boolean hasTargetEnded();
+    /**
+     * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+     * @return The targetEnded.
+     */
+    ebonygw.wire.PeerProtocol.TargetEnded getTargetEnded();
+    /**
+     * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+     */
+    ebonygw.wire.PeerProtocol.TargetEndedOrBuilder getTargetEndedOrBuilder();
+
     ebonygw.wire.PeerProtocol.Envelope.KindCase getKindCase();
   }
   /**
@@ -400,6 +430,8 @@
       GATEWAY_USAGE(40),
       ADAPTER_NEEDS(41),
       OPEN_PLACES(42),
+      PROMPT_EVIDENCE(43),
+      TARGET_ENDED(44),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -437,6 +469,8 @@
           case 40: return GATEWAY_USAGE;
           case 41: return ADAPTER_NEEDS;
           case 42: return OPEN_PLACES;
+          case 43: return PROMPT_EVIDENCE;
+          case 44: return TARGET_ENDED;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -1072,6 +1106,68 @@
       return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
     }
 
+    public static final int PROMPT_EVIDENCE_FIELD_NUMBER = 43;
+    /**
+     * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+     * @return Whether the promptEvidence field is set.
+     */
+    @java.lang.Override
+    public boolean hasPromptEvidence() {
+      return kindCase_ == 43;
+    }
+    /**
+     * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+     * @return The promptEvidence.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PromptEvidence getPromptEvidence() {
+      if (kindCase_ == 43) {
+         return (ebonygw.wire.PeerProtocol.PromptEvidence) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder getPromptEvidenceOrBuilder() {
+      if (kindCase_ == 43) {
+         return (ebonygw.wire.PeerProtocol.PromptEvidence) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+    }
+
+    public static final int TARGET_ENDED_FIELD_NUMBER = 44;
+    /**
+     * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+     * @return Whether the targetEnded field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetEnded() {
+      return kindCase_ == 44;
+    }
+    /**
+     * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+     * @return The targetEnded.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.TargetEnded getTargetEnded() {
+      if (kindCase_ == 44) {
+         return (ebonygw.wire.PeerProtocol.TargetEnded) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.TargetEndedOrBuilder getTargetEndedOrBuilder() {
+      if (kindCase_ == 44) {
+         return (ebonygw.wire.PeerProtocol.TargetEnded) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1146,6 +1242,12 @@
       if (kindCase_ == 42) {
         output.writeMessage(42, (ebonygw.wire.PeerProtocol.OpenPlaces) kind_);
       }
+      if (kindCase_ == 43) {
+        output.writeMessage(43, (ebonygw.wire.PeerProtocol.PromptEvidence) kind_);
+      }
+      if (kindCase_ == 44) {
+        output.writeMessage(44, (ebonygw.wire.PeerProtocol.TargetEnded) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1230,6 +1332,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(42, (ebonygw.wire.PeerProtocol.OpenPlaces) kind_);
       }
+      if (kindCase_ == 43) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(43, (ebonygw.wire.PeerProtocol.PromptEvidence) kind_);
+      }
+      if (kindCase_ == 44) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(44, (ebonygw.wire.PeerProtocol.TargetEnded) kind_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1336,6 +1446,14 @@
           if (!getOpenPlaces()
               .equals(other.getOpenPlaces())) return false;
           break;
+        case 43:
+          if (!getPromptEvidence()
+              .equals(other.getPromptEvidence())) return false;
+          break;
+        case 44:
+          if (!getTargetEnded()
+              .equals(other.getTargetEnded())) return false;
+          break;
         case 0:
         default:
       }
@@ -1431,6 +1549,14 @@
           hash = (37 * hash) + OPEN_PLACES_FIELD_NUMBER;
           hash = (53 * hash) + getOpenPlaces().hashCode();
           break;
+        case 43:
+          hash = (37 * hash) + PROMPT_EVIDENCE_FIELD_NUMBER;
+          hash = (53 * hash) + getPromptEvidence().hashCode();
+          break;
+        case 44:
+          hash = (37 * hash) + TARGET_ENDED_FIELD_NUMBER;
+          hash = (53 * hash) + getTargetEnded().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1625,6 +1751,12 @@
         if (openPlacesBuilder_ != null) {
           openPlacesBuilder_.clear();
         }
+        if (promptEvidenceBuilder_ != null) {
+          promptEvidenceBuilder_.clear();
+        }
+        if (targetEndedBuilder_ != null) {
+          targetEndedBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -1746,6 +1878,14 @@
             openPlacesBuilder_ != null) {
           result.kind_ = openPlacesBuilder_.build();
         }
+        if (kindCase_ == 43 &&
+            promptEvidenceBuilder_ != null) {
+          result.kind_ = promptEvidenceBuilder_.build();
+        }
+        if (kindCase_ == 44 &&
+            targetEndedBuilder_ != null) {
+          result.kind_ = targetEndedBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1841,6 +1981,14 @@
             mergeOpenPlaces(other.getOpenPlaces());
             break;
           }
+          case PROMPT_EVIDENCE: {
+            mergePromptEvidence(other.getPromptEvidence());
+            break;
+          }
+          case TARGET_ENDED: {
+            mergeTargetEnded(other.getTargetEnded());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -2009,6 +2157,20 @@
                 kindCase_ = 42;
                 break;
               } // case 338
+              case 346: {
+                input.readMessage(
+                    internalGetPromptEvidenceFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 43;
+                break;
+              } // case 346
+              case 354: {
+                input.readMessage(
+                    internalGetTargetEndedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 44;
+                break;
+              } // case 354
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4841,6 +5003,286 @@
         return openPlacesBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.PromptEvidence, ebonygw.wire.PeerProtocol.PromptEvidence.Builder, ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder> promptEvidenceBuilder_;
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       * @return Whether the promptEvidence field is set.
+       */
+      @java.lang.Override
+      public boolean hasPromptEvidence() {
+        return kindCase_ == 43;
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       * @return The promptEvidence.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PromptEvidence getPromptEvidence() {
+        if (promptEvidenceBuilder_ == null) {
+          if (kindCase_ == 43) {
+            return (ebonygw.wire.PeerProtocol.PromptEvidence) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+        } else {
+          if (kindCase_ == 43) {
+            return promptEvidenceBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      public Builder setPromptEvidence(ebonygw.wire.PeerProtocol.PromptEvidence value) {
+        if (promptEvidenceBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          promptEvidenceBuilder_.setMessage(value);
+        }
+        kindCase_ = 43;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      public Builder setPromptEvidence(
+          ebonygw.wire.PeerProtocol.PromptEvidence.Builder builderForValue) {
+        if (promptEvidenceBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          promptEvidenceBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 43;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      public Builder mergePromptEvidence(ebonygw.wire.PeerProtocol.PromptEvidence value) {
+        if (promptEvidenceBuilder_ == null) {
+          if (kindCase_ == 43 &&
+              kind_ != ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.PromptEvidence.newBuilder((ebonygw.wire.PeerProtocol.PromptEvidence) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 43) {
+            promptEvidenceBuilder_.mergeFrom(value);
+          } else {
+            promptEvidenceBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 43;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      public Builder clearPromptEvidence() {
+        if (promptEvidenceBuilder_ == null) {
+          if (kindCase_ == 43) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 43) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          promptEvidenceBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PromptEvidence.Builder getPromptEvidenceBuilder() {
+        return internalGetPromptEvidenceFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder getPromptEvidenceOrBuilder() {
+        if ((kindCase_ == 43) && (promptEvidenceBuilder_ != null)) {
+          return promptEvidenceBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 43) {
+            return (ebonygw.wire.PeerProtocol.PromptEvidence) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.PromptEvidence prompt_evidence = 43;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.PromptEvidence, ebonygw.wire.PeerProtocol.PromptEvidence.Builder, ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder> 
+          internalGetPromptEvidenceFieldBuilder() {
+        if (promptEvidenceBuilder_ == null) {
+          if (!(kindCase_ == 43)) {
+            kind_ = ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+          }
+          promptEvidenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.PromptEvidence, ebonygw.wire.PeerProtocol.PromptEvidence.Builder, ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.PromptEvidence) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 43;
+        onChanged();
+        return promptEvidenceBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.TargetEnded, ebonygw.wire.PeerProtocol.TargetEnded.Builder, ebonygw.wire.PeerProtocol.TargetEndedOrBuilder> targetEndedBuilder_;
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       * @return Whether the targetEnded field is set.
+       */
+      @java.lang.Override
+      public boolean hasTargetEnded() {
+        return kindCase_ == 44;
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       * @return The targetEnded.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetEnded getTargetEnded() {
+        if (targetEndedBuilder_ == null) {
+          if (kindCase_ == 44) {
+            return (ebonygw.wire.PeerProtocol.TargetEnded) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+        } else {
+          if (kindCase_ == 44) {
+            return targetEndedBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      public Builder setTargetEnded(ebonygw.wire.PeerProtocol.TargetEnded value) {
+        if (targetEndedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          targetEndedBuilder_.setMessage(value);
+        }
+        kindCase_ = 44;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      public Builder setTargetEnded(
+          ebonygw.wire.PeerProtocol.TargetEnded.Builder builderForValue) {
+        if (targetEndedBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          targetEndedBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 44;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      public Builder mergeTargetEnded(ebonygw.wire.PeerProtocol.TargetEnded value) {
+        if (targetEndedBuilder_ == null) {
+          if (kindCase_ == 44 &&
+              kind_ != ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.TargetEnded.newBuilder((ebonygw.wire.PeerProtocol.TargetEnded) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 44) {
+            targetEndedBuilder_.mergeFrom(value);
+          } else {
+            targetEndedBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 44;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      public Builder clearTargetEnded() {
+        if (targetEndedBuilder_ == null) {
+          if (kindCase_ == 44) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 44) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          targetEndedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      public ebonygw.wire.PeerProtocol.TargetEnded.Builder getTargetEndedBuilder() {
+        return internalGetTargetEndedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetEndedOrBuilder getTargetEndedOrBuilder() {
+        if ((kindCase_ == 44) && (targetEndedBuilder_ != null)) {
+          return targetEndedBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 44) {
+            return (ebonygw.wire.PeerProtocol.TargetEnded) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.TargetEnded target_ended = 44;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.TargetEnded, ebonygw.wire.PeerProtocol.TargetEnded.Builder, ebonygw.wire.PeerProtocol.TargetEndedOrBuilder> 
+          internalGetTargetEndedFieldBuilder() {
+        if (targetEndedBuilder_ == null) {
+          if (!(kindCase_ == 44)) {
+            kind_ = ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+          }
+          targetEndedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.TargetEnded, ebonygw.wire.PeerProtocol.TargetEnded.Builder, ebonygw.wire.PeerProtocol.TargetEndedOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.TargetEnded) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 44;
+        onChanged();
+        return targetEndedBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.Envelope)
     }
 
@@ -26683,40 +27125,3705 @@
 
   }
 
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Envelope_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Envelope_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Member_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Member_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Hello_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Hello_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_Heartbeat_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_Heartbeat_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_LinkUse_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_LinkUse_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_AdapterVersion_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_ebonygw_MemberDigest_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+  public interface PromptEvidenceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.PromptEvidence)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> 
+        getPartsList();
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.PartEvidence getParts(int index);
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    int getPartsCount();
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder> 
+        getPartsOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder getPartsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @return A list containing the endedTargets.
+     */
+    java.util.List<java.lang.String>
+        getEndedTargetsList();
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @return The count of endedTargets.
+     */
+    int getEndedTargetsCount();
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @param index The index of the element to return.
+     * @return The endedTargets at the given index.
+     */
+    java.lang.String getEndedTargets(int index);
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the endedTargets at the given index.
+     */
+    com.google.protobuf.ByteString
+        getEndedTargetsBytes(int index);
+  }
+  /**
+   * <pre>
+   * Which prompt parts targets have crashed under, as far as it has changed since the sender's last
+   * message of this kind on this link.
+   * </pre>
+   *
+   * Protobuf type {@code ebonygw.PromptEvidence}
+   */
+  public static final class PromptEvidence extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.PromptEvidence)
+      PromptEvidenceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PromptEvidence");
+    }
+    // Use PromptEvidence.newBuilder() to construct.
+    private PromptEvidence(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PromptEvidence() {
+      parts_ = java.util.Collections.emptyList();
+      endedTargets_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PromptEvidence_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PromptEvidence_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PromptEvidence_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.PromptEvidence.class, ebonygw.wire.PeerProtocol.PromptEvidence.Builder.class);
+    }
+
+    public static final int PARTS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> parts_;
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> getPartsList() {
+      return parts_;
+    }
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder> 
+        getPartsOrBuilderList() {
+      return parts_;
+    }
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    @java.lang.Override
+    public int getPartsCount() {
+      return parts_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PartEvidence getParts(int index) {
+      return parts_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder getPartsOrBuilder(
+        int index) {
+      return parts_.get(index);
+    }
+
+    public static final int ENDED_TARGETS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList endedTargets_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @return A list containing the endedTargets.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getEndedTargetsList() {
+      return endedTargets_;
+    }
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @return The count of endedTargets.
+     */
+    public int getEndedTargetsCount() {
+      return endedTargets_.size();
+    }
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @param index The index of the element to return.
+     * @return The endedTargets at the given index.
+     */
+    public java.lang.String getEndedTargets(int index) {
+      return endedTargets_.get(index);
+    }
+    /**
+     * <pre>
+     * Incarnations of targets that have ended.
+     * </pre>
+     *
+     * <code>repeated string ended_targets = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the endedTargets at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getEndedTargetsBytes(int index) {
+      return endedTargets_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < parts_.size(); i++) {
+        output.writeMessage(1, parts_.get(i));
+      }
+      for (int i = 0; i < endedTargets_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, endedTargets_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+
+          {
+            final int count = parts_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(parts_.get(i));
+            }
+            size += 1 * count;
+          }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < endedTargets_.size(); i++) {
+          dataSize += computeStringSizeNoTag(endedTargets_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getEndedTargetsList().size();
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.PromptEvidence)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.PromptEvidence other = (ebonygw.wire.PeerProtocol.PromptEvidence) obj;
+
+      if (!getPartsList()
+          .equals(other.getPartsList())) return false;
+      if (!getEndedTargetsList()
+          .equals(other.getEndedTargetsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getPartsCount() > 0) {
+        hash = (37 * hash) + PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartsList().hashCode();
+      }
+      if (getEndedTargetsCount() > 0) {
+        hash = (37 * hash) + ENDED_TARGETS_FIELD_NUMBER;
+        hash = (53 * hash) + getEndedTargetsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.PromptEvidence parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.PromptEvidence prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Which prompt parts targets have crashed under, as far as it has changed since the sender's last
+     * message of this kind on this link.
+     * </pre>
+     *
+     * Protobuf type {@code ebonygw.PromptEvidence}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.PromptEvidence)
+        ebonygw.wire.PeerProtocol.PromptEvidenceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PromptEvidence_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PromptEvidence_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.PromptEvidence.class, ebonygw.wire.PeerProtocol.PromptEvidence.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.PromptEvidence.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (partsBuilder_ == null) {
+          parts_ = java.util.Collections.emptyList();
+        } else {
+          parts_ = null;
+          partsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        endedTargets_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PromptEvidence_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PromptEvidence getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PromptEvidence build() {
+        ebonygw.wire.PeerProtocol.PromptEvidence result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PromptEvidence buildPartial() {
+        ebonygw.wire.PeerProtocol.PromptEvidence result = new ebonygw.wire.PeerProtocol.PromptEvidence(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.PromptEvidence result) {
+        if (partsBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            parts_ = java.util.Collections.unmodifiableList(parts_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.parts_ = parts_;
+        } else {
+          result.parts_ = partsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.PromptEvidence result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          endedTargets_.makeImmutable();
+          result.endedTargets_ = endedTargets_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.PromptEvidence) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.PromptEvidence)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.PromptEvidence other) {
+        if (other == ebonygw.wire.PeerProtocol.PromptEvidence.getDefaultInstance()) return this;
+        if (partsBuilder_ == null) {
+          if (!other.parts_.isEmpty()) {
+            if (parts_.isEmpty()) {
+              parts_ = other.parts_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensurePartsIsMutable();
+              parts_.addAll(other.parts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.parts_.isEmpty()) {
+            if (partsBuilder_.isEmpty()) {
+              partsBuilder_.dispose();
+              partsBuilder_ = null;
+              parts_ = other.parts_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              partsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPartsFieldBuilder() : null;
+            } else {
+              partsBuilder_.addAllMessages(other.parts_);
+            }
+          }
+        }
+        if (!other.endedTargets_.isEmpty()) {
+          if (endedTargets_.isEmpty()) {
+            endedTargets_ = other.endedTargets_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureEndedTargetsIsMutable();
+            endedTargets_.addAll(other.endedTargets_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                ebonygw.wire.PeerProtocol.PartEvidence m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.PartEvidence.parser(),
+                        extensionRegistry);
+                if (partsBuilder_ == null) {
+                  ensurePartsIsMutable();
+                  parts_.add(m);
+                } else {
+                  partsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              case 18: {
+                ensureEndedTargetsIsMutable();
+                endedTargets_.add(input.readStringRequireUtf8());
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> parts_ =
+        java.util.Collections.emptyList();
+      private void ensurePartsIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          parts_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.PartEvidence>(parts_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.PartEvidence, ebonygw.wire.PeerProtocol.PartEvidence.Builder, ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder> partsBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> getPartsList() {
+        if (partsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(parts_);
+        } else {
+          return partsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public int getPartsCount() {
+        if (partsBuilder_ == null) {
+          return parts_.size();
+        } else {
+          return partsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PartEvidence getParts(int index) {
+        if (partsBuilder_ == null) {
+          return parts_.get(index);
+        } else {
+          return partsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder setParts(
+          int index, ebonygw.wire.PeerProtocol.PartEvidence value) {
+        if (partsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensurePartsIsMutable();
+          parts_.set(index, value);
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder setParts(
+          int index, ebonygw.wire.PeerProtocol.PartEvidence.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder addParts(ebonygw.wire.PeerProtocol.PartEvidence value) {
+        if (partsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensurePartsIsMutable();
+          parts_.add(value);
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder addParts(
+          int index, ebonygw.wire.PeerProtocol.PartEvidence value) {
+        if (partsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensurePartsIsMutable();
+          parts_.add(index, value);
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder addParts(
+          ebonygw.wire.PeerProtocol.PartEvidence.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder addParts(
+          int index, ebonygw.wire.PeerProtocol.PartEvidence.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder addAllParts(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.PartEvidence> values) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, parts_);
+          onChanged();
+        } else {
+          partsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder clearParts() {
+        if (partsBuilder_ == null) {
+          parts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          partsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public Builder removeParts(int index) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.remove(index);
+          onChanged();
+        } else {
+          partsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PartEvidence.Builder getPartsBuilder(
+          int index) {
+        return internalGetPartsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder getPartsOrBuilder(
+          int index) {
+        if (partsBuilder_ == null) {
+          return parts_.get(index);  } else {
+          return partsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder> 
+           getPartsOrBuilderList() {
+        if (partsBuilder_ != null) {
+          return partsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(parts_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PartEvidence.Builder addPartsBuilder() {
+        return internalGetPartsFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.PartEvidence.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PartEvidence.Builder addPartsBuilder(
+          int index) {
+        return internalGetPartsFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.PartEvidence.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.PartEvidence.Builder> 
+           getPartsBuilderList() {
+        return internalGetPartsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.PartEvidence, ebonygw.wire.PeerProtocol.PartEvidence.Builder, ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder> 
+          internalGetPartsFieldBuilder() {
+        if (partsBuilder_ == null) {
+          partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.PartEvidence, ebonygw.wire.PeerProtocol.PartEvidence.Builder, ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder>(
+                  parts_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          parts_ = null;
+        }
+        return partsBuilder_;
+      }
+
+      private com.google.protobuf.LazyStringArrayList endedTargets_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureEndedTargetsIsMutable() {
+        if (!endedTargets_.isModifiable()) {
+          endedTargets_ = new com.google.protobuf.LazyStringArrayList(endedTargets_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @return A list containing the endedTargets.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getEndedTargetsList() {
+        endedTargets_.makeImmutable();
+        return endedTargets_;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @return The count of endedTargets.
+       */
+      public int getEndedTargetsCount() {
+        return endedTargets_.size();
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @param index The index of the element to return.
+       * @return The endedTargets at the given index.
+       */
+      public java.lang.String getEndedTargets(int index) {
+        return endedTargets_.get(index);
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the endedTargets at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getEndedTargetsBytes(int index) {
+        return endedTargets_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The endedTargets to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndedTargets(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureEndedTargetsIsMutable();
+        endedTargets_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @param value The endedTargets to add.
+       * @return This builder for chaining.
+       */
+      public Builder addEndedTargets(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureEndedTargetsIsMutable();
+        endedTargets_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @param values The endedTargets to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllEndedTargets(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureEndedTargetsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, endedTargets_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEndedTargets() {
+        endedTargets_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended.
+       * </pre>
+       *
+       * <code>repeated string ended_targets = 2;</code>
+       * @param value The bytes of the endedTargets to add.
+       * @return This builder for chaining.
+       */
+      public Builder addEndedTargetsBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureEndedTargetsIsMutable();
+        endedTargets_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.PromptEvidence)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.PromptEvidence)
+    private static final ebonygw.wire.PeerProtocol.PromptEvidence DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.PromptEvidence();
+    }
+
+    public static ebonygw.wire.PeerProtocol.PromptEvidence getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PromptEvidence>
+        PARSER = new com.google.protobuf.AbstractParser<PromptEvidence>() {
+      @java.lang.Override
+      public PromptEvidence parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PromptEvidence> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PromptEvidence> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PromptEvidence getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PartEvidenceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.PartEvidence)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string part = 1;</code>
+     * @return The part.
+     */
+    java.lang.String getPart();
+    /**
+     * <code>string part = 1;</code>
+     * @return The bytes for part.
+     */
+    com.google.protobuf.ByteString
+        getPartBytes();
+
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @return A list containing the crashed.
+     */
+    java.util.List<java.lang.String>
+        getCrashedList();
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @return The count of crashed.
+     */
+    int getCrashedCount();
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @param index The index of the element to return.
+     * @return The crashed at the given index.
+     */
+    java.lang.String getCrashed(int index);
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the crashed at the given index.
+     */
+    com.google.protobuf.ByteString
+        getCrashedBytes(int index);
+
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @return A list containing the broken.
+     */
+    java.util.List<java.lang.String>
+        getBrokenList();
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @return The count of broken.
+     */
+    int getBrokenCount();
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @param index The index of the element to return.
+     * @return The broken at the given index.
+     */
+    java.lang.String getBroken(int index);
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the broken at the given index.
+     */
+    com.google.protobuf.ByteString
+        getBrokenBytes(int index);
+
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.Survivals> 
+        getSurvivalsList();
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    ebonygw.wire.PeerProtocol.Survivals getSurvivals(int index);
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    int getSurvivalsCount();
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    java.util.List<? extends ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
+        getSurvivalsOrBuilderList();
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    ebonygw.wire.PeerProtocol.SurvivalsOrBuilder getSurvivalsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code ebonygw.PartEvidence}
+   */
+  public static final class PartEvidence extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.PartEvidence)
+      PartEvidenceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PartEvidence");
+    }
+    // Use PartEvidence.newBuilder() to construct.
+    private PartEvidence(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PartEvidence() {
+      part_ = "";
+      crashed_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      broken_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      survivals_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PartEvidence_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PartEvidence_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PartEvidence_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.PartEvidence.class, ebonygw.wire.PeerProtocol.PartEvidence.Builder.class);
+    }
+
+    public static final int PART_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object part_ = "";
+    /**
+     * <code>string part = 1;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public java.lang.String getPart() {
+      java.lang.Object ref = part_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        part_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string part = 1;</code>
+     * @return The bytes for part.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPartBytes() {
+      java.lang.Object ref = part_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        part_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int CRASHED_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList crashed_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @return A list containing the crashed.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getCrashedList() {
+      return crashed_;
+    }
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @return The count of crashed.
+     */
+    public int getCrashedCount() {
+      return crashed_.size();
+    }
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @param index The index of the element to return.
+     * @return The crashed at the given index.
+     */
+    public java.lang.String getCrashed(int index) {
+      return crashed_.get(index);
+    }
+    /**
+     * <pre>
+     * Incarnations of targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated string crashed = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the crashed at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getCrashedBytes(int index) {
+      return crashed_.getByteString(index);
+    }
+
+    public static final int BROKEN_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList broken_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @return A list containing the broken.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getBrokenList() {
+      return broken_;
+    }
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @return The count of broken.
+     */
+    public int getBrokenCount() {
+      return broken_.size();
+    }
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @param index The index of the element to return.
+     * @return The broken at the given index.
+     */
+    public java.lang.String getBroken(int index) {
+      return broken_.get(index);
+    }
+    /**
+     * <pre>
+     * Incarnations whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated string broken = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the broken at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getBrokenBytes(int index) {
+      return broken_.getByteString(index);
+    }
+
+    public static final int SURVIVALS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<ebonygw.wire.PeerProtocol.Survivals> survivals_;
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.Survivals> getSurvivalsList() {
+      return survivals_;
+    }
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
+        getSurvivalsOrBuilderList() {
+      return survivals_;
+    }
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    @java.lang.Override
+    public int getSurvivalsCount() {
+      return survivals_.size();
+    }
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Survivals getSurvivals(int index) {
+      return survivals_.get(index);
+    }
+    /**
+     * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.SurvivalsOrBuilder getSurvivalsOrBuilder(
+        int index) {
+      return survivals_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, part_);
+      }
+      for (int i = 0; i < crashed_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, crashed_.getRaw(i));
+      }
+      for (int i = 0; i < broken_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, broken_.getRaw(i));
+      }
+      for (int i = 0; i < survivals_.size(); i++) {
+        output.writeMessage(4, survivals_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, part_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < crashed_.size(); i++) {
+          dataSize += computeStringSizeNoTag(crashed_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getCrashedList().size();
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < broken_.size(); i++) {
+          dataSize += computeStringSizeNoTag(broken_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getBrokenList().size();
+      }
+
+          {
+            final int count = survivals_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(survivals_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.PartEvidence)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.PartEvidence other = (ebonygw.wire.PeerProtocol.PartEvidence) obj;
+
+      if (!getPart()
+          .equals(other.getPart())) return false;
+      if (!getCrashedList()
+          .equals(other.getCrashedList())) return false;
+      if (!getBrokenList()
+          .equals(other.getBrokenList())) return false;
+      if (!getSurvivalsList()
+          .equals(other.getSurvivalsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PART_FIELD_NUMBER;
+      hash = (53 * hash) + getPart().hashCode();
+      if (getCrashedCount() > 0) {
+        hash = (37 * hash) + CRASHED_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashedList().hashCode();
+      }
+      if (getBrokenCount() > 0) {
+        hash = (37 * hash) + BROKEN_FIELD_NUMBER;
+        hash = (53 * hash) + getBrokenList().hashCode();
+      }
+      if (getSurvivalsCount() > 0) {
+        hash = (37 * hash) + SURVIVALS_FIELD_NUMBER;
+        hash = (53 * hash) + getSurvivalsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.PartEvidence parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.PartEvidence prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.PartEvidence}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.PartEvidence)
+        ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PartEvidence_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PartEvidence_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.PartEvidence.class, ebonygw.wire.PeerProtocol.PartEvidence.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.PartEvidence.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        part_ = "";
+        crashed_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        broken_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        if (survivalsBuilder_ == null) {
+          survivals_ = java.util.Collections.emptyList();
+        } else {
+          survivals_ = null;
+          survivalsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PartEvidence_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.PartEvidence.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PartEvidence build() {
+        ebonygw.wire.PeerProtocol.PartEvidence result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PartEvidence buildPartial() {
+        ebonygw.wire.PeerProtocol.PartEvidence result = new ebonygw.wire.PeerProtocol.PartEvidence(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.PartEvidence result) {
+        if (survivalsBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            survivals_ = java.util.Collections.unmodifiableList(survivals_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.survivals_ = survivals_;
+        } else {
+          result.survivals_ = survivalsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.PartEvidence result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.part_ = part_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          crashed_.makeImmutable();
+          result.crashed_ = crashed_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          broken_.makeImmutable();
+          result.broken_ = broken_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.PartEvidence) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.PartEvidence)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.PartEvidence other) {
+        if (other == ebonygw.wire.PeerProtocol.PartEvidence.getDefaultInstance()) return this;
+        if (!other.getPart().isEmpty()) {
+          part_ = other.part_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.crashed_.isEmpty()) {
+          if (crashed_.isEmpty()) {
+            crashed_ = other.crashed_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureCrashedIsMutable();
+            crashed_.addAll(other.crashed_);
+          }
+          onChanged();
+        }
+        if (!other.broken_.isEmpty()) {
+          if (broken_.isEmpty()) {
+            broken_ = other.broken_;
+            bitField0_ |= 0x00000004;
+          } else {
+            ensureBrokenIsMutable();
+            broken_.addAll(other.broken_);
+          }
+          onChanged();
+        }
+        if (survivalsBuilder_ == null) {
+          if (!other.survivals_.isEmpty()) {
+            if (survivals_.isEmpty()) {
+              survivals_ = other.survivals_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureSurvivalsIsMutable();
+              survivals_.addAll(other.survivals_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.survivals_.isEmpty()) {
+            if (survivalsBuilder_.isEmpty()) {
+              survivalsBuilder_.dispose();
+              survivalsBuilder_ = null;
+              survivals_ = other.survivals_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              survivalsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSurvivalsFieldBuilder() : null;
+            } else {
+              survivalsBuilder_.addAllMessages(other.survivals_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                part_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                ensureCrashedIsMutable();
+                crashed_.add(input.readStringRequireUtf8());
+                break;
+              } // case 18
+              case 26: {
+                ensureBrokenIsMutable();
+                broken_.add(input.readStringRequireUtf8());
+                break;
+              } // case 26
+              case 34: {
+                ebonygw.wire.PeerProtocol.Survivals m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.Survivals.parser(),
+                        extensionRegistry);
+                if (survivalsBuilder_ == null) {
+                  ensureSurvivalsIsMutable();
+                  survivals_.add(m);
+                } else {
+                  survivalsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object part_ = "";
+      /**
+       * <code>string part = 1;</code>
+       * @return The part.
+       */
+      public java.lang.String getPart() {
+        java.lang.Object ref = part_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          part_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @return The bytes for part.
+       */
+      public com.google.protobuf.ByteString
+          getPartBytes() {
+        java.lang.Object ref = part_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          part_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @param value The part to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPart(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        part_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPart() {
+        part_ = getDefaultInstance().getPart();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @param value The bytes for part to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPartBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        part_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList crashed_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureCrashedIsMutable() {
+        if (!crashed_.isModifiable()) {
+          crashed_ = new com.google.protobuf.LazyStringArrayList(crashed_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @return A list containing the crashed.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getCrashedList() {
+        crashed_.makeImmutable();
+        return crashed_;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @return The count of crashed.
+       */
+      public int getCrashedCount() {
+        return crashed_.size();
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @param index The index of the element to return.
+       * @return The crashed at the given index.
+       */
+      public java.lang.String getCrashed(int index) {
+        return crashed_.get(index);
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the crashed at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getCrashedBytes(int index) {
+        return crashed_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The crashed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCrashed(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashedIsMutable();
+        crashed_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @param value The crashed to add.
+       * @return This builder for chaining.
+       */
+      public Builder addCrashed(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashedIsMutable();
+        crashed_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @param values The crashed to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllCrashed(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureCrashedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, crashed_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCrashed() {
+        crashed_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations of targets that have ended under the part.
+       * </pre>
+       *
+       * <code>repeated string crashed = 2;</code>
+       * @param value The bytes of the crashed to add.
+       * @return This builder for chaining.
+       */
+      public Builder addCrashedBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureCrashedIsMutable();
+        crashed_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList broken_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureBrokenIsMutable() {
+        if (!broken_.isModifiable()) {
+          broken_ = new com.google.protobuf.LazyStringArrayList(broken_);
+        }
+        bitField0_ |= 0x00000004;
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @return A list containing the broken.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getBrokenList() {
+        broken_.makeImmutable();
+        return broken_;
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @return The count of broken.
+       */
+      public int getBrokenCount() {
+        return broken_.size();
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @param index The index of the element to return.
+       * @return The broken at the given index.
+       */
+      public java.lang.String getBroken(int index) {
+        return broken_.get(index);
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the broken at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getBrokenBytes(int index) {
+        return broken_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @param index The index to set the value at.
+       * @param value The broken to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBroken(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureBrokenIsMutable();
+        broken_.set(index, value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @param value The broken to add.
+       * @return This builder for chaining.
+       */
+      public Builder addBroken(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureBrokenIsMutable();
+        broken_.add(value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @param values The broken to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllBroken(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureBrokenIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, broken_);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBroken() {
+        broken_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Incarnations whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated string broken = 3;</code>
+       * @param value The bytes of the broken to add.
+       * @return This builder for chaining.
+       */
+      public Builder addBrokenBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureBrokenIsMutable();
+        broken_.add(value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<ebonygw.wire.PeerProtocol.Survivals> survivals_ =
+        java.util.Collections.emptyList();
+      private void ensureSurvivalsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          survivals_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Survivals>(survivals_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> survivalsBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Survivals> getSurvivalsList() {
+        if (survivalsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(survivals_);
+        } else {
+          return survivalsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public int getSurvivalsCount() {
+        if (survivalsBuilder_ == null) {
+          return survivals_.size();
+        } else {
+          return survivalsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals getSurvivals(int index) {
+        if (survivalsBuilder_ == null) {
+          return survivals_.get(index);
+        } else {
+          return survivalsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder setSurvivals(
+          int index, ebonygw.wire.PeerProtocol.Survivals value) {
+        if (survivalsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureSurvivalsIsMutable();
+          survivals_.set(index, value);
+          onChanged();
+        } else {
+          survivalsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder setSurvivals(
+          int index, ebonygw.wire.PeerProtocol.Survivals.Builder builderForValue) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          survivals_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          survivalsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder addSurvivals(ebonygw.wire.PeerProtocol.Survivals value) {
+        if (survivalsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureSurvivalsIsMutable();
+          survivals_.add(value);
+          onChanged();
+        } else {
+          survivalsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder addSurvivals(
+          int index, ebonygw.wire.PeerProtocol.Survivals value) {
+        if (survivalsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureSurvivalsIsMutable();
+          survivals_.add(index, value);
+          onChanged();
+        } else {
+          survivalsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder addSurvivals(
+          ebonygw.wire.PeerProtocol.Survivals.Builder builderForValue) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          survivals_.add(builderForValue.build());
+          onChanged();
+        } else {
+          survivalsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder addSurvivals(
+          int index, ebonygw.wire.PeerProtocol.Survivals.Builder builderForValue) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          survivals_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          survivalsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder addAllSurvivals(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Survivals> values) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, survivals_);
+          onChanged();
+        } else {
+          survivalsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder clearSurvivals() {
+        if (survivalsBuilder_ == null) {
+          survivals_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          survivalsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder removeSurvivals(int index) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          survivals_.remove(index);
+          onChanged();
+        } else {
+          survivalsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals.Builder getSurvivalsBuilder(
+          int index) {
+        return internalGetSurvivalsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.SurvivalsOrBuilder getSurvivalsOrBuilder(
+          int index) {
+        if (survivalsBuilder_ == null) {
+          return survivals_.get(index);  } else {
+          return survivalsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
+           getSurvivalsOrBuilderList() {
+        if (survivalsBuilder_ != null) {
+          return survivalsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(survivals_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals.Builder addSurvivalsBuilder() {
+        return internalGetSurvivalsFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals.Builder addSurvivalsBuilder(
+          int index) {
+        return internalGetSurvivalsFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Survivals.Builder> 
+           getSurvivalsBuilderList() {
+        return internalGetSurvivalsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
+          internalGetSurvivalsFieldBuilder() {
+        if (survivalsBuilder_ == null) {
+          survivalsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder>(
+                  survivals_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          survivals_ = null;
+        }
+        return survivalsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.PartEvidence)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.PartEvidence)
+    private static final ebonygw.wire.PeerProtocol.PartEvidence DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.PartEvidence();
+    }
+
+    public static ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PartEvidence>
+        PARSER = new com.google.protobuf.AbstractParser<PartEvidence>() {
+      @java.lang.Override
+      public PartEvidence parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PartEvidence> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PartEvidence> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SurvivalsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.Survivals)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Identifies a start of the observing entry's process.
+     * </pre>
+     *
+     * <code>fixed64 observer = 1;</code>
+     * @return The observer.
+     */
+    long getObserver();
+
+    /**
+     * <pre>
+     * Grows with each change of the count.
+     * </pre>
+     *
+     * <code>uint64 sequence = 2;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <pre>
+     * Recent responses that their targets survived.
+     * </pre>
+     *
+     * <code>uint32 count = 3;</code>
+     * @return The count.
+     */
+    int getCount();
+  }
+  /**
+   * Protobuf type {@code ebonygw.Survivals}
+   */
+  public static final class Survivals extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.Survivals)
+      SurvivalsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Survivals");
+    }
+    // Use Survivals.newBuilder() to construct.
+    private Survivals(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Survivals() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Survivals_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Survivals_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Survivals_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.Survivals.class, ebonygw.wire.PeerProtocol.Survivals.Builder.class);
+    }
+
+    public static final int OBSERVER_FIELD_NUMBER = 1;
+    private long observer_ = 0L;
+    /**
+     * <pre>
+     * Identifies a start of the observing entry's process.
+     * </pre>
+     *
+     * <code>fixed64 observer = 1;</code>
+     * @return The observer.
+     */
+    @java.lang.Override
+    public long getObserver() {
+      return observer_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 2;
+    private long sequence_ = 0L;
+    /**
+     * <pre>
+     * Grows with each change of the count.
+     * </pre>
+     *
+     * <code>uint64 sequence = 2;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int COUNT_FIELD_NUMBER = 3;
+    private int count_ = 0;
+    /**
+     * <pre>
+     * Recent responses that their targets survived.
+     * </pre>
+     *
+     * <code>uint32 count = 3;</code>
+     * @return The count.
+     */
+    @java.lang.Override
+    public int getCount() {
+      return count_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (observer_ != 0L) {
+        output.writeFixed64(1, observer_);
+      }
+      if (sequence_ != 0L) {
+        output.writeUInt64(2, sequence_);
+      }
+      if (count_ != 0) {
+        output.writeUInt32(3, count_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (observer_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, observer_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, sequence_);
+      }
+      if (count_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, count_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.Survivals)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.Survivals other = (ebonygw.wire.PeerProtocol.Survivals) obj;
+
+      if (getObserver()
+          != other.getObserver()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (getCount()
+          != other.getCount()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + OBSERVER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getObserver());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + COUNT_FIELD_NUMBER;
+      hash = (53 * hash) + getCount();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Survivals parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Survivals parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Survivals parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.Survivals prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.Survivals}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.Survivals)
+        ebonygw.wire.PeerProtocol.SurvivalsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Survivals_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Survivals_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.Survivals.class, ebonygw.wire.PeerProtocol.Survivals.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.Survivals.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        observer_ = 0L;
+        sequence_ = 0L;
+        count_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Survivals_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Survivals getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Survivals build() {
+        ebonygw.wire.PeerProtocol.Survivals result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Survivals buildPartial() {
+        ebonygw.wire.PeerProtocol.Survivals result = new ebonygw.wire.PeerProtocol.Survivals(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.Survivals result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.observer_ = observer_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.count_ = count_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.Survivals) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.Survivals)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.Survivals other) {
+        if (other == ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance()) return this;
+        if (other.getObserver() != 0L) {
+          setObserver(other.getObserver());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (other.getCount() != 0) {
+          setCount(other.getCount());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                observer_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                count_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long observer_ ;
+      /**
+       * <pre>
+       * Identifies a start of the observing entry's process.
+       * </pre>
+       *
+       * <code>fixed64 observer = 1;</code>
+       * @return The observer.
+       */
+      @java.lang.Override
+      public long getObserver() {
+        return observer_;
+      }
+      /**
+       * <pre>
+       * Identifies a start of the observing entry's process.
+       * </pre>
+       *
+       * <code>fixed64 observer = 1;</code>
+       * @param value The observer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setObserver(long value) {
+
+        observer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Identifies a start of the observing entry's process.
+       * </pre>
+       *
+       * <code>fixed64 observer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearObserver() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        observer_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <pre>
+       * Grows with each change of the count.
+       * </pre>
+       *
+       * <code>uint64 sequence = 2;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <pre>
+       * Grows with each change of the count.
+       * </pre>
+       *
+       * <code>uint64 sequence = 2;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Grows with each change of the count.
+       * </pre>
+       *
+       * <code>uint64 sequence = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int count_ ;
+      /**
+       * <pre>
+       * Recent responses that their targets survived.
+       * </pre>
+       *
+       * <code>uint32 count = 3;</code>
+       * @return The count.
+       */
+      @java.lang.Override
+      public int getCount() {
+        return count_;
+      }
+      /**
+       * <pre>
+       * Recent responses that their targets survived.
+       * </pre>
+       *
+       * <code>uint32 count = 3;</code>
+       * @param value The count to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCount(int value) {
+
+        count_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Recent responses that their targets survived.
+       * </pre>
+       *
+       * <code>uint32 count = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCount() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        count_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.Survivals)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.Survivals)
+    private static final ebonygw.wire.PeerProtocol.Survivals DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.Survivals();
+    }
+
+    public static ebonygw.wire.PeerProtocol.Survivals getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Survivals>
+        PARSER = new com.google.protobuf.AbstractParser<Survivals>() {
+      @java.lang.Override
+      public Survivals parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Survivals> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Survivals> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Survivals getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TargetEndedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.TargetEnded)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The incarnation.
+     */
+    java.lang.String getIncarnation();
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The bytes for incarnation.
+     */
+    com.google.protobuf.ByteString
+        getIncarnationBytes();
+  }
+  /**
+   * <pre>
+   * The incarnation of the loader's replica that has ended.
+   * </pre>
+   *
+   * Protobuf type {@code ebonygw.TargetEnded}
+   */
+  public static final class TargetEnded extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.TargetEnded)
+      TargetEndedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "TargetEnded");
+    }
+    // Use TargetEnded.newBuilder() to construct.
+    private TargetEnded(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TargetEnded() {
+      incarnation_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetEnded_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetEnded_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetEnded_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.TargetEnded.class, ebonygw.wire.PeerProtocol.TargetEnded.Builder.class);
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object incarnation_ = "";
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public java.lang.String getIncarnation() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incarnation_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The bytes for incarnation.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIncarnationBytes() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.TargetEnded)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.TargetEnded other = (ebonygw.wire.PeerProtocol.TargetEnded) obj;
+
+      if (!getIncarnation()
+          .equals(other.getIncarnation())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + getIncarnation().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.TargetEnded parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.TargetEnded prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The incarnation of the loader's replica that has ended.
+     * </pre>
+     *
+     * Protobuf type {@code ebonygw.TargetEnded}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.TargetEnded)
+        ebonygw.wire.PeerProtocol.TargetEndedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetEnded_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetEnded_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.TargetEnded.class, ebonygw.wire.PeerProtocol.TargetEnded.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.TargetEnded.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        incarnation_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_TargetEnded_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetEnded getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetEnded build() {
+        ebonygw.wire.PeerProtocol.TargetEnded result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.TargetEnded buildPartial() {
+        ebonygw.wire.PeerProtocol.TargetEnded result = new ebonygw.wire.PeerProtocol.TargetEnded(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.TargetEnded result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.TargetEnded) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.TargetEnded)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.TargetEnded other) {
+        if (other == ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance()) return this;
+        if (!other.getIncarnation().isEmpty()) {
+          incarnation_ = other.incarnation_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                incarnation_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object incarnation_ = "";
+      /**
+       * <code>string incarnation = 1;</code>
+       * @return The incarnation.
+       */
+      public java.lang.String getIncarnation() {
+        java.lang.Object ref = incarnation_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          incarnation_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string incarnation = 1;</code>
+       * @return The bytes for incarnation.
+       */
+      public com.google.protobuf.ByteString
+          getIncarnationBytes() {
+        java.lang.Object ref = incarnation_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          incarnation_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string incarnation = 1;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        incarnation_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string incarnation = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        incarnation_ = getDefaultInstance().getIncarnation();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string incarnation = 1;</code>
+       * @param value The bytes for incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnationBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        incarnation_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.TargetEnded)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.TargetEnded)
+    private static final ebonygw.wire.PeerProtocol.TargetEnded DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.TargetEnded();
+    }
+
+    public static ebonygw.wire.PeerProtocol.TargetEnded getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TargetEnded>
+        PARSER = new com.google.protobuf.AbstractParser<TargetEnded>() {
+      @java.lang.Override
+      public TargetEnded parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TargetEnded> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TargetEnded> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.TargetEnded getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Envelope_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Envelope_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Member_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Member_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Hello_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Hello_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Heartbeat_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Heartbeat_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_LinkUse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_LinkUse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_AdapterVersion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_AdapterVersion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_MemberDigest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_MemberDigest_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_MemberUpdates_descriptor;
@@ -26813,6 +30920,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_OpenPlaces_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_PromptEvidence_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_PromptEvidence_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_PartEvidence_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_PartEvidence_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Survivals_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Survivals_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_TargetEnded_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_TargetEnded_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -26823,7 +30950,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\215\006\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\357\006\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
       "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
@@ -26842,66 +30969,76 @@
       "elopeH\000\022.\n\rgateway_usage\030( \001(\0132\025.ebonygw" +
       ".GatewayUsageH\000\022.\n\radapter_needs\030) \001(\0132\025" +
       ".ebonygw.AdapterNeedsH\000\022*\n\013open_places\030*" +
-      " \001(\0132\023.ebonygw.OpenPlacesH\000B\006\n\004kind\"\214\001\n\006" +
-      "Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022" +
-      "\014\n\004role\030\003 \001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005" +
-      " \001(\t\022\023\n\013data_center\030\006 \001(\t\022\017\n\007address\030\007 \001" +
-      "(\t\022\016\n\006serves\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(" +
-      "\0132\017.ebonygw.Member\022\031\n\021settings_revision\030" +
-      "\002 \001(\004\022\030\n\020protocol_version\030\003 \001(\r\"8\n\tHeart" +
-      "beat\022\020\n\010sequence\030\001 \001(\004\022\031\n\021settings_revis" +
-      "ion\030\002 \001(\004\"\031\n\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016" +
-      "AdapterVersion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007versi" +
-      "on\030\002 \001(\t\"\037\n\014MemberDigest\022\017\n\007buckets\030\001 \003(" +
-      "\006\"?\n\rMemberUpdates\022 \n\007members\030\001 \003(\0132\017.eb" +
-      "onygw.Member\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(" +
-      "\n\007adapter\030\001 \001(\0132\027.ebonygw.AdapterVersion" +
-      "\"k\n\nTargetLoad\022\020\n\010sequence\030\001 \001(\004\022\017\n\007runn" +
-      "ing\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency" +
-      "\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\"\302\001\n\014Target" +
-      "Report\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(" +
-      "\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025" +
-      "\n\rqueued_tokens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132" +
-      "\027.ebonygw.AdapterVersion\022(\n\007loading\030\007 \003(" +
-      "\0132\027.ebonygw.AdapterVersion\"A\n\tRequestId\022" +
-      "\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010s" +
-      "equence\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n" +
-      "\005value\030\002 \001(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebony" +
-      "gw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\020\n\010custome" +
-      "r\030\003 \001(\t\022\016\n\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(" +
-      "\n\007adapter\030\006 \001(\0132\027.ebonygw.AdapterVersion" +
-      "\022\022\n\nidempotent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025" +
-      "\n\rprompt_tokens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(" +
-      "\004\022\023\n\013prefix_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010" +
-      "\022\016\n\006method\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007header" +
-      "s\030\017 \003(\0132\017.ebonygw.Header\022\014\n\004body\030\020 \001(\014\022\025" +
-      "\n\rtimeout_nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n" +
-      "\004Head\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
-      "\007attempt\030\002 \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007header" +
-      "s\030\004 \003(\0132\017.ebonygw.Header\"T\n\004Body\022\036\n\002id\030\001" +
-      " \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(" +
-      "\r\022\r\n\005index\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n" +
-      "\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt" +
-      "\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001" +
-      "(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Requ" +
-      "estId\022\017\n\007attempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007" +
-      "verdict\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_a" +
-      "fter_nanos\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022" +
-      ".ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006C" +
-      "redit\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n" +
-      "\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\"J\n\014Gateway" +
-      "Usage\022\016\n\006wanted\030\002 \001(\010\022$\n\007entries\030\003 \003(\0132\023" +
-      ".ebonygw.EntryUsageJ\004\010\001\020\002\"l\n\nEntryUsage\022" +
-      "\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010s" +
-      "equence\030\003 \001(\004\022(\n\007charged\030\004 \003(\0132\027.ebonygw" +
-      ".CustomerTokens\"D\n\016CustomerTokens\022\020\n\010cus" +
-      "tomer\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\022\022\020\n\010sequence\030" +
-      "\003 \001(\004\"3\n\014AdapterNeeds\022#\n\005needs\030\001 \003(\0132\024.e" +
-      "bonygw.AdapterNeed\"q\n\013AdapterNeed\022\017\n\007ada" +
-      "pter\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\017\n\007waiting\030\003" +
-      " \001(\r\022\020\n\010punctual\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022" +
-      "\014\n\004sent\030\006 \001(\r\"\033\n\nOpenPlaces\022\r\n\005count\030\001 \001" +
-      "(\021B\034\n\014ebonygw.wireB\014PeerProtocolb\006proto3"
+      " \001(\0132\023.ebonygw.OpenPlacesH\000\0222\n\017prompt_ev" +
+      "idence\030+ \001(\0132\027.ebonygw.PromptEvidenceH\000\022" +
+      ",\n\014target_ended\030, \001(\0132\024.ebonygw.TargetEn" +
+      "dedH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030\001 \001(\t\022\023\n\013" +
+      "incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005\022\r\n\005state" +
+      "\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_center\030\006 " +
+      "\001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030\010 \001(\t\"[\n\005" +
+      "Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.Member\022\031\n\021" +
+      "settings_revision\030\002 \001(\004\022\030\n\020protocol_vers" +
+      "ion\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequence\030\001 \001(\004" +
+      "\022\031\n\021settings_revision\030\002 \001(\004\"\031\n\007LinkUse\022\016" +
+      "\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersion\022\017\n\007adap" +
+      "ter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014MemberDige" +
+      "st\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberUpdates\022 \n\007" +
+      "members\030\001 \003(\0132\017.ebonygw.Member\022\014\n\004news\030\002" +
+      " \001(\010\"4\n\010Prefetch\022(\n\007adapter\030\001 \001(\0132\027.ebon" +
+      "ygw.AdapterVersion\"k\n\nTargetLoad\022\020\n\010sequ" +
+      "ence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 " +
+      "\001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_token" +
+      "s\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010sequence\030\001 \001" +
+      "(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013c" +
+      "oncurrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\022" +
+      ")\n\010resident\030\006 \003(\0132\027.ebonygw.AdapterVersi" +
+      "on\022(\n\007loading\030\007 \003(\0132\027.ebonygw.AdapterVer" +
+      "sion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Heade" +
+      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036" +
+      "\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attemp" +
+      "t\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006key_id\030\004 \001(" +
+      "\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.ebon" +
+      "ygw.AdapterVersion\022\022\n\nidempotent\030\007 \001(\010\022\020" +
+      "\n\010priority\030\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(\004\022" +
+      "\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001(\006" +
+      "\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004pa" +
+      "th\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebonygw.Head" +
+      "er\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(\004\022" +
+      "\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022.eb" +
+      "onygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006stat" +
+      "us\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebonygw.Head" +
+      "er\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Request" +
+      "Id\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004da" +
+      "ta\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Re" +
+      "questId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022" +
+      "\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 " +
+      "\001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r" +
+      "\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006detai" +
+      "l\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004\"9\n\006Ca" +
+      "ncel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007" +
+      "attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022.eb" +
+      "onygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005part" +
+      "s\030\003 \001(\r\"J\n\014GatewayUsage\022\016\n\006wanted\030\002 \001(\010\022" +
+      "$\n\007entries\030\003 \003(\0132\023.ebonygw.EntryUsageJ\004\010" +
+      "\001\020\002\"l\n\nEntryUsage\022\r\n\005entry\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022(\n\007charg" +
+      "ed\030\004 \003(\0132\027.ebonygw.CustomerTokens\"D\n\016Cus" +
+      "tomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens\030" +
+      "\002 \001(\022\022\020\n\010sequence\030\003 \001(\004\"3\n\014AdapterNeeds\022" +
+      "#\n\005needs\030\001 \003(\0132\024.ebonygw.AdapterNeed\"q\n\013" +
+      "AdapterNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030" +
+      "\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r" +
+      "\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenP" +
+      "laces\022\r\n\005count\030\001 \001(\021\"M\n\016PromptEvidence\022$" +
+      "\n\005parts\030\001 \003(\0132\025.ebonygw.PartEvidence\022\025\n\r" +
+      "ended_targets\030\002 \003(\t\"d\n\014PartEvidence\022\014\n\004p" +
+      "art\030\001 \001(\t\022\017\n\007crashed\030\002 \003(\t\022\016\n\006broken\030\003 \003" +
+      "(\t\022%\n\tsurvivals\030\004 \003(\0132\022.ebonygw.Survival" +
+      "s\">\n\tSurvivals\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequ" +
+      "ence\030\002 \001(\004\022\r\n\005count\030\003 \001(\r\"\"\n\013TargetEnded" +
+      "\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebonygw.wireB\014P" +
+      "eerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -26914,7 +31051,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterNeeds", "OpenPlaces", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterNeeds", "OpenPlaces", "PromptEvidence", "TargetEnded", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -27065,6 +31202,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_OpenPlaces_descriptor,
         new java.lang.String[] { "Count", });
+    internal_static_ebonygw_PromptEvidence_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_ebonygw_PromptEvidence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_PromptEvidence_descriptor,
+        new java.lang.String[] { "Parts", "EndedTargets", });
+    internal_static_ebonygw_PartEvidence_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_ebonygw_PartEvidence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_PartEvidence_descriptor,
+        new java.lang.String[] { "Part", "Crashed", "Broken", "Survivals", });
+    internal_static_ebonygw_Survivals_descriptor =
+      getDescriptor().getMessageType(28);
+    internal_static_ebonygw_Survivals_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_Survivals_descriptor,
+        new java.lang.String[] { "Observer", "Sequence", "Count", });
+    internal_static_ebonygw_TargetEnded_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_ebonygw_TargetEnded_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_TargetEnded_descriptor,
+        new java.lang.String[] { "Incarnation", });
     descriptor.resolveAllFeaturesImmutable();
     ebonygw.wire.SettingsProtocol.getDescriptor();
     ebonygw.wire.SharesProtocol.getDescriptor();
--- a/src/test/java/ebonygw/gateway/CrashingPromptTest.java
+++ b/src/test/java/ebonygw/gateway/CrashingPromptTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import ebonygw.gateway.GatewayFleet.Arrival;
+import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
 import java.util.ArrayList;
 import java.util.List;
@@ -55,18 +55,10 @@
                 entry, GatewayFleet.prompt(first, second, last + mRandom.nextInt(1 << 30)));
     }
 
-    private static long crashingArrivalsAfter(GatewayFleet fleet, long nanos) {
-        return fleet.mArrivals.stream()
-                .filter(arrival -> arrival.nanos() > nanos)
-                .map(Arrival::request)
-                .filter(it -> it.promptParts().stream().anyMatch(p -> p.id().equals(CRASHING)))
-                .count();
-    }
-
     private static void assertBounded(GatewayFleet fleet) {
         if (fleet.mCrashes.size() >= CRASHES) {
             long fifthNanos = fleet.mCrashes.get(CRASHES - 1).nanos();
-            assertThat(crashingArrivalsAfter(fleet, fifthNanos + CONTACT_NANOS))
+            assertThat(fleet.arrivalsAfter(fifthNanos + CONTACT_NANOS, CRASHING))
                     .isLessThanOrEqualTo(ALLOWED_ARRIVALS);
         }
     }
@@ -84,4 +76,86 @@
         assertThat(fleet.mOutcomes.get(mCrashing.get(mCrashing.size() - 1)).refusal().verdict())
                 .isEqualTo(Verdict.NOT_RUN);
     }
+
+    @Test
+    void soundRequestsWithTheSameKeyAndFirstPartAreServedMeanwhile() {
+        GatewayFleet fleet = fleet(2);
+        load(fleet, 3_000, false);
+
+        load(fleet, 20_000, true);
+
+        assertBounded(fleet);
+        assertThat(blockedSound(fleet)).isEmpty();
+    }
+
+    @Test
+    void replicasThatEndForOtherReasonsBlockNothing() {
+        GatewayFleet fleet = fleet(3);
+        load(fleet, 3_000, false);
+
+        for (int i = 0; i < 6; i++) {
+            fleet.crashReplicas(i % REPLICAS, 3);
+            load(fleet, 2_500, false);
+        }
+
+        assertThat(blockedSound(fleet)).isEmpty();
+    }
+
+    @Test
+    void entriesThatAllStartAgainKnowTheBlockFromTheStore() {
+        GatewayFleet fleet = fleet(4);
+        load(fleet, 3_000, false);
+        load(fleet, 8_000, true);
+        int crashes = fleet.mCrashes.size();
+
+        List.copyOf(fleet.mEntries.keySet()).forEach(name -> fleet.restartEntry(name, 1_500));
+        fleet.run(4_000);
+        load(fleet, 5_000, true);
+
+        assertThat(fleet.mCrashes).hasSize(crashes);
+        assertBounded(fleet);
+    }
+
+    @Test
+    void anEntryThatStartsWithoutTheStoreIsNotReadyAndTheOthersGoOnRefusing() {
+        GatewayFleet fleet = fleet(5);
+        load(fleet, 3_000, false);
+        fleet.mStoreUp = false;
+        load(fleet, 8_000, true);
+        int crashes = fleet.mCrashes.size();
+
+        fleet.restartEntry("entry1", 500);
+        load(fleet, 5_000, true);
+
+        assertThat(fleet.mEntries.get("entry1").mNode.ready()).isFalse();
+        assertThat(fleet.mCrashes).hasSize(crashes);
+        assertBounded(fleet);
+    }
+
+    @Test
+    void anOperatorLiftsABlockByDeletingItsKey() {
+        GatewayFleet fleet = fleet(6);
+        load(fleet, 3_000, false);
+        load(fleet, 8_000, true);
+        fleet.mCrashingParts.clear();
+
+        fleet.delete(PromptGuard.KEY_PREFIX + CRASHING);
+        fleet.run(1_000);
+        String lifted = submit(fleet, "first0", CRASHING, "own");
+        fleet.run(1_000);
+
+        assertThat(fleet.mOutcomes.get(lifted).begun()).isTrue();
+    }
+
+    private List<String> blockedSound(GatewayFleet fleet) {
+        return mSound.stream()
+                .filter(
+                        id -> {
+                            GatewayFleet.Outcome outcome = fleet.mOutcomes.get(id);
+                            return outcome != null
+                                    && !outcome.begun()
+                                    && outcome.refusal().code() == RefusalCode.CRASHING_PROMPT;
+                        })
+                .toList();
+    }
 }
--- a/src/test/java/ebonygw/gateway/GatewayFleet.java
+++ b/src/test/java/ebonygw/gateway/GatewayFleet.java
@@ -154,6 +154,20 @@
         mReplicas.subList(first, first + count).forEach(Replica::crash);
     }
 
+    /** Returns how many requests with a part reached replicas later than a time. */
+    long arrivalsAfter(long nanos, String part) {
+        return mArrivals.stream()
+                .filter(arrival -> arrival.nanos() > nanos)
+                .flatMap(arrival -> arrival.request().promptParts().stream())
+                .filter(it -> it.id().equals(part))
+                .count();
+    }
+
+    /** Deletes a key of the key-value service, as an operator does. */
+    void delete(String key) {
+        write(key, null);
+    }
+
     private void startEntry(int index) {
         EntryHost host = new EntryHost(index);
         mEntries.put(host.mName, host);
