--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -186,6 +186,28 @@
         assertThat(orders()).extracting(TargetOrder::instance).containsExactly("i-2");
     }
 
+    @Test
+    void theEndOfAnIncarnationIsReportedToTheEntries() {
+        start();
+        mInstance = "i-2";
+        advance(200);
+
+        assertThat(endedIncarnations()).containsExactly("i-1/1");
+
+        handle(new GatewayEvent.StatusRead(Optional.empty()));
+        handle(new GatewayEvent.StatusRead(Optional.empty()));
+        assertThat(endedIncarnations()).containsExactly("i-1/1", "i-2/1");
+    }
+
+    private List<String> endedIncarnations() {
+        return mEffects.stream()
+                .filter(GatewayEffect.Send.class::isInstance)
+                .map(it -> ((GatewayEffect.Send) it).message())
+                .filter(GatewayMessage.TargetEnded.class::isInstance)
+                .map(it -> ((GatewayMessage.TargetEnded) it).incarnation())
+                .toList();
+    }
+
     @Test
     void oneOrderIsPendingAtATime() {
         start();
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -13,6 +13,7 @@
 import ebonygw.protocol.Locality;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
+import ebonygw.quarantine.Evidence;
 import ebonygw.request.AdapterVersion;
 import ebonygw.request.Payload;
 import ebonygw.request.Refusal;
@@ -153,19 +154,38 @@
                         number(random),
                         List.of(adapter, adapter),
                         List.of(adapter)),
-                new GatewayMessage.AdapterNeeds(
-                        List.of(
-                                new GatewayMessage.AdapterNeed(
-                                        word(random),
-                                        number(random),
-                                        random.nextInt(9),
-                                        random.nextInt(9),
-                                        random.nextInt(9),
-                                        random.nextInt(9)))),
+                adapterNeeds(random),
                 new GatewayMessage.OpenAdapterSlots(random.nextInt()),
+                new GatewayMessage.TargetEnded(word(random)),
+                evidence(random),
                 usage(random));
     }
 
+    private static Message adapterNeeds(Random random) {
+        return new GatewayMessage.AdapterNeeds(
+                List.of(
+                        new GatewayMessage.AdapterNeed(
+                                word(random),
+                                number(random),
+                                random.nextInt(9),
+                                random.nextInt(9),
+                                random.nextInt(9),
+                                random.nextInt(9))));
+    }
+
+    private static Message evidence(Random random) {
+        Evidence.Survivals survivals =
+                new Evidence.Survivals(random.nextLong(), number(random), random.nextInt(9));
+        Evidence.PartEvidence part =
+                new Evidence.PartEvidence(
+                        word(random),
+                        List.of(word(random)),
+                        List.of(word(random), word(random)),
+                        List.of(survivals));
+        return new GatewayMessage.PromptEvidence(
+                new Evidence(List.of(part), List.of(word(random))));
+    }
+
     private static Message usage(Random random) {
         GatewayMessage.CustomerTokens tokens =
                 new GatewayMessage.CustomerTokens(
