Test of a slow caller no longer races with the thread that writes

The test now queues the remaining parts and the abort after it has seen the first part reported; its checks are unchanged.

--- a/src/test/java/ebonygw/caller/CallerServerTest.java
+++ b/src/test/java/ebonygw/caller/CallerServerTest.java
@@ -332,15 +332,16 @@
             caller.send(RawCaller.post("/v1/completions", AUTH, STREAM));
             long exchange = nextRequest().exchangeId();
             start(exchange);
-            for (int i = 0; i < parts; i++) {
+            part(exchange, data);
+            EntryEvent event = nextEvent();
+            assertThat(event).isInstanceOf(EntryEvent.ResponsePartsConsumed.class);
+            for (int i = 1; i < parts; i++) {
                 part(exchange, data);
             }
             mServer.apply(
                     new EntryEffect.ResponseAborted(
                             exchange, Refusal.mayHaveRun(RefusalCode.LOST, "mark")));
             int consumed = 0;
-            EntryEvent event = nextEvent();
-            assertThat(event).isInstanceOf(EntryEvent.ResponsePartsConsumed.class);
             while (event != null) {
                 consumed += ((EntryEvent.ResponsePartsConsumed) event).parts();
                 event = mEvents.poll(200, TimeUnit.MILLISECONDS);
