Callers with HTTP/1.0 get a reset instead of an orderly end of a broken response

Such a connection is now reset. aBrokenResponseToAnHttp10CallerIsReset failed before ("Expecting code to raise a throwable").

--- a/src/main/java/ebonygw/caller/CallerExchange.java
+++ b/src/main/java/ebonygw/caller/CallerExchange.java
@@ -5,7 +5,9 @@
 import ebonygw.http.DisconnectMonitor;
 import ebonygw.log.LogLine;
 import ebonygw.request.Refusal;
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
@@ -20,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -136,9 +139,21 @@
         }
     }
 
+    /**
+     * Closes the connection after an incomplete response. Without chunks, as with HTTP/1.0, an
+     * orderly close would mark the response as complete, so the connection is reset.
+     */
     private void closeConnection() {
         release();
-        IoUtils.safeClose(mExchange.getConnection());
+        ServerConnection connection = mExchange.getConnection();
+        if (!mExchange.isHttp11() && connection instanceof AbstractServerConnection closing) {
+            try {
+                closing.getChannel().setOption(Options.CLOSE_ABORT, true);
+            } catch (IOException cause) {
+                Logger.debug("event=reset_failed request={} cause=\"{}\"", mRequestId, cause);
+            }
+        }
+        IoUtils.safeClose(connection);
     }
 
     private void finish() throws IOException {
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -231,6 +231,21 @@
         }
     }
 
+    // Guards against a broken response that an HTTP/1.0 caller, without chunks, receives as
+    // complete.
+    @Test
+    void aBrokenResponseToAnHttp10CallerIsReset() throws IOException {
+        mReplica.script(
+                ScriptedResponse.of(STREAM_HEAD + "Connection: close\r\n\r\nid: 1\ndata: one"));
+
+        try (RawCaller caller = caller()) {
+            caller.send(
+                    "GET /tell/1 HTTP/1.0\r\nHost: h\r\nAttempt-Id: r1\r\n"
+                            + "Authorization: Bearer k1\r\nDeadline-Ms: 2500\r\n\r\n");
+            assertThatThrownBy(caller::readToEnd).isInstanceOf(IOException.class);
+        }
+    }
+
     @Test
     void aStreamWithoutLengthThatEndsAfterAnEventIsComplete() throws IOException {
         String events = "id: 1\r\ndata: one\r\n\r\n: comment\r\n\r\nid: 2\r\ndata: two\r\n\r\n";
