Loader: a replica has ended after three failed status reads, or once another incarnation is seen

A single report that was lost or garbled counted as the end of the replica for the evidence of prompt parts, although the replica lived on. aReplicaThatMissesTwoStatusReadsHasNotEnded failed before.

--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -61,6 +61,12 @@
      */
     private static final long LOAD_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
+    /**
+     * Number of failed status reads in a row after which the replica counts as ended; a single
+     * response may be lost or malformed.
+     */
+    private static final int FAILED_READS_OF_AN_END = 3;
+
     /** Window over which replicas spread their reloads when a base model has a new version. */
     private static final long MODEL_RELOAD_SPREAD_MILLIS = 2_000;
 
@@ -74,6 +80,13 @@
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
     private TargetStatus mStatus;
     private String mInstance;
+
+    /** Incarnation that status reads have failed for and whose end was not reported. */
+    private String mLostInstance;
+
+    /** Status reads that have failed since the last successful one. */
+    private int mFailedReads;
+
     private MemberMessage.TargetReport mLastReport;
     private int mReportedOpenSlots;
     private long mOpenSlotsReportedNanos;
@@ -234,6 +247,10 @@
     private void onStatus(Optional<TargetStatus> status, long nowNanos) {
         mReadPending = false;
         if (status.isEmpty()) {
+            mFailedReads++;
+            if (mFailedReads == FAILED_READS_OF_AN_END) {
+                reportEnd();
+            }
             if (mInstance != null) {
                 mCounts.merge("replica_lost", 1L, Long::sum);
                 mOut.log(
@@ -243,15 +260,21 @@
                                 .with("running", mLastReport.running())
                                 .with("adapters", mLastReport.resident().size())
                                 .with("loading", mLastReport.loading().size()));
-                endInstance();
+                mLostInstance = mInstance;
+                mInstance = null;
             }
             mStatus = null;
             return;
         }
+        mFailedReads = 0;
         mStatus = status.get();
         String instance = TargetRecord.incarnation(mStatus.instance(), mStatus.startedAtMillis());
+        if (instance.equals(mLostInstance)) {
+            mLostInstance = null;
+        }
         if (!instance.equals(mInstance)) {
-            endInstance();
+            mLostInstance = mInstance == null ? mLostInstance : mInstance;
+            reportEnd();
             mInstance = instance;
             mOut.log(
                     LogLine.of("replica_seen")
@@ -265,12 +288,12 @@
         sendReport(nowNanos);
     }
 
-    /** Tells the entries that the known incarnation of the replica, if any, has ended. */
-    private void endInstance() {
-        if (mInstance != null) {
-            GatewayMessage ended = new GatewayMessage.TargetEnded(mInstance);
+    /** Tells the entries that the incarnation of the replica that was lost, if any, has ended. */
+    private void reportEnd() {
+        if (mLostInstance != null) {
+            GatewayMessage ended = new GatewayMessage.TargetEnded(mLostInstance);
             mEntries.forEach(entry -> mOut.send(entry, ended));
-            mInstance = null;
+            mLostInstance = null;
         }
     }
 
--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -194,11 +194,27 @@
 
         assertThat(endedIncarnations()).containsExactly("i-1/1");
 
-        handle(new GatewayEvent.StatusRead(Optional.empty()));
-        handle(new GatewayEvent.StatusRead(Optional.empty()));
+        failStatusReads(5);
         assertThat(endedIncarnations()).containsExactly("i-1/1", "i-2/1");
     }
 
+    @Test
+    void aReplicaThatMissesTwoStatusReadsHasNotEnded() {
+        start();
+        for (int i = 0; i < 5; i++) {
+            failStatusReads(2);
+            advance(200);
+        }
+
+        assertThat(endedIncarnations()).isEmpty();
+    }
+
+    private void failStatusReads(int count) {
+        for (int i = 0; i < count; i++) {
+            handle(new GatewayEvent.StatusRead(Optional.empty()));
+        }
+    }
+
     private List<String> endedIncarnations() {
         return mEffects.stream()
                 .filter(GatewayEffect.Send.class::isInstance)
