--- a/src/test/java/ebonygw/platform/ReplicaClientTest.java
+++ b/src/test/java/ebonygw/platform/ReplicaClientTest.java
@@ -67,6 +67,20 @@
         assertThat(status.unstarted()).isEqualTo(2);
     }
 
+    @Test
+    void aReportThatEndsWithItsConnectionIsReadUnlessItIsCutOff() throws Exception {
+        String report = REPORT.formatted(7);
+        String head = "HTTP/1.1 200 X\r\nConnection: close\r\n\r\n";
+        mReplica.script(
+                ScriptedResponse.of(head + report),
+                ScriptedResponse.status(200, "Instance-Id: i-1\r\n", ""),
+                ScriptedResponse.of(head + report.substring(0, report.length() / 2)));
+
+        assertThat(read().orders()).isEqualTo(4);
+        mClient.readStatus("/health", mResults::add);
+        assertThat(mResults.poll(10, TimeUnit.SECONDS)).isEqualTo(Optional.empty());
+    }
+
     @Test
     void theInstanceIsRequestedOncePerReplicaStart() throws Exception {
         mReplica.script(
