Fault soak: prompt parts that crash engines

One in twenty streaming requests has a part that ends its engine while a spell lasts; spells come and go beside the other faults. Checked: at most three such requests reach engines later than 4 s after the fifth crash under a part, from processes in touch.

--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -30,6 +30,7 @@
 
     private final SoakRecorder mRecorder = new SoakRecorder();
     private final SplittableRandom mRandom;
+    private final SplittableRandom mCrashRandom;
     private final List<Thread> mRecoveryThreads = new ArrayList<>();
     private final long mSeed;
     private SoakFleet mFleet;
@@ -37,6 +38,7 @@
     private FaultSoak(long seed) {
         mSeed = seed;
         mRandom = new SplittableRandom(seed);
+        mCrashRandom = new SplittableRandom(~seed);
     }
 
     /**
@@ -93,12 +95,14 @@
             }
             long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
             while (System.nanoTime() < endNanos) {
+                mRecorder.setCrashing(mCrashRandom.nextInt(8) > 0);
                 injectFault(mRandom.nextInt(FAULT_KINDS));
                 TimeUnit.MILLISECONDS.sleep(100 + mRandom.nextInt(1_500));
             }
             for (Thread thread : mRecoveryThreads) {
                 thread.join();
             }
+            mRecorder.setCrashing(false);
             TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS);
             fleet.publishConfiguration();
             fleet.awaitReady();
@@ -211,7 +215,10 @@
 
     private int requestCount() {
         return mRecorder.counts().entrySet().stream()
-                .filter(count -> !count.getKey().startsWith("fault"))
+                .filter(
+                        count ->
+                                !count.getKey().startsWith("fault")
+                                        && !count.getKey().startsWith("crash"))
                 .mapToInt(count -> count.getValue().get())
                 .sum();
     }
--- a/src/test/java/ebonygw/platform/SoakCaller.java
+++ b/src/test/java/ebonygw/platform/SoakCaller.java
@@ -22,6 +22,9 @@
     /** How long after its route's timeout a response may arrive on a busy machine. */
     private static final long SLACK_MILLIS = 1_500;
 
+    /** One in so many streaming requests has a part that crashes engines, while there is one. */
+    private static final int CRASHING_PERIOD = 20;
+
     private static final long REQUEST_PAUSE_MILLIS = 20;
     private static final List<String> KINDS =
             List.of(NON_IDEMPOTENT, IDEMPOTENT, STREAMING, STREAMING);
@@ -31,6 +34,7 @@
     private final SoakRecorder mRecorder;
     private final DisturbanceCheck mDisturbanceCheck;
     private final SplittableRandom mRandom;
+    private final SplittableRandom mCrashRandom;
     private volatile boolean mStopped;
     private int mRequestCount;
 
@@ -45,6 +49,7 @@
         mRecorder = recorder;
         mDisturbanceCheck = disturbanceCheck;
         mRandom = new SplittableRandom(seed);
+        mCrashRandom = new SplittableRandom(~seed);
     }
 
     /** Decides whether a lost or late response counts as a violation. */
@@ -79,15 +84,22 @@
      */
     boolean request(RawCaller caller, String kind) throws IOException {
         String id = mName + '-' + ++mRequestCount;
+        String crashingPart = "";
+        if (kind.equals(STREAMING)
+                && !mRecorder.crashingPart().isEmpty()
+                && mCrashRandom.nextInt(CRASHING_PERIOD) == 0) {
+            crashingPart = mRecorder.crashingPart() + ":20,";
+        }
         String headers =
                 "Attempt-Id: %s\r\nAuthorization: Bearer k1\r\nDeadline-Ms: %d\r\n"
                         .formatted(id, TIMEOUT_MILLIS);
         if (kind.equals(STREAMING)) {
             headers +=
-                    "Model: %s/a%d\r\nToken-Usage: 100,12\r\nPrompt-Prefix: ab:50,%d:50\r\n"
+                    "Model: %s/a%d\r\nToken-Usage: 100,12\r\nPrompt-Prefix: ab:50,%s%d:50\r\n"
                             .formatted(
                                     SoakReplica.MODEL,
                                     mRandom.nextInt(ADAPTERS),
+                                    crashingPart,
                                     mRequestCount + 10);
         }
         mRecorder.recordSent(id, kind);
--- a/src/test/java/ebonygw/platform/SoakFleet.java
+++ b/src/test/java/ebonygw/platform/SoakFleet.java
@@ -45,6 +45,9 @@
     private long mConfigurationVersion;
     private volatile long mLastDisturbanceNanos = System.nanoTime();
 
+    /** When an engine last crashed under a prompt, which disturbs its other requests. */
+    private volatile long mLastCrashNanos = mLastDisturbanceNanos;
+
     /**
      * Starts the fleet.
      *
@@ -61,6 +64,8 @@
         for (int i = 0; i < ENGINES + PLAIN_REPLICAS; i++) {
             boolean engine = i < ENGINES;
             SoakReplica replica = new SoakReplica("replica" + i, engine, recorder);
+            int index = i;
+            replica.setCrashHandler(part -> crashReplica(index, part));
             mReplicas.add(replica);
             mReplicaProxies.add(
                     new SoakProxy(mNetworkPrefix + "2." + (i + 1), mFirstPort, replica.address()));
@@ -85,7 +90,12 @@
      * before a time.
      */
     boolean undisturbedSince(long sinceNanos) {
-        return sinceNanos - mLastDisturbanceNanos > DISTURBANCE_NANOS;
+        return isInTouch(sinceNanos) && sinceNanos - mLastCrashNanos > DISTURBANCE_NANOS;
+    }
+
+    /** Returns whether the processes were undisturbed for {@code DISTURBANCE_NANOS} at a time. */
+    private boolean isInTouch(long nanos) {
+        return nanos - mLastDisturbanceNanos > DISTURBANCE_NANOS;
     }
 
     @Override
@@ -134,12 +144,20 @@
     }
 
     /** Restarts a replica as another instance at the same address. */
-    void restartReplica(int replica) {
+    synchronized void restartReplica(int replica) {
         mReplicas.get(replica).restart();
         mReplicaProxies.get(replica).reset();
         registerReplica(replica);
     }
 
+    /** Restarts an engine that has crashed under a prompt part. */
+    private void crashReplica(int replica, String part) {
+        mRecorder.recordCrashingArrival(part, isInTouch(System.nanoTime()));
+        mRecorder.recordCrash(part);
+        mLastCrashNanos = System.nanoTime();
+        restartReplica(replica);
+    }
+
     /** Publishes a new version of an adapter as the wanted one. */
     void publishAdapterVersion(int adapter) {
         long version = mConfigurationVersion + 1;
--- a/src/test/java/ebonygw/platform/SoakRecorder.java
+++ b/src/test/java/ebonygw/platform/SoakRecorder.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -18,12 +19,36 @@
     private final Map<String, Integer> mRefused = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> mCounts = new ConcurrentHashMap<>();
     private final Queue<String> mViolations = new ConcurrentLinkedQueue<>();
+    private final Map<String, CrashingPart> mCrashingParts = new ConcurrentHashMap<>();
+    private volatile String mCrashingPart = "";
 
     /** Returns the body of a replica's response to a request. */
     static String responseBody(String id) {
         return ("answer of " + id + ' ').repeat(20);
     }
 
+    /** A prompt part that crashes engines. */
+    private static final class CrashingPart {
+        private static final int CRASHES = 5;
+
+        /** Time in which entries in touch learn what others know. */
+        private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+        private int mCrashes;
+        private int mLateArrivals;
+        private long mFifthCrashNanos;
+
+        synchronized boolean isLate(long nowNanos) {
+            return mCrashes >= CRASHES && nowNanos - mFifthCrashNanos > CONTACT_NANOS;
+        }
+
+        synchronized void onCrash(long nowNanos) {
+            if (++mCrashes == CRASHES) {
+                mFifthCrashNanos = nowNanos;
+            }
+        }
+    }
+
     void count(String event) {
         mCounts.computeIfAbsent(event, e -> new AtomicInteger()).incrementAndGet();
     }
@@ -61,6 +86,42 @@
         mSent.put(id, kind);
     }
 
+    /** Returns the prompt part that crashes engines now, empty if there is none. */
+    String crashingPart() {
+        return mCrashingPart;
+    }
+
+    /** Starts a spell of requests with a new prompt part that crashes engines, or ends it. */
+    void setCrashing(boolean on) {
+        if (on && mCrashingPart.isEmpty()) {
+            String part = "bad" + mCrashingParts.size();
+            mCrashingParts.put(part, new CrashingPart());
+            mCrashingPart = part;
+        } else if (!on) {
+            mCrashingPart = "";
+        }
+    }
+
+    /**
+     * Records that a request with a part that crashes engines has reached one.
+     *
+     * @param inTouch whether the processes have been undisturbed for the contact bound
+     */
+    void recordCrashingArrival(String part, boolean inTouch) {
+        count("crashing arrival");
+        CrashingPart state = mCrashingParts.get(part);
+        if (state.isLate(System.nanoTime()) && inTouch && ++state.mLateArrivals > 3) {
+            recordViolation(
+                    state.mLateArrivals + " requests with part " + part + " after the fifth crash");
+        }
+    }
+
+    /** Records that an engine has crashed under a prompt part. */
+    void recordCrash(String part) {
+        count("crash");
+        mCrashingParts.get(part).onCrash(System.nanoTime());
+    }
+
     void recordViolation(String text) {
         mViolations.add(text);
     }
--- a/src/test/java/ebonygw/platform/SoakReplica.java
+++ b/src/test/java/ebonygw/platform/SoakReplica.java
@@ -10,7 +10,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * A stand-in for a replica. An engine has a model, loads adapters on order and responds with a
@@ -40,6 +42,14 @@
     private long mStartedAtMillis = System.currentTimeMillis();
     private long mOrderCount;
     private long mFencingToken;
+    private volatile CrashHandler mCrashHandler = part -> {};
+
+    /** Handles that the replica crashes under a prompt part. */
+    @FunctionalInterface
+    interface CrashHandler {
+        /** Restarts the replica. */
+        void onCrash(String part);
+    }
 
     SoakReplica(String name, boolean engine, SoakRecorder recorder) {
         mName = name;
@@ -48,6 +58,10 @@
         mServer = new LoopbackServer(64, this::handle);
     }
 
+    void setCrashHandler(CrashHandler handler) {
+        mCrashHandler = handler;
+    }
+
     InetSocketAddress address() {
         return mServer.address();
     }
@@ -86,6 +100,14 @@
         mWantedVersions.put(adapter, version);
     }
 
+    /** Returns the part of a prompt that crashes engines. */
+    private static Optional<String> crashingPart(HttpServerExchange exchange) {
+        return Stream.of(header(exchange, "Prompt-Prefix").split(","))
+                .map(part -> part.split(":")[0])
+                .filter(part -> part.startsWith("bad"))
+                .findFirst();
+    }
+
     private static String header(HttpServerExchange exchange, String name) {
         String value = exchange.getRequestHeaders().getFirst(name);
         return value == null ? "" : value;
@@ -209,6 +231,11 @@
             String text = "id: " + event + "\ndata: " + id + ' ' + event + "\n\n";
             output.write(text.getBytes(StandardCharsets.UTF_8));
             output.flush();
+            Optional<String> crashing = crashingPart(exchange);
+            if (crashing.isPresent()) {
+                mCrashHandler.onCrash(crashing.get());
+                return;
+            }
         }
         output.close();
     }
