--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -96,7 +96,9 @@
         dump.put("ages", ages);
         dump.put("counts", Map.copyOf(mRequests.counts()));
         dump.put("quota", mQuota.dump());
-        dump.put("blockedParts", mGuard.blockedParts());
+        Map<String, List<String>> blocked = mGuard.blockedParts();
+        dump.put("blockedParts", blocked);
+        dump.put("blockedPartCount", blocked.size());
         dump.put("wantedVersions", mOperator.wantedVersions());
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
--- a/src/main/java/ebonygw/gateway/PromptGuard.java
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -62,7 +63,7 @@
     private final Map<String, Long> mUnwritten = new TreeMap<>();
 
     private final Map<Long, String> mWrites = new HashMap<>();
-    private List<NodeId> mEntries = List.of();
+    private Set<NodeId> mEntries = Set.of();
 
     /**
      * Creates a guard without evidence.
@@ -107,7 +108,7 @@
 
     /** Applies the registered entries. */
     void onEntries(Collection<NodeId> entries) {
-        mEntries = entries.stream().sorted().toList();
+        mEntries = Set.copyOf(entries);
     }
 
     /** Applies the evidence of another entry. */
--- a/src/main/java/ebonygw/operator/ExplainCommand.java
+++ b/src/main/java/ebonygw/operator/ExplainCommand.java
@@ -29,6 +29,10 @@
     private static final Set<String> CONTEXT_EVENTS =
             Set.of("target_ejected", "target_gone", "order_done", "replica_lost");
 
+    /** Events that concern all requests with a prompt part, whenever they were logged. */
+    private static final Set<String> PART_EVENTS =
+            Set.of("part_blocked", "part_unblocked", "part_block_read", "part_lifted");
+
     /** Creates the command. */
     public ExplainCommand() {}
 
@@ -113,6 +117,10 @@
          * between the first and last line of that request.
          */
         boolean isContextOf(List<Line> requestLines) {
+            if (PART_EVENTS.contains(event())) {
+                String part = "part " + field("part");
+                return requestLines.stream().anyMatch(it -> it.field("detail").equals(part));
+            }
             if (!CONTEXT_EVENTS.contains(event())) {
                 return false;
             }
--- a/src/main/java/ebonygw/quarantine/PartRecord.java
+++ b/src/main/java/ebonygw/quarantine/PartRecord.java
@@ -10,7 +10,7 @@
 /** What is known of one prompt part. Not thread-safe. */
 final class PartRecord {
     /** Maximum number of targets to remember; more than any number that blocks a part. */
-    static final int MAX_TARGETS = 16;
+    static final int MAX_TARGETS = 8;
 
     /** When each target was first known to have ended under the part. */
     final Map<String, Long> mCrashedNanos = new Recent<>();
--- a/src/main/java/ebonygw/quarantine/QuarantineOptions.java
+++ b/src/main/java/ebonygw/quarantine/QuarantineOptions.java
@@ -58,6 +58,6 @@
                 TimeUnit.SECONDS.toNanos(6),
                 TimeUnit.MINUTES.toNanos(10),
                 TimeUnit.HOURS.toNanos(1),
-                256);
+                128);
     }
 }
--- a/src/test/java/ebonygw/operator/ExplainCommandTest.java
+++ b/src/test/java/ebonygw/operator/ExplainCommandTest.java
@@ -22,11 +22,15 @@
             time=2026-01-01T00:00:03Z level=INFO event=request_refused request=r1 code=LOST \
             verdict=MAY_HAVE_RUN detail="status 500"
             time=2026-01-01T00:00:03Z level=INFO event=request_ended request=r1 outcome=lost
+            time=2026-01-01T00:00:09Z level=INFO event=request_refused request=r3 \
+            code=CRASHING_PROMPT verdict=NOT_RUN detail="part ab"
             """;
     private static final String OTHER =
             """
             time=2026-01-01T00:00:01.2Z level=INFO event=order_done adapter=m0/a1 outcome=ACCEPTED
             time=2026-01-01T00:00:01.1Z level=INFO event=adapter_awaited request=r1 adapter=m0/a1
+            time=2026-01-01T00:00:04Z level=INFO event=part_blocked part=ab crashed=i-1,i-2,i-3
+            time=2026-01-01T00:00:04Z level=INFO event=part_blocked part=cd crashed=i-1,i-2,i-3
             """;
 
     @TempDir Path mFolder;
@@ -60,6 +64,14 @@
                 .isEqualTo("ended by request_refused: LOST status 500, may have run: MAY_HAVE_RUN");
     }
 
+    @Test
+    void aRequestRefusedForAPromptPartIsExplainedByTheBlockOfThatPart() throws IOException {
+        assertThat(explain("r3")).isZero();
+
+        assertThat(mOut.toString().split("\n")).hasSize(3);
+        assertThat(mOut.toString()).contains("part_blocked part=ab").doesNotContain("part=cd");
+    }
+
     @Test
     void aRequestWithoutLogLinesIsReportedAndFails() throws IOException {
         assertThat(explain("r9")).isEqualTo(1);
--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -28,6 +28,11 @@
     /** Time after the last fault within which the whole fleet must serve again. */
     private static final long RECOVERY_MILLIS = 6_000;
 
+    /**
+     * Duration of the last spell: five crashes, the contact bound after them, and as much again.
+     */
+    private static final long CRASHING_MILLIS = 10_000;
+
     private final SoakRecorder mRecorder = new SoakRecorder();
     private final SplittableRandom mRandom;
     private final SplittableRandom mCrashRandom;
@@ -108,6 +113,7 @@
             fleet.awaitReady();
             fleet.checkPreviousRouteRemoved();
             checkServing();
+            checkCrashesEnd();
             callers.forEach(SoakCaller::stop);
             for (Thread thread : threads) {
                 thread.join();
@@ -130,6 +136,13 @@
         }
     }
 
+    /** Checks that engines no longer crash under a prompt part some time after its first crash. */
+    private void checkCrashesEnd() throws InterruptedException {
+        mRecorder.setCrashing(true);
+        TimeUnit.MILLISECONDS.sleep(CRASHING_MILLIS);
+        mRecorder.setCrashing(false);
+    }
+
     private void injectConnectionFault(SoakProxy proxy, SoakProxy.Fault fault, long millis) {
         proxy.setFault(fault, 50 + millis / 20);
         recoverAfter(
--- a/src/test/java/ebonygw/platform/SoakCaller.java
+++ b/src/test/java/ebonygw/platform/SoakCaller.java
@@ -23,7 +23,7 @@
     private static final long SLACK_MILLIS = 1_500;
 
     /** One in so many streaming requests has a part that crashes engines, while there is one. */
-    private static final int CRASHING_PERIOD = 20;
+    private static final int CRASHING_PERIOD = 5;
 
     private static final long REQUEST_PAUSE_MILLIS = 20;
     private static final List<String> KINDS =
