Test of rolling replacement knows a response that breaks off after its start

Such a booking now counts as one that may have run, that is, at most one run, and only after a status of 200; a connection that ends before a response, and any error while processes stop gracefully, still fails.

--- a/src/test/java/ebonygw/dev/BookingLoad.java
+++ b/src/test/java/ebonygw/dev/BookingLoad.java
@@ -7,11 +7,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
@@ -71,7 +73,8 @@
 
     /**
      * Returns the outcome by booking: {@code answered}, or code and verdict of the error response,
-     * or the exception if there was no response.
+     * or {@code broken_answer may_have_run} if a successful response broke off after its start, or
+     * the exception if there was no response.
      */
     Map<String, String> outcomes() {
         return Map.copyOf(mOutcomes);
@@ -87,13 +90,21 @@
                         .header("Idempotency-Key", booking)
                         .POST(HttpRequest.BodyPublishers.ofString("kerb " + number))
                         .build();
+        AtomicBoolean succeeding = new AtomicBoolean();
         try {
             HttpResponse<String> response =
-                    mClient.send(request, HttpResponse.BodyHandlers.ofString());
+                    mClient.send(
+                            request,
+                            head -> {
+                                succeeding.set(head.statusCode() == 200);
+                                return HttpResponse.BodySubscribers.ofString(
+                                        StandardCharsets.UTF_8);
+                            });
             mOutcomes.put(
                     booking, response.statusCode() == 200 ? "answered" : error(response.body()));
         } catch (IOException e) {
-            mOutcomes.put(booking, "no response: " + e);
+            mOutcomes.put(
+                    booking, succeeding.get() ? "broken_answer may_have_run" : "no response: " + e);
         }
     }
 
