--- a/src/test/java/ebonygw/http/HttpClientTest.java
+++ b/src/test/java/ebonygw/http/HttpClientTest.java
@@ -22,9 +22,15 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class HttpClientTest {
     private static final long TIMEOUT_NANOS = 20_000_000_000L;
+
+    /** More than socket buffers hold beside the head of any response. */
+    private static final long MAX_ACCEPTED_BYTES = 32L << 20;
+
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     private final BlockingQueue<Object> mReceived = new LinkedBlockingQueue<>();
@@ -127,6 +133,40 @@
         assertFailure(HttpFailure.Kind.BROKEN, true);
     }
 
+    // Guards against a server that sends the head or the framing of a response without end.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '"',
+            value = {
+                "HTTP/1.1 200 OK~           | X-Filler: xxxxxxxxxxxxxxxxxxxxxxxxx~",
+                "HTTP/1.1 200 OK~           | x",
+                "HTTP/1.1 200               | x",
+                "HTTP/1.1 200 OK~X-Filler:  | x",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2;x=           | x",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~               | 0",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ok~0~        | X-Filler: xx~",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ok~0~X-Last: | x"
+            })
+    void aResponseWithoutEndIsGivenUp(String start, String filler) throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        Socket socket = mServer.accept();
+        String unit = filler.replace("~", "\r\n");
+        byte[] block = unit.repeat(16 * 1024 / unit.length()).getBytes(StandardCharsets.UTF_8);
+        respond(socket, start.replace("~", "\r\n"));
+        long sent = 0;
+        try {
+            while (sent < MAX_ACCEPTED_BYTES) {
+                socket.getOutputStream().write(block);
+                sent += block.length;
+            }
+        } catch (IOException closed) {
+            // The client has given up.
+        }
+
+        assertThat(sent).isLessThan(MAX_ACCEPTED_BYTES);
+    }
+
     @Test
     void aServerThatDoesNotRespondCausesATimeout() throws Exception {
         mClient.send(HttpRequest.of("GET", "/a"), 2_000_000_000L, new Recorder());
