Blocked prompt parts: the key of a block that has ended is deleted

A block that survivals ended, or that was explained by another part, left its key in the store: an entry that started later would have blocked the part again, and keys would have stayed for ever. The entry that ends a block now deletes the key, on condition of the revision that it has seen; other entries do so if it fails. Found in review; PromptGuardTest.theKeyOfABlockThatSurvivalsEndIsDeleted and ...ThatHasLastedLongEnoughIsDeleted fail without it.

--- a/src/main/java/ebonygw/gateway/PromptGuard.java
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -10,9 +10,9 @@
 import ebonygw.quarantine.Evidence;
 import ebonygw.quarantine.PartQuarantine;
 import ebonygw.quarantine.QuarantineOptions;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,7 +44,7 @@
     /** Maximum delay of a write; beyond it, entries write concurrently. */
     private static final long MAX_WRITE_DELAY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    /** Time after which a write without a response is repeated. */
+    /** Time after which a write is repeated unless its effect has been seen. */
     private static final long WRITE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Maximum length of a part's id; the key-value service accepts keys of 200 bytes. */
@@ -59,10 +59,13 @@
     private final PrefixMirror mMirror;
     private final Map<NodeId, Peer> mPeers = new TreeMap<>();
 
-    /** Blocked parts that the key-value service does not hold yet, and when to write them. */
-    private final Map<String, Long> mUnwritten = new TreeMap<>();
+    /** Revisions of the blocked parts that the key-value service holds. */
+    private final Map<String, Long> mStoredRevisions = new HashMap<>();
 
-    private final Map<Long, String> mWrites = new HashMap<>();
+    /** Parts whose keys may have to be written or deleted, and when. */
+    private final Map<String, Long> mWriteDueNanos = new TreeMap<>();
+
+    private final Set<Long> mWriteRequestIds = new HashSet<>();
     private Set<NodeId> mEntries = Set.of();
 
     /**
@@ -127,14 +130,8 @@
 
     /** Handles a response of the key-value service; returns whether it belongs to this object. */
     boolean onResponse(long requestId, KeyValueResponse response, long nowNanos) {
-        String part = mWrites.remove(requestId);
-        if (part == null) {
-            return mMirror.onResponse(requestId, response, nowNanos);
-        }
-        if (response instanceof KeyValueResponse.TransactionResult) {
-            mUnwritten.remove(part);
-        }
-        return true;
+        return mWriteRequestIds.remove(requestId)
+                || mMirror.onResponse(requestId, response, nowNanos);
     }
 
     /**
@@ -167,13 +164,10 @@
                             .with("part", change.part())
                             .with("crashed", String.join(",", change.crashed()))
                             .with("survivals", change.survivals()));
-            if (change.blocked()) {
-                mUnwritten.putIfAbsent(change.part(), nowNanos + writeDelayNanos());
-            } else {
-                mUnwritten.remove(change.part());
-            }
+            mWriteDueNanos.put(change.part(), nowNanos + writeDelayNanos());
         }
-        mUnwritten.forEach((part, dueNanos) -> writeIfDue(part, dueNanos, nowNanos));
+        Map.copyOf(mWriteDueNanos)
+                .forEach((part, dueNanos) -> writeIfDue(part, dueNanos, nowNanos));
         mPeers.forEach((peer, state) -> sendIfDue(peer, state, nowNanos));
     }
 
@@ -181,12 +175,13 @@
     private void applyStored(PrefixMirror.Change change, long nowNanos) {
         String part = change.key().substring(KEY_PREFIX.length());
         if (change.entry() == null) {
+            mStoredRevisions.remove(part);
             if (mQuarantine.lift(part)) {
                 mOut.log(LogLine.of("part_lifted").with("part", part));
             }
             return;
         }
-        mUnwritten.remove(part);
+        mStoredRevisions.put(part, change.entry().modRevision());
         List<String> crashed = List.of(change.entry().value().toStringUtf8().split(SEPARATOR));
         mQuarantine.block(part, crashed, nowNanos);
         mOut.log(
@@ -223,25 +218,33 @@
         return Math.min(MAX_WRITE_DELAY_NANOS, preceding * WRITE_DELAY_NANOS);
     }
 
+    /**
+     * Writes the key of a part that is blocked, or deletes that of one that no longer is, unless
+     * another entry has done so.
+     */
     private void writeIfDue(String part, long dueNanos, long nowNanos) {
         if (nowNanos < dueNanos) {
             return;
         }
-        mUnwritten.put(part, nowNanos + WRITE_TIMEOUT_NANOS);
-        List<String> crashed =
-                new ArrayList<>(mQuarantine.blockedParts().getOrDefault(part, List.of()));
+        List<String> crashed = mQuarantine.blockedParts().get(part);
+        boolean blocked = crashed != null;
+        if (blocked == mStoredRevisions.containsKey(part)) {
+            mWriteDueNanos.remove(part);
+            return;
+        }
+        mWriteDueNanos.put(part, nowNanos + WRITE_TIMEOUT_NANOS);
+        ByteString value =
+                blocked ? ByteString.copyFromUtf8(String.join(SEPARATOR, crashed)) : null;
         String key = KEY_PREFIX + part;
         long requestId = mRequestIds.next();
-        mWrites.put(requestId, part);
+        mWriteRequestIds.add(requestId);
         mOut.sendKeyValueRequest(
                 requestId,
                 new KeyValueRequest.Transaction(
-                        List.of(new KeyValueRequest.Compare(key, 0)),
                         List.of(
-                                new KeyValueRequest.Write(
-                                        key,
-                                        ByteString.copyFromUtf8(String.join(SEPARATOR, crashed)),
-                                        0))));
+                                new KeyValueRequest.Compare(
+                                        key, mStoredRevisions.getOrDefault(part, 0L))),
+                        List.of(new KeyValueRequest.Write(key, value, 0))));
     }
 
     /** State of the link to another process. */
--- /dev/null
+++ b/src/test/java/ebonygw/gateway/PromptGuardTest.java
@@ -0,0 +1,197 @@
+package ebonygw.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import ebonygw.keyvalue.KeyValueRequest;
+import ebonygw.keyvalue.KeyValueRequestIds;
+import ebonygw.keyvalue.KeyValueResponse;
+import ebonygw.keyvalue.KeyValueResponse.Entry;
+import ebonygw.protocol.NodeId;
+import ebonygw.quarantine.Evidence;
+import ebonygw.quarantine.Evidence.PartEvidence;
+import ebonygw.quarantine.Evidence.Survivals;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PromptGuardTest {
+    private static final NodeId FIRST = new NodeId("entry-1");
+    private static final NodeId SECOND = new NodeId("entry-2");
+    private static final String KEY = PromptGuard.KEY_PREFIX + "bad";
+    private static final String TARGETS = "i-1/1\ni-2/1\ni-3/1";
+
+    private final GatewayOutbox mOut = new GatewayOutbox();
+    private final List<GatewayEffect> mEffects = new ArrayList<>();
+    private final Map<String, Entry> mStored = new HashMap<>();
+    private PromptGuard mGuard;
+    private long mNowNanos = TimeUnit.HOURS.toNanos(1);
+    private long mRevision = 10;
+    private long mWatch;
+
+    @BeforeEach
+    void start() {
+        mOut.setConsumer(this::onEffect);
+        guard(FIRST);
+    }
+
+    private void guard(NodeId self) {
+        mGuard = new PromptGuard(self, 1, new KeyValueRequestIds(1), mOut);
+        mGuard.onEntries(List.of(FIRST, SECOND));
+        advance(20);
+        advance(20);
+    }
+
+    private void advance(long millis) {
+        mNowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        mGuard.onTick(mNowNanos);
+    }
+
+    private void onEffect(GatewayEffect effect) {
+        mEffects.add(effect);
+        if (!(effect instanceof GatewayEffect.KeyValue call)) {
+            return;
+        }
+        if (call.request() instanceof KeyValueRequest.Range) {
+            List<Entry> entries = List.copyOf(mStored.values());
+            respond(call.requestId(), new KeyValueResponse.RangeResult(mRevision, entries, false));
+        } else if (call.request() instanceof KeyValueRequest.Watch) {
+            mWatch = call.requestId();
+        } else if (call.request() instanceof KeyValueRequest.Transaction transaction) {
+            KeyValueRequest.Write write = transaction.writes().get(0);
+            long revision = transaction.compares().get(0).modRevision();
+            Entry known = mStored.get(write.key());
+            boolean holds = revision == (known == null ? 0 : known.modRevision());
+            if (holds) {
+                store(write.value());
+            }
+            respond(call.requestId(), new KeyValueResponse.TransactionResult(mRevision, holds));
+        }
+    }
+
+    private void respond(long requestId, KeyValueResponse response) {
+        mGuard.onResponse(requestId, response, mNowNanos);
+    }
+
+    /** Writes or deletes the key of the part, and reports that to the watch. */
+    private void store(ByteString value) {
+        Entry entry = new Entry(KEY, value, ++mRevision, 0);
+        if (value == null) {
+            mStored.remove(KEY);
+        } else {
+            mStored.put(KEY, entry);
+        }
+        respond(mWatch, new KeyValueResponse.Changed(mRevision, List.of(entry)));
+    }
+
+    private void crash() {
+        List<String> targets = List.of(TARGETS.split("\n"));
+        mGuard.onEvidence(
+                new Evidence(
+                        List.of(new PartEvidence("bad", targets, List.of(), List.of())), List.of()),
+                mNowNanos);
+    }
+
+    private boolean isBlocked() {
+        return mGuard.blockedParts().containsKey("bad");
+    }
+
+    @Test
+    void aBlockedPartIsWrittenByTheFirstEntry() {
+        crash();
+        advance(500);
+        advance(20);
+
+        assertThat(isBlocked()).isTrue();
+        assertThat(mStored.get(KEY).value().toStringUtf8()).isEqualTo(TARGETS);
+    }
+
+    @Test
+    void otherEntriesWriteOnlyIfTheFirstDoesNot() {
+        guard(SECOND);
+        crash();
+        advance(500);
+        assertThat(mStored).isEmpty();
+
+        advance(600);
+        assertThat(mStored).containsKey(KEY);
+    }
+
+    @Test
+    void aBlockThatWasReadIsInForceAtOnce() {
+        mStored.put(KEY, new Entry(KEY, ByteString.copyFromUtf8(TARGETS), 5, 0));
+        guard(SECOND);
+
+        assertThat(mGuard.isLoaded()).isTrue();
+        assertThat(isBlocked()).isTrue();
+    }
+
+    @Test
+    void theKeyOfABlockThatSurvivalsEndIsDeleted() {
+        crash();
+        advance(500);
+        advance(20);
+        assertThat(mStored).containsKey(KEY);
+
+        Survivals survivals = new Survivals(7, 1, 5);
+        mGuard.onEvidence(
+                new Evidence(
+                        List.of(new PartEvidence("bad", List.of(), List.of(), List.of(survivals))),
+                        List.of()),
+                mNowNanos);
+        advance(20);
+        advance(20);
+
+        assertThat(isBlocked()).isFalse();
+        assertThat(mStored).isEmpty();
+    }
+
+    @Test
+    void theKeyOfABlockThatHasLastedLongEnoughIsDeleted() {
+        crash();
+        advance(500);
+        advance(20);
+
+        advance(TimeUnit.MINUTES.toMillis(11));
+        advance(20);
+
+        assertThat(isBlocked()).isFalse();
+        assertThat(mStored).isEmpty();
+    }
+
+    @Test
+    void aBlockIsLiftedOnceItsKeyIsDeletedAndStaysLifted() {
+        crash();
+        advance(500);
+        advance(20);
+
+        store(null);
+        advance(20);
+        crash();
+        advance(3_000);
+
+        assertThat(isBlocked()).isFalse();
+        assertThat(mStored).isEmpty();
+    }
+
+    @Test
+    void evidenceIsSentToLinkedEntriesOnce() {
+        mGuard.onLink(SECOND, true);
+        mGuard.onLink(new NodeId("loader-1"), true);
+        crash();
+        advance(60);
+        advance(60);
+        advance(60);
+
+        List<NodeId> receivers =
+                mEffects.stream()
+                        .filter(GatewayEffect.Send.class::isInstance)
+                        .map(it -> ((GatewayEffect.Send) it).to())
+                        .toList();
+        assertThat(receivers).containsExactly(SECOND);
+    }
+}
