Client: responses whose head or framing does not end are given up

A back end that sent a header field, a chunk size, a chunk extension or trailers without end was read until the time limit of the request: 32 MiB within 0.3 s, of which the head stays in memory; an entry has 163 MB of heap. The bytes that a connection has read beside the body, by its statistics, are now limited to 256 KiB and eight for each byte of the body; a head that has not ended is checked every 100 ms.

--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -34,6 +34,18 @@
     /** Limits how long one response can occupy the IO thread. */
     private static final int MAX_READS_PER_EVENT = 16;
 
+    /**
+     * Maximum number of bytes that are not part of the body: the head, several times what servers
+     * send, and buffers that are not consumed yet.
+     */
+    private static final long MAX_OVERHEAD_BYTES = 256 * 1024;
+
+    /** Maximum framing for each byte of the body: a chunk of one byte has five others. */
+    private static final int MAX_OVERHEAD_PER_BODY_BYTE = 8;
+
+    /** Interval at which the length of a head is checked that has not ended. */
+    private static final long HEAD_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final String EVENT_STREAM = "text/event-stream";
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
@@ -44,6 +56,11 @@
     private ClientConnection mConnection;
     private StreamSourceChannel mResponseChannel;
     private XnioIoThread.Key mTimer;
+    private XnioIoThread.Key mHeadTimer;
+
+    /** Bytes read from the connection before this call, as its statistics count them. */
+    private long mReadBefore;
+
     private boolean mResponseStarted;
     private boolean mDone;
     private boolean mPaused;
@@ -100,6 +117,8 @@
 
     void sendOn(ClientConnection connection) {
         mConnection = connection;
+        mReadBefore = connection.getStatistics().getRead();
+        mHeadTimer = mClient.timer(HEAD_CHECK_NANOS, this::checkHead);
         ClientRequest request =
                 new ClientRequest()
                         .setMethod(HttpString.tryFromString(mRequest.method()))
@@ -139,11 +158,31 @@
         };
     }
 
+    /** Gives up a response whose head has grown too long; checks again later otherwise. */
+    private void checkHead() {
+        if (mDone || mResponseStarted) {
+            return;
+        }
+        if (overheadBytes() > MAX_OVERHEAD_BYTES) {
+            abort(HttpFailure.Kind.LOST, "the answer's head is too long");
+        } else {
+            mHeadTimer = mClient.timer(HEAD_CHECK_NANOS, this::checkHead);
+        }
+    }
+
+    /** Returns the bytes read for this call beside the body; the connection counts as an int. */
+    private long overheadBytes() {
+        return (int) (mConnection.getStatistics().getRead() - mReadBefore) - mBodyBytes;
+    }
+
     private boolean finish() {
         if (mDone) {
             return false;
         }
         mDone = true;
+        if (mHeadTimer != null) {
+            mHeadTimer.remove();
+        }
         if (mTimer != null) {
             mTimer.remove();
         }
@@ -221,6 +260,10 @@
                 }
                 mHandler.part(data);
             }
+            long maxOverhead = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * mBodyBytes;
+            if (!mDone && overheadBytes() > maxOverhead) {
+                abort(HttpFailure.Kind.BROKEN, "the answer's framing is too long");
+            }
             if (mDone || mPaused) {
                 channel.suspendReads();
             } else {
@@ -255,6 +298,7 @@
             return;
         }
         mResponseStarted = true;
+        mHeadTimer.remove();
         ClientResponse response = exchange.getResponse();
         mFraming = framing(response);
         mEvents = isEventStream(response) ? new EventStreamBoundary() : null;
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -1,5 +1,6 @@
 package ebonygw.http;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -41,6 +42,10 @@
      */
     private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+    /** Statistics count the bytes read, see {@link HttpCall}. */
+    private static final OptionMap CONNECTION_OPTIONS =
+            OptionMap.create(Options.TCP_NODELAY, true, UndertowOptions.ENABLE_STATISTICS, true);
+
     private final HttpClientOptions mOptions;
     private final URI mUri;
     private final String mHost;
@@ -236,13 +241,7 @@
         mConnectingCount++;
         ConnectAttempt attempt = new ConnectAttempt();
         attempt.mTimer = timer(mOptions.connectTimeoutNanos(), attempt::timedOut);
-        UndertowClient.getInstance()
-                .connect(
-                        attempt,
-                        mUri,
-                        mThread,
-                        mBuffers,
-                        OptionMap.create(Options.TCP_NODELAY, true));
+        UndertowClient.getInstance().connect(attempt, mUri, mThread, mBuffers, CONNECTION_OPTIONS);
     }
 
     /** Sends waiting requests on idle connections, and opens connections within the limit. */
