--- a/src/main/java/ebonygw/gateway/PromptGuard.java
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -204,7 +204,7 @@
         if (state.mSentChange == change || early || !mEntries.contains(peer)) {
             return;
         }
-        Evidence evidence = mQuarantine.changedSince(state.mSentChange);
+        Evidence evidence = mQuarantine.changedSince(state.mSentChange, nowNanos);
         state.mSentChange = change;
         if (!evidence.isEmpty()) {
             state.mSentNanos = nowNanos;
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -12,10 +12,12 @@
 import ebonygw.wire.PeerProtocol.GatewayUsage;
 import ebonygw.wire.PeerProtocol.PartEvidence;
 import ebonygw.wire.PeerProtocol.PromptEvidence;
+import ebonygw.wire.PeerProtocol.Sighting;
 import ebonygw.wire.PeerProtocol.Survivals;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Converts {@link GatewayMessage}s to and from protobuf. */
 final class GatewayFamilyCodec implements FamilyCodec {
@@ -72,19 +74,26 @@
 
     private static void encode(Evidence evidence, PromptEvidence.Builder to) {
         for (Evidence.PartEvidence part : evidence.parts()) {
-            PartEvidence.Builder row =
-                    to.addPartsBuilder()
-                            .setPart(part.part())
-                            .addAllCrashed(part.crashed())
-                            .addAllBroken(part.broken());
+            PartEvidence.Builder row = to.addPartsBuilder().setPart(part.part());
+            part.crashed().forEach(it -> encode(it, row.addCrashedBuilder()));
+            part.broken().forEach(it -> encode(it, row.addBrokenBuilder()));
             for (Evidence.Survivals survivals : part.survivals()) {
                 row.addSurvivalsBuilder()
                         .setObserver(survivals.observer())
                         .setSequence(survivals.sequence())
-                        .setCount(survivals.count());
+                        .setCount(survivals.count())
+                        .setAgeMillis(millis(survivals.ageNanos()));
             }
         }
-        to.addAllEndedTargets(evidence.endedTargets());
+        evidence.endedTargets().forEach(it -> encode(it, to.addEndedTargetsBuilder()));
+    }
+
+    private static void encode(Evidence.Sighting sighting, Sighting.Builder to) {
+        to.setTarget(sighting.target()).setAgeMillis(millis(sighting.ageNanos()));
+    }
+
+    private static int millis(long nanos) {
+        return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(nanos));
     }
 
     private static void encode(GatewayMessage.Usage usage, GatewayUsage.Builder to) {
@@ -111,13 +120,30 @@
             for (Survivals value : row.getSurvivalsList()) {
                 survivals.add(
                         new Evidence.Survivals(
-                                value.getObserver(), value.getSequence(), value.getCount()));
+                                value.getObserver(),
+                                value.getSequence(),
+                                value.getCount(),
+                                TimeUnit.MILLISECONDS.toNanos(value.getAgeMillis())));
             }
             parts.add(
                     new Evidence.PartEvidence(
-                            row.getPart(), row.getCrashedList(), row.getBrokenList(), survivals));
+                            row.getPart(),
+                            sightings(row.getCrashedList()),
+                            sightings(row.getBrokenList()),
+                            survivals));
         }
-        return new GatewayMessage.PromptEvidence(new Evidence(parts, from.getEndedTargetsList()));
+        return new GatewayMessage.PromptEvidence(
+                new Evidence(parts, sightings(from.getEndedTargetsList())));
+    }
+
+    private static List<Evidence.Sighting> sightings(List<Sighting> from) {
+        return from.stream()
+                .map(
+                        it ->
+                                new Evidence.Sighting(
+                                        it.getTarget(),
+                                        TimeUnit.MILLISECONDS.toNanos(it.getAgeMillis())))
+                .toList();
     }
 
     private static GatewayMessage.AdapterNeeds needs(AdapterNeeds from) {
--- a/src/main/java/ebonygw/quarantine/Evidence.java
+++ b/src/main/java/ebonygw/quarantine/Evidence.java
@@ -9,9 +9,9 @@
  * <p>Applying it twice, late or out of order does no harm.
  *
  * @param parts the parts, each at most once
- * @param endedTargets incarnations of targets that have ended
+ * @param endedTargets targets that have ended
  */
-public record Evidence(List<PartEvidence> parts, List<String> endedTargets) {
+public record Evidence(List<PartEvidence> parts, List<Sighting> endedTargets) {
     /** Creates evidence with copies of the lists. */
     public Evidence {
         parts = List.copyOf(parts);
@@ -23,16 +23,29 @@
         return parts.isEmpty() && endedTargets.isEmpty();
     }
 
+    /**
+     * What happened to a target.
+     *
+     * @param target its incarnation
+     * @param ageNanos time since then, not negative; it does not start anew when it is passed on
+     */
+    public record Sighting(String target, long ageNanos) {
+        /** Creates a sighting. */
+        public Sighting {
+            Objects.requireNonNull(target, "target");
+        }
+    }
+
     /**
      * Evidence about one part.
      *
      * @param part id of the part
-     * @param crashed incarnations of targets that have ended under the part
-     * @param broken incarnations whose responses broke off under the part; they may not have ended
+     * @param crashed targets that have ended under the part
+     * @param broken targets whose responses broke off under the part; they may not have ended
      * @param survivals survivals that entries have observed, one value for each entry
      */
     public record PartEvidence(
-            String part, List<String> crashed, List<String> broken, List<Survivals> survivals) {
+            String part, List<Sighting> crashed, List<Sighting> broken, List<Survivals> survivals) {
         /** Creates evidence with copies of the lists. */
         public PartEvidence {
             Objects.requireNonNull(part, "part");
@@ -48,6 +61,7 @@
      * @param observer identifies a start of the entry's process
      * @param sequence grows with each change of the count
      * @param count the number, limited
+     * @param ageNanos time since the count was set, not negative
      */
-    public record Survivals(long observer, long sequence, int count) {}
+    public record Survivals(long observer, long sequence, int count, long ageNanos) {}
 }
--- a/src/main/java/ebonygw/quarantine/PartQuarantine.java
+++ b/src/main/java/ebonygw/quarantine/PartQuarantine.java
@@ -1,6 +1,8 @@
 package ebonygw.quarantine;
 
 import ebonygw.quarantine.Evidence.PartEvidence;
+import ebonygw.quarantine.Evidence.Sighting;
+import ebonygw.quarantine.Evidence.Survivals;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -98,19 +100,19 @@
     }
 
     /** Returns the evidence that has changed since a change, 0 for all. */
-    public Evidence changedSince(long change) {
+    public Evidence changedSince(long change, long nowNanos) {
         List<PartEvidence> parts = new ArrayList<>();
         mParts.forEach(
                 (part, record) -> {
                     if (record.mChange > change) {
-                        parts.add(record.toEvidence(part));
+                        parts.add(record.toEvidence(part, nowNanos));
                     }
                 });
-        List<String> ended = new ArrayList<>();
+        List<Sighting> ended = new ArrayList<>();
         mEnded.forEach(
                 (target, end) -> {
                     if (end.change() > change) {
-                        ended.add(target);
+                        ended.add(new Sighting(target, nowNanos - end.nanos()));
                     }
                 });
         return new Evidence(parts, ended);
@@ -119,7 +121,7 @@
     /** Blocks a part by a decision that was stored before. */
     public void block(String part, List<String> crashed, long nowNanos) {
         PartRecord record = record(part, nowNanos);
-        crashed.forEach(target -> addCrash(record, target, nowNanos));
+        crashed.forEach(target -> addCrash(record, new Sighting(target, 0), nowNanos));
         if (!record.mBlocked) {
             record.mBlocked = true;
             record.mBlockedNanos = nowNanos;
@@ -133,9 +135,7 @@
             return false;
         }
         record.mBlocked = false;
-        record.mIgnored.addAll(record.mCrashedNanos.keySet());
-        record.mCrashedNanos.clear();
-        record.mBrokenNanos.clear();
+        ignoreCrashes(record);
         return true;
     }
 
@@ -151,7 +151,7 @@
             return;
         }
         for (String part : parts) {
-            addBroken(record(part, nowNanos), target, nowNanos);
+            addBroken(record(part, nowNanos), new Sighting(target, 0), nowNanos);
         }
     }
 
@@ -162,14 +162,7 @@
 
     /** Handles that a target has ended without notice. */
     public void onTargetEnded(String target, long nowNanos) {
-        if (mEnded.containsKey(target)) {
-            return;
-        }
-        mEnded.put(target, new Ended(nowNanos, ++mChange));
-        if (mEnded.size() > MAX_ENDED) {
-            mEnded.remove(mEnded.keySet().iterator().next());
-        }
-        mParts.values().forEach(record -> matchEnd(record, target, nowNanos));
+        onTargetEnded(new Sighting(target, 0), nowNanos);
     }
 
     /** Applies the evidence of another entry. */
@@ -178,8 +171,10 @@
             PartRecord record = record(part.part(), nowNanos);
             part.crashed().forEach(target -> addCrash(record, target, nowNanos));
             part.broken().forEach(target -> addBroken(record, target, nowNanos));
-            for (Evidence.Survivals survivals : part.survivals()) {
-                addSurvivals(record, survivals, nowNanos);
+            for (Survivals survivals : part.survivals()) {
+                if (record.addSurvivals(survivals, nowNanos)) {
+                    record.mChange = ++mChange;
+                }
             }
         }
         evidence.endedTargets().forEach(target -> onTargetEnded(target, nowNanos));
@@ -192,6 +187,7 @@
 
     /** Updates the judgement of all parts; returns what has changed. */
     public List<Change> onTick(long nowNanos) {
+        mEnded.values().removeIf(end -> nowNanos - end.nanos() > 2 * mOptions.endNanos());
         mParts.forEach((part, record) -> publishSurvivals(part, record, nowNanos));
         mParts.values().forEach(record -> endBlockIfDue(record, nowNanos));
         Set<String> toBlock = partsToBlock(nowNanos);
@@ -207,45 +203,50 @@
                                         part,
                                         blocked,
                                         List.copyOf(record.mCrashedNanos.keySet()),
-                                        survivals(record, nowNanos)));
+                                        record.survivals()));
                     }
+                    record.expire(mOptions, nowNanos);
                 });
         mParts.values().removeIf(record -> isForgotten(record, nowNanos));
         return changes;
     }
 
-    private void addBroken(PartRecord record, String target, long nowNanos) {
-        if (record.mCrashedNanos.containsKey(target)
-                || record.mIgnored.contains(target)
-                || record.mBrokenNanos.putIfAbsent(target, nowNanos) != null) {
+    private void addBroken(PartRecord record, Sighting broken, long nowNanos) {
+        if (broken.ageNanos() > mOptions.endNanos()
+                || record.mCrashedNanos.containsKey(broken.target())
+                || record.mIgnored.contains(broken.target())
+                || record.mBrokenNanos.containsKey(broken.target())
+                || PartRecord.isFull(record.mBrokenNanos)) {
             return;
         }
+        record.mBrokenNanos.put(broken.target(), nowNanos - broken.ageNanos());
         touch(record, nowNanos);
-        if (mEnded.containsKey(target)) {
-            matchEnd(record, target, nowNanos);
+        if (mEnded.containsKey(broken.target())) {
+            matchEnd(record, broken.target(), nowNanos);
         }
     }
 
-    private void addCrash(PartRecord record, String target, long nowNanos) {
-        if (!record.mIgnored.contains(target)
-                && record.mCrashedNanos.putIfAbsent(target, nowNanos) == null) {
-            record.mBrokenNanos.remove(target);
-            record.mBlockedNanos = nowNanos;
-            touch(record, nowNanos);
+    private void addCrash(PartRecord record, Sighting crashed, long nowNanos) {
+        if (crashed.ageNanos() > mOptions.blockNanos()
+                || record.mIgnored.contains(crashed.target())
+                || record.mCrashedNanos.containsKey(crashed.target())
+                || PartRecord.isFull(record.mCrashedNanos)) {
+            return;
         }
+        record.mCrashedNanos.put(crashed.target(), nowNanos - crashed.ageNanos());
+        record.mBrokenNanos.remove(crashed.target());
+        record.mBlockedNanos = nowNanos;
+        touch(record, nowNanos);
     }
 
-    private void addSurvivals(PartRecord record, Evidence.Survivals survivals, long nowNanos) {
-        PartRecord.Observation known = record.mSurvivals.get(survivals.observer());
-        if (known == null || known.survivals().sequence() < survivals.sequence()) {
-            record.mSurvivals.put(
-                    survivals.observer(), new PartRecord.Observation(survivals, nowNanos));
-            record.mChange = ++mChange;
-        }
+    private static void ignoreCrashes(PartRecord record) {
+        record.mIgnored.addAll(record.mCrashedNanos.keySet());
+        record.mCrashedNanos.clear();
+        record.mBrokenNanos.clear();
     }
 
     private boolean isForgotten(PartRecord record, long nowNanos) {
-        if (record.mCrashedNanos.isEmpty() && record.mIgnored.isEmpty()) {
+        if (!record.mBlocked && record.mCrashedNanos.isEmpty() && record.mIgnored.isEmpty()) {
             return nowNanos - record.mTouchedNanos > mOptions.endNanos();
         }
         return nowNanos - record.mTouchedNanos > mOptions.forgetNanos();
@@ -253,16 +254,20 @@
 
     /** Ends a block that has lasted long enough; one further crash blocks the part again. */
     private void endBlockIfDue(PartRecord record, long nowNanos) {
-        if (!record.mBlocked || nowNanos - record.mBlockedNanos < mOptions.blockNanos()) {
-            return;
-        }
-        while (record.mCrashedNanos.size() >= mOptions.crashes()) {
-            String oldest = record.mCrashedNanos.keySet().iterator().next();
-            record.mCrashedNanos.remove(oldest);
-            record.mIgnored.add(oldest);
+        if (record.mBlocked && nowNanos - record.mBlockedNanos >= mOptions.blockNanos()) {
+            ignoreCrashes(record);
+            record.mOnProbation = true;
+        } else if (record.survivals() >= mOptions.crashes() * mOptions.survivalsPerCrash()) {
+            record.mOnProbation = false;
         }
     }
 
+    /** Returns the number of crashed targets from which a part is blocked. */
+    private int requiredCrashes(PartRecord record) {
+        int crashes = record.mOnProbation ? 1 : mOptions.crashes();
+        return crashes + record.survivals() / mOptions.survivalsPerCrash();
+    }
+
     /**
      * Returns the parts to block, those with the strongest evidence first: a target that ended
      * under one of them does not count against the others, which were bystanders.
@@ -271,12 +276,12 @@
         List<Candidate> candidates = new ArrayList<>();
         mParts.forEach(
                 (part, record) -> {
-                    int survivals = survivals(record, nowNanos) / mOptions.survivalsPerCrash();
+                    int required = requiredCrashes(record);
                     boolean settled =
                             record.mBlocked
                                     || nowNanos - record.lastCrashNanos() >= mOptions.settleNanos();
-                    if (settled && record.mCrashedNanos.size() >= mOptions.crashes() + survivals) {
-                        candidates.add(new Candidate(part, record, survivals));
+                    if (settled && record.mCrashedNanos.size() >= required) {
+                        candidates.add(new Candidate(part, record, required));
                     }
                 });
         candidates.sort(Comparator.comparingInt(Candidate::strength).reversed());
@@ -285,7 +290,7 @@
         for (Candidate candidate : candidates) {
             Set<String> crashed = new HashSet<>(candidate.record().mCrashedNanos.keySet());
             crashed.removeAll(explained);
-            if (crashed.size() >= mOptions.crashes() + candidate.survivals()) {
+            if (crashed.size() >= candidate.required()) {
                 toBlock.add(candidate.part());
                 explained.addAll(crashed);
             }
@@ -298,8 +303,18 @@
         Long brokenNanos = record.mBrokenNanos.get(target);
         long endedNanos = mEnded.get(target).nanos();
         if (brokenNanos != null && Math.abs(endedNanos - brokenNanos) <= mOptions.endNanos()) {
-            addCrash(record, target, nowNanos);
+            addCrash(record, new Sighting(target, nowNanos - endedNanos), nowNanos);
+        }
+    }
+
+    private void onTargetEnded(Sighting ended, long nowNanos) {
+        if (ended.ageNanos() > mOptions.endNanos()
+                || mEnded.containsKey(ended.target())
+                || mEnded.size() >= MAX_ENDED) {
+            return;
         }
+        mEnded.put(ended.target(), new Ended(nowNanos - ended.ageNanos(), ++mChange));
+        mParts.values().forEach(record -> matchEnd(record, ended.target(), nowNanos));
     }
 
     /** Returns the number of survivals that outweighs any number of crashed targets. */
@@ -311,16 +326,15 @@
     private void publishSurvivals(String part, PartRecord record, long nowNanos) {
         int count = mCounts.get(part, nowNanos);
         PartRecord.Observation own = record.mSurvivals.get(mObserver);
-        boolean changed = own == null ? count > 0 : own.survivals().count() != count;
+        boolean changed = own == null ? count > 0 : own.count() != count;
         boolean renew =
                 own != null
                         && count > 0
-                        && nowNanos - own.receivedNanos() >= mOptions.survivalWindowNanos();
-        if (changed || renew) {
-            addSurvivals(
-                    record,
-                    new Evidence.Survivals(mObserver, ++mSurvivalSequence, count),
-                    nowNanos);
+                        && nowNanos - own.nanos() >= mOptions.survivalWindowNanos();
+        if ((changed || renew)
+                && record.addSurvivals(
+                        new Survivals(mObserver, ++mSurvivalSequence, count, 0), nowNanos)) {
+            record.mChange = ++mChange;
         }
     }
 
@@ -353,19 +367,15 @@
         return record;
     }
 
-    private int survivals(PartRecord record, long nowNanos) {
-        return record.survivals(nowNanos, 2 * mOptions.survivalWindowNanos());
-    }
-
     private void touch(PartRecord record, long nowNanos) {
         record.mTouchedNanos = nowNanos;
         record.mChange = ++mChange;
     }
 
     /** A part with enough evidence, unless another part explains it. */
-    private record Candidate(String part, PartRecord record, int survivals) {
+    private record Candidate(String part, PartRecord record, int required) {
         int strength() {
-            return record.mCrashedNanos.size() - survivals;
+            return record.mCrashedNanos.size() - required;
         }
     }
 
--- a/src/main/java/ebonygw/quarantine/QuarantineOptions.java
+++ b/src/main/java/ebonygw/quarantine/QuarantineOptions.java
@@ -10,7 +10,8 @@
  * @param survivalNanos age from which a response counts for its parts
  * @param crashes number of crashed targets from which a part is blocked
  * @param survivalsPerCrash number of survivals that outweigh one crashed target
- * @param survivalWindowNanos how long a survival counts, at least
+ * @param survivalWindowNanos how long a survival counts at least; twice as long at most
+ * @param evidenceNanos how long a crash counts unless it leads to a block; as long as survivals
  * @param settleNanos time after a crash in which survivals that other entries have seen arrive; no
  *     part is blocked within it
  * @param endNanos maximum time between the end of a response and the news that its target has ended
@@ -24,6 +25,7 @@
         int crashes,
         int survivalsPerCrash,
         long survivalWindowNanos,
+        long evidenceNanos,
         long settleNanos,
         long endNanos,
         long blockNanos,
@@ -37,7 +39,7 @@
     public QuarantineOptions {
         if (Math.min(crashes, Math.min(survivalsPerCrash, maxParts)) < 1
                 || Math.min(crashNanos, survivalNanos) < 1
-                || Math.min(survivalWindowNanos, settleNanos) < 1
+                || Math.min(survivalWindowNanos, Math.min(evidenceNanos, settleNanos)) < 1
                 || Math.min(endNanos, Math.min(blockNanos, forgetNanos)) < 1) {
             throw new IllegalArgumentException("all options must be positive");
         }
@@ -53,7 +55,8 @@
                 TimeUnit.SECONDS.toNanos(1),
                 3,
                 2,
-                TimeUnit.SECONDS.toNanos(15),
+                TimeUnit.SECONDS.toNanos(30),
+                TimeUnit.SECONDS.toNanos(60),
                 TimeUnit.MILLISECONDS.toNanos(400),
                 TimeUnit.SECONDS.toNanos(6),
                 TimeUnit.MINUTES.toNanos(10),
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -27155,44 +27155,47 @@
 
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @return A list containing the endedTargets.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
-    java.util.List<java.lang.String>
+    java.util.List<ebonygw.wire.PeerProtocol.Sighting> 
         getEndedTargetsList();
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @return The count of endedTargets.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+     */
+    ebonygw.wire.PeerProtocol.Sighting getEndedTargets(int index);
+    /**
+     * <pre>
+     * Targets that have ended.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
     int getEndedTargetsCount();
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @param index The index of the element to return.
-     * @return The endedTargets at the given index.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
-    java.lang.String getEndedTargets(int index);
+    java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+        getEndedTargetsOrBuilderList();
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the endedTargets at the given index.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
-    com.google.protobuf.ByteString
-        getEndedTargetsBytes(int index);
+    ebonygw.wire.PeerProtocol.SightingOrBuilder getEndedTargetsOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -27222,8 +27225,7 @@
     }
     private PromptEvidence() {
       parts_ = java.util.Collections.emptyList();
-      endedTargets_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      endedTargets_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -27287,55 +27289,63 @@
 
     public static final int ENDED_TARGETS_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
-    private com.google.protobuf.LazyStringArrayList endedTargets_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    private java.util.List<ebonygw.wire.PeerProtocol.Sighting> endedTargets_;
+    /**
+     * <pre>
+     * Targets that have ended.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.Sighting> getEndedTargetsList() {
+      return endedTargets_;
+    }
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @return A list containing the endedTargets.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
-    public com.google.protobuf.ProtocolStringList
-        getEndedTargetsList() {
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+        getEndedTargetsOrBuilderList() {
       return endedTargets_;
     }
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @return The count of endedTargets.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
+    @java.lang.Override
     public int getEndedTargetsCount() {
       return endedTargets_.size();
     }
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @param index The index of the element to return.
-     * @return The endedTargets at the given index.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
-    public java.lang.String getEndedTargets(int index) {
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Sighting getEndedTargets(int index) {
       return endedTargets_.get(index);
     }
     /**
      * <pre>
-     * Incarnations of targets that have ended.
+     * Targets that have ended.
      * </pre>
      *
-     * <code>repeated string ended_targets = 2;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the endedTargets at the given index.
+     * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
      */
-    public com.google.protobuf.ByteString
-        getEndedTargetsBytes(int index) {
-      return endedTargets_.getByteString(index);
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.SightingOrBuilder getEndedTargetsOrBuilder(
+        int index) {
+      return endedTargets_.get(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -27356,7 +27366,7 @@
         output.writeMessage(1, parts_.get(i));
       }
       for (int i = 0; i < endedTargets_.size(); i++) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, endedTargets_.getRaw(i));
+        output.writeMessage(2, endedTargets_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -27371,14 +27381,15 @@
             }
             size += 1 * count;
           }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < endedTargets_.size(); i++) {
-          dataSize += computeStringSizeNoTag(endedTargets_.getRaw(i));
-        }
-        size += dataSize;
-        size += 1 * getEndedTargetsList().size();
-      }
+
+          {
+            final int count = endedTargets_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(endedTargets_.get(i));
+            }
+            size += 1 * count;
+          }
       return size;
     }
     @java.lang.Override
@@ -27569,8 +27580,13 @@
           partsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000001);
-        endedTargets_ =
-            com.google.protobuf.LazyStringArrayList.emptyList();
+        if (endedTargetsBuilder_ == null) {
+          endedTargets_ = java.util.Collections.emptyList();
+        } else {
+          endedTargets_ = null;
+          endedTargetsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
         return this;
       }
 
@@ -27613,14 +27629,19 @@
         } else {
           result.parts_ = partsBuilder_.build();
         }
+        if (endedTargetsBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            endedTargets_ = java.util.Collections.unmodifiableList(endedTargets_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.endedTargets_ = endedTargets_;
+        } else {
+          result.endedTargets_ = endedTargetsBuilder_.build();
+        }
       }
 
       private void buildPartial0(ebonygw.wire.PeerProtocol.PromptEvidence result) {
         int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          endedTargets_.makeImmutable();
-          result.endedTargets_ = endedTargets_;
-        }
       }
 
       @java.lang.Override
@@ -27661,15 +27682,31 @@
             }
           }
         }
-        if (!other.endedTargets_.isEmpty()) {
-          if (endedTargets_.isEmpty()) {
-            endedTargets_ = other.endedTargets_;
-            bitField0_ |= 0x00000002;
-          } else {
-            ensureEndedTargetsIsMutable();
-            endedTargets_.addAll(other.endedTargets_);
+        if (endedTargetsBuilder_ == null) {
+          if (!other.endedTargets_.isEmpty()) {
+            if (endedTargets_.isEmpty()) {
+              endedTargets_ = other.endedTargets_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureEndedTargetsIsMutable();
+              endedTargets_.addAll(other.endedTargets_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.endedTargets_.isEmpty()) {
+            if (endedTargetsBuilder_.isEmpty()) {
+              endedTargetsBuilder_.dispose();
+              endedTargetsBuilder_ = null;
+              endedTargets_ = other.endedTargets_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              endedTargetsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetEndedTargetsFieldBuilder() : null;
+            } else {
+              endedTargetsBuilder_.addAllMessages(other.endedTargets_);
+            }
           }
-          onChanged();
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -27709,8 +27746,16 @@
                 break;
               } // case 10
               case 18: {
-                ensureEndedTargetsIsMutable();
-                endedTargets_.add(input.readStringRequireUtf8());
+                ebonygw.wire.PeerProtocol.Sighting m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.Sighting.parser(),
+                        extensionRegistry);
+                if (endedTargetsBuilder_ == null) {
+                  ensureEndedTargetsIsMutable();
+                  endedTargets_.add(m);
+                } else {
+                  endedTargetsBuilder_.addMessage(m);
+                }
                 break;
               } // case 18
               default: {
@@ -27964,152 +28009,311 @@
         return partsBuilder_;
       }
 
-      private com.google.protobuf.LazyStringArrayList endedTargets_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      private java.util.List<ebonygw.wire.PeerProtocol.Sighting> endedTargets_ =
+        java.util.Collections.emptyList();
       private void ensureEndedTargetsIsMutable() {
-        if (!endedTargets_.isModifiable()) {
-          endedTargets_ = new com.google.protobuf.LazyStringArrayList(endedTargets_);
-        }
-        bitField0_ |= 0x00000002;
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          endedTargets_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Sighting>(endedTargets_);
+          bitField0_ |= 0x00000002;
+         }
       }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder> endedTargetsBuilder_;
+
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @return A list containing the endedTargets.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
-      public com.google.protobuf.ProtocolStringList
-          getEndedTargetsList() {
-        endedTargets_.makeImmutable();
-        return endedTargets_;
+      public java.util.List<ebonygw.wire.PeerProtocol.Sighting> getEndedTargetsList() {
+        if (endedTargetsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(endedTargets_);
+        } else {
+          return endedTargetsBuilder_.getMessageList();
+        }
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @return The count of endedTargets.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
       public int getEndedTargetsCount() {
-        return endedTargets_.size();
+        if (endedTargetsBuilder_ == null) {
+          return endedTargets_.size();
+        } else {
+          return endedTargetsBuilder_.getCount();
+        }
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @param index The index of the element to return.
-       * @return The endedTargets at the given index.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
-      public java.lang.String getEndedTargets(int index) {
-        return endedTargets_.get(index);
+      public ebonygw.wire.PeerProtocol.Sighting getEndedTargets(int index) {
+        if (endedTargetsBuilder_ == null) {
+          return endedTargets_.get(index);
+        } else {
+          return endedTargetsBuilder_.getMessage(index);
+        }
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the endedTargets at the given index.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
-      public com.google.protobuf.ByteString
-          getEndedTargetsBytes(int index) {
-        return endedTargets_.getByteString(index);
+      public Builder setEndedTargets(
+          int index, ebonygw.wire.PeerProtocol.Sighting value) {
+        if (endedTargetsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEndedTargetsIsMutable();
+          endedTargets_.set(index, value);
+          onChanged();
+        } else {
+          endedTargetsBuilder_.setMessage(index, value);
+        }
+        return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @param index The index to set the value at.
-       * @param value The endedTargets to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
       public Builder setEndedTargets(
-          int index, java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureEndedTargetsIsMutable();
-        endedTargets_.set(index, value);
-        bitField0_ |= 0x00000002;
-        onChanged();
+          int index, ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (endedTargetsBuilder_ == null) {
+          ensureEndedTargetsIsMutable();
+          endedTargets_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          endedTargetsBuilder_.setMessage(index, builderForValue.build());
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @param value The endedTargets to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public Builder addEndedTargets(ebonygw.wire.PeerProtocol.Sighting value) {
+        if (endedTargetsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEndedTargetsIsMutable();
+          endedTargets_.add(value);
+          onChanged();
+        } else {
+          endedTargetsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
       public Builder addEndedTargets(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureEndedTargetsIsMutable();
-        endedTargets_.add(value);
-        bitField0_ |= 0x00000002;
-        onChanged();
+          int index, ebonygw.wire.PeerProtocol.Sighting value) {
+        if (endedTargetsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEndedTargetsIsMutable();
+          endedTargets_.add(index, value);
+          onChanged();
+        } else {
+          endedTargetsBuilder_.addMessage(index, value);
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @param values The endedTargets to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public Builder addEndedTargets(
+          ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (endedTargetsBuilder_ == null) {
+          ensureEndedTargetsIsMutable();
+          endedTargets_.add(builderForValue.build());
+          onChanged();
+        } else {
+          endedTargetsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public Builder addEndedTargets(
+          int index, ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (endedTargetsBuilder_ == null) {
+          ensureEndedTargetsIsMutable();
+          endedTargets_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          endedTargetsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
       public Builder addAllEndedTargets(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureEndedTargetsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, endedTargets_);
-        bitField0_ |= 0x00000002;
-        onChanged();
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Sighting> values) {
+        if (endedTargetsBuilder_ == null) {
+          ensureEndedTargetsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, endedTargets_);
+          onChanged();
+        } else {
+          endedTargetsBuilder_.addAllMessages(values);
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
       public Builder clearEndedTargets() {
-        endedTargets_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);;
-        onChanged();
+        if (endedTargetsBuilder_ == null) {
+          endedTargets_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          endedTargetsBuilder_.clear();
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended.
+       * Targets that have ended.
        * </pre>
        *
-       * <code>repeated string ended_targets = 2;</code>
-       * @param value The bytes of the endedTargets to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
        */
-      public Builder addEndedTargetsBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        ensureEndedTargetsIsMutable();
-        endedTargets_.add(value);
-        bitField0_ |= 0x00000002;
-        onChanged();
+      public Builder removeEndedTargets(int index) {
+        if (endedTargetsBuilder_ == null) {
+          ensureEndedTargetsIsMutable();
+          endedTargets_.remove(index);
+          onChanged();
+        } else {
+          endedTargetsBuilder_.remove(index);
+        }
         return this;
       }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Sighting.Builder getEndedTargetsBuilder(
+          int index) {
+        return internalGetEndedTargetsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public ebonygw.wire.PeerProtocol.SightingOrBuilder getEndedTargetsOrBuilder(
+          int index) {
+        if (endedTargetsBuilder_ == null) {
+          return endedTargets_.get(index);  } else {
+          return endedTargetsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+           getEndedTargetsOrBuilderList() {
+        if (endedTargetsBuilder_ != null) {
+          return endedTargetsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(endedTargets_);
+        }
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Sighting.Builder addEndedTargetsBuilder() {
+        return internalGetEndedTargetsFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Sighting.Builder addEndedTargetsBuilder(
+          int index) {
+        return internalGetEndedTargetsFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Targets that have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting ended_targets = 2;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Sighting.Builder> 
+           getEndedTargetsBuilderList() {
+        return internalGetEndedTargetsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+          internalGetEndedTargetsFieldBuilder() {
+        if (endedTargetsBuilder_ == null) {
+          endedTargetsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder>(
+                  endedTargets_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          endedTargets_ = null;
+        }
+        return endedTargetsBuilder_;
+      }
 
       // @@protoc_insertion_point(builder_scope:ebonygw.PromptEvidence)
     }
@@ -28180,85 +28384,91 @@
 
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @return A list containing the crashed.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
-    java.util.List<java.lang.String>
+    java.util.List<ebonygw.wire.PeerProtocol.Sighting> 
         getCrashedList();
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @return The count of crashed.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
+     */
+    ebonygw.wire.PeerProtocol.Sighting getCrashed(int index);
+    /**
+     * <pre>
+     * Targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
     int getCrashedCount();
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @param index The index of the element to return.
-     * @return The crashed at the given index.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
-    java.lang.String getCrashed(int index);
+    java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+        getCrashedOrBuilderList();
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the crashed at the given index.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
-    com.google.protobuf.ByteString
-        getCrashedBytes(int index);
+    ebonygw.wire.PeerProtocol.SightingOrBuilder getCrashedOrBuilder(
+        int index);
 
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @return A list containing the broken.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
-    java.util.List<java.lang.String>
+    java.util.List<ebonygw.wire.PeerProtocol.Sighting> 
         getBrokenList();
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @return The count of broken.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
+     */
+    ebonygw.wire.PeerProtocol.Sighting getBroken(int index);
+    /**
+     * <pre>
+     * Targets whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
     int getBrokenCount();
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @param index The index of the element to return.
-     * @return The broken at the given index.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
-    java.lang.String getBroken(int index);
+    java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+        getBrokenOrBuilderList();
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the broken at the given index.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
-    com.google.protobuf.ByteString
-        getBrokenBytes(int index);
+    ebonygw.wire.PeerProtocol.SightingOrBuilder getBrokenOrBuilder(
+        int index);
 
     /**
      * <code>repeated .ebonygw.Survivals survivals = 4;</code>
@@ -28307,10 +28517,8 @@
     }
     private PartEvidence() {
       part_ = "";
-      crashed_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      broken_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      crashed_ = java.util.Collections.emptyList();
+      broken_ = java.util.Collections.emptyList();
       survivals_ = java.util.Collections.emptyList();
     }
 
@@ -28373,108 +28581,124 @@
 
     public static final int CRASHED_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
-    private com.google.protobuf.LazyStringArrayList crashed_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    private java.util.List<ebonygw.wire.PeerProtocol.Sighting> crashed_;
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @return A list containing the crashed.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
-    public com.google.protobuf.ProtocolStringList
-        getCrashedList() {
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.Sighting> getCrashedList() {
+      return crashed_;
+    }
+    /**
+     * <pre>
+     * Targets that have ended under the part.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+        getCrashedOrBuilderList() {
       return crashed_;
     }
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @return The count of crashed.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
+    @java.lang.Override
     public int getCrashedCount() {
       return crashed_.size();
     }
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @param index The index of the element to return.
-     * @return The crashed at the given index.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
-    public java.lang.String getCrashed(int index) {
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Sighting getCrashed(int index) {
       return crashed_.get(index);
     }
     /**
      * <pre>
-     * Incarnations of targets that have ended under the part.
+     * Targets that have ended under the part.
      * </pre>
      *
-     * <code>repeated string crashed = 2;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the crashed at the given index.
+     * <code>repeated .ebonygw.Sighting crashed = 2;</code>
      */
-    public com.google.protobuf.ByteString
-        getCrashedBytes(int index) {
-      return crashed_.getByteString(index);
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.SightingOrBuilder getCrashedOrBuilder(
+        int index) {
+      return crashed_.get(index);
     }
 
     public static final int BROKEN_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
-    private com.google.protobuf.LazyStringArrayList broken_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    private java.util.List<ebonygw.wire.PeerProtocol.Sighting> broken_;
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @return A list containing the broken.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
-    public com.google.protobuf.ProtocolStringList
-        getBrokenList() {
+    @java.lang.Override
+    public java.util.List<ebonygw.wire.PeerProtocol.Sighting> getBrokenList() {
+      return broken_;
+    }
+    /**
+     * <pre>
+     * Targets whose responses broke off under the part; they may not have ended.
+     * </pre>
+     *
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+        getBrokenOrBuilderList() {
       return broken_;
     }
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @return The count of broken.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
+    @java.lang.Override
     public int getBrokenCount() {
       return broken_.size();
     }
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @param index The index of the element to return.
-     * @return The broken at the given index.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
-    public java.lang.String getBroken(int index) {
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.Sighting getBroken(int index) {
       return broken_.get(index);
     }
     /**
      * <pre>
-     * Incarnations whose responses broke off under the part; they may not have ended.
+     * Targets whose responses broke off under the part; they may not have ended.
      * </pre>
      *
-     * <code>repeated string broken = 3;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the broken at the given index.
+     * <code>repeated .ebonygw.Sighting broken = 3;</code>
      */
-    public com.google.protobuf.ByteString
-        getBrokenBytes(int index) {
-      return broken_.getByteString(index);
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.SightingOrBuilder getBrokenOrBuilder(
+        int index) {
+      return broken_.get(index);
     }
 
     public static final int SURVIVALS_FIELD_NUMBER = 4;
@@ -28536,10 +28760,10 @@
         com.google.protobuf.GeneratedMessage.writeString(output, 1, part_);
       }
       for (int i = 0; i < crashed_.size(); i++) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, crashed_.getRaw(i));
+        output.writeMessage(2, crashed_.get(i));
       }
       for (int i = 0; i < broken_.size(); i++) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, broken_.getRaw(i));
+        output.writeMessage(3, broken_.get(i));
       }
       for (int i = 0; i < survivals_.size(); i++) {
         output.writeMessage(4, survivals_.get(i));
@@ -28551,22 +28775,24 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, part_);
       }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < crashed_.size(); i++) {
-          dataSize += computeStringSizeNoTag(crashed_.getRaw(i));
-        }
-        size += dataSize;
-        size += 1 * getCrashedList().size();
-      }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < broken_.size(); i++) {
-          dataSize += computeStringSizeNoTag(broken_.getRaw(i));
-        }
-        size += dataSize;
-        size += 1 * getBrokenList().size();
-      }
+
+          {
+            final int count = crashed_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(crashed_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = broken_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(broken_.get(i));
+            }
+            size += 1 * count;
+          }
 
           {
             final int count = survivals_.size();
@@ -28765,10 +28991,20 @@
         super.clear();
         bitField0_ = 0;
         part_ = "";
-        crashed_ =
-            com.google.protobuf.LazyStringArrayList.emptyList();
-        broken_ =
-            com.google.protobuf.LazyStringArrayList.emptyList();
+        if (crashedBuilder_ == null) {
+          crashed_ = java.util.Collections.emptyList();
+        } else {
+          crashed_ = null;
+          crashedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        if (brokenBuilder_ == null) {
+          broken_ = java.util.Collections.emptyList();
+        } else {
+          broken_ = null;
+          brokenBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
         if (survivalsBuilder_ == null) {
           survivals_ = java.util.Collections.emptyList();
         } else {
@@ -28809,6 +29045,24 @@
       }
 
       private void buildPartialRepeatedFields(ebonygw.wire.PeerProtocol.PartEvidence result) {
+        if (crashedBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            crashed_ = java.util.Collections.unmodifiableList(crashed_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.crashed_ = crashed_;
+        } else {
+          result.crashed_ = crashedBuilder_.build();
+        }
+        if (brokenBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            broken_ = java.util.Collections.unmodifiableList(broken_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.broken_ = broken_;
+        } else {
+          result.broken_ = brokenBuilder_.build();
+        }
         if (survivalsBuilder_ == null) {
           if (((bitField0_ & 0x00000008) != 0)) {
             survivals_ = java.util.Collections.unmodifiableList(survivals_);
@@ -28825,14 +29079,6 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.part_ = part_;
         }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          crashed_.makeImmutable();
-          result.crashed_ = crashed_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          broken_.makeImmutable();
-          result.broken_ = broken_;
-        }
       }
 
       @java.lang.Override
@@ -28852,25 +29098,57 @@
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (!other.crashed_.isEmpty()) {
-          if (crashed_.isEmpty()) {
-            crashed_ = other.crashed_;
-            bitField0_ |= 0x00000002;
-          } else {
-            ensureCrashedIsMutable();
-            crashed_.addAll(other.crashed_);
+        if (crashedBuilder_ == null) {
+          if (!other.crashed_.isEmpty()) {
+            if (crashed_.isEmpty()) {
+              crashed_ = other.crashed_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureCrashedIsMutable();
+              crashed_.addAll(other.crashed_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.crashed_.isEmpty()) {
+            if (crashedBuilder_.isEmpty()) {
+              crashedBuilder_.dispose();
+              crashedBuilder_ = null;
+              crashed_ = other.crashed_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              crashedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCrashedFieldBuilder() : null;
+            } else {
+              crashedBuilder_.addAllMessages(other.crashed_);
+            }
           }
-          onChanged();
         }
-        if (!other.broken_.isEmpty()) {
-          if (broken_.isEmpty()) {
-            broken_ = other.broken_;
-            bitField0_ |= 0x00000004;
-          } else {
-            ensureBrokenIsMutable();
-            broken_.addAll(other.broken_);
+        if (brokenBuilder_ == null) {
+          if (!other.broken_.isEmpty()) {
+            if (broken_.isEmpty()) {
+              broken_ = other.broken_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureBrokenIsMutable();
+              broken_.addAll(other.broken_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.broken_.isEmpty()) {
+            if (brokenBuilder_.isEmpty()) {
+              brokenBuilder_.dispose();
+              brokenBuilder_ = null;
+              broken_ = other.broken_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              brokenBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetBrokenFieldBuilder() : null;
+            } else {
+              brokenBuilder_.addAllMessages(other.broken_);
+            }
           }
-          onChanged();
         }
         if (survivalsBuilder_ == null) {
           if (!other.survivals_.isEmpty()) {
@@ -28928,13 +29206,29 @@
                 break;
               } // case 10
               case 18: {
-                ensureCrashedIsMutable();
-                crashed_.add(input.readStringRequireUtf8());
+                ebonygw.wire.PeerProtocol.Sighting m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.Sighting.parser(),
+                        extensionRegistry);
+                if (crashedBuilder_ == null) {
+                  ensureCrashedIsMutable();
+                  crashed_.add(m);
+                } else {
+                  crashedBuilder_.addMessage(m);
+                }
                 break;
               } // case 18
               case 26: {
-                ensureBrokenIsMutable();
-                broken_.add(input.readStringRequireUtf8());
+                ebonygw.wire.PeerProtocol.Sighting m =
+                    input.readMessage(
+                        ebonygw.wire.PeerProtocol.Sighting.parser(),
+                        extensionRegistry);
+                if (brokenBuilder_ == null) {
+                  ensureBrokenIsMutable();
+                  broken_.add(m);
+                } else {
+                  brokenBuilder_.addMessage(m);
+                }
                 break;
               } // case 26
               case 34: {
@@ -29039,359 +29333,677 @@
         return this;
       }
 
-      private com.google.protobuf.LazyStringArrayList crashed_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      private java.util.List<ebonygw.wire.PeerProtocol.Sighting> crashed_ =
+        java.util.Collections.emptyList();
       private void ensureCrashedIsMutable() {
-        if (!crashed_.isModifiable()) {
-          crashed_ = new com.google.protobuf.LazyStringArrayList(crashed_);
-        }
-        bitField0_ |= 0x00000002;
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          crashed_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Sighting>(crashed_);
+          bitField0_ |= 0x00000002;
+         }
       }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder> crashedBuilder_;
+
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @return A list containing the crashed.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public com.google.protobuf.ProtocolStringList
-          getCrashedList() {
-        crashed_.makeImmutable();
-        return crashed_;
+      public java.util.List<ebonygw.wire.PeerProtocol.Sighting> getCrashedList() {
+        if (crashedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(crashed_);
+        } else {
+          return crashedBuilder_.getMessageList();
+        }
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @return The count of crashed.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
       public int getCrashedCount() {
-        return crashed_.size();
+        if (crashedBuilder_ == null) {
+          return crashed_.size();
+        } else {
+          return crashedBuilder_.getCount();
+        }
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @param index The index of the element to return.
-       * @return The crashed at the given index.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public java.lang.String getCrashed(int index) {
-        return crashed_.get(index);
+      public ebonygw.wire.PeerProtocol.Sighting getCrashed(int index) {
+        if (crashedBuilder_ == null) {
+          return crashed_.get(index);
+        } else {
+          return crashedBuilder_.getMessage(index);
+        }
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the crashed at the given index.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public com.google.protobuf.ByteString
-          getCrashedBytes(int index) {
-        return crashed_.getByteString(index);
+      public Builder setCrashed(
+          int index, ebonygw.wire.PeerProtocol.Sighting value) {
+        if (crashedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureCrashedIsMutable();
+          crashed_.set(index, value);
+          onChanged();
+        } else {
+          crashedBuilder_.setMessage(index, value);
+        }
+        return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @param index The index to set the value at.
-       * @param value The crashed to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
       public Builder setCrashed(
-          int index, java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureCrashedIsMutable();
-        crashed_.set(index, value);
-        bitField0_ |= 0x00000002;
-        onChanged();
+          int index, ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (crashedBuilder_ == null) {
+          ensureCrashedIsMutable();
+          crashed_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashedBuilder_.setMessage(index, builderForValue.build());
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @param value The crashed to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder addCrashed(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureCrashedIsMutable();
-        crashed_.add(value);
-        bitField0_ |= 0x00000002;
-        onChanged();
+      public Builder addCrashed(ebonygw.wire.PeerProtocol.Sighting value) {
+        if (crashedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureCrashedIsMutable();
+          crashed_.add(value);
+          onChanged();
+        } else {
+          crashedBuilder_.addMessage(value);
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @param values The crashed to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder addAllCrashed(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureCrashedIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, crashed_);
-        bitField0_ |= 0x00000002;
-        onChanged();
+      public Builder addCrashed(
+          int index, ebonygw.wire.PeerProtocol.Sighting value) {
+        if (crashedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureCrashedIsMutable();
+          crashed_.add(index, value);
+          onChanged();
+        } else {
+          crashedBuilder_.addMessage(index, value);
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder clearCrashed() {
-        crashed_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);;
-        onChanged();
+      public Builder addCrashed(
+          ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (crashedBuilder_ == null) {
+          ensureCrashedIsMutable();
+          crashed_.add(builderForValue.build());
+          onChanged();
+        } else {
+          crashedBuilder_.addMessage(builderForValue.build());
+        }
         return this;
       }
       /**
        * <pre>
-       * Incarnations of targets that have ended under the part.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string crashed = 2;</code>
-       * @param value The bytes of the crashed to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder addCrashedBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        ensureCrashedIsMutable();
-        crashed_.add(value);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
-      private com.google.protobuf.LazyStringArrayList broken_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      private void ensureBrokenIsMutable() {
-        if (!broken_.isModifiable()) {
-          broken_ = new com.google.protobuf.LazyStringArrayList(broken_);
+      public Builder addCrashed(
+          int index, ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (crashedBuilder_ == null) {
+          ensureCrashedIsMutable();
+          crashed_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashedBuilder_.addMessage(index, builderForValue.build());
         }
-        bitField0_ |= 0x00000004;
+        return this;
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @return A list containing the broken.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public com.google.protobuf.ProtocolStringList
-          getBrokenList() {
-        broken_.makeImmutable();
-        return broken_;
+      public Builder addAllCrashed(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Sighting> values) {
+        if (crashedBuilder_ == null) {
+          ensureCrashedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, crashed_);
+          onChanged();
+        } else {
+          crashedBuilder_.addAllMessages(values);
+        }
+        return this;
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @return The count of broken.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public int getBrokenCount() {
-        return broken_.size();
+      public Builder clearCrashed() {
+        if (crashedBuilder_ == null) {
+          crashed_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          crashedBuilder_.clear();
+        }
+        return this;
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @param index The index of the element to return.
-       * @return The broken at the given index.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public java.lang.String getBroken(int index) {
-        return broken_.get(index);
+      public Builder removeCrashed(int index) {
+        if (crashedBuilder_ == null) {
+          ensureCrashedIsMutable();
+          crashed_.remove(index);
+          onChanged();
+        } else {
+          crashedBuilder_.remove(index);
+        }
+        return this;
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the broken at the given index.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public com.google.protobuf.ByteString
-          getBrokenBytes(int index) {
-        return broken_.getByteString(index);
+      public ebonygw.wire.PeerProtocol.Sighting.Builder getCrashedBuilder(
+          int index) {
+        return internalGetCrashedFieldBuilder().getBuilder(index);
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @param index The index to set the value at.
-       * @param value The broken to set.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder setBroken(
-          int index, java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureBrokenIsMutable();
-        broken_.set(index, value);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
+      public ebonygw.wire.PeerProtocol.SightingOrBuilder getCrashedOrBuilder(
+          int index) {
+        if (crashedBuilder_ == null) {
+          return crashed_.get(index);  } else {
+          return crashedBuilder_.getMessageOrBuilder(index);
+        }
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @param value The broken to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder addBroken(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureBrokenIsMutable();
-        broken_.add(value);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+           getCrashedOrBuilderList() {
+        if (crashedBuilder_ != null) {
+          return crashedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(crashed_);
+        }
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @param values The broken to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder addAllBroken(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureBrokenIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, broken_);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
+      public ebonygw.wire.PeerProtocol.Sighting.Builder addCrashedBuilder() {
+        return internalGetCrashedFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance());
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder clearBroken() {
-        broken_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);;
-        onChanged();
-        return this;
+      public ebonygw.wire.PeerProtocol.Sighting.Builder addCrashedBuilder(
+          int index) {
+        return internalGetCrashedFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance());
       }
       /**
        * <pre>
-       * Incarnations whose responses broke off under the part; they may not have ended.
+       * Targets that have ended under the part.
        * </pre>
        *
-       * <code>repeated string broken = 3;</code>
-       * @param value The bytes of the broken to add.
-       * @return This builder for chaining.
+       * <code>repeated .ebonygw.Sighting crashed = 2;</code>
        */
-      public Builder addBrokenBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        ensureBrokenIsMutable();
-        broken_.add(value);
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
+      public java.util.List<ebonygw.wire.PeerProtocol.Sighting.Builder> 
+           getCrashedBuilderList() {
+        return internalGetCrashedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+          internalGetCrashedFieldBuilder() {
+        if (crashedBuilder_ == null) {
+          crashedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder>(
+                  crashed_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          crashed_ = null;
+        }
+        return crashedBuilder_;
       }
 
-      private java.util.List<ebonygw.wire.PeerProtocol.Survivals> survivals_ =
+      private java.util.List<ebonygw.wire.PeerProtocol.Sighting> broken_ =
         java.util.Collections.emptyList();
-      private void ensureSurvivalsIsMutable() {
-        if (!((bitField0_ & 0x00000008) != 0)) {
-          survivals_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Survivals>(survivals_);
-          bitField0_ |= 0x00000008;
+      private void ensureBrokenIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          broken_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Sighting>(broken_);
+          bitField0_ |= 0x00000004;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> survivalsBuilder_;
+          ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder> brokenBuilder_;
 
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.Survivals> getSurvivalsList() {
-        if (survivalsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(survivals_);
+      public java.util.List<ebonygw.wire.PeerProtocol.Sighting> getBrokenList() {
+        if (brokenBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(broken_);
         } else {
-          return survivalsBuilder_.getMessageList();
+          return brokenBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
        */
-      public int getSurvivalsCount() {
-        if (survivalsBuilder_ == null) {
-          return survivals_.size();
+      public int getBrokenCount() {
+        if (brokenBuilder_ == null) {
+          return broken_.size();
         } else {
-          return survivalsBuilder_.getCount();
+          return brokenBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
        */
-      public ebonygw.wire.PeerProtocol.Survivals getSurvivals(int index) {
-        if (survivalsBuilder_ == null) {
-          return survivals_.get(index);
+      public ebonygw.wire.PeerProtocol.Sighting getBroken(int index) {
+        if (brokenBuilder_ == null) {
+          return broken_.get(index);
         } else {
-          return survivalsBuilder_.getMessage(index);
+          return brokenBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
        */
-      public Builder setSurvivals(
-          int index, ebonygw.wire.PeerProtocol.Survivals value) {
-        if (survivalsBuilder_ == null) {
+      public Builder setBroken(
+          int index, ebonygw.wire.PeerProtocol.Sighting value) {
+        if (brokenBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureSurvivalsIsMutable();
-          survivals_.set(index, value);
+          ensureBrokenIsMutable();
+          broken_.set(index, value);
           onChanged();
         } else {
-          survivalsBuilder_.setMessage(index, value);
+          brokenBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder setBroken(
+          int index, ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (brokenBuilder_ == null) {
+          ensureBrokenIsMutable();
+          broken_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          brokenBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder addBroken(ebonygw.wire.PeerProtocol.Sighting value) {
+        if (brokenBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureBrokenIsMutable();
+          broken_.add(value);
+          onChanged();
+        } else {
+          brokenBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder addBroken(
+          int index, ebonygw.wire.PeerProtocol.Sighting value) {
+        if (brokenBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureBrokenIsMutable();
+          broken_.add(index, value);
+          onChanged();
+        } else {
+          brokenBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder addBroken(
+          ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (brokenBuilder_ == null) {
+          ensureBrokenIsMutable();
+          broken_.add(builderForValue.build());
+          onChanged();
+        } else {
+          brokenBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder addBroken(
+          int index, ebonygw.wire.PeerProtocol.Sighting.Builder builderForValue) {
+        if (brokenBuilder_ == null) {
+          ensureBrokenIsMutable();
+          broken_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          brokenBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder addAllBroken(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Sighting> values) {
+        if (brokenBuilder_ == null) {
+          ensureBrokenIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, broken_);
+          onChanged();
+        } else {
+          brokenBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder clearBroken() {
+        if (brokenBuilder_ == null) {
+          broken_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          brokenBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public Builder removeBroken(int index) {
+        if (brokenBuilder_ == null) {
+          ensureBrokenIsMutable();
+          broken_.remove(index);
+          onChanged();
+        } else {
+          brokenBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Sighting.Builder getBrokenBuilder(
+          int index) {
+        return internalGetBrokenFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.SightingOrBuilder getBrokenOrBuilder(
+          int index) {
+        if (brokenBuilder_ == null) {
+          return broken_.get(index);  } else {
+          return brokenBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+           getBrokenOrBuilderList() {
+        if (brokenBuilder_ != null) {
+          return brokenBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(broken_);
+        }
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Sighting.Builder addBrokenBuilder() {
+        return internalGetBrokenFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Sighting.Builder addBrokenBuilder(
+          int index) {
+        return internalGetBrokenFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Targets whose responses broke off under the part; they may not have ended.
+       * </pre>
+       *
+       * <code>repeated .ebonygw.Sighting broken = 3;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Sighting.Builder> 
+           getBrokenBuilderList() {
+        return internalGetBrokenFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder> 
+          internalGetBrokenFieldBuilder() {
+        if (brokenBuilder_ == null) {
+          brokenBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Sighting, ebonygw.wire.PeerProtocol.Sighting.Builder, ebonygw.wire.PeerProtocol.SightingOrBuilder>(
+                  broken_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          broken_ = null;
+        }
+        return brokenBuilder_;
+      }
+
+      private java.util.List<ebonygw.wire.PeerProtocol.Survivals> survivals_ =
+        java.util.Collections.emptyList();
+      private void ensureSurvivalsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          survivals_ = new java.util.ArrayList<ebonygw.wire.PeerProtocol.Survivals>(survivals_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> survivalsBuilder_;
+
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Survivals> getSurvivalsList() {
+        if (survivalsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(survivals_);
+        } else {
+          return survivalsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public int getSurvivalsCount() {
+        if (survivalsBuilder_ == null) {
+          return survivals_.size();
+        } else {
+          return survivalsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals getSurvivals(int index) {
+        if (survivalsBuilder_ == null) {
+          return survivals_.get(index);
+        } else {
+          return survivalsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder setSurvivals(
+          int index, ebonygw.wire.PeerProtocol.Survivals value) {
+        if (survivalsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureSurvivalsIsMutable();
+          survivals_.set(index, value);
+          onChanged();
+        } else {
+          survivalsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
        */
       public Builder setSurvivals(
           int index, ebonygw.wire.PeerProtocol.Survivals.Builder builderForValue) {
@@ -29461,129 +30073,774 @@
         }
         return this;
       }
-      /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
-       */
-      public Builder addAllSurvivals(
-          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Survivals> values) {
-        if (survivalsBuilder_ == null) {
-          ensureSurvivalsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, survivals_);
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder addAllSurvivals(
+          java.lang.Iterable<? extends ebonygw.wire.PeerProtocol.Survivals> values) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, survivals_);
+          onChanged();
+        } else {
+          survivalsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder clearSurvivals() {
+        if (survivalsBuilder_ == null) {
+          survivals_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          survivalsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public Builder removeSurvivals(int index) {
+        if (survivalsBuilder_ == null) {
+          ensureSurvivalsIsMutable();
+          survivals_.remove(index);
+          onChanged();
+        } else {
+          survivalsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals.Builder getSurvivalsBuilder(
+          int index) {
+        return internalGetSurvivalsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.SurvivalsOrBuilder getSurvivalsOrBuilder(
+          int index) {
+        if (survivalsBuilder_ == null) {
+          return survivals_.get(index);  } else {
+          return survivalsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public java.util.List<? extends ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
+           getSurvivalsOrBuilderList() {
+        if (survivalsBuilder_ != null) {
+          return survivalsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(survivals_);
+        }
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals.Builder addSurvivalsBuilder() {
+        return internalGetSurvivalsFieldBuilder().addBuilder(
+            ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public ebonygw.wire.PeerProtocol.Survivals.Builder addSurvivalsBuilder(
+          int index) {
+        return internalGetSurvivalsFieldBuilder().addBuilder(
+            index, ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       */
+      public java.util.List<ebonygw.wire.PeerProtocol.Survivals.Builder> 
+           getSurvivalsBuilderList() {
+        return internalGetSurvivalsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
+          internalGetSurvivalsFieldBuilder() {
+        if (survivalsBuilder_ == null) {
+          survivalsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder>(
+                  survivals_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          survivals_ = null;
+        }
+        return survivalsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.PartEvidence)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.PartEvidence)
+    private static final ebonygw.wire.PeerProtocol.PartEvidence DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.PartEvidence();
+    }
+
+    public static ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PartEvidence>
+        PARSER = new com.google.protobuf.AbstractParser<PartEvidence>() {
+      @java.lang.Override
+      public PartEvidence parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PartEvidence> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PartEvidence> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SightingOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.Sighting)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Incarnation of the target.
+     * </pre>
+     *
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    java.lang.String getTarget();
+    /**
+     * <pre>
+     * Incarnation of the target.
+     * </pre>
+     *
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
+    /**
+     * <pre>
+     * Time since what happened to the target.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    int getAgeMillis();
+  }
+  /**
+   * Protobuf type {@code ebonygw.Sighting}
+   */
+  public static final class Sighting extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.Sighting)
+      SightingOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Sighting");
+    }
+    // Use Sighting.newBuilder() to construct.
+    private Sighting(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Sighting() {
+      target_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Sighting_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Sighting_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Sighting_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.Sighting.class, ebonygw.wire.PeerProtocol.Sighting.Builder.class);
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <pre>
+     * Incarnation of the target.
+     * </pre>
+     *
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Incarnation of the target.
+     * </pre>
+     *
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    private int ageMillis_ = 0;
+    /**
+     * <pre>
+     * Time since what happened to the target.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      }
+      if (ageMillis_ != 0) {
+        output.writeUInt32(2, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      }
+      if (ageMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, ageMillis_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.Sighting)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.Sighting other = (ebonygw.wire.PeerProtocol.Sighting) obj;
+
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMillis();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Sighting parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.Sighting parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.Sighting parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.Sighting prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.Sighting}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.Sighting)
+        ebonygw.wire.PeerProtocol.SightingOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Sighting_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Sighting_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.Sighting.class, ebonygw.wire.PeerProtocol.Sighting.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.Sighting.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        target_ = "";
+        ageMillis_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_Sighting_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Sighting getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Sighting build() {
+        ebonygw.wire.PeerProtocol.Sighting result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.Sighting buildPartial() {
+        ebonygw.wire.PeerProtocol.Sighting result = new ebonygw.wire.PeerProtocol.Sighting(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.Sighting result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.target_ = target_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.Sighting) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.Sighting)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.Sighting other) {
+        if (other == ebonygw.wire.PeerProtocol.Sighting.getDefaultInstance()) return this;
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getAgeMillis() != 0) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                ageMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
           onChanged();
-        } else {
-          survivalsBuilder_.addAllMessages(values);
-        }
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private java.lang.Object target_ = "";
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Incarnation of the target.
+       * </pre>
+       *
+       * <code>string target = 1;</code>
+       * @return The target.
        */
-      public Builder clearSurvivals() {
-        if (survivalsBuilder_ == null) {
-          survivals_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
-          onChanged();
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          target_ = s;
+          return s;
         } else {
-          survivalsBuilder_.clear();
+          return (java.lang.String) ref;
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Incarnation of the target.
+       * </pre>
+       *
+       * <code>string target = 1;</code>
+       * @return The bytes for target.
        */
-      public Builder removeSurvivals(int index) {
-        if (survivalsBuilder_ == null) {
-          ensureSurvivalsIsMutable();
-          survivals_.remove(index);
-          onChanged();
+      public com.google.protobuf.ByteString
+          getTargetBytes() {
+        java.lang.Object ref = target_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          target_ = b;
+          return b;
         } else {
-          survivalsBuilder_.remove(index);
+          return (com.google.protobuf.ByteString) ref;
         }
-        return this;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Incarnation of the target.
+       * </pre>
+       *
+       * <code>string target = 1;</code>
+       * @param value The target to set.
+       * @return This builder for chaining.
        */
-      public ebonygw.wire.PeerProtocol.Survivals.Builder getSurvivalsBuilder(
-          int index) {
-        return internalGetSurvivalsFieldBuilder().getBuilder(index);
+      public Builder setTarget(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Incarnation of the target.
+       * </pre>
+       *
+       * <code>string target = 1;</code>
+       * @return This builder for chaining.
        */
-      public ebonygw.wire.PeerProtocol.SurvivalsOrBuilder getSurvivalsOrBuilder(
-          int index) {
-        if (survivalsBuilder_ == null) {
-          return survivals_.get(index);  } else {
-          return survivalsBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Incarnation of the target.
+       * </pre>
+       *
+       * <code>string target = 1;</code>
+       * @param value The bytes for target to set.
+       * @return This builder for chaining.
        */
-      public java.util.List<? extends ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
-           getSurvivalsOrBuilderList() {
-        if (survivalsBuilder_ != null) {
-          return survivalsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(survivals_);
-        }
+      public Builder setTargetBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
+
+      private int ageMillis_ ;
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Time since what happened to the target.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 2;</code>
+       * @return The ageMillis.
        */
-      public ebonygw.wire.PeerProtocol.Survivals.Builder addSurvivalsBuilder() {
-        return internalGetSurvivalsFieldBuilder().addBuilder(
-            ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance());
+      @java.lang.Override
+      public int getAgeMillis() {
+        return ageMillis_;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Time since what happened to the target.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 2;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
        */
-      public ebonygw.wire.PeerProtocol.Survivals.Builder addSurvivalsBuilder(
-          int index) {
-        return internalGetSurvivalsFieldBuilder().addBuilder(
-            index, ebonygw.wire.PeerProtocol.Survivals.getDefaultInstance());
+      public Builder setAgeMillis(int value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .ebonygw.Survivals survivals = 4;</code>
+       * <pre>
+       * Time since what happened to the target.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 2;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<ebonygw.wire.PeerProtocol.Survivals.Builder> 
-           getSurvivalsBuilderList() {
-        return internalGetSurvivalsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder> 
-          internalGetSurvivalsFieldBuilder() {
-        if (survivalsBuilder_ == null) {
-          survivalsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              ebonygw.wire.PeerProtocol.Survivals, ebonygw.wire.PeerProtocol.Survivals.Builder, ebonygw.wire.PeerProtocol.SurvivalsOrBuilder>(
-                  survivals_,
-                  ((bitField0_ & 0x00000008) != 0),
-                  getParentForChildren(),
-                  isClean());
-          survivals_ = null;
-        }
-        return survivalsBuilder_;
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ageMillis_ = 0;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.PartEvidence)
+      // @@protoc_insertion_point(builder_scope:ebonygw.Sighting)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.PartEvidence)
-    private static final ebonygw.wire.PeerProtocol.PartEvidence DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.Sighting)
+    private static final ebonygw.wire.PeerProtocol.Sighting DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.PartEvidence();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.Sighting();
     }
 
-    public static ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.Sighting getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<PartEvidence>
-        PARSER = new com.google.protobuf.AbstractParser<PartEvidence>() {
+    private static final com.google.protobuf.Parser<Sighting>
+        PARSER = new com.google.protobuf.AbstractParser<Sighting>() {
       @java.lang.Override
-      public PartEvidence parsePartialFrom(
+      public Sighting parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -29602,17 +30859,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<PartEvidence> parser() {
+    public static com.google.protobuf.Parser<Sighting> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<PartEvidence> getParserForType() {
+    public com.google.protobuf.Parser<Sighting> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.PartEvidence getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.Sighting getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -29651,6 +30908,16 @@
      * @return The count.
      */
     int getCount();
+
+    /**
+     * <pre>
+     * Time since the count was set.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    int getAgeMillis();
   }
   /**
    * Protobuf type {@code ebonygw.Survivals}
@@ -29739,6 +31006,21 @@
       return count_;
     }
 
+    public static final int AGE_MILLIS_FIELD_NUMBER = 4;
+    private int ageMillis_ = 0;
+    /**
+     * <pre>
+     * Time since the count was set.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -29762,6 +31044,9 @@
       if (count_ != 0) {
         output.writeUInt32(3, count_);
       }
+      if (ageMillis_ != 0) {
+        output.writeUInt32(4, ageMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -29778,6 +31063,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(3, count_);
       }
+      if (ageMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, ageMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -29808,6 +31097,8 @@
           != other.getSequence()) return false;
       if (getCount()
           != other.getCount()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -29827,6 +31118,8 @@
           getSequence());
       hash = (37 * hash) + COUNT_FIELD_NUMBER;
       hash = (53 * hash) + getCount();
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMillis();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -29961,6 +31254,7 @@
         observer_ = 0L;
         sequence_ = 0L;
         count_ = 0;
+        ageMillis_ = 0;
         return this;
       }
 
@@ -30003,6 +31297,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.count_ = count_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
       }
 
       @java.lang.Override
@@ -30026,6 +31323,9 @@
         if (other.getCount() != 0) {
           setCount(other.getCount());
         }
+        if (other.getAgeMillis() != 0) {
+          setAgeMillis(other.getAgeMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -30065,6 +31365,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                ageMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -30214,6 +31519,50 @@
         return this;
       }
 
+      private int ageMillis_ ;
+      /**
+       * <pre>
+       * Time since the count was set.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 4;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public int getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * Time since the count was set.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 4;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(int value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time since the count was set.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.Survivals)
     }
 
@@ -30930,6 +32279,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_PartEvidence_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_Sighting_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_Sighting_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_Survivals_descriptor;
   private static final 
@@ -31030,15 +32384,18 @@
       "AdapterNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030" +
       "\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r" +
       "\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenP" +
-      "laces\022\r\n\005count\030\001 \001(\021\"M\n\016PromptEvidence\022$" +
-      "\n\005parts\030\001 \003(\0132\025.ebonygw.PartEvidence\022\025\n\r" +
-      "ended_targets\030\002 \003(\t\"d\n\014PartEvidence\022\014\n\004p" +
-      "art\030\001 \001(\t\022\017\n\007crashed\030\002 \003(\t\022\016\n\006broken\030\003 \003" +
-      "(\t\022%\n\tsurvivals\030\004 \003(\0132\022.ebonygw.Survival" +
-      "s\">\n\tSurvivals\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequ" +
-      "ence\030\002 \001(\004\022\r\n\005count\030\003 \001(\r\"\"\n\013TargetEnded" +
-      "\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebonygw.wireB\014P" +
-      "eerProtocolb\006proto3"
+      "laces\022\r\n\005count\030\001 \001(\021\"`\n\016PromptEvidence\022$" +
+      "\n\005parts\030\001 \003(\0132\025.ebonygw.PartEvidence\022(\n\r" +
+      "ended_targets\030\002 \003(\0132\021.ebonygw.Sighting\"\212" +
+      "\001\n\014PartEvidence\022\014\n\004part\030\001 \001(\t\022\"\n\007crashed" +
+      "\030\002 \003(\0132\021.ebonygw.Sighting\022!\n\006broken\030\003 \003(" +
+      "\0132\021.ebonygw.Sighting\022%\n\tsurvivals\030\004 \003(\0132" +
+      "\022.ebonygw.Survivals\".\n\010Sighting\022\016\n\006targe" +
+      "t\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"R\n\tSurvivals" +
+      "\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\022\r\n\005" +
+      "count\030\003 \001(\r\022\022\n\nage_millis\030\004 \001(\r\"\"\n\013Targe" +
+      "tEnded\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebonygw.w" +
+      "ireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -31214,14 +32571,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_PartEvidence_descriptor,
         new java.lang.String[] { "Part", "Crashed", "Broken", "Survivals", });
-    internal_static_ebonygw_Survivals_descriptor =
+    internal_static_ebonygw_Sighting_descriptor =
       getDescriptor().getMessageType(28);
+    internal_static_ebonygw_Sighting_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_Sighting_descriptor,
+        new java.lang.String[] { "Target", "AgeMillis", });
+    internal_static_ebonygw_Survivals_descriptor =
+      getDescriptor().getMessageType(29);
     internal_static_ebonygw_Survivals_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Survivals_descriptor,
-        new java.lang.String[] { "Observer", "Sequence", "Count", });
+        new java.lang.String[] { "Observer", "Sequence", "Count", "AgeMillis", });
     internal_static_ebonygw_TargetEnded_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_ebonygw_TargetEnded_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetEnded_descriptor,
--- a/src/test/java/ebonygw/gateway/PromptGuardTest.java
+++ b/src/test/java/ebonygw/gateway/PromptGuardTest.java
@@ -10,12 +10,14 @@
 import ebonygw.protocol.NodeId;
 import ebonygw.quarantine.Evidence;
 import ebonygw.quarantine.Evidence.PartEvidence;
+import ebonygw.quarantine.Evidence.Sighting;
 import ebonygw.quarantine.Evidence.Survivals;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -89,7 +91,8 @@
     }
 
     private void crash() {
-        List<String> targets = List.of(TARGETS.split("\n"));
+        List<Sighting> targets =
+                Stream.of(TARGETS.split("\n")).map(target -> new Sighting(target, 0)).toList();
         mGuard.onEvidence(
                 new Evidence(
                         List.of(new PartEvidence("bad", targets, List.of(), List.of())), List.of()),
@@ -137,7 +140,7 @@
         advance(20);
         assertThat(mStored).containsKey(KEY);
 
-        Survivals survivals = new Survivals(7, 1, 5);
+        Survivals survivals = new Survivals(7, 1, 5, 0);
         mGuard.onEvidence(
                 new Evidence(
                         List.of(new PartEvidence("bad", List.of(), List.of(), List.of(survivals))),
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -175,15 +175,25 @@
 
     private static Message evidence(Random random) {
         Evidence.Survivals survivals =
-                new Evidence.Survivals(random.nextLong(), number(random), random.nextInt(9));
+                new Evidence.Survivals(
+                        random.nextLong(), number(random), random.nextInt(9), age(random));
         Evidence.PartEvidence part =
                 new Evidence.PartEvidence(
                         word(random),
-                        List.of(word(random)),
-                        List.of(word(random), word(random)),
+                        List.of(sighting(random)),
+                        List.of(sighting(random), sighting(random)),
                         List.of(survivals));
         return new GatewayMessage.PromptEvidence(
-                new Evidence(List.of(part), List.of(word(random))));
+                new Evidence(List.of(part), List.of(sighting(random))));
+    }
+
+    private static Evidence.Sighting sighting(Random random) {
+        return new Evidence.Sighting(word(random), age(random));
+    }
+
+    /** Returns a time in whole milliseconds, as messages carry it. */
+    private static long age(Random random) {
+        return random.nextInt(1_000_000) * 1_000_000L;
     }
 
     private static Message usage(Random random) {
--- a/src/test/java/ebonygw/quarantine/PartQuarantineTest.java
+++ b/src/test/java/ebonygw/quarantine/PartQuarantineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -134,9 +135,9 @@
             crash(50, "shared");
         }
 
-        other.onEvidence(mQuarantine.changedSince(0), mNowNanos);
+        other.onEvidence(mQuarantine.changedSince(0, mNowNanos), mNowNanos);
         other.onTick(mNowNanos);
-        mQuarantine.onEvidence(other.changedSince(0), mNowNanos);
+        mQuarantine.onEvidence(other.changedSince(0, mNowNanos), mNowNanos);
         advance(500);
 
         assertThat(isBlocked("shared")).isFalse();
@@ -163,8 +164,8 @@
         mQuarantine.onTargetEnded("i-9", mNowNanos);
 
         for (int i = 0; i < 2; i++) {
-            other.onEvidence(mQuarantine.changedSince(0), mNowNanos);
-            mQuarantine.onEvidence(other.changedSince(0), mNowNanos);
+            other.onEvidence(mQuarantine.changedSince(0, mNowNanos), mNowNanos);
+            mQuarantine.onEvidence(other.changedSince(0, mNowNanos), mNowNanos);
         }
         advance(500);
         other.onTick(mNowNanos);
@@ -176,13 +177,13 @@
     @Test
     void evidenceThatIsRepeatedIsNoChange() {
         crash(50, "bad");
-        Evidence evidence = mQuarantine.changedSince(0);
+        Evidence evidence = mQuarantine.changedSince(0, mNowNanos);
         long change = mQuarantine.change();
 
         mQuarantine.onEvidence(evidence, mNowNanos);
 
         assertThat(mQuarantine.change()).isEqualTo(change);
-        assertThat(mQuarantine.changedSince(change).isEmpty()).isTrue();
+        assertThat(mQuarantine.changedSince(change, mNowNanos).isEmpty()).isTrue();
     }
 
     @Test
@@ -200,7 +201,7 @@
     @Test
     void aLiftedBlockNeedsNewCrashes() {
         block("bad");
-        Evidence before = mQuarantine.changedSince(0);
+        Evidence before = mQuarantine.changedSince(0, mNowNanos);
 
         assertThat(mQuarantine.lift("bad")).isTrue();
         mQuarantine.onEvidence(before, mNowNanos);
@@ -219,6 +220,51 @@
         assertThat(mQuarantine.blockedParts()).containsOnlyKeys("bad");
     }
 
+    @Test
+    void crashesCountNoLongerThanSurvivals() {
+        crash(50, "rare");
+        crash(50, "rare");
+        advance(61_000);
+        crash(50, "rare");
+        advance(500);
+
+        assertThat(isBlocked("rare")).isFalse();
+    }
+
+    @Test
+    void entriesThatHaveAllBeenToldSendNothingFurther() {
+        List<PartQuarantine> entries = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            PartQuarantine entry = new PartQuarantine(i, OPTIONS);
+            entry.onSurvived(List.of("shared"), mNowNanos);
+            entries.add(entry);
+        }
+        for (int i = 0; i < 20; i++) {
+            String target = "i-" + i;
+            entries.get(i).onBroken(List.of("shared"), target, 0, mNowNanos);
+            entries.get(39 - i).onTargetEnded(target, mNowNanos);
+        }
+
+        long[] sent = new long[entries.size()];
+        int messages = 0;
+        for (int round = 0; round < 100; round++) {
+            messages = 0;
+            mNowNanos += 50 * MILLI;
+            for (int i = 0; i < entries.size(); i++) {
+                PartQuarantine entry = entries.get(i);
+                entry.onTick(mNowNanos);
+                Evidence evidence = entry.changedSince(sent[i], mNowNanos);
+                sent[i] = entry.change();
+                if (!evidence.isEmpty()) {
+                    messages++;
+                    entries.get((i + 1) % entries.size()).onEvidence(evidence, mNowNanos);
+                }
+            }
+        }
+
+        assertThat(messages).isZero();
+    }
+
     @Test
     void theNumberOfPartsIsLimitedAndThoseWithCrashesStay() {
         block("bad");
@@ -226,7 +272,7 @@
             mQuarantine.onBroken(List.of("part" + i), "i-x", 0, ++mNowNanos);
         }
 
-        assertThat(mQuarantine.changedSince(0).parts()).hasSize(OPTIONS.maxParts());
+        assertThat(mQuarantine.changedSince(0, mNowNanos).parts()).hasSize(OPTIONS.maxParts());
         assertThat(isBlocked("bad")).isTrue();
     }
 
@@ -235,6 +281,6 @@
         mQuarantine.onBroken(List.of("part"), "i-1", 0, mNowNanos);
         advance(7_000);
 
-        assertThat(mQuarantine.changedSince(0).parts()).isEmpty();
+        assertThat(mQuarantine.changedSince(0, mNowNanos).parts()).isEmpty();
     }
 }
