--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -150,8 +150,8 @@
     }
 
     /**
-     * Returns whether this entry accepts requests: configuration, targets and other entries have
-     * been read, and no stop was requested.
+     * Returns whether this entry accepts requests: configuration, targets, other entries and
+     * blocked prompt parts have been read, and no stop was requested.
      */
     public boolean ready() {
         return mOperator.settings() != null
