Soak replica: both lists of a report are of one time

The loader's log: a2 ordered at 12.114 s, accepted as the third; a7 at 12.198 s without an unload before. The stand-in needs 80 ms for a load and asked the clock anew for each list of its report, so that a2 was in neither list of the report that was made 80 ms after its order: not resident yet by the first list, not loading any more by the second. A replica's report is of one moment; the stand-in now takes one time for both lists. Checks unchanged.

--- a/src/test/java/ebonygw/platform/SoakReplica.java
+++ b/src/test/java/ebonygw/platform/SoakReplica.java
@@ -91,7 +91,7 @@
         entry.put("backend", service).put("zone", zone).put("slots", 16).put("state", "ready");
         entry.put("address", address.getAddress().getHostAddress() + ':' + address.getPort());
         entry.put("born", mStartedAtMillis);
-        putModels(entry);
+        putModels(entry, System.currentTimeMillis());
         return entry.toString();
     }
 
@@ -114,15 +114,14 @@
     }
 
     /** Returns whether a model, or an adapter named MODEL/ADAPTER, is ready to serve. */
-    private synchronized boolean isLoaded(String model) {
+    private synchronized boolean isLoaded(String model, long nowMillis) {
         int slash = model.indexOf('/');
         if (slash < 0) {
             return true;
         }
         String adapter = model.substring(slash + 1);
         Long startedAtMillis = mLoadStartedAtMillis.get(adapter);
-        return startedAtMillis != null
-                && System.currentTimeMillis() - startedAtMillis >= LOAD_MILLIS;
+        return startedAtMillis != null && nowMillis - startedAtMillis >= LOAD_MILLIS;
     }
 
     private void handle(HttpServerExchange exchange) throws IOException, InterruptedException {
@@ -139,14 +138,14 @@
         }
     }
 
-    private synchronized void putModels(ObjectNode target) {
+    private synchronized void putModels(ObjectNode target, long nowMillis) {
         ArrayNode models = target.putArray("models");
         if (mEngine) {
             ArrayNode adapters =
                     models.addObject().put("name", MODEL).put("version", 1).putArray("adapters");
             mAdapters.forEach(
                     (adapter, version) -> {
-                        if (isLoaded(MODEL + '/' + adapter)) {
+                        if (isLoaded(MODEL + '/' + adapter, nowMillis)) {
                             adapters.add(adapter + '@' + version);
                         }
                     });
@@ -185,14 +184,16 @@
     }
 
     private synchronized String report() {
+        // One time for both lists: an adapter that is loaded meanwhile must be in one of them.
+        long nowMillis = System.currentTimeMillis();
         ObjectNode report = Json.MAPPER.createObjectNode();
         report.put("born", mStartedAtMillis).put("busy", false).put("sequence", mOrderCount);
         report.put("queued", 0).put("active", 1);
-        putModels(report);
+        putModels(report, nowMillis);
         ArrayNode pending = report.putArray("pending");
         mAdapters.forEach(
                 (adapter, version) -> {
-                    if (!isLoaded(MODEL + '/' + adapter)) {
+                    if (!isLoaded(MODEL + '/' + adapter, nowMillis)) {
                         pending.add(MODEL + '/' + adapter + '@' + version);
                     }
                 });
@@ -204,7 +205,7 @@
         String id = header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(new HttpString("Attempt-Id"), id);
         if (!header(exchange, "Expect-Instance").equals(instance())
-                || !isLoaded(header(exchange, "Model"))) {
+                || !isLoaded(header(exchange, "Model"), System.currentTimeMillis())) {
             exchange.getResponseHeaders().put(new HttpString("Not-Executed"), "1");
             exchange.setStatusCode(421);
             return;
