--- a/src/test/java/ebonygw/quarantine/SurvivalCountsTest.java
+++ b/src/test/java/ebonygw/quarantine/SurvivalCountsTest.java
@@ -23,6 +23,9 @@
     void countsAreLimited() {
         for (int i = 0; i < 20; i++) {
             mCounts.add("a", 500);
+        }
+        assertThat(mCounts.get("a", 500)).isEqualTo(5);
+        for (int i = 0; i < 20; i++) {
             mCounts.add("a", 1_500);
         }
 
