Names and messages found in a last reading

PromptGuard had two onResponse methods of different meaning; the one that counts survivals is countSurvival now. The failures of a head or framing that is too long name the bytes.

--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -91,7 +91,7 @@
 
     /** Tells the guard of prompts which responses their targets have survived. */
     void reportSurvivals(long nowNanos) {
-        mByExchange.values().forEach(pending -> mGuard.onResponse(pending, false, nowNanos));
+        mByExchange.values().forEach(pending -> mGuard.countSurvival(pending, false, nowNanos));
     }
 
     void onAttemptFailed(GatewayEvent.AttemptFailed failed, long nowNanos) {
@@ -167,7 +167,7 @@
             return;
         }
         pending.mBody = ended.body();
-        mGuard.onResponse(pending, true, nowNanos);
+        mGuard.countSurvival(pending, true, nowNanos);
         count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
--- a/src/main/java/ebonygw/gateway/PromptGuard.java
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -135,11 +135,12 @@
     }
 
     /**
-     * Counts the requests whose response has gone on long enough, or has ended, as survivals.
+     * Counts a response once as one that its target has survived, if it has ended or gone on for
+     * long enough.
      *
      * @param ended whether the response has ended
      */
-    void onResponse(PendingRequest pending, boolean ended, long nowNanos) {
+    void countSurvival(PendingRequest pending, boolean ended, long nowNanos) {
         if (pending.mSurvived || !pending.mStarted) {
             return;
         }
--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -164,7 +164,7 @@
             return;
         }
         if (overheadBytes() > MAX_OVERHEAD_BYTES) {
-            abort(HttpFailure.Kind.LOST, "the answer's head is too long");
+            abort(HttpFailure.Kind.LOST, "the answer's head is too long, bytes=" + overheadBytes());
         } else {
             mHeadTimer = mClient.timer(HEAD_CHECK_NANOS, this::checkHead);
         }
@@ -262,7 +262,9 @@
             }
             long maxOverhead = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * mBodyBytes;
             if (!mDone && overheadBytes() > maxOverhead) {
-                abort(HttpFailure.Kind.BROKEN, "the answer's framing is too long");
+                abort(
+                        HttpFailure.Kind.BROKEN,
+                        "the answer's framing is too long, bytes=" + overheadBytes());
             }
             if (mDone || mPaused) {
                 channel.suspendReads();
--- a/src/main/java/ebonygw/http/HttpResponseHandler.java
+++ b/src/main/java/ebonygw/http/HttpResponseHandler.java
@@ -10,7 +10,11 @@
  * <p>All methods are called on the client's IO thread, which they must not block.
  */
 public interface HttpResponseHandler {
-    /** The response is complete. */
+    /**
+     * The response is complete.
+     *
+     * @param body framing and length of its body
+     */
     void ended(BodySummary body);
 
     /** The request failed; no complete response was received. */
