The framing of a request is bounded by the bytes received

The library bounds the bytes of a body, head and entity, but nothing bounds the framing in relation to the body, and a body was read in a loop until the socket was empty.

Fix: HttpListener counts the bytes received on each connection beneath all framing. BodyReader gives a request up whose framing exceeds 64 KB and 8 bytes for each byte of the body, and reads at most four buffers for each event. The connection is closed without a response: a response would make the server read the rest.

Request lines, heads and bytes after a complete request were bounded already. CallerServer and the administration API use listeners that do not count; open.

--- a/src/main/java/ebonygw/caller/BodyReader.java
+++ b/src/main/java/ebonygw/caller/BodyReader.java
@@ -1,5 +1,6 @@
 package ebonygw.caller;
 
+import ebonygw.http.ReceivedBytes;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
@@ -17,6 +18,16 @@
  */
 final class BodyReader {
     private static final int INITIAL_BYTES = 1024;
+
+    /** Limits how long one request can occupy the IO thread. */
+    private static final int MAX_READS_PER_EVENT = 4;
+
+    /** Maximum framing beside that of the body's bytes: as much as for the head of a request. */
+    private static final int MAX_FRAMING_BYTES = 64 * 1024;
+
+    /** Maximum framing for each byte of the body: a chunk of one byte has five others. */
+    private static final int MAX_FRAMING_PER_BODY_BYTE = 8;
+
     private static final byte[] EMPTY = {};
 
     private final HttpServerExchange mExchange;
@@ -25,6 +36,10 @@
     private final Consumer<Fault> mOnFault;
     private byte[] mBody = EMPTY;
     private int mLength;
+
+    /** Bytes received on the connection before the body. */
+    private long mReceivedBefore;
+
     private boolean mDone;
     private XnioIoThread.Key mTimer;
     private StreamSourceChannel mChannel;
@@ -49,6 +64,8 @@
 
     /** Why a body could not be read. */
     enum Fault {
+        /** The framing exceeds its limit, which no client needs. */
+        FRAMING,
         /** The connection was lost. */
         LOST,
         /** The body was not complete within the time limit. */
@@ -67,16 +84,17 @@
         if (length > 0) {
             mBody = new byte[(int) length];
         }
+        mReceivedBefore = ReceivedBytes.of(mExchange);
         mChannel = mExchange.getRequestChannel();
-        read();
+        boolean drained = read();
         if (!mDone) {
             mTimer =
                     mExchange
                             .getIoThread()
                             .executeAfter(
                                     () -> fail(Fault.SLOW), timeoutNanos, TimeUnit.NANOSECONDS);
-            mChannel.getReadSetter().set(channel -> read());
-            mChannel.resumeReads();
+            mChannel.getReadSetter().set(channel -> readAgain());
+            resume(drained);
         }
     }
 
@@ -112,28 +130,51 @@
         }
     }
 
-    private void read() {
-        if (mDone) {
-            return;
-        }
+    private boolean hasTooMuchFraming() {
+        long framing = ReceivedBytes.of(mExchange) - mReceivedBefore - mLength;
+        return framing > MAX_FRAMING_BYTES + (long) MAX_FRAMING_PER_BODY_BYTE * mLength;
+    }
+
+    /** Reads a few buffers; returns whether all that has arrived was read. */
+    private boolean read() {
         try (PooledByteBuffer pooled = mExchange.getConnection().getByteBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            int count = mChannel.read(buffer);
-            while (count > 0) {
+            for (int reads = 0; reads < MAX_READS_PER_EVENT && !mDone; reads++) {
+                buffer.clear();
+                int count = mChannel.read(buffer);
                 buffer.flip();
-                if (!append(buffer)) {
+                if (count < 0) {
+                    succeed();
+                } else if (!append(buffer)) {
                     fail(Fault.TOO_LARGE);
-                    return;
+                } else if (hasTooMuchFraming()) {
+                    fail(Fault.FRAMING);
+                } else if (count == 0) {
+                    return true;
                 }
-                buffer.clear();
-                count = mChannel.read(buffer);
-            }
-            if (count < 0) {
-                succeed();
             }
         } catch (IOException cause) {
             fail(Fault.LOST);
         }
+        return false;
+    }
+
+    private void readAgain() {
+        if (!mDone) {
+            boolean drained = read();
+            if (!mDone) {
+                resume(drained);
+            }
+        }
+    }
+
+    /** Waits for more bytes; those that the server holds already raise no event of the socket. */
+    private void resume(boolean drained) {
+        if (drained) {
+            mChannel.resumeReads();
+        } else {
+            mChannel.wakeupReads();
+        }
     }
 
     private void succeed() {
--- a/src/main/java/ebonygw/caller/GatewayServer.java
+++ b/src/main/java/ebonygw/caller/GatewayServer.java
@@ -10,13 +10,15 @@
 import ebonygw.gateway.GatewayRequest;
 import ebonygw.http.HttpCall;
 import ebonygw.http.HttpHeaders;
+import ebonygw.http.HttpListener;
 import ebonygw.http.HttpRequest;
 import ebonygw.http.HttpResponseHandler;
+import ebonygw.log.LogLine;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.target.TargetForwarder;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.server.handlers.HttpContinueReadHandler;
@@ -38,7 +40,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.xnio.IoUtils;
-import org.xnio.Options;
+import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
 /**
@@ -63,7 +65,8 @@
     private final BooleanSupplier mReady;
     private final BooleanSupplier mStopping;
     private final XnioWorker mWorker;
-    private final Undertow mServer;
+    private final HttpListener mCallers;
+    private final HttpListener mReadiness;
     private final Set<ServerConnection> mConnections = new HashSet<>();
     private final Map<Long, GatewayExchange> mExchanges = new ConcurrentHashMap<>();
     private final AtomicLong mSequence = new AtomicLong();
@@ -94,22 +97,20 @@
         mReady = Objects.requireNonNull(ready, "ready");
         mStopping = Objects.requireNonNull(stopping, "stopping");
         mTargets = new TargetForwarder(worker);
-        mServer =
-                Undertow.builder()
-                        .setWorker(worker)
-                        .setSocketOption(Options.TCP_NODELAY, true)
-                        .setServerOption(UndertowOptions.DECODE_URL, false)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                        .setServerOption(
-                                UndertowOptions.MAX_ENTITY_SIZE, 2L * options.maxBodyBytes())
-                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-                        .setServerOption(
-                                UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
-                        .addHttpListener(options.callers().getPort(), host(options.callers()))
-                        .addHttpListener(options.readiness().getPort(), host(options.readiness()))
-                        .setHandler(new HttpContinueReadHandler(this::handle))
-                        .build();
+        OptionMap serverOptions =
+                OptionMap.builder()
+                        .set(UndertowOptions.DECODE_URL, false)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, 2L * options.maxBodyBytes())
+                        .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
+                        .getMap();
+        HttpHandler requests = new HttpContinueReadHandler(this::handle);
+        mCallers = new HttpListener(worker, options.callers(), serverOptions, requests);
+        mReadiness =
+                new HttpListener(
+                        worker, options.readiness(), serverOptions, this::handleReadinessCheck);
     }
 
     /** Applies an effect that concerns a request; never blocks. */
@@ -130,12 +131,12 @@
 
     /** Returns the address that callers connect to. */
     public InetSocketAddress callerAddress() {
-        return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+        return mCallers.address();
     }
 
     /** Returns the address of the readiness check. */
     public InetSocketAddress readinessAddress() {
-        return (InetSocketAddress) mServer.getListenerInfo().get(1).getAddress();
+        return mReadiness.address();
     }
 
     /**
@@ -159,29 +160,18 @@
 
     /** Starts listening. */
     public void start() {
-        mServer.start();
+        mCallers.start();
+        mReadiness.start();
     }
 
     /** Stops listening and closes all connections. */
     public void stop() {
-        mServer.stop();
+        mCallers.close();
+        mReadiness.close();
         mTargets.close();
     }
 
-    private static String host(InetSocketAddress address) {
-        return address.getAddress().getHostAddress();
-    }
-
     private void handle(HttpServerExchange exchange) {
-        InetSocketAddress local = exchange.getConnection().getLocalAddress(InetSocketAddress.class);
-        if (local.getPort() == readinessAddress().getPort()) {
-            boolean readinessCheck = exchange.getRequestPath().equals(mOptions.readinessPath());
-            int failure = readinessCheck ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.NOT_FOUND;
-            exchange.setStatusCode(
-                    readinessCheck && mReady.getAsBoolean() ? StatusCodes.OK : failure);
-            exchange.endExchange();
-            return;
-        }
         ServerConnection connection = exchange.getConnection();
         if (mConnections.add(connection)) {
             connection.addCloseListener(mConnections::remove);
@@ -208,6 +198,13 @@
                 SameThreadExecutor.INSTANCE, () -> reader.start(mOptions.bodyTimeoutNanos()));
     }
 
+    private void handleReadinessCheck(HttpServerExchange exchange) {
+        boolean readinessCheck = exchange.getRequestPath().equals(mOptions.readinessPath());
+        int failure = readinessCheck ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.NOT_FOUND;
+        exchange.setStatusCode(readinessCheck && mReady.getAsBoolean() ? StatusCodes.OK : failure);
+        exchange.endExchange();
+    }
+
     private void onBodyFault(HttpServerExchange exchange, BodyReader.Fault fault) {
         exchange.setPersistent(false);
         switch (fault) {
@@ -220,6 +217,13 @@
                             exchange,
                             Refusal.notRun(
                                     RefusalCode.DEADLINE, "the body did not arrive in time"));
+            case FRAMING -> {
+                LogLine.of("caller_given_up")
+                        .with("peer", exchange.getSourceAddress())
+                        .with("cause", "the framing of the body is too long")
+                        .warn();
+                IoUtils.safeClose(exchange.getConnection());
+            }
             default -> IoUtils.safeClose(exchange.getConnection());
         }
     }
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -17,12 +17,15 @@
 import ebonygw.protocol.NodeId;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Runs an entry over real sockets with a caller, a store and a replica with scripted responses. */
 class EntryOnPlatformTest {
@@ -320,6 +323,42 @@
         }
     }
 
+    // Guards against a caller that sends a request without end, however fast.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '"',
+            value = {
+                "                                              | ~",
+                "GET /look/                                    | x",
+                "GET /look/1 HTTP/1.1~X-Filler:                | x",
+                "GET /look/1 HTTP/1.1~                         | a:b~",
+                "POST /look/1 HTTP/1.1~Host: h~Transfer-Encoding: chunked~~      | 0",
+                "POST /look/1 HTTP/1.1~Host: h~Transfer-Encoding: chunked~~2;x=  | x",
+                "POST /look/1 HTTP/1.1~Host: h~Transfer-Encoding: chunked~~      | 1;xxxxx~y~",
+                "POST /look/1 HTTP/1.1~Host: h~Transfer-Encoding: chunked~~0~    | a:b~",
+                "POST /look/1 HTTP/1.1~Host: h~Transfer-Encoding: chunked~~0~a:  | x",
+                "POST /look/1 HTTP/1.1~Host: h~Content-Length: 2~~ok             | x"
+            })
+    void aRequestWithoutEndIsGivenUpWithoutDelayOfOthers(String start, String filler)
+            throws Exception {
+        mReplica.respondForever(ScriptedResponse.status(200, "", "sound"));
+        List<FloodingCaller> floods = new ArrayList<>();
+        for (int i = 0; i < FLOODS; i++) {
+            floods.add(new FloodingCaller(mEntry.callerAddress(), start, filler));
+        }
+        long slowestNanos = 0;
+        for (int i = 0; i < 100; i++) {
+            long startNanos = System.nanoTime();
+            assertThat(request(IDEMPOTENT_PATH).body()).isEqualTo("sound");
+            slowestNanos = Math.max(slowestNanos, System.nanoTime() - startNanos);
+        }
+        assertThat(slowestNanos).isLessThan(MAX_DELAY_NANOS);
+        for (FloodingCaller flood : floods) {
+            assertThat(flood.awaitSent()).isLessThan(FloodingCaller.MAX_ACCEPTED_BYTES);
+        }
+    }
+
     // Guards against heads without end of one replica that delay callers of another one.
     @Test
     void headsWithoutEndAreRefusedAsMayHaveRunAndDelayNoOtherRequest() throws Exception {
