Notices of targets: leaving and pauses, read with the head of a response

Callers and replicas would see: requests sent on to a replica that has said in its responses that it stops, until the list of targets says so; requests to one that has answered 503 with a time to come back (neither field was read).

A notice belongs to the incarnation that gave it and goes before the list of targets. One predicate with reasons decides whether a target takes new work. Requests that still wait for a connection are withdrawn and move without a charge to the retry budget. When all remaining targets pause, a request is refused at once with the time to the earliest end.

--- a/src/main/java/ebonygw/caller/GatewayExchange.java
+++ b/src/main/java/ebonygw/caller/GatewayExchange.java
@@ -6,6 +6,7 @@
 import ebonygw.gateway.GatewayEvent;
 import ebonygw.gateway.GatewayHeaders;
 import ebonygw.gateway.GatewayRequest;
+import ebonygw.gateway.TargetNotice;
 import ebonygw.http.BodySummary;
 import ebonygw.http.HttpCall;
 import ebonygw.http.HttpFailure;
@@ -146,6 +147,7 @@
             fail(
                     failure.sent(),
                     failure.kind() == HttpFailure.Kind.TIMEOUT,
+                    failure.kind() == HttpFailure.Kind.WITHDRAWN,
                     failure.kind() + ": " + failure.detail());
         }
 
@@ -183,6 +185,11 @@
                 abort("answer of another request");
                 return;
             }
+            if (!mResponseHead.notice().equals(TargetNotice.NONE)) {
+                mEvents.accept(
+                        new GatewayEvent.TargetNoticed(
+                                mCaller.exchangeId(), mAttemptNumber, mResponseHead.notice()));
+            }
             mForwarding = !mNotRun && status < SERVER_ERROR;
             if (mForwarding) {
                 long exchangeId = mCaller.exchangeId();
@@ -195,13 +202,13 @@
 
         private void abort(String detail) {
             HttpCall call = mCall;
-            fail(true, false, detail);
+            fail(true, false, false, detail);
             if (call != null) {
                 call.cancel();
             }
         }
 
-        private void fail(boolean mayHaveRun, boolean timedOut, String detail) {
+        private void fail(boolean mayHaveRun, boolean timedOut, boolean withdrawn, String detail) {
             if (mDone) {
                 return;
             }
@@ -214,6 +221,7 @@
                             mayHaveRun,
                             mForwarding,
                             timedOut,
+                            withdrawn,
                             detail));
         }
     }
--- a/src/main/java/ebonygw/caller/GatewayServer.java
+++ b/src/main/java/ebonygw/caller/GatewayServer.java
@@ -117,6 +117,8 @@
     public void apply(GatewayEffect effect) {
         if (effect instanceof GatewayEffect.Attempt attempt) {
             onIoThread(attempt.exchange(), it -> it.send(attempt.request(), attempt.terms()));
+        } else if (effect instanceof GatewayEffect.WithdrawWaiting withdraw) {
+            mWorker.getIoThread().execute(() -> mTargets.withdrawWaiting(withdraw.address()));
         } else if (effect instanceof GatewayEffect.Cancel cancel) {
             onIoThread(cancel.exchange(), GatewayExchange::cancel);
         } else if (effect instanceof GatewayEffect.RelayHeldResponse relay) {
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -131,6 +131,53 @@
         }
     }
 
+    /**
+     * Applies a notice of the target that a request was sent to, unless another incarnation has
+     * taken its place.
+     *
+     * @return whether the target gets no new requests because of it
+     */
+    boolean onNotice(PendingRequest pending, TargetNotice notice, long nowNanos) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target == null || !target.record().incarnation().equals(pending.mTargetIncarnation)) {
+            return false;
+        }
+        GatewayTarget.Unavailability before = target.unavailability(nowNanos);
+        target.onNotice(notice, nowNanos);
+        GatewayTarget.Unavailability after = target.unavailability(nowNanos);
+        if (after != before || notice.pauseNanos() > 0) {
+            mOut.log(
+                    LogLine.of("target_noticed")
+                            .with("target", pending.mTargetId)
+                            .with("request", pending.mRequest.id())
+                            .with("leaving", notice.leaving())
+                            .with("pause_ms", notice.pauseNanos() / 1_000_000)
+                            .with("before", before)
+                            .with("after", after));
+        }
+        if (after != before) {
+            mOut.effect(new GatewayEffect.WithdrawWaiting(target.record().address()));
+        }
+        return after != before;
+    }
+
+    /**
+     * Returns how long it takes until the first of a service's paused targets accepts requests
+     * again, if no other of its targets remains.
+     */
+    Optional<Long> remainingPauseNanos(String service, long nowNanos) {
+        long earliest = Long.MAX_VALUE;
+        for (GatewayTarget target : mTargets.ofService(service)) {
+            GatewayTarget.Unavailability why = target.unavailability(nowNanos);
+            if (why == GatewayTarget.Unavailability.PAUSED) {
+                earliest = Math.min(earliest, target.pausedUntilNanos());
+            } else if (why != GatewayTarget.Unavailability.LEAVING) {
+                return Optional.empty();
+            }
+        }
+        return earliest == Long.MAX_VALUE ? Optional.empty() : Optional.of(earliest - nowNanos);
+    }
+
     /** Handles the rejection of a request that the target did not run. */
     void onRejected(PendingRequest pending, int status, long nowNanos) {
         GatewayTarget target = mTargets.get(pending.mTargetId);
@@ -174,6 +221,7 @@
         pending.mResponseHeld = false;
         pending.mAttempts++;
         pending.mTargetId = target.record().id();
+        pending.mTargetIncarnation = target.record().incarnation();
         pending.mTriedTargetIds.add(pending.mTargetId);
         String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.promptCache().cachedTokens(cacheOwner, request.promptParts());
--- a/src/main/java/ebonygw/gateway/GatewayEffect.java
+++ b/src/main/java/ebonygw/gateway/GatewayEffect.java
@@ -33,6 +33,13 @@
     record Ended(RequestKind kind, String outcome, long startNanos, long totalNanos)
             implements GatewayEffect {}
 
+    /**
+     * Take back the attempts at a target that still wait for a connection; each ends as withdrawn.
+     *
+     * @param address IP address and port of the target
+     */
+    record WithdrawWaiting(String address) implements GatewayEffect {}
+
     /** Ends the process with exit status 0. */
     record Exit() implements GatewayEffect {}
 
--- a/src/main/java/ebonygw/gateway/GatewayEvent.java
+++ b/src/main/java/ebonygw/gateway/GatewayEvent.java
@@ -47,6 +47,8 @@
      * @param started whether a part of the response has been passed on to the caller; the response
      *     is aborted then
      * @param deadlineExceeded whether it is past its deadline
+     * @param withdrawn whether it was taken back before it was sent, see {@link
+     *     GatewayEffect.WithdrawWaiting}
      * @param detail human-readable cause
      */
     record AttemptFailed(
@@ -55,9 +57,15 @@
             boolean mayHaveRun,
             boolean started,
             boolean deadlineExceeded,
+            boolean withdrawn,
             String detail)
             implements GatewayEvent {}
 
+    /**
+     * The head of a response has a notice of its target; precedes the other events of the response.
+     */
+    record TargetNoticed(long exchange, int attempt, TargetNotice notice) implements GatewayEvent {}
+
     /** A request of a caller has been received. */
     record RequestReceived(long exchange, GatewayRequest request) implements GatewayEvent {}
 
--- a/src/main/java/ebonygw/gateway/GatewayHeaders.java
+++ b/src/main/java/ebonygw/gateway/GatewayHeaders.java
@@ -42,6 +42,8 @@
      * @param requestId identifier of the request that it belongs to, empty if not given
      * @param notRun whether the target states that it did not run the request
      * @param load load that the target reports, empty if not given
+     * @param notice what else the target says about itself
      */
-    record ResponseHead(String requestId, boolean notRun, Optional<TargetLoad> load) {}
+    record ResponseHead(
+            String requestId, boolean notRun, Optional<TargetLoad> load, TargetNotice notice) {}
 }
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -100,6 +100,8 @@
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
         dump.put("wantedVersions", mOperator.wantedVersions());
+        dump.put("targetsLeaving", count(GatewayTarget.Unavailability.LEAVING, nowNanos));
+        dump.put("targetsPaused", count(GatewayTarget.Unavailability.PAUSED, nowNanos));
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
         dump.put("targets", targets);
@@ -126,6 +128,8 @@
             mRequests.onResponseEnded(ended, nowNanos);
         } else if (event instanceof GatewayEvent.ResponseHeld held) {
             mRequests.onResponseHeld(held, nowNanos);
+        } else if (event instanceof GatewayEvent.TargetNoticed noticed) {
+            mResidencyChanged |= mRequests.onTargetNoticed(noticed, nowNanos);
         } else if (event instanceof GatewayEvent.AttemptFailed failed) {
             mRequests.onAttemptFailed(failed, nowNanos);
         } else if (event instanceof GatewayEvent.PeerMessageReceived said) {
@@ -209,6 +213,10 @@
         }
     }
 
+    private long count(GatewayTarget.Unavailability why, long nowNanos) {
+        return mTargets.all().stream().filter(it -> it.unavailability(nowNanos) == why).count();
+    }
+
     /** Tells the guard of prompts that a target is gone, unless that was announced. */
     private void endIncarnation(TargetRecord record, long nowNanos) {
         if (!record.draining()) {
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -30,6 +30,20 @@
     /** Open adapter slots assumed until the loader reports them: enough for one adapter. */
     private static final int DEFAULT_OPEN_SLOTS = 1;
 
+    /** Why a target gets no new requests. */
+    enum Unavailability {
+        /** It gets them. */
+        NONE,
+        /** It is about to stop. */
+        LEAVING,
+        /** It asked for a pause. */
+        PAUSED,
+        /** It failed several times in a row. */
+        EJECTED,
+        /** It rejected a request a moment ago. */
+        REJECTED
+    }
+
     final TargetHealth mHealth;
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
     private final Map<String, Long> mAbsentUntilNanos = new HashMap<>();
@@ -64,8 +78,12 @@
     private int mEndedSinceReport;
     private long mAvoidUntilNanos = Long.MIN_VALUE;
 
-    GatewayTarget(TargetRecord record, RouterOptions options) {
+    /** Notices of the present incarnation. */
+    private IncarnationNotices.Held mNotices;
+
+    GatewayTarget(TargetRecord record, IncarnationNotices.Held notices, RouterOptions options) {
         mHealth = new TargetHealth(options);
+        mNotices = notices;
         mRecord = record;
         mAdapters.putAll(record.adapters());
     }
@@ -90,7 +108,31 @@
 
     /** Returns whether new requests may be sent to the target. */
     boolean isUsable(long nowNanos) {
-        return !mRecord.draining() && !mHealth.isEjected(nowNanos) && nowNanos >= mAvoidUntilNanos;
+        return unavailability(nowNanos) == Unavailability.NONE;
+    }
+
+    /** Returns whether the target is about to stop, by its registration or its own notice. */
+    boolean isLeaving() {
+        return mRecord.draining() || mNotices.isLeaving();
+    }
+
+    /** Returns why no new requests may be sent to the target. */
+    Unavailability unavailability(long nowNanos) {
+        if (isLeaving()) {
+            return Unavailability.LEAVING;
+        }
+        if (mNotices.isPaused(nowNanos)) {
+            return Unavailability.PAUSED;
+        }
+        if (mHealth.isEjected(nowNanos)) {
+            return Unavailability.EJECTED;
+        }
+        return nowNanos < mAvoidUntilNanos ? Unavailability.REJECTED : Unavailability.NONE;
+    }
+
+    /** Returns when the latest pause ends, {@link Long#MIN_VALUE} if there was none. */
+    long pausedUntilNanos() {
+        return mNotices.pausedUntilNanos();
     }
 
     /** Returns the estimated number of requests that run or wait at the target. */
@@ -214,6 +256,11 @@
         }
     }
 
+    /** Applies a notice of the target's present incarnation. */
+    void onNotice(TargetNotice notice, long nowNanos) {
+        mNotices.apply(notice, nowNanos);
+    }
+
     /** Applies the number of open adapter slots that the loader reported. */
     void onOpenAdapterSlots(int count) {
         mOpenAdapterSlots = count;
@@ -236,7 +283,8 @@
      * Applies a newer registration. For a new incarnation, discards the cached prompts, loads in
      * progress and adapters of the former one.
      */
-    void onRegistration(TargetRecord record) {
+    void onRegistration(TargetRecord record, IncarnationNotices.Held notices) {
+        mNotices = notices;
         boolean sameIncarnation = mRecord.isSameIncarnation(record);
         mRecord = record;
         if (!sameIncarnation) {
@@ -300,9 +348,8 @@
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("address", mRecord.address());
         dump.put("service", mRecord.service());
-        dump.put("draining", mRecord.draining());
+        dump.put("unavailability", unavailability(nowNanos));
         dump.put("load", load(nowNanos));
-        dump.put("ejected", mHealth.isEjected(nowNanos));
         dump.put("loaderUp", mLoaderUp);
         dump.put("adapters", Map.copyOf(mAdapters));
         dump.put("loading", List.copyOf(mLoading));
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -42,6 +42,9 @@
     /** Target of the current attempt, empty between attempts. */
     String mTargetId = "";
 
+    /** Incarnation of that target when the request was sent. */
+    String mTargetIncarnation = "";
+
     /** Prompt tokens that the current target still has to prefill, 0 once it responds. */
     long mPrefillTokens;
 
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -103,7 +103,12 @@
         if (failed.started() && !failed.deadlineExceeded() && target != null) {
             mGuard.onBroken(pending, target, nowNanos);
         }
-        mAttempts.endAttempt(pending, false, nowNanos);
+        mAttempts.endAttempt(pending, failed.withdrawn(), nowNanos);
+        if (failed.withdrawn()) {
+            count("withdrawn");
+            dispatch(pending, nowNanos);
+            return;
+        }
         pending.mMayHaveRun |= failed.mayHaveRun();
         pending.mPossibleRuns += failed.mayHaveRun() ? 1 : 0;
         if (failed.started() || failed.deadlineExceeded()) {
@@ -182,7 +187,12 @@
         if (!held.run()) {
             mAttempts.onRejected(pending, held.status(), nowNanos);
         }
-        mAttempts.endAttempt(pending, !held.run() || held.status() < 500, nowNanos);
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        boolean paused =
+                target != null
+                        && target.unavailability(nowNanos) == GatewayTarget.Unavailability.PAUSED;
+        boolean succeeded = !held.run() || held.status() < 500 || paused;
+        mAttempts.endAttempt(pending, succeeded, nowNanos);
         pending.mResponseHeld = true;
         pending.mMayHaveRun |= held.run();
         pending.mPossibleRuns += held.run() ? 1 : 0;
@@ -201,6 +211,20 @@
         mAttempts.onLoad(pending, started.load(), nowNanos);
     }
 
+    /**
+     * Applies a notice of a target.
+     *
+     * @return whether requests that wait for an adapter have to be dispatched again
+     */
+    boolean onTargetNoticed(GatewayEvent.TargetNoticed noticed, long nowNanos) {
+        PendingRequest pending = ofCurrentAttempt(noticed.exchange(), noticed.attempt());
+        if (pending == null) {
+            return false;
+        }
+        count(noticed.notice().leaving() ? "target_leaving_noticed" : "target_pause_noticed");
+        return mAttempts.onNotice(pending, noticed.notice(), nowNanos);
+    }
+
     private void count(String what) {
         mCounts.merge(what, 1L, Long::sum);
     }
@@ -229,11 +253,13 @@
         }
         TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
         if (choice == null) {
+            Optional<Long> pause = mAttempts.remainingPauseNanos(pending.mService, nowNanos);
             refuse(
                     pending,
                     pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
-                    "no target of " + pending.mService,
-                    UNAVAILABLE_RETRY_NANOS,
+                    (pause.isPresent() ? "all targets pause of " : "no target of ")
+                            + pending.mService,
+                    Math.max(UNAVAILABLE_RETRY_NANOS, pause.orElse(0L)),
                     nowNanos);
         } else if (choice.startNanos() > remaining) {
             refuse(
--- a/src/main/java/ebonygw/gateway/PromptGuard.java
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -99,7 +99,7 @@
 
     /** Handles that the response of a target broke off. */
     void onBroken(PendingRequest pending, GatewayTarget target, long nowNanos) {
-        if (target.record().draining()) {
+        if (target.isLeaving()) {
             return;
         }
         mQuarantine.onBroken(
--- a/src/main/java/ebonygw/gateway/TargetTable.java
+++ b/src/main/java/ebonygw/gateway/TargetTable.java
@@ -11,6 +11,7 @@
 /** The targets that an entry knows, by instance, service and loader. Not thread-safe. */
 final class TargetTable {
     private final RouterOptions mOptions;
+    private final IncarnationNotices mNotices = new IncarnationNotices();
     private final Map<String, GatewayTarget> mById = new LinkedHashMap<>();
     private final Map<String, Map<String, GatewayTarget>> mByService = new HashMap<>();
 
@@ -39,13 +40,13 @@
     GatewayTarget put(TargetRecord record) {
         GatewayTarget known = mById.get(record.id());
         if (known == null) {
-            known = new GatewayTarget(record, mOptions);
+            known = new GatewayTarget(record, mNotices.of(record.incarnation()), mOptions);
             mById.put(record.id(), known);
         } else {
             if (!known.record().service().equals(record.service())) {
                 mByService.getOrDefault(known.record().service(), Map.of()).remove(record.id());
             }
-            known.onRegistration(record);
+            known.onRegistration(record, mNotices.of(record.incarnation()));
         }
         mByService
                 .computeIfAbsent(record.service(), s -> new LinkedHashMap<>())
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -144,6 +144,19 @@
         send(prepare(request, timeoutNanos, handler));
     }
 
+    /** Fails all requests that still wait for a connection, as not sent. */
+    public void withdrawWaiting() {
+        execute(
+                () -> {
+                    for (HttpCall call : List.copyOf(mWaiting)) {
+                        mWaiting.remove(call);
+                        call.fail(
+                                new HttpFailure(
+                                        HttpFailure.Kind.WITHDRAWN, false, "withdrawn unsent"));
+                    }
+                });
+    }
+
     /** Runs a task on the IO thread; returns false if the IO thread has been shut down. */
     public boolean execute(Runnable task) {
         try {
--- a/src/main/java/ebonygw/http/HttpFailure.java
+++ b/src/main/java/ebonygw/http/HttpFailure.java
@@ -23,7 +23,9 @@
         /** Too many requests are waiting for a connection. */
         OVERLOADED,
         /** The request timed out. */
-        TIMEOUT
+        TIMEOUT,
+        /** The request was taken back while it waited for a connection. */
+        WITHDRAWN
     }
 
     /**
--- a/src/main/java/ebonygw/target/TargetForwarder.java
+++ b/src/main/java/ebonygw/target/TargetForwarder.java
@@ -70,6 +70,18 @@
         return call;
     }
 
+    /**
+     * Fails the requests to a target that still wait for a connection, as not sent.
+     *
+     * @param address IP address and port of the target, separated by a colon
+     */
+    public void withdrawWaiting(String address) {
+        HttpClient client = mClients.get(address);
+        if (client != null) {
+            client.withdrawWaiting();
+        }
+    }
+
     private HttpClient client(String address, int maxConnections) {
         int colon = address.lastIndexOf(':');
         InetSocketAddress server =
--- a/src/main/java/ebonygw/target/TargetRequests.java
+++ b/src/main/java/ebonygw/target/TargetRequests.java
@@ -96,7 +96,7 @@
                 switch (failure.kind()) {
                     case BROKEN -> RefusalCode.BROKEN_ANSWER;
                     case CANCELLED -> RefusalCode.CANCELLED;
-                    case CONNECT -> RefusalCode.UNAVAILABLE;
+                    case CONNECT, WITHDRAWN -> RefusalCode.UNAVAILABLE;
                     case LOST -> RefusalCode.LOST;
                     case OVERLOADED -> RefusalCode.OVERLOADED;
                     case TIMEOUT -> RefusalCode.DEADLINE;
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -192,7 +192,7 @@
     void fail(long exchange, int attempt, boolean mayHaveRun) {
         handle(
                 new GatewayEvent.AttemptFailed(
-                        exchange, attempt, mayHaveRun, false, false, "connection lost"));
+                        exchange, attempt, mayHaveRun, false, false, false, "connection lost"));
     }
 
     void handle(GatewayEvent event) {
--- a/src/test/java/ebonygw/gateway/GatewayFleet.java
+++ b/src/test/java/ebonygw/gateway/GatewayFleet.java
@@ -544,6 +544,7 @@
                             sent,
                             mBegun,
                             false,
+                            false,
                             mBegun ? "BROKEN" : "LOST"));
         }
     }
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -27,7 +27,9 @@
     private static GatewayTarget target(TargetRecord record) {
         GatewayTarget target =
                 new GatewayTarget(
-                        record, RouterOptions.defaults(new NodeId("e"), GatewayFixture.KINGSTON));
+                        record,
+                        new IncarnationNotices().of(record.incarnation()),
+                        RouterOptions.defaults(new NodeId("e"), GatewayFixture.KINGSTON));
         target.setLoader(GatewayFixture.loader(record.host()));
         target.onLoaderUp();
         return target;
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -323,6 +323,41 @@
         }
     }
 
+    // Guards against new work for a replica that has said with a response that it stops.
+    @Test
+    void aReplicaThatLeavesByItsResponseGetsNoFurtherRequest() throws IOException {
+        mReplica.script(
+                ScriptedResponse.status(200, "Server-Leaving: 1\r\n", "last"),
+                ScriptedResponse.status(200, "", "more"));
+
+        RawCaller.Response last = request(IDEMPOTENT_PATH);
+        RawCaller.Response next = request(IDEMPOTENT_PATH);
+
+        assertThat(last.body()).isEqualTo("last");
+        assertThat(last.head()).contains("server-leaving: 1");
+        assertThat(next.status()).isEqualTo(503);
+        assertThat(next.body()).contains("not_run");
+        assertThat(mReplica.requests()).hasSize(1);
+    }
+
+    // Guards against requests to a replica that has asked for a pause.
+    @Test
+    void aReplicaThatPausesGetsNoRequestBeforeTheEnd() throws Exception {
+        mReplica.script(
+                ScriptedResponse.status(503, "Not-Executed: 1\r\nRetry-After: 0.8\r\n", ""),
+                ScriptedResponse.status(200, "", "after"));
+
+        RawCaller.Response paused = request(IDEMPOTENT_PATH);
+        RawCaller.Response early = request(IDEMPOTENT_PATH);
+
+        assertThat(paused.status()).isEqualTo(503);
+        assertThat(early.status()).isEqualTo(503);
+        assertThat(early.head()).containsPattern("retry-after: 0\\.[5-8]");
+        assertThat(mReplica.requests()).hasSize(1);
+        Thread.sleep(900);
+        assertThat(request(IDEMPOTENT_PATH).body()).isEqualTo("after");
+    }
+
     // Guards against a caller that sends a request without end, however fast.
     @ParameterizedTest
     @CsvSource(
--- a/src/test/java/ebonygw/platform/PlatformHeadersTest.java
+++ b/src/test/java/ebonygw/platform/PlatformHeadersTest.java
@@ -7,10 +7,13 @@
 import ebonygw.gateway.GatewayRequest;
 import ebonygw.gateway.GatewayRequest.PromptPart;
 import ebonygw.gateway.TargetLoad;
+import ebonygw.gateway.TargetNotice;
 import ebonygw.settings.CallerKeys;
 import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class PlatformHeadersTest {
     private static final AttemptTerms TERMS =
@@ -24,6 +27,40 @@
         return mHeaders.read("POST", "host.example", "/a/1?x=2", all, ByteString.EMPTY).get();
     }
 
+    private TargetNotice notice(int status, String name, String value) {
+        return mHeaders.parseResponse(status, Map.of(name, value)).notice();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "2         | 2000",
+                "0.25      | 250",
+                "1, 3      | 3000",
+                "x, 1      | 1000",
+                "-1        | 0",
+                "0         | 0",
+                "soon      | 0",
+                "NaN       | 0",
+                "''        | 0",
+                "Infinity  | 86400000",
+                "1e300     | 86400000",
+            })
+    void aPauseIsTheLongestValidNumberOfSecondsUpToADay(String value, long millis) {
+        assertThat(notice(503, "retry-after", value).pauseNanos()).isEqualTo(millis * 1_000_000);
+        assertThat(notice(429, "retry-after", value)).isEqualTo(TargetNotice.NONE);
+    }
+
+    @Test
+    void anInstanceLeavesIfItSaysSoInAnyResponse() {
+        for (int status : new int[] {200, 404, 421, 500, 503}) {
+            assertThat(notice(status, "server-leaving", "1").leaving()).isTrue();
+            assertThat(notice(status, "server-leaving", "1, 1").leaving()).isTrue();
+            assertThat(notice(status, "server-leaving", "0").leaving()).isFalse();
+        }
+    }
+
     @Test
     void theModelFieldNamesTheAdapterAfterASlash() {
         GatewayRequest request = read(Map.of("model", "m0/a7", "token-usage", "1460,80"));
