--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -197,6 +197,7 @@
 
     /** Reports a response that is malformed or exceeds a limit. */
     private void giveUp(String fault) {
+        ResponseMemory.ofProcess().countGivenUp();
         LogLine.of("response_given_up")
                 .with("server", mClient.host())
                 .with("started", mResponseStarted)
--- a/src/main/java/ebonygw/http/HttpConnection.java
+++ b/src/main/java/ebonygw/http/HttpConnection.java
@@ -207,13 +207,13 @@
     private void checkLimits(Exchange exchange) {
         long framing = mReadBytes - mBodyBytes;
         if (!mStarted && framing > MAX_HEAD_BYTES) {
-            malformed(exchange, "the head is too long, bytes=" + framing);
+            exchange.malformed("the head is too long, bytes=" + framing);
         } else if (framing > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * mBodyBytes) {
-            malformed(exchange, "the framing is too long, bytes=" + framing);
+            exchange.malformed("the framing is too long, bytes=" + framing);
         } else {
             long reserved = mMemory.reserve(mReservedBytes, mUnparsedBytes);
             if (reserved < 0) {
-                malformed(exchange, "too many long heads at once, bytes=" + mUnparsedBytes);
+                exchange.malformed("too many long heads at once, bytes=" + mUnparsedBytes);
             } else {
                 mReservedBytes = reserved;
             }
@@ -258,7 +258,7 @@
             exchange.part(body);
         }
         if (mExchange == exchange && !fault.isEmpty()) {
-            malformed(exchange, fault);
+            exchange.malformed(fault);
         } else if (mExchange == exchange && ended) {
             end(exchange);
         } else if (mExchange == exchange) {
@@ -281,11 +281,6 @@
         }
     }
 
-    private void malformed(Exchange exchange, String fault) {
-        mMemory.countGivenUp();
-        exchange.malformed(fault);
-    }
-
     private void onConnectionEnd() {
         Exchange exchange = mExchange;
         if (exchange != null && mStarted && mEndsWithConnection) {
