A success is forwarded only with its request's identifier and a signature

Cause: bytes that parse as a head were taken for the response to the request if they named no other request; a missing identifier counted as a match and the signature was not looked at.

Fix: a 2xx response without the identifier of its request or without a signature is given up as 'may have run'; a status outside the known classes is malformed. The stand-in of a replica signs what it identifies.

Test: EntryOnPlatformTest.aSuccessWithoutTheIdentifierOrTheSignatureIsNotForwarded, failed before (the first of five heads was forwarded).

--- a/src/main/java/ebonygw/caller/GatewayExchange.java
+++ b/src/main/java/ebonygw/caller/GatewayExchange.java
@@ -31,6 +31,8 @@
      */
     private static final int MAX_UNSENT_PARTS = 64;
 
+    private static final int STATUS_CLASS = 100;
+    private static final int SUCCESS_CLASS = 2;
     private static final int SERVER_ERROR = 500;
 
     /** Sends attempts to targets. */
@@ -185,6 +187,11 @@
                 abort("answer of another request");
                 return;
             }
+            boolean success = status / STATUS_CLASS == SUCCESS_CLASS;
+            if (success && (mResponseHead.requestId().isEmpty() || !mResponseHead.signed())) {
+                abort("success without identifier or signature");
+                return;
+            }
             if (!mResponseHead.notice().equals(TargetNotice.NONE)) {
                 mEvents.accept(
                         new GatewayEvent.TargetNoticed(
--- a/src/main/java/ebonygw/http/HttpConnection.java
+++ b/src/main/java/ebonygw/http/HttpConnection.java
@@ -240,7 +240,7 @@
             } else {
                 mUnparsedBytes = mDecoder.undecodedBytes();
                 if (next instanceof HttpResponse response) {
-                    start(exchange, response);
+                    fault = start(exchange, response);
                 }
                 if (next instanceof HttpContent content && mStarted) {
                     body = body.concat(ByteString.copyFrom(content.content().nioBuffer()));
@@ -326,12 +326,21 @@
         mReservedBytes = 0;
     }
 
-    /** Handles a head; informational ones precede the final one and have no body. */
-    private void start(Exchange exchange, HttpResponse response) {
-        if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+    /**
+     * Handles a head; informational ones precede the final one and have no body.
+     *
+     * @return why the head is malformed, empty if it is not
+     */
+    private String start(Exchange exchange, HttpResponse response) {
+        HttpStatusClass statusClass = response.status().codeClass();
+        if (statusClass == HttpStatusClass.UNKNOWN) {
+            return "unknown status " + response.status().code();
+        }
+        if (statusClass != HttpStatusClass.INFORMATIONAL) {
             mStarted = true;
             exchange.started(response);
         }
+        return "";
     }
 
     private void write() {
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -323,6 +323,26 @@
         }
     }
 
+    // Guards against bytes of a faulty replica that look like a response but belong to no request.
+    @Test
+    void aSuccessWithoutTheIdentifierOrTheSignatureIsNotForwarded() throws IOException {
+        List<String> heads =
+                List.of(
+                        "HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nstray",
+                        "HTTP/1.1 200 X\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nstray",
+                        "HTTP/1.1 200\r\nConnection: close\r\n\r\n",
+                        "HTTP/1.1 20\r\nAttempt-Id: REQUEST\r\nConnection: close\r\n\r\n",
+                        "HTTP/1.1 200 X\r\nAttempt-Id: r5\r\nContent-Length: 5\r\n\r\nstray");
+        for (String head : heads) {
+            mReplica.script(ScriptedResponse.of(head));
+
+            RawCaller.Response response = request(NON_IDEMPOTENT_PATH);
+
+            assertThat(response.status()).as(head).isEqualTo(502);
+            assertThat(response.body()).contains("may_have_run");
+        }
+    }
+
     // Guards against new work for a replica that has said with a response that it stops.
     @Test
     void aReplicaThatLeavesByItsResponseGetsNoFurtherRequest() throws IOException {
--- a/src/test/java/ebonygw/platform/ScriptedReplica.java
+++ b/src/test/java/ebonygw/platform/ScriptedReplica.java
@@ -20,6 +20,9 @@
 final class ScriptedReplica implements AutoCloseable {
     private static final String CONTENT_LENGTH = "content-length";
 
+    /** Responses with the id of their request are signed as well. */
+    private static final String ECHOED_ID = "Attempt-Id: REQUEST\r\n";
+
     /**
      * Bytes to send.
      *
@@ -114,8 +117,12 @@
                 if (response == null) {
                     return;
                 }
+                boolean signed = response.text().contains("Server-Signature");
+                String signature = signed ? "" : "Server-Signature: s-REQUEST\r\n";
                 String text =
-                        response.text().replace("REQUEST", fields.getOrDefault("attempt-id", ""));
+                        response.text()
+                                .replace(ECHOED_ID, ECHOED_ID + signature)
+                                .replace("REQUEST", fields.getOrDefault("attempt-id", ""));
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
                 if (response.reset()) {
                     Thread.sleep(50);
