Soak: heads without end from replicas and the store, notices of replicas

One in four faults is accompanied by responses of a replica or of the store that are replaced by a head without end; the random numbers of the other faults stay as they were. After the faults a replica leaves by its responses only and another one pauses; both check what still reaches them. Tests of the store client and of the loader's client with responses without end.

--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -25,6 +25,15 @@
 
     private static final int FAULT_KINDS = 15;
 
+    /** One in so many faults is accompanied by responses without end. */
+    private static final int ENDLESS_PERIOD = 4;
+
+    /** Separates the random numbers of responses without end from those of other faults. */
+    private static final long ENDLESS_SEED = 1L << 40;
+
+    /** Duration of the notices of replicas: the drain bound, and time to see requests after it. */
+    private static final long NOTICE_MILLIS = 7_000;
+
     /** Time after the last fault within which the whole fleet must serve again. */
     private static final long RECOVERY_MILLIS = 6_000;
 
@@ -36,6 +45,7 @@
     private final SoakRecorder mRecorder = new SoakRecorder();
     private final SplittableRandom mRandom;
     private final SplittableRandom mCrashRandom;
+    private final SplittableRandom mEndlessRandom;
     private final List<Thread> mRecoveryThreads = new ArrayList<>();
     private final long mSeed;
     private SoakFleet mFleet;
@@ -44,6 +54,7 @@
         mSeed = seed;
         mRandom = new SplittableRandom(seed);
         mCrashRandom = new SplittableRandom(~seed);
+        mEndlessRandom = new SplittableRandom(seed + ENDLESS_SEED);
     }
 
     /**
@@ -102,6 +113,9 @@
             while (System.nanoTime() < endNanos) {
                 mRecorder.setCrashing(mCrashRandom.nextInt(8) > 0);
                 injectFault(mRandom.nextInt(FAULT_KINDS));
+                if (mEndlessRandom.nextInt(ENDLESS_PERIOD) == 0) {
+                    injectEndlessResponses();
+                }
                 TimeUnit.MILLISECONDS.sleep(100 + mRandom.nextInt(1_500));
             }
             for (Thread thread : mRecoveryThreads) {
@@ -113,6 +127,7 @@
             fleet.awaitReady();
             fleet.checkPreviousRouteRemoved();
             checkServing();
+            checkNotices();
             checkCrashesEnd();
             callers.forEach(SoakCaller::stop);
             for (Thread thread : threads) {
@@ -143,6 +158,21 @@
         mRecorder.setCrashing(false);
     }
 
+    /** Checks that entries heed what replicas say with their responses before the store says so. */
+    private void checkNotices() throws InterruptedException {
+        int leavingIndex = SoakFleet.ENGINES;
+        SoakReplica leaving = mFleet.mReplicas.get(leavingIndex);
+        SoakReplica pausing = mFleet.mReplicas.get(SoakFleet.ENGINES + 1);
+        leaving.notices().setLeaving(true);
+        pausing.notices().pause(NOTICE_MILLIS / 2);
+        TimeUnit.MILLISECONDS.sleep(NOTICE_MILLIS);
+        if (leaving.notices().toldCount() == 0 || pausing.notices().toldCount() == 0) {
+            mRecorder.recordViolation("no entry was told that a replica leaves or pauses");
+        }
+        leaving.notices().setLeaving(false);
+        mFleet.restartReplica(leavingIndex);
+    }
+
     private void injectConnectionFault(SoakProxy proxy, SoakProxy.Fault fault, long millis) {
         proxy.setFault(fault, 50 + millis / 20);
         recoverAfter(
@@ -156,6 +186,18 @@
                 });
     }
 
+    /** Replaces the responses of a replica or of the store by heads that do not end. */
+    private void injectEndlessResponses() {
+        List<SoakProxy> proxies =
+                mEndlessRandom.nextBoolean() ? mFleet.mReplicaProxies : mFleet.mStoreProxies;
+        mFleet.recordDisturbance();
+        injectConnectionFault(
+                proxies.get(mEndlessRandom.nextInt(proxies.size())),
+                SoakProxy.Fault.ENDLESS_RESPONSES,
+                300 + mEndlessRandom.nextInt(2_000));
+        mRecorder.count("fault endless");
+    }
+
     private void injectFault(int kind) throws IOException {
         int entry = mRandom.nextInt(SoakFleet.ENTRIES);
         int engine = mRandom.nextInt(SoakFleet.ENGINES);
--- a/src/test/java/ebonygw/platform/ReplicaClientTest.java
+++ b/src/test/java/ebonygw/platform/ReplicaClientTest.java
@@ -4,6 +4,7 @@
 
 import ebonygw.gateway.TargetOrder;
 import ebonygw.gateway.TargetStatus;
+import ebonygw.http.FloodingServer;
 import ebonygw.http.HttpClient;
 import ebonygw.platform.ScriptedReplica.ScriptedResponse;
 import java.io.IOException;
@@ -15,6 +16,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.XnioWorker;
 
 class ReplicaClientTest {
@@ -54,6 +57,25 @@
         return (TargetStatus) read.orElseThrow();
     }
 
+    // Guards against a report without end, which would occupy the loader until its time limit.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK~X-Filler: ",
+                "HTTP/1.1 200 OK~~{",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2;"
+            })
+    void aReportWithoutEndIsGivenUp(String start) throws Exception {
+        try (FloodingServer flooding = new FloodingServer(start, "x")) {
+            ReplicaClient client = new ReplicaClient(mWorker, flooding.address(), "side-1");
+            client.readStatus("", mResults::add);
+
+            assertThat(mResults.poll(10, TimeUnit.SECONDS)).isEqualTo(Optional.empty());
+            assertThat(flooding.sent().poll(10, TimeUnit.SECONDS))
+                    .isLessThan(FloodingServer.MAX_ACCEPTED_BYTES);
+        }
+    }
+
     @Test
     void aReportYieldsLoadedAdaptersAndCountsOfRunningAndUnstartedRequests() throws Exception {
         mReplica.script(report(7), ScriptedResponse.status(200, "Instance-Id: i-1\r\n", ""));
--- a/src/test/java/ebonygw/platform/SoakCaller.java
+++ b/src/test/java/ebonygw/platform/SoakCaller.java
@@ -52,6 +52,13 @@
         mCrashRandom = new SplittableRandom(~seed);
     }
 
+    /**
+     * Returns the entry that a request was sent to, by the number of its caller or of its probe.
+     */
+    static int entry(String requestId) {
+        return Integer.parseInt(requestId.split("-")[1]) % SoakFleet.ENTRIES;
+    }
+
     /** Decides whether a lost or late response counts as a violation. */
     @FunctionalInterface
     interface DisturbanceCheck {
--- a/src/test/java/ebonygw/platform/SoakProxy.java
+++ b/src/test/java/ebonygw/platform/SoakProxy.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -27,6 +28,8 @@
         DELAY,
         /** Bytes of the server are dropped. */
         DROP_RESPONSES,
+        /** Bytes of the server are replaced by a head that does not end. */
+        ENDLESS_RESPONSES,
         /** Bytes of both sides are dropped, and the end of a connection is not forwarded. */
         DROP_ALL
     }
@@ -112,6 +115,9 @@
                 if (fault == Fault.DELAY) {
                     Thread.sleep(mDelayMillis);
                 }
+                if (fault == Fault.ENDLESS_RESPONSES && fromServer) {
+                    flood(output);
+                }
                 boolean dropped =
                         fault == Fault.DROP_ALL || fault == Fault.DROP_RESPONSES && fromServer;
                 if (!dropped) {
@@ -130,6 +136,16 @@
         }
     }
 
+    /** Sends a head until the client closes the connection or the fault is over. */
+    private void flood(OutputStream output) throws IOException {
+        byte[] block = "x".repeat(BUFFER_BYTES).getBytes(StandardCharsets.US_ASCII);
+        output.write("HTTP/1.1 200 OK\r\nX-Filler: ".getBytes(StandardCharsets.US_ASCII));
+        while (mFault == Fault.ENDLESS_RESPONSES) {
+            output.write(block);
+        }
+        throw new IOException("a head was left unfinished");
+    }
+
     private static void startThread(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
--- a/src/test/java/ebonygw/platform/SoakReplica.java
+++ b/src/test/java/ebonygw/platform/SoakReplica.java
@@ -34,6 +34,7 @@
     private final SoakRecorder mRecorder;
     private final String mName;
     private final boolean mEngine;
+    private final SoakNotices mNotices;
     private final LoopbackServer mServer;
     private final Map<String, Long> mAdapters = new TreeMap<>();
     private final Map<String, Long> mLoadStartedAtMillis = new TreeMap<>();
@@ -55,6 +56,7 @@
         mName = name;
         mEngine = engine;
         mRecorder = recorder;
+        mNotices = new SoakNotices(name, recorder);
         mServer = new LoopbackServer(64, this::handle);
     }
 
@@ -81,6 +83,10 @@
         mFencingToken = 0;
     }
 
+    SoakNotices notices() {
+        return mNotices;
+    }
+
     synchronized String instance() {
         return mName + '-' + mStartCount;
     }
@@ -204,6 +210,9 @@
             throws IOException, InterruptedException {
         String id = header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(new HttpString("Attempt-Id"), id);
+        if (mNotices.apply(exchange, id, System.nanoTime())) {
+            return;
+        }
         if (!header(exchange, "Expect-Instance").equals(instance())
                 || !isLoaded(header(exchange, "Model"), System.currentTimeMillis())) {
             exchange.getResponseHeaders().put(new HttpString("Not-Executed"), "1");
--- a/src/test/java/ebonygw/platform/StoreClientTest.java
+++ b/src/test/java/ebonygw/platform/StoreClientTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
+import ebonygw.http.FloodingServer;
 import ebonygw.http.HttpClient;
 import ebonygw.keyvalue.KeyValueRequest;
 import ebonygw.keyvalue.KeyValueResponse;
@@ -14,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.XnioWorker;
 
 class StoreClientTest {
@@ -56,6 +59,34 @@
                 List.of(new KeyValueRequest.Write(key, ByteString.copyFromUtf8("v"), 0)));
     }
 
+    // Guards against a response of the store without end, after which a write may have taken
+    // effect.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK~X-Filler: ",
+                "HTTP/1.1 200 OK~Content-Length: 900000000~~{",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2;"
+            })
+    void aResponseWithoutEndIsAFailedCall(String start) throws Exception {
+        try (FloodingServer flooding = new FloodingServer(start, "x")) {
+            StoreClient client =
+                    new StoreClient(
+                            mWorker,
+                            flooding.address(),
+                            new StoreClient.WatchTimes(200, 1_000_000_000L, 0));
+            client.send(1, new KeyValueRequest.Range("p/", "p0", 0), mReplies::add);
+            assertThat(((KeyValueResponse.Failed) reply()).mayHaveTakenEffect()).isFalse();
+            client.send(2, write("p/1", 0), mReplies::add);
+            assertThat(((KeyValueResponse.Failed) reply()).mayHaveTakenEffect()).isTrue();
+
+            for (int i = 0; i < 2; i++) {
+                assertThat(flooding.sent().poll(10, TimeUnit.SECONDS))
+                        .isLessThan(FloodingServer.MAX_ACCEPTED_BYTES);
+            }
+        }
+    }
+
     @Test
     void thePagesOfARangeAreCombinedIntoOneReply() throws InterruptedException {
         mStore.setPageSize(2);
