--- a/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
+++ b/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
@@ -1,9 +1,11 @@
 package ebonygw.gateway;
 
+import ebonygw.log.LogLine;
 import ebonygw.retry.RetryBudget;
 import ebonygw.retry.RetryOptions;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -17,12 +19,14 @@
     static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
     private final GatewayOptions mOptions;
+    private final GatewayOutbox mOut;
     private final Map<String, RetryBudget> mByService = new HashMap<>();
     private RetryOptions mRetryOptions;
     private int mEntries;
 
-    FleetRetryBudgets(GatewayOptions options) {
+    FleetRetryBudgets(GatewayOptions options, GatewayOutbox out) {
         mOptions = options;
+        mOut = out;
         onEntries(1);
     }
 
@@ -31,6 +35,13 @@
         budget(service, nowNanos).deposit(mRetryOptions.targetRetryPercent(), nowNanos);
     }
 
+    /** Returns the balance of each service, for diagnostics. */
+    Map<String, Object> dump() {
+        Map<String, Object> balances = new TreeMap<>();
+        mByService.forEach((service, budget) -> balances.put(service, budget.balance()));
+        return balances;
+    }
+
     /** Returns how many entries the fleet's retry budget is divided among. */
     int entries() {
         return mEntries;
@@ -41,6 +52,11 @@
         if (entries == mEntries) {
             return;
         }
+        mOut.log(
+                LogLine.of("retry_budget_divided")
+                        .with("entries", entries)
+                        .with("previous", mEntries)
+                        .with("balances", dump()));
         mEntries = entries;
         // The budget starts full and also refills within the window, hence half for each.
         double extra = mOptions.retryExtra() / entries / 2;
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -96,6 +96,7 @@
         dump.put("ages", ages);
         dump.put("counts", Map.copyOf(mRequests.counts()));
         dump.put("quota", mQuota.dump());
+        dump.put("retryBudgets", mRequests.retryBudgets());
         Map<String, List<String>> blocked = mGuard.blockedParts();
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
--- a/src/main/java/ebonygw/gateway/OperatorState.java
+++ b/src/main/java/ebonygw/gateway/OperatorState.java
@@ -23,6 +23,9 @@
     private final Map<String, Long> mWantedVersions = new HashMap<>();
     private GatewaySettings mSettings;
 
+    /** Age of this state just before the last response; -1 if it was the first. */
+    private long mPreviousAgeMillis = -1;
+
     /**
      * Creates a state without a configuration.
      *
@@ -63,8 +66,10 @@
      * @return whether it belongs to a request of this object
      */
     boolean onResponse(long requestId, KeyValueResponse response, long nowNanos) {
+        long ageMillis = ageMillis(nowNanos);
         boolean handled = mMirror.onResponse(requestId, response, nowNanos);
         if (handled) {
+            mPreviousAgeMillis = ageMillis;
             applyChanges(nowNanos);
         }
         return handled;
@@ -125,7 +130,10 @@
             return;
         }
         mSettings = settings;
-        mOut.log(LogLine.of("configuration_in_force").with("revision", settings.revision()));
+        mOut.log(
+                LogLine.of("configuration_in_force")
+                        .with("revision", settings.revision())
+                        .with("previous_age_ms", mPreviousAgeMillis));
         mListener.onSettings(settings, nowNanos);
     }
 
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -58,7 +58,7 @@
         mTargets = targets;
         mOut = out;
         mAdmission = new GatewayAdmission(operator);
-        mRetries = new FleetRetryBudgets(options);
+        mRetries = new FleetRetryBudgets(options, out);
         mAttempts =
                 new GatewayAttempts(
                         operator,
@@ -73,6 +73,11 @@
         return mCounts;
     }
 
+    /** Returns the retry budget of each service, for diagnostics. */
+    Map<String, Object> retryBudgets() {
+        return mRetries.dump();
+    }
+
     /** Returns the number of requests that have not ended. */
     int size() {
         return mByExchange.size();
@@ -390,6 +395,9 @@
                         .with("repeatable", repeatable)
                         .with("attempts_left", attemptsLeft)
                         .with("retry", allowed));
+        if (repeatable && attemptsLeft) {
+            count(allowed ? "retry_allowed" : "retry_over_budget");
+        }
         if (allowed) {
             dispatch(pending, nowNanos);
         } else if (pending.mMayHaveRun) {
--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -84,9 +84,7 @@
             abort(HttpFailure.Kind.TIMEOUT, "time limit passed");
             return false;
         }
-        mTimer =
-                mClient.timer(
-                        mTimeoutNanos, () -> abort(HttpFailure.Kind.TIMEOUT, "time limit passed"));
+        mTimer = mClient.timer(mTimeoutNanos, this::onTimeout);
         return true;
     }
 
@@ -109,6 +107,20 @@
         connection.send(request, new ResponseReceiver());
     }
 
+    private void onTimeout() {
+        String detail = "time limit passed";
+        if (mConnection != null) {
+            long nowNanos = System.nanoTime();
+            detail +=
+                    ", connection opened "
+                            + TimeUnit.NANOSECONDS.toMillis(nowNanos - mConnection.openedNanos())
+                            + " ms ago, last response "
+                            + TimeUnit.NANOSECONDS.toMillis(nowNanos - mConnection.respondedNanos())
+                            + " ms ago";
+        }
+        abort(HttpFailure.Kind.TIMEOUT, detail);
+    }
+
     private void abort(HttpFailure.Kind kind, String detail) {
         if (mDone) {
             return;
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -187,10 +187,11 @@
      */
     void release(HttpConnection connection, long keepAliveNanos) {
         if (connection.isOpen() && !mClosed) {
-            connection.release();
+            long nowNanos = System.nanoTime();
+            connection.release(nowNanos);
             long usableNanos =
                     keepAliveNanos == 0 ? MAX_IDLE_NANOS : keepAliveNanos - KEEP_ALIVE_MARGIN_NANOS;
-            mIdleConnections.push(new IdleConnection(connection, System.nanoTime() + usableNanos));
+            mIdleConnections.push(new IdleConnection(connection, nowNanos + usableNanos));
         } else {
             connection.close();
         }
@@ -286,6 +287,7 @@
                             stream,
                             mBuffers,
                             ResponseMemory.ofProcess(),
+                            System.nanoTime(),
                             HttpClient.this::onClosed),
                     0);
         }
--- a/src/main/java/ebonygw/http/HttpConnection.java
+++ b/src/main/java/ebonygw/http/HttpConnection.java
@@ -93,6 +93,11 @@
     /** Whether only the end of the connection ends the body of the response. */
     private boolean mEndsWithConnection;
 
+    private final long mOpenedNanos;
+
+    /** When the last response was complete, or the connection was opened. */
+    private long mRespondedNanos;
+
     private long mReadBytes;
     private long mBodyBytes;
 
@@ -105,13 +110,17 @@
      * Takes over an open connection.
      *
      * @param memory budget for what has been read and not decoded
+     * @param nowNanos the current time
      * @param onClosed called once, when the connection is closed by either side
      */
     HttpConnection(
             StreamConnection stream,
             ByteBufferPool buffers,
             ResponseMemory memory,
+            long nowNanos,
             Consumer<HttpConnection> onClosed) {
+        mOpenedNanos = nowNanos;
+        mRespondedNanos = nowNanos;
         mStream = stream;
         mSource = stream.getSourceChannel();
         mSink = stream.getSinkChannel();
@@ -149,6 +158,16 @@
         return mStream.isOpen();
     }
 
+    /** Returns when the connection was opened. */
+    long openedNanos() {
+        return mOpenedNanos;
+    }
+
+    /** Returns when the last response was complete, or the connection was opened. */
+    long respondedNanos() {
+        return mRespondedNanos;
+    }
+
     /**
      * Returns whether another exchange may follow: the last one is complete in both directions, and
      * the server has sent nothing after it.
@@ -166,9 +185,10 @@
         return mStream.isOpen();
     }
 
-    /** Marks the connection as idle after an exchange. */
-    void release() {
+    /** Marks the connection as idle after a complete response. */
+    void release(long nowNanos) {
         mExchange = null;
+        mRespondedNanos = nowNanos;
         mPaused = false;
         mSource.resumeReads();
     }
--- a/src/main/java/ebonygw/retry/RetryBudget.java
+++ b/src/main/java/ebonygw/retry/RetryBudget.java
@@ -21,6 +21,11 @@
         mUpdatedNanos = nowNanos;
     }
 
+    /** Returns the balance as of the last change, in retries. */
+    public double balance() {
+        return mBalance;
+    }
+
     /** Returns whether the balance allows a retry now. */
     public boolean canWithdraw(long nowNanos) {
         refill(nowNanos);
--- a/src/test/java/ebonygw/gateway/FleetRetryBudgetsTest.java
+++ b/src/test/java/ebonygw/gateway/FleetRetryBudgetsTest.java
@@ -9,7 +9,8 @@
     private static final long NOW = TimeUnit.SECONDS.toNanos(100);
     private static final int EXTRA = 56;
 
-    private final FleetRetryBudgets mBudgets = new FleetRetryBudgets(GatewayFixture.options());
+    private final FleetRetryBudgets mBudgets =
+            new FleetRetryBudgets(GatewayFixture.options(), new GatewayOutbox());
 
     private int withdrawAll() {
         int withdrawn = 0;
