--- a/src/test/java/ebonygw/gateway/GatewayFleet.java
+++ b/src/test/java/ebonygw/gateway/GatewayFleet.java
@@ -26,6 +26,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -42,6 +43,11 @@
     private static final long LOCAL_MILLIS = 1;
     private static final long REGION_MILLIS = 30;
     private static final long CRASH_MILLIS = 60;
+
+    /** How long the key-value service waits for changes before it responds to a watch. */
+    private static final long WATCH_MILLIS = 1_000;
+
+    private static final int REJECTED_STATUS = 503;
     private static final String[] REGIONS = {"casablanca", "fes", "marrakech"};
 
     final Set<String> mCrashingParts = new HashSet<>();
@@ -51,8 +57,15 @@
     final Map<String, EntryHost> mEntries = new TreeMap<>();
     final List<Replica> mReplicas = new ArrayList<>();
     final Set<String> mCutEntries = new HashSet<>();
+
+    /** Entries that cannot reach the key-value service. */
+    final Set<String> mStoreCutEntries = new HashSet<>();
+
     boolean mStoreUp = true;
 
+    /** Whether replicas reject all requests without running them. */
+    boolean mRejecting;
+
     private final InMemoryKeyValueStore mStore = new InMemoryKeyValueStore();
     private final PriorityQueue<Task> mTasks = new PriorityQueue<>();
     private final SplittableRandom mRandom;
@@ -199,6 +212,7 @@
     /** A process whose node is driven by events. */
     private abstract class Host {
         final Locality mLocality;
+        private final Set<Long> mWatches = new TreeSet<>();
         boolean mAlive = true;
 
         Host(Locality locality) {
@@ -211,6 +225,10 @@
             mAlive = false;
         }
 
+        boolean reachesStore() {
+            return mStoreUp;
+        }
+
         void tick() {
             if (mAlive) {
                 handle(new GatewayEvent.Tick());
@@ -230,15 +248,35 @@
 
         void onKeyValue(GatewayEffect.KeyValue call) {
             long id = call.requestId();
-            if (!mStoreUp) {
+            if (!reachesStore()) {
                 reply(id, new KeyValueResponse.Failed(false, "down"));
             } else if (call.request() instanceof KeyValueRequest.Watch watch) {
-                mStore.watch(watch, response -> reply(id, response));
+                mWatches.add(id);
+                mStore.watch(watch, response -> onWatch(id, response));
+                after(WATCH_MILLIS, () -> confirmWatch(id));
             } else if (!(call.request() instanceof KeyValueRequest.WatchCancel)) {
                 reply(id, mStore.execute(call.request(), mNowNanos));
             }
         }
 
+        /** Responds to a watch without changes, or fails it if the service is out of reach. */
+        private void confirmWatch(long id) {
+            if (mAlive && reachesStore() && mWatches.contains(id)) {
+                reply(id, new KeyValueResponse.Changed(mStore.revision(), List.of()));
+                after(WATCH_MILLIS, () -> confirmWatch(id));
+            } else if (mWatches.remove(id)) {
+                reply(id, new KeyValueResponse.Failed(false, "no response"));
+            }
+        }
+
+        private void onWatch(long id, KeyValueResponse response) {
+            if (reachesStore() && mWatches.contains(id)) {
+                reply(id, response);
+            } else if (mWatches.remove(id)) {
+                reply(id, new KeyValueResponse.Failed(false, "no response"));
+            }
+        }
+
         private void reply(long id, KeyValueResponse response) {
             later(STORE_MILLIS, new GatewayEvent.KeyValueResponseReceived(id, response));
         }
@@ -284,6 +322,11 @@
             mNode.handle(event, mNowNanos, this::onEffect);
         }
 
+        @Override
+        boolean reachesStore() {
+            return super.reachesStore() && !mStoreCutEntries.contains(mName);
+        }
+
         @Override
         void kill() {
             super.kill();
@@ -478,6 +521,10 @@
                 return;
             }
             mArrivals.add(new Arrival(mNowNanos, attempt.request(), mInstance));
+            if (mRejecting) {
+                run.reject();
+                return;
+            }
             mRuns.add(run);
             after(20 + mRandom.nextInt(280), run::begin);
         }
@@ -524,6 +571,17 @@
             }
         }
 
+        void reject() {
+            mEntry.later(
+                    mLatency,
+                    new GatewayEvent.ResponseHeld(
+                            mAttempt.exchange(),
+                            mAttempt.terms().number(),
+                            REJECTED_STATUS,
+                            false,
+                            Optional.empty()));
+        }
+
         private void end() {
             if (mReplica.mRuns.remove(this)) {
                 mEntry.later(
