--- a/src/test/java/ebonygw/platform/SoakProxy.java
+++ b/src/test/java/ebonygw/platform/SoakProxy.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A loopback TCP proxy that delays or resets its connections, or drops their bytes in one or both
@@ -39,6 +40,10 @@
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private volatile Fault mFault = Fault.NONE;
     private volatile long mDelayMillis;
+    private final AtomicLong mAccepted = new AtomicLong();
+
+    /** Number of connections, the first ones, of which all bytes are dropped for ever. */
+    private volatile long mSilenced;
 
     SoakProxy(String host, int port, InetSocketAddress server) throws IOException {
         mListener = new ServerSocket(port, BACKLOG, InetAddress.getByName(host));
@@ -61,6 +66,11 @@
         mFault = fault;
     }
 
+    /** Drops all further bytes of the open connections; new ones are not affected. */
+    void silence() {
+        mSilenced = mAccepted.get();
+    }
+
     /** Resets all connections. */
     void reset() {
         for (Socket socket : mSockets) {
@@ -85,27 +95,28 @@
                 Socket server = new Socket();
                 mSockets.add(client);
                 mSockets.add(server);
-                startThread(() -> connect(client, server), "soak-link-connection");
+                long number = mAccepted.incrementAndGet();
+                startThread(() -> connect(client, server, number), "soak-link-connection");
             } catch (IOException closed) {
                 return;
             }
         }
     }
 
-    private void connect(Socket client, Socket server) {
+    private void connect(Socket client, Socket server, long number) {
         try {
             server.connect(mServer);
             client.setTcpNoDelay(true);
             server.setTcpNoDelay(true);
-            startThread(() -> forward(server, client, true), "soak-link-answers");
-            forward(client, server, false);
+            startThread(() -> forward(server, client, true, number), "soak-link-answers");
+            forward(client, server, false, number);
         } catch (IOException refused) {
             abort(client);
             abort(server);
         }
     }
 
-    private void forward(Socket from, Socket to, boolean fromServer) {
+    private void forward(Socket from, Socket to, boolean fromServer, long number) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream input = from.getInputStream();
@@ -119,17 +130,19 @@
                     flood(output);
                 }
                 boolean dropped =
-                        fault == Fault.DROP_ALL || fault == Fault.DROP_RESPONSES && fromServer;
+                        fault == Fault.DROP_ALL
+                                || fault == Fault.DROP_RESPONSES && fromServer
+                                || number <= mSilenced;
                 if (!dropped) {
                     output.write(buffer, 0, read);
                     output.flush();
                 }
             }
-            if (mFault != Fault.DROP_ALL) {
+            if (mFault != Fault.DROP_ALL && number > mSilenced) {
                 to.shutdownOutput();
             }
         } catch (IOException | InterruptedException ended) {
-            if (mFault != Fault.DROP_ALL) {
+            if (mFault != Fault.DROP_ALL && number > mSilenced) {
                 abort(from);
                 abort(to);
             }
