A silent connection to the store casts doubt on all that were open before it

What callers saw: 404 or 401 for routes and keys of a configuration that had been acknowledged longer ago than config_apply_ms, at several entries at once. Cause: kept connections to the store that fail without notice stay in the pool. Each call that times out discards one; the next poll, last used first, takes the next silent one. Ruled out as sole change: a shorter time limit for polls, which a slow store would exceed for ever.

--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -42,6 +42,7 @@
     private final HttpResponseHandler mHandler;
     private HttpConnection mConnection;
     private XnioIoThread.Key mTimer;
+    private long mSentNanos;
     private boolean mResponseStarted;
     private boolean mDone;
     private boolean mPaused;
@@ -104,6 +105,7 @@
             return;
         }
         mConnection = connection;
+        mSentNanos = System.nanoTime();
         connection.send(request, new ResponseReceiver());
     }
 
@@ -118,7 +120,11 @@
                             + TimeUnit.NANOSECONDS.toMillis(nowNanos - mConnection.respondedNanos())
                             + " ms ago";
         }
+        boolean silent = mConnection != null && !mResponseStarted;
         abort(HttpFailure.Kind.TIMEOUT, detail);
+        if (silent) {
+            mClient.closeSilentSince(mSentNanos);
+        }
     }
 
     private void abort(HttpFailure.Kind kind, String detail) {
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -144,6 +144,24 @@
         send(prepare(request, timeoutNanos, handler));
     }
 
+    /**
+     * Closes the idle connections that have completed no response since a time. A path that has
+     * failed leaves all connections over it open and silent, so that one overdue response makes all
+     * connections doubtful that have not responded since its request was sent.
+     *
+     * @param sinceNanos a time by {@link System#nanoTime}
+     */
+    public void closeSilentSince(long sinceNanos) {
+        execute(
+                () -> {
+                    for (IdleConnection idle : List.copyOf(mIdleConnections)) {
+                        if (idle.connection().respondedNanos() - sinceNanos < 0) {
+                            idle.connection().abort();
+                        }
+                    }
+                });
+    }
+
     /** Fails all requests that still wait for a connection, as not sent. */
     public void withdrawWaiting() {
         execute(
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -107,7 +107,7 @@
                                                 worker,
                                                 mStore.address(),
                                                 new StoreClient.WatchTimes(
-                                                        500, 1_000_000_000L, 0))));
+                                                        500, 500_000_000L, 1_000_000_000L, 0))));
         long deadlineNanos = System.nanoTime() + DEADLINE_NANOS;
         while (!mEntry.ready()) {
             assertThat(System.nanoTime()).isLessThan(deadlineNanos);
--- a/src/test/java/ebonygw/platform/SharedWatchTest.java
+++ b/src/test/java/ebonygw/platform/SharedWatchTest.java
@@ -8,12 +8,14 @@
 import ebonygw.keyvalue.KeyValueResponse.Entry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 class SharedWatchTest {
     private final List<Poll> mPolls = new ArrayList<>();
     private final List<Runnable> mScheduled = new ArrayList<>();
+    private final List<Runnable> mOverdueChecks = new ArrayList<>();
     private final SharedWatch mWatch = new SharedWatch(new Store());
 
     private record Poll(
@@ -101,6 +103,49 @@
         assertThat(mScheduled).isEmpty();
     }
 
+    // Guards against a change that is not seen because the connection of a poll has failed
+    // silently.
+    @Test
+    void anOverduePollIsSentOnceMoreAndTheFirstResponseCounts() {
+        List<KeyValueResponse> operator = subscribe(1, "op/", 5);
+        Poll first = runScheduledPoll();
+        mOverdueChecks.forEach(Runnable::run);
+        Poll copy = mPolls.get(1);
+        Changed changed = new Changed(8, List.of(entry("op/c", 8)));
+
+        copy.answered().accept(changed);
+        first.answered().accept(changed);
+
+        assertThat(copy.prefix()).isEqualTo("op/");
+        assertThat(copy.after()).isEqualTo(5);
+        assertThat(operator).containsExactly(changed);
+        assertThat(runScheduledPoll().after()).isEqualTo(8);
+    }
+
+    @Test
+    void anOverduePollFailsOnceItsCopyHasFailedToo() {
+        List<KeyValueResponse> operator = subscribe(1, "op/", 5);
+        Poll first = runScheduledPoll();
+        mOverdueChecks.forEach(Runnable::run);
+        KeyValueResponse failure = new KeyValueResponse.Failed(false, "no response");
+
+        first.failed().accept(failure);
+        assertThat(operator).isEmpty();
+        mPolls.get(1).failed().accept(failure);
+
+        assertThat(operator).containsExactly(failure);
+    }
+
+    @Test
+    void aPollThatWasAnsweredIsNotSentOnceMore() {
+        subscribe(1, "op/", 5);
+        runScheduledPoll().answered().accept(new Changed(5, List.of()));
+
+        mOverdueChecks.forEach(Runnable::run);
+
+        assertThat(mPolls).hasSize(1);
+    }
+
     @Test
     void aCancelledSubscriberReceivesNothing() {
         List<KeyValueResponse> operator = subscribe(1, "op/", 5);
@@ -119,6 +164,16 @@
             mScheduled.add(next);
         }
 
+        @Override
+        public void runWhenOverdue(BooleanSupplier isOverdue, Runnable task) {
+            mOverdueChecks.add(
+                    () -> {
+                        if (isOverdue.getAsBoolean()) {
+                            task.run();
+                        }
+                    });
+        }
+
         @Override
         public void poll(
                 String prefix,
--- a/src/test/java/ebonygw/platform/StoreClientTest.java
+++ b/src/test/java/ebonygw/platform/StoreClientTest.java
@@ -34,7 +34,7 @@
                 new StoreClient(
                         mWorker,
                         mStore.address(),
-                        new StoreClient.WatchTimes(200, 1_000_000_000L, 0));
+                        new StoreClient.WatchTimes(200, 500_000_000L, 1_000_000_000L, 0));
     }
 
     @AfterEach
@@ -74,7 +74,7 @@
                     new StoreClient(
                             mWorker,
                             flooding.address(),
-                            new StoreClient.WatchTimes(200, 1_000_000_000L, 0));
+                            new StoreClient.WatchTimes(200, 500_000_000L, 1_000_000_000L, 0));
             client.send(1, new KeyValueRequest.Range("p/", "p0", 0), mReplies::add);
             assertThat(((KeyValueResponse.Failed) reply()).mayHaveTakenEffect()).isFalse();
             client.send(2, write("p/1", 0), mReplies::add);
