An unconfirmed configuration does not deny routes and keys

What callers saw: 404 or 401 from entries that had missed a change, whatever held it back. Cause: an entry decided by the configuration it had that a route or key does not exist, however long ago the store had confirmed it. Why this works: a configuration that was confirmed at c contains every change acknowledged by then. Not covered: requests that a removed route or key would no longer allow are still run meanwhile. GatewayAdmissionTest.routesAndKeysThatAnUnconfirmedConfigurationLacksAreNotDenied goes in with it: before, there was no limit of age (404 at any). The store of the fixture confirms its watches at each tick, as the platform's does.

--- a/src/main/java/ebonygw/gateway/GatewayAdmission.java
+++ b/src/main/java/ebonygw/gateway/GatewayAdmission.java
@@ -16,13 +16,26 @@
     /** Retry delay while there is no configuration yet: about the duration of a start. */
     private static final long NOT_READY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+    /**
+     * Retry delay while the configuration is not confirmed; short, as other entries may know it.
+     */
+    private static final long UNCONFIRMED_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     /** Retry delay while this entry stops; short, as the caller retries at another entry. */
     private static final long STOPPING_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final OperatorState mOperator;
+    private final long mMaxAgeMillis;
 
-    GatewayAdmission(OperatorState operator) {
+    /**
+     * Creates an admission.
+     *
+     * @param maxAgeNanos age up to which the configuration decides that a route or key does not
+     *     exist
+     */
+    GatewayAdmission(OperatorState operator, long maxAgeNanos) {
         mOperator = operator;
+        mMaxAgeMillis = TimeUnit.NANOSECONDS.toMillis(maxAgeNanos);
     }
 
     /**
@@ -35,23 +48,23 @@
     Either<Refusal, PendingRequest> admit(
             long exchange, GatewayRequest request, boolean stopping, long nowNanos) {
         if (stopping) {
-            return refusal(RefusalCode.STOPPING, STOPPING_RETRY_NANOS);
+            return refusal(RefusalCode.STOPPING, "", STOPPING_RETRY_NANOS);
         }
         GatewaySettings settings = mOperator.settings();
         if (settings == null) {
-            return refusal(RefusalCode.NOT_READY, NOT_READY_RETRY_NANOS);
+            return refusal(RefusalCode.NOT_READY, "no configuration", NOT_READY_RETRY_NANOS);
         }
         Optional<GatewayRoute> route = settings.route(request.host(), request.path());
         if (route.isEmpty()) {
-            return refusal(RefusalCode.NOT_FOUND, 0);
+            return refuseUnknown(RefusalCode.NOT_FOUND, nowNanos);
         }
         if (request.body().size() > settings.maxBodyBytes()) {
-            return refusal(RefusalCode.TOO_LARGE, 0);
+            return refusal(RefusalCode.TOO_LARGE, "", 0);
         }
         Optional<GatewayCustomer> customer = settings.customerByKey(request.keyHash());
         boolean needsKey = !route.get().openToAll() && !settings.customers().isEmpty();
         if (needsKey && customer.isEmpty()) {
-            return refusal(RefusalCode.UNAUTHENTICATED, 0);
+            return refuseUnknown(RefusalCode.UNAUTHENTICATED, nowNanos);
         }
         return Either.right(
                 new PendingRequest(
@@ -67,7 +80,22 @@
                         nowNanos));
     }
 
-    private static Either<Refusal, PendingRequest> refusal(RefusalCode code, long retryNanos) {
-        return Either.left(new Refusal(code, Verdict.NOT_RUN, "", retryNanos));
+    /**
+     * Refuses a request whose route or key the configuration lacks. One that has not been confirmed
+     * for a while may be outdated, so that the caller is asked to come back.
+     */
+    private Either<Refusal, PendingRequest> refuseUnknown(RefusalCode code, long nowNanos) {
+        long ageMillis = mOperator.ageMillis(nowNanos);
+        return ageMillis <= mMaxAgeMillis
+                ? refusal(code, "", 0)
+                : refusal(
+                        RefusalCode.NOT_READY,
+                        code + ", but the configuration was confirmed " + ageMillis + " ms ago",
+                        UNCONFIRMED_RETRY_NANOS);
+    }
+
+    private static Either<Refusal, PendingRequest> refusal(
+            RefusalCode code, String detail, long retryNanos) {
+        return Either.left(new Refusal(code, Verdict.NOT_RUN, detail, retryNanos));
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -16,6 +16,8 @@
  * @param retryWindowNanos length of that window, positive
  * @param acceptNanos how long new requests are accepted after a stop was requested, not negative
  * @param graceNanos maximum duration of a graceful stop, at least {@code acceptNanos}
+ * @param maxSettingsAgeNanos time after the key-value service last confirmed the configuration in
+ *     which it still decides that a route or key does not exist, positive
  * @param seed seed of random decisions
  */
 public record GatewayOptions(
@@ -29,6 +31,7 @@
         long retryWindowNanos,
         long acceptNanos,
         long graceNanos,
+        long maxSettingsAgeNanos,
         long seed) {
     /**
      * Creates options.
@@ -51,6 +54,10 @@
                             + ", "
                             + retryWindowNanos);
         }
+        if (maxSettingsAgeNanos <= 0) {
+            throw new IllegalArgumentException(
+                    "maxSettingsAgeNanos must be positive: " + maxSettingsAgeNanos);
+        }
         if (acceptNanos < 0 || graceNanos < acceptNanos) {
             throw new IllegalArgumentException(
                     "acceptNanos must be between 0 and graceNanos "
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -57,7 +57,7 @@
         mGuard = guard;
         mTargets = targets;
         mOut = out;
-        mAdmission = new GatewayAdmission(operator);
+        mAdmission = new GatewayAdmission(operator, options.maxSettingsAgeNanos());
         mRetries = new FleetRetryBudgets(options, out);
         mAttempts =
                 new GatewayAttempts(
@@ -370,6 +370,7 @@
                 LogLine.of("request_refused")
                         .with("request", request.id())
                         .with("code", refusal.code())
+                        .with("detail", refusal.detail())
                         .with("host", request.host())
                         .with("path", request.path()));
         mOut.effect(new GatewayEffect.Refused(exchange, refusal));
--- a/src/main/java/ebonygw/request/RefusalCode.java
+++ b/src/main/java/ebonygw/request/RefusalCode.java
@@ -34,7 +34,7 @@
     CRASHING_PROMPT(503),
     /** The process is stopping. */
     STOPPING(503),
-    /** The process has not received its settings yet. */
+    /** The process has not received its settings yet, or cannot tell whether they are current. */
     NOT_READY(503),
     /** The adapter could not be loaded. */
     LOAD_FAILED(503),
--- a/src/test/java/ebonygw/gateway/GatewayAdmissionTest.java
+++ b/src/test/java/ebonygw/gateway/GatewayAdmissionTest.java
@@ -31,6 +31,24 @@
         assertThat(refusal("/look/1", "", 0)).isEqualTo(RefusalCode.UNAUTHENTICATED);
     }
 
+    // Guards against "no such route" from an entry that may have missed the change that added it.
+    @Test
+    void routesAndKeysThatAnUnconfirmedConfigurationLacksAreNotDenied() {
+        mEntry.setStoreUp(false);
+        mEntry.advance(GatewayFixture.MAX_SETTINGS_AGE_MILLIS);
+        assertThat(refusal("/unknown/1", GatewayFixture.KEY, 0)).isEqualTo(RefusalCode.NOT_FOUND);
+
+        mEntry.advance(1);
+        assertThat(refusal("/unknown/2", GatewayFixture.KEY, 0)).isEqualTo(RefusalCode.NOT_READY);
+        assertThat(refusal("/look/1", "unknown", 0)).isEqualTo(RefusalCode.NOT_READY);
+        assertThat(refusal("/look/1", GatewayFixture.KEY, 0)).isNull();
+
+        mEntry.setStoreUp(true);
+        mEntry.advance(1_000);
+        mEntry.tick();
+        assertThat(refusal("/unknown/3", GatewayFixture.KEY, 0)).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+
     @Test
     void theRouteIsLookedUpBeforeTheKey() {
         assertThat(refusal("/unknown/1", "", 0)).isEqualTo(RefusalCode.NOT_FOUND);
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -28,6 +28,8 @@
     static final int LOADER_PORT = 7600;
     static final int MAX_BODY_BYTES = 64;
 
+    static final long MAX_SETTINGS_AGE_MILLIS = 2_700;
+
     private static final Member SELF =
             new Member(
                     new NodeId("entry-1"),
@@ -69,10 +71,14 @@
                 TimeUnit.SECONDS.toNanos(10),
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.SECONDS.toNanos(7),
+                TimeUnit.MILLISECONDS.toNanos(MAX_SETTINGS_AGE_MILLIS),
                 1);
     }
 
-    /** Returns a started entry with the default settings, two plain targets and two replicas. */
+    /**
+     * Returns an entry that started a while ago, with the default settings, two plain targets and
+     * two replicas.
+     */
     static GatewayFixture started() {
         GatewayFixture fixture = new GatewayFixture();
         fixture.settings(settings(1, 0, 0));
@@ -259,7 +265,11 @@
         put("servers/" + record.id());
     }
 
+    /** Lets the key-value service confirm its watches, and the entry do what is due. */
     void tick() {
+        if (mStoreUp) {
+            List.copyOf(mWatches.values()).forEach(id -> onKeyValueResponse(id, noChanges()));
+        }
         handle(new GatewayEvent.Tick());
     }
 
@@ -275,13 +285,21 @@
                 });
     }
 
+    private KeyValueResponse noChanges() {
+        return new KeyValueResponse.Changed(mRevision, List.of());
+    }
+
     private static KeyValueResponse failed() {
         return new KeyValueResponse.Failed(false, "down");
     }
 
     private void put(String key) {
-        Entry entry = new Entry(key, ByteString.copyFromUtf8(key), ++mRevision, 0);
-        mStore.put(key, entry);
+        put(new KeyValueRequest.Write(key, ByteString.copyFromUtf8(key), 0));
+    }
+
+    private void put(KeyValueRequest.Write write) {
+        Entry entry = new Entry(write.key(), write.value(), ++mRevision, write.leaseId());
+        mStore.put(write.key(), entry);
         changed(entry);
     }
 
@@ -310,7 +328,12 @@
                     requestId, new KeyValueResponse.RangeResult(mRevision, found, false));
         } else if (call instanceof KeyValueRequest.Watch watch) {
             mWatches.put(watch.key(), requestId);
-        } else if (call instanceof KeyValueRequest.Transaction) {
+            mStore.values().stream()
+                    .filter(entry -> entry.modRevision() >= watch.fromRevision())
+                    .toList()
+                    .forEach(this::changed);
+        } else if (call instanceof KeyValueRequest.Transaction transaction) {
+            transaction.writes().forEach(this::put);
             onKeyValueResponse(
                     requestId, new KeyValueResponse.TransactionResult(++mRevision, true));
         } else if (call instanceof KeyValueRequest.LeaseGrant) {
--- a/src/test/java/ebonygw/gateway/GatewayFleet.java
+++ b/src/test/java/ebonygw/gateway/GatewayFleet.java
@@ -314,6 +314,7 @@
                                     options.retryWindowNanos(),
                                     options.acceptNanos(),
                                     options.graceNanos(),
+                                    options.maxSettingsAgeNanos(),
                                     mRandom.nextLong()));
         }
 
--- a/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatformTest.java
@@ -96,6 +96,7 @@
                                 TimeUnit.SECONDS.toNanos(10),
                                 TimeUnit.MILLISECONDS.toNanos(100),
                                 TimeUnit.SECONDS.toNanos(7),
+                                TimeUnit.SECONDS.toNanos(3),
                                 1),
                         GatewayServerOptions.of(anyPort, anyPort, "/readyz"),
                         new PlatformHeaders(),
