Parts of the fleet's retry budget add up to at most one

What callers and replicas saw: more repeats in a window than 0.2 of the requests and the extra ones, which loads replicas that already fail. Cause: an entry divided the extra retries by the number of entries that it knew at the moment. Each change of the number filled all its budgets anew, a process started with full ones, and one that knew nobody took the whole. Class of fault: a part of something that must be conserved is made from nothing when membership changes. Why this works: FleetSize counts a registration for 15 s after it was last seen, and lets an entry use its part only while it sees its own registration in a view of at most 5 s and for 6 s before, by which time all others that use a part count it. Budgets start empty, a changed number caps a balance and adds nothing, and an entry without a part has the retries of its own requests, with a balance of one that is taken off the parts. Connections to a target are divided by the same number. GatewayFixture.started() now returns an entry that started 20 s ago and sees its registration: the tests of attempts assume one with a budget; what they expect is unchanged.

--- a/src/main/java/ebonygw/gateway/EntryDirectory.java
+++ b/src/main/java/ebonygw/gateway/EntryDirectory.java
@@ -60,6 +60,19 @@
         return mEntries.values();
     }
 
+    /**
+     * Returns the time since the service last confirmed the registrations, -1 if it never did, in
+     * milliseconds.
+     */
+    long ageMillis(long nowNanos) {
+        return mMirror.ageMillis(nowNanos);
+    }
+
+    /** Returns whether this entry is among the registrations. */
+    boolean isRegistered() {
+        return mEntries.containsKey(mSelf.id());
+    }
+
     /** Returns whether the registrations have been read at least once. */
     boolean isLoaded() {
         return mMirror.isLoaded();
--- a/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
+++ b/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
@@ -12,22 +12,38 @@
  * Retry budgets of this entry, one per service. Each is this entry's equal part of the retries that
  * the whole fleet may make.
  *
+ * <p>The budgets of all entries together never exceed those of the fleet: a budget starts empty,
+ * because a former process of this entry may have spent its part; a change of the number of entries
+ * adds nothing to a balance; and an entry that cannot know its part has that of its own requests
+ * only.
+ *
  * <p>Not thread-safe.
  */
 final class FleetRetryBudgets {
     /** Minimum time left until the deadline for an attempt: a round trip between regions. */
     static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
+    /** Balance below which no retry is possible, which each entry may always hold. */
+    private static final double MIN_BALANCE = 1;
+
     private final GatewayOptions mOptions;
+    private final FleetSize mFleet;
     private final GatewayOutbox mOut;
     private final Map<String, RetryBudget> mByService = new HashMap<>();
+
+    /** Budget of a service without any requests so far. */
+    private final RetryBudget mUnused;
+
     private RetryOptions mRetryOptions;
-    private int mEntries;
+    private int mEntries = 1;
+    private boolean mCertain;
 
-    FleetRetryBudgets(GatewayOptions options, GatewayOutbox out) {
+    FleetRetryBudgets(GatewayOptions options, FleetSize fleet, GatewayOutbox out) {
         mOptions = options;
+        mFleet = fleet;
         mOut = out;
-        onEntries(1);
+        mRetryOptions = retryOptions();
+        mUnused = RetryBudget.empty(mRetryOptions, 0);
     }
 
     /** Deposits the fraction of a retry that a new request adds to its service's budget. */
@@ -42,36 +58,24 @@
         return balances;
     }
 
-    /** Returns how many entries the fleet's retry budget is divided among. */
-    int entries() {
-        return mEntries;
-    }
-
-    /** Applies the number of entries; a new number resets all budgets. */
-    void onEntries(int entries) {
-        if (entries == mEntries) {
+    /** Applies a changed size of the fleet. */
+    void onTick(long nowNanos) {
+        int entries = mFleet.entries();
+        boolean certain = mFleet.isCertain(nowNanos);
+        if (entries == mEntries && certain == mCertain) {
             return;
         }
         mOut.log(
                 LogLine.of("retry_budget_divided")
                         .with("entries", entries)
                         .with("previous", mEntries)
+                        .with("certain", certain)
                         .with("balances", dump()));
         mEntries = entries;
-        // The budget starts full and also refills within the window, hence half for each.
-        double extra = mOptions.retryExtra() / entries / 2;
-        double perSecond = extra * 1e9 / mOptions.retryWindowNanos();
-        int percent = (int) (mOptions.retryRatio() * 100);
-        RetryOptions defaults = RetryOptions.defaults();
-        mRetryOptions =
-                new RetryOptions(
-                        defaults.maxAttempts(),
-                        percent,
-                        extra,
-                        perSecond,
-                        MIN_REMAINING_NANOS,
-                        defaults.maxRemembered());
-        mByService.clear();
+        mCertain = certain;
+        mRetryOptions = retryOptions();
+        mUnused.setOptions(mRetryOptions, nowNanos);
+        mByService.values().forEach(budget -> budget.setOptions(mRetryOptions, nowNanos));
     }
 
     /** Withdraws one retry from a service's budget; returns whether the balance allowed it. */
@@ -85,6 +89,25 @@
     }
 
     private RetryBudget budget(String service, long nowNanos) {
-        return mByService.computeIfAbsent(service, s -> new RetryBudget(mRetryOptions, nowNanos));
+        return mByService.computeIfAbsent(service, s -> mUnused.copy(nowNanos));
+    }
+
+    /**
+     * Returns the bounds of this entry's budgets. Within one window a budget spends at most its
+     * balance at the start and what it receives meanwhile, hence half of the extra retries for
+     * each. The minimum balances of entries that cannot know their part are taken off the latter.
+     */
+    private RetryOptions retryOptions() {
+        double half = mOptions.retryExtra() / 2;
+        double windowSeconds = mOptions.retryWindowNanos() / 1e9;
+        double refill = Math.max(0, half - MIN_BALANCE * mEntries) / mEntries / windowSeconds;
+        RetryOptions defaults = RetryOptions.defaults();
+        return new RetryOptions(
+                defaults.maxAttempts(),
+                (int) (mOptions.retryRatio() * 100),
+                mCertain ? Math.max(MIN_BALANCE, half / mEntries) : MIN_BALANCE,
+                mCertain ? refill : 0,
+                MIN_REMAINING_NANOS,
+                defaults.maxRemembered());
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -31,7 +31,7 @@
 
     private final OperatorState mOperator;
     private final TargetTable mTargets;
-    private final FleetRetryBudgets mRetries;
+    private final FleetSize mFleet;
     private final TargetChooser mChooser;
     private final GatewayOutbox mOut;
     private double mMeanPrefillTokens;
@@ -39,12 +39,12 @@
     GatewayAttempts(
             OperatorState operator,
             TargetTable targets,
-            FleetRetryBudgets retries,
+            FleetSize fleet,
             TargetChooser chooser,
             GatewayOutbox out) {
         mOperator = operator;
         mTargets = targets;
-        mRetries = retries;
+        mFleet = fleet;
         mChooser = chooser;
         mOut = out;
     }
@@ -261,7 +261,6 @@
     /** Returns this entry's part of the connections that a target of a service accepts. */
     private int maxConnections(String service) {
         int accepted = mOperator.service(service).map(GatewayService::maxConnections).orElse(1);
-        return (int)
-                Math.max(MIN_CONNECTIONS, accepted * CONNECTIONS_FRACTION / mRetries.entries());
+        return (int) Math.max(MIN_CONNECTIONS, accepted * CONNECTIONS_FRACTION / mFleet.entries());
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -50,6 +50,7 @@
     private final OperatorState mOperator;
     private final PrefixMirror mTargetMirror;
     private final EntryDirectory mDirectory;
+    private final FleetSize mFleetSize = new FleetSize();
     private final FleetQuota mQuota;
     private final UsageExchange mUsage;
     private final TargetTable mTargets;
@@ -78,7 +79,8 @@
         mUsage = new UsageExchange(self.id(), self.locality(), random.nextLong(), mQuota);
         mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
         mGuard = new PromptGuard(self.id(), random.nextLong(), mRequestIds, mOut);
-        mRequests = new PendingRequests(options, mOperator, mTargets, mQuota, mGuard, mOut);
+        mRequests =
+                new PendingRequests(options, mOperator, mTargets, mQuota, mGuard, mFleetSize, mOut);
     }
 
     /** Returns the state as maps, lists, strings and numbers for JSON, without secrets. */
@@ -90,6 +92,8 @@
         dump.put("links", mConnectedPeers.size());
         dump.put("entries", mDirectory.entries().size());
         dump.put("reachableEntries", mUsage.reachable());
+        dump.put("fleetEntries", mFleetSize.entries());
+        dump.put("fleetCertain", mFleetSize.isCertain(nowNanos) ? 1 : 0);
         Map<String, Object> ages = new LinkedHashMap<>();
         ages.put("configurationMillis", mOperator.ageMillis(nowNanos));
         ages.put("targetsMillis", mTargetMirror.ageMillis(nowNanos));
@@ -296,11 +300,15 @@
         if (mDirectory.onTick(nowNanos, mOut)) {
             mLinksChanged = true;
             mUsage.onEntries(mDirectory.entries());
-            mRequests.onEntries(mUsage.entries());
             mGuard.onEntries(mDirectory.entries().stream().map(Member::id).toList());
         }
+        mFleetSize.onView(
+                mUsage.entries(),
+                mDirectory.isRegistered(),
+                mDirectory.ageMillis(nowNanos),
+                nowNanos);
         applyTargetChanges(nowNanos);
-        mRequests.reportSurvivals(nowNanos);
+        mRequests.onTick(nowNanos);
         mGuard.onTick(nowNanos);
         mRequests.dispatchWaiting(nowNanos);
         mUsage.onTick(nowNanos, mOut::send);
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -52,18 +52,19 @@
             TargetTable targets,
             FleetQuota quota,
             PromptGuard guard,
+            FleetSize fleet,
             GatewayOutbox out) {
         mQuota = quota;
         mGuard = guard;
         mTargets = targets;
         mOut = out;
         mAdmission = new GatewayAdmission(operator, options.maxSettingsAgeNanos());
-        mRetries = new FleetRetryBudgets(options, out);
+        mRetries = new FleetRetryBudgets(options, fleet, out);
         mAttempts =
                 new GatewayAttempts(
                         operator,
                         targets,
-                        mRetries,
+                        fleet,
                         new TargetChooser(ChooserOptions.defaults(options.self().locality())),
                         out);
     }
@@ -94,8 +95,12 @@
         waiting.forEach(pending -> dispatch(pending, nowNanos));
     }
 
-    /** Tells the guard of prompts which responses their targets have survived. */
-    void reportSurvivals(long nowNanos) {
+    /**
+     * Applies a changed size of the fleet to the retry budgets, and tells the guard of prompts
+     * which responses their targets have survived.
+     */
+    void onTick(long nowNanos) {
+        mRetries.onTick(nowNanos);
         mByExchange.values().forEach(pending -> mGuard.countSurvival(pending, false, nowNanos));
     }
 
@@ -139,11 +144,6 @@
         end(pending, "caller_gone", nowNanos);
     }
 
-    /** Applies the number of entries that the fleet's retry budget is divided among. */
-    void onEntries(int entries) {
-        mRetries.onEntries(entries);
-    }
-
     /**
      * Admits a new request and dispatches it, or refuses it.
      *
--- a/src/main/java/ebonygw/retry/RetryBudget.java
+++ b/src/main/java/ebonygw/retry/RetryBudget.java
@@ -5,7 +5,7 @@
  * balance also grows at a minimum rate over time, up to a maximum. Not thread-safe.
  */
 public final class RetryBudget {
-    private final RetryOptions mOptions;
+    private RetryOptions mOptions;
     private double mBalance;
     private long mUpdatedNanos;
 
@@ -16,11 +16,20 @@
      * @param nowNanos the current time
      */
     public RetryBudget(RetryOptions options, long nowNanos) {
+        this(options, options.maxBalance(), nowNanos);
+    }
+
+    private RetryBudget(RetryOptions options, double balance, long nowNanos) {
         mOptions = options;
-        mBalance = options.maxBalance();
+        mBalance = balance;
         mUpdatedNanos = nowNanos;
     }
 
+    /** Returns a budget without a balance. */
+    public static RetryBudget empty(RetryOptions options, long nowNanos) {
+        return new RetryBudget(options, 0, nowNanos);
+    }
+
     /** Returns the balance as of the last change, in retries. */
     public double balance() {
         return mBalance;
@@ -32,12 +41,25 @@
         return mBalance >= 1;
     }
 
+    /** Returns a budget with the same bounds and balance. */
+    public RetryBudget copy(long nowNanos) {
+        refill(nowNanos);
+        return new RetryBudget(mOptions, mBalance, nowNanos);
+    }
+
     /** Deposits {@code percent} percent of a retry for a first attempt. */
     public void deposit(int percent, long nowNanos) {
         refill(nowNanos);
         mBalance = Math.min(mOptions.maxBalance(), mBalance + percent / 100.0);
     }
 
+    /** Applies other bounds from now on; they never add to the balance. */
+    public void setOptions(RetryOptions options, long nowNanos) {
+        refill(nowNanos);
+        mOptions = options;
+        mBalance = Math.min(options.maxBalance(), mBalance);
+    }
+
     /** Withdraws one retry; the caller has checked {@link #canWithdraw}. */
     public void withdraw() {
         mBalance -= 1;
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -28,6 +28,9 @@
     static final int LOADER_PORT = 7600;
     static final int MAX_BODY_BYTES = 64;
 
+    /** Time until a started entry has its part of the fleet's retries, and as much again. */
+    private static final int START_SECONDS = 20;
+
     static final long MAX_SETTINGS_AGE_MILLIS = 2_700;
 
     private static final Member SELF =
@@ -82,6 +85,9 @@
     static GatewayFixture started() {
         GatewayFixture fixture = new GatewayFixture();
         fixture.settings(settings(1, 0, 0));
+        for (int i = 0; i < START_SECONDS; i++) {
+            fixture.advance(1_000);
+        }
         fixture.putTarget(plain("desk-1", "10.1.0.1:80", KINGSTON));
         fixture.putTarget(plain("desk-2", "10.1.0.2:80", KINGSTON));
         fixture.putTarget(replica("model-1", "10.2.0.1:80", KINGSTON));
