A configuration that cannot be read leaves the state unconfirmed

Its age now counts from the malformed one, so that the gauge rises and routes and keys that the former one lacks are not denied. Test: aStateThatLacksANewerConfigurationIsNotConfirmed (age 0 before, 4,000 ms now). A malformed version of an adapter no longer keeps its configuration from being read, or the reverse.

--- a/src/main/java/ebonygw/gateway/OperatorState.java
+++ b/src/main/java/ebonygw/gateway/OperatorState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * State set by operators: the configuration in force and the required versions of models and
@@ -26,6 +27,9 @@
     /** Age of this state just before the last response; -1 if it was the first. */
     private long mPreviousAgeMillis = -1;
 
+    /** When a newer configuration came that cannot be read, minimum value if there is none. */
+    private long mUnreadSinceNanos = Long.MIN_VALUE;
+
     /**
      * Creates a state without a configuration.
      *
@@ -54,10 +58,14 @@
     }
 
     /**
-     * Returns the time since the key-value service last confirmed this state, -1 if it never did.
+     * Returns the time since the key-value service last confirmed this state, or since it had a
+     * newer configuration that cannot be read; -1 if it never confirmed any.
      */
     long ageMillis(long nowNanos) {
-        return mMirror.ageMillis(nowNanos);
+        long ageMillis = mMirror.ageMillis(nowNanos);
+        return mUnreadSinceNanos == Long.MIN_VALUE
+                ? ageMillis
+                : Math.max(ageMillis, TimeUnit.NANOSECONDS.toMillis(nowNanos - mUnreadSinceNanos));
     }
 
     /**
@@ -112,15 +120,25 @@
         }
         try {
             mReader.settings(change.entry()).ifPresent(it -> applySettings(it, nowNanos));
+        } catch (IllegalArgumentException malformed) {
+            mUnreadSinceNanos = nowNanos;
+            logMalformed(change, malformed);
+        }
+        try {
             mReader.wantedVersion(change.entry()).ifPresent(this::applyWantedVersion);
         } catch (IllegalArgumentException malformed) {
-            mOut.log(
-                    LogLine.of("configuration_malformed")
-                            .with("key", change.key())
-                            .with("cause", malformed.getMessage()));
+            logMalformed(change, malformed);
         }
     }
 
+    private void logMalformed(PrefixMirror.Change change, IllegalArgumentException malformed) {
+        mOut.log(
+                LogLine.of("configuration_malformed")
+                        .with("key", change.key())
+                        .with("revision", change.entry().modRevision())
+                        .with("cause", malformed.getMessage()));
+    }
+
     private void applyChanges(long nowNanos) {
         mMirror.drainChanges().forEach(change -> apply(change, nowNanos));
     }
@@ -130,6 +148,7 @@
             return;
         }
         mSettings = settings;
+        mUnreadSinceNanos = Long.MIN_VALUE;
         mOut.log(
                 LogLine.of("configuration_in_force")
                         .with("revision", settings.revision())
--- a/src/test/java/ebonygw/gateway/OperatorStateTest.java
+++ b/src/test/java/ebonygw/gateway/OperatorStateTest.java
@@ -95,6 +95,20 @@
         assertThat(mInForce).containsExactly(5L);
     }
 
+    // Guards against a configuration that is skipped in silence while the store confirms the next.
+    @Test
+    void aStateThatLacksANewerConfigurationIsNotConfirmed() {
+        respondWith(entry("op/config", 5));
+        mState.onResponse(lastCallId(), new Changed(10, List.of(entry("op/broken", 10))), NOW);
+        long laterNanos = NOW + TimeUnit.SECONDS.toNanos(4);
+
+        mState.onResponse(lastCallId(), new Changed(10, List.of()), laterNanos);
+        assertThat(mState.ageMillis(laterNanos)).isEqualTo(4_000);
+        mState.onResponse(
+                lastCallId(), new Changed(11, List.of(entry("op/config", 11))), laterNanos);
+        assertThat(mState.ageMillis(laterNanos)).isZero();
+    }
+
     @Test
     void responsesToOtherRequestsAreNotHandled() {
         assertThat(
