--- a/src/test/java/ebonygw/gateway/FleetRetryProperties.java
+++ b/src/test/java/ebonygw/gateway/FleetRetryProperties.java
@@ -18,6 +18,7 @@
         load.run(12_000);
         for (int i = 0; i < FAULTS; i++) {
             injectFault(load, random);
+            load.mFleet.mRejecting = random.nextInt(3) > 0;
             load.run(500 + random.nextInt(8_000));
         }
 
