Silent connections are closed before the time-out is reported

A request that follows the failure could still be sent on one of them (HttpClientTest .aTimeoutClosesTheIdleConnectionsThatHaveNotRespondedSince waited for ever in its first form, without a time limit of its own; it has one now).

--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -120,11 +120,11 @@
                             + TimeUnit.NANOSECONDS.toMillis(nowNanos - mConnection.respondedNanos())
                             + " ms ago";
         }
-        boolean silent = mConnection != null && !mResponseStarted;
-        abort(HttpFailure.Kind.TIMEOUT, detail);
-        if (silent) {
+        if (mConnection != null && !mResponseStarted) {
+            // Before the failure is reported, so that no request that follows it is sent on them.
             mClient.closeSilentSince(mSentNanos);
         }
+        abort(HttpFailure.Kind.TIMEOUT, detail);
     }
 
     private void abort(HttpFailure.Kind kind, String detail) {
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -152,14 +152,15 @@
      * @param sinceNanos a time by {@link System#nanoTime}
      */
     public void closeSilentSince(long sinceNanos) {
-        execute(
-                () -> {
-                    for (IdleConnection idle : List.copyOf(mIdleConnections)) {
-                        if (idle.connection().respondedNanos() - sinceNanos < 0) {
-                            idle.connection().abort();
-                        }
-                    }
-                });
+        if (Thread.currentThread() != mThread) {
+            execute(() -> closeSilentSince(sinceNanos));
+            return;
+        }
+        for (IdleConnection idle : List.copyOf(mIdleConnections)) {
+            if (idle.connection().respondedNanos() - sinceNanos < 0) {
+                idle.connection().abort();
+            }
+        }
     }
 
     /** Fails all requests that still wait for a connection, as not sent. */
--- a/src/test/java/ebonygw/http/HttpClientTest.java
+++ b/src/test/java/ebonygw/http/HttpClientTest.java
@@ -27,6 +27,7 @@
 
 class HttpClientTest {
     private static final long TIMEOUT_NANOS = 20_000_000_000L;
+    private static final long SHORT_TIMEOUT_NANOS = 300_000_000L;
 
     /** More than socket buffers hold beside the head of any response. */
     private static final long MAX_ACCEPTED_BYTES = 32L << 20;
@@ -40,6 +41,7 @@
     @BeforeEach
     void open() throws IOException {
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mServer.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(TIMEOUT_NANOS));
         client(TIMEOUT_NANOS, 4);
     }
 
@@ -72,6 +74,36 @@
         assertThat(received(3)).containsExactly(200, "ok", "end");
     }
 
+    // Guards against requests on connections over a path that is known to have failed.
+    @Test
+    void aTimeoutClosesTheIdleConnectionsThatHaveNotRespondedSince() throws Exception {
+        openTwoConnections();
+        mClient.send(HttpRequest.of("GET", "/c"), SHORT_TIMEOUT_NANOS, new Recorder());
+        assertFailure(HttpFailure.Kind.TIMEOUT, true);
+
+        send(HttpRequest.of("GET", "/d"));
+
+        respond(mServer.accept(), OK);
+        assertThat(received(3)).containsExactly(200, "ok", "end");
+    }
+
+    @Test
+    void aTimeoutKeepsTheConnectionsThatHaveRespondedSince() throws Exception {
+        List<Socket> sockets = openTwoConnections();
+        mClient.send(HttpRequest.of("GET", "/c"), SHORT_TIMEOUT_NANOS, new Recorder());
+        Socket silent = firstWithRequest(sockets);
+        Socket other = sockets.get(1 - sockets.indexOf(silent));
+        send(HttpRequest.of("GET", "/d"));
+        respond(other, OK);
+        assertThat(received(3)).containsExactly(200, "ok", "end");
+        assertFailure(HttpFailure.Kind.TIMEOUT, true);
+
+        send(HttpRequest.of("GET", "/e"));
+
+        respond(other, OK);
+        assertThat(received(3)).containsExactly(200, "ok", "end");
+    }
+
     @Test
     void aCancelledRequestIsNotDeliveredLater() throws Exception {
         client(TIMEOUT_NANOS, 1);
@@ -233,6 +265,29 @@
                         new HttpClientOptions(address, connections, 1, connectTimeoutNanos));
     }
 
+    private static Socket firstWithRequest(List<Socket> sockets) throws Exception {
+        while (true) {
+            for (Socket socket : sockets) {
+                if (socket.getInputStream().available() > 0) {
+                    return socket;
+                }
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    /** Returns two connections that have both completed a response and are idle. */
+    private List<Socket> openTwoConnections() throws Exception {
+        send(HttpRequest.of("GET", "/a"));
+        send(HttpRequest.of("GET", "/b"));
+        List<Socket> sockets = List.of(mServer.accept(), mServer.accept());
+        for (Socket socket : sockets) {
+            respond(socket, OK);
+            assertThat(received(3)).containsExactly(200, "ok", "end");
+        }
+        return sockets;
+    }
+
     private List<Object> received(int count) throws InterruptedException {
         List<Object> received = new ArrayList<>();
         for (int i = 0; i < count; i++) {
