--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -17,6 +17,16 @@
  */
 public final class FaultSoak {
     private static final int CALLERS_PER_ENTRY = 4;
+
+    /** Separates the random numbers of the checks after the faults from the others. */
+    private static final long CHECK_SEED = 1L << 41;
+
+    /** Duration of a check of the configuration: the contact bound, and as much again. */
+    private static final long CONFIGURATION_MILLIS = 9_000;
+
+    /** Number of times that entries start again while their retries are counted. */
+    private static final int RESTARTS = 8;
+
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS_PER_RUN = 10;
 
@@ -46,6 +56,7 @@
     private final SplittableRandom mRandom;
     private final SplittableRandom mCrashRandom;
     private final SplittableRandom mEndlessRandom;
+    private final SplittableRandom mCheckRandom;
     private final List<Thread> mRecoveryThreads = new ArrayList<>();
     private final long mSeed;
     private SoakFleet mFleet;
@@ -55,6 +66,7 @@
         mRandom = new SplittableRandom(seed);
         mCrashRandom = new SplittableRandom(~seed);
         mEndlessRandom = new SplittableRandom(seed + ENDLESS_SEED);
+        mCheckRandom = new SplittableRandom(seed + CHECK_SEED);
     }
 
     /**
@@ -128,6 +140,8 @@
             fleet.checkPreviousRouteRemoved();
             checkServing();
             checkNotices();
+            checkSilentStore();
+            checkRetryBudget(callers);
             checkCrashesEnd();
             callers.forEach(SoakCaller::stop);
             for (Thread thread : threads) {
@@ -173,6 +187,49 @@
         mFleet.restartReplica(leavingIndex);
     }
 
+    /**
+     * Checks that a configuration comes into force in time although all connections to the store
+     * that were open before it are silent.
+     */
+    private void checkSilentStore() throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(mCheckRandom.nextInt(2_000));
+        mFleet.recordDisturbance();
+        mFleet.mStoreProxies.forEach(SoakProxy::silence);
+        TimeUnit.MILLISECONDS.sleep(mCheckRandom.nextInt(500));
+        mFleet.publishConfiguration();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONFIGURATION_MILLIS);
+        while (System.nanoTime() < endNanos) {
+            mFleet.checkConfigurationApplied();
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    /**
+     * Has replicas reject requests while entries start again and their registrations lapse; the
+     * recorder checks the retries of each window.
+     */
+    private void checkRetryBudget(List<SoakCaller> callers) throws InterruptedException {
+        List<SoakReplica> plain =
+                mFleet.mReplicas.subList(SoakFleet.ENGINES, mFleet.mReplicas.size());
+        mFleet.registerSpares();
+        callers.forEach(caller -> caller.setSlow(true));
+        plain.forEach(replica -> replica.setRejecting(true));
+        for (int i = 0; i < RESTARTS; i++) {
+            mFleet.recordDisturbance();
+            if (i == RESTARTS / 2) {
+                mFleet.mStore.lapseLeases();
+            }
+            if (mCheckRandom.nextBoolean()) {
+                mFleet.mEntries.get(i % SoakFleet.ENTRIES).kill();
+            } else {
+                mFleet.mEntries.get(i % SoakFleet.ENTRIES).terminate();
+            }
+            TimeUnit.MILLISECONDS.sleep(1_000 + mCheckRandom.nextInt(1_000));
+        }
+        plain.forEach(replica -> replica.setRejecting(false));
+        callers.forEach(caller -> caller.setSlow(false));
+    }
+
     private void injectConnectionFault(SoakProxy proxy, SoakProxy.Fault fault, long millis) {
         proxy.setFault(fault, 50 + millis / 20);
         recoverAfter(
--- a/src/test/java/ebonygw/platform/SoakCaller.java
+++ b/src/test/java/ebonygw/platform/SoakCaller.java
@@ -26,6 +26,10 @@
     private static final int CRASHING_PERIOD = 5;
 
     private static final long REQUEST_PAUSE_MILLIS = 20;
+
+    /** Pause with which retries are limited by the fleet's budget and not by the requests. */
+    private static final long LONG_REQUEST_PAUSE_MILLIS = 200;
+
     private static final List<String> KINDS =
             List.of(NON_IDEMPOTENT, IDEMPOTENT, STREAMING, STREAMING);
 
@@ -35,6 +39,7 @@
     private final DisturbanceCheck mDisturbanceCheck;
     private final SplittableRandom mRandom;
     private final SplittableRandom mCrashRandom;
+    private volatile boolean mSlow;
     private volatile boolean mStopped;
     private int mRequestCount;
 
@@ -73,7 +78,8 @@
                 boolean open = true;
                 for (int i = 0; i < MAX_REQUESTS_PER_CONNECTION && open && !mStopped; i++) {
                     open = request(caller, KINDS.get(mRandom.nextInt(KINDS.size())));
-                    TimeUnit.MILLISECONDS.sleep(REQUEST_PAUSE_MILLIS);
+                    TimeUnit.MILLISECONDS.sleep(
+                            mSlow ? LONG_REQUEST_PAUSE_MILLIS : REQUEST_PAUSE_MILLIS);
                 }
             } catch (IOException unreachable) {
                 mRecorder.count("connection lost");
@@ -117,6 +123,11 @@
         return !response.head().contains("connection: close");
     }
 
+    /** Sets whether fewer requests are sent. */
+    void setSlow(boolean on) {
+        mSlow = on;
+    }
+
     void stop() {
         mStopped = true;
     }
--- a/src/test/java/ebonygw/platform/SoakFleet.java
+++ b/src/test/java/ebonygw/platform/SoakFleet.java
@@ -24,11 +24,22 @@
     /** Number of replicas without a model; their indexes follow those of the engines. */
     static final int PLAIN_REPLICAS = 2;
 
+    /** Number of further replicas without a model, which are registered last. */
+    private static final int SPARE_REPLICAS = 2;
+
+    /** Services of the engines and of the other replicas. */
+    static final String MODEL = "model";
+
+    static final String DESK = "desk";
+
     private static final String ZONE = "z1";
 
     /** Time after a disturbance within which its effects may last. */
     private static final long DISTURBANCE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** Bound for applying an acknowledged configuration. */
+    private static final long APPLY_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private static final long READY_TIMEOUT_SECONDS = 30;
 
     final List<SoakProcess> mEntries = new ArrayList<>();
@@ -42,12 +53,15 @@
     private final String mNetworkPrefix;
     private final int mFirstPort;
     private final List<String> mRegistrationKeys = new ArrayList<>();
-    private long mConfigurationVersion;
+    private volatile Configuration mConfiguration = new Configuration(0, System.nanoTime());
     private volatile long mLastDisturbanceNanos = System.nanoTime();
 
     /** When an engine last crashed under a prompt, which disturbs its other requests. */
     private volatile long mLastCrashNanos = mLastDisturbanceNanos;
 
+    /** The newest configuration, and when the store had acknowledged it. */
+    private record Configuration(long version, long acknowledgedNanos) {}
+
     /**
      * Starts the fleet.
      *
@@ -61,7 +75,7 @@
         mNetworkPrefix = "127." + (1 + ProcessHandle.current().pid() % 250) + '.';
         mFirstPort = port;
         publishConfiguration();
-        for (int i = 0; i < ENGINES + PLAIN_REPLICAS; i++) {
+        for (int i = 0; i < ENGINES + PLAIN_REPLICAS + SPARE_REPLICAS; i++) {
             boolean engine = i < ENGINES;
             SoakReplica replica = new SoakReplica("replica" + i, engine, recorder);
             int index = i;
@@ -70,7 +84,9 @@
             mReplicaProxies.add(
                     new SoakProxy(mNetworkPrefix + "2." + (i + 1), mFirstPort, replica.address()));
             mRegistrationKeys.add("");
-            registerReplica(i);
+            if (i < ENGINES + PLAIN_REPLICAS) {
+                registerReplica(i);
+            }
             if (engine) {
                 mLoaders.add(new SoakProcess("loader", mDirectory, settings("loader", 2, i)));
             }
@@ -117,12 +133,12 @@
      * named after the version and replaces that of the previous version.
      */
     void publishConfiguration() {
-        mConfigurationVersion++;
+        long version = mConfiguration.version() + 1;
         StringBuilder routes = new StringBuilder();
         routes.append(route(SoakCaller.NON_IDEMPOTENT, "non_idempotent", 1, "desk")).append(',');
         routes.append(route(SoakCaller.IDEMPOTENT, "idempotent", 2, "desk")).append(',');
         routes.append(route(SoakCaller.STREAMING, "streaming", 1, "model")).append(',');
-        routes.append(route("v" + mConfigurationVersion, "idempotent", 1, "desk"));
+        routes.append(route("v" + version, "idempotent", 1, "desk"));
         mStore.put(
                 "op/config",
                 """
@@ -135,7 +151,8 @@
                   "header_timeout_ms":3000,"idle_timeout_ms":15000},
                  "tenants":[{"name":"t1","api_keys":["k1"]}]}
                 """
-                        .formatted(mConfigurationVersion, routes));
+                        .formatted(version, routes));
+        mConfiguration = new Configuration(version, System.nanoTime());
     }
 
     /** Records that something other than a planned stop disturbs the fleet now. */
@@ -143,6 +160,13 @@
         mLastDisturbanceNanos = System.nanoTime();
     }
 
+    /** Registers the spare replicas. */
+    void registerSpares() {
+        for (int i = 0; i < SPARE_REPLICAS; i++) {
+            registerReplica(ENGINES + PLAIN_REPLICAS + i);
+        }
+    }
+
     /** Restarts a replica as another instance at the same address. */
     synchronized void restartReplica(int replica) {
         mReplicas.get(replica).restart();
@@ -160,7 +184,7 @@
 
     /** Publishes a new version of an adapter as the wanted one. */
     void publishAdapterVersion(int adapter) {
-        long version = mConfigurationVersion + 1;
+        long version = mConfiguration.version() + 1;
         mReplicas.forEach(replica -> replica.setWantedVersion("a" + adapter, version));
         mStore.put(
                 "op/version/m0.a" + adapter,
@@ -172,13 +196,13 @@
     void awaitReady() throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
         for (int entry = 0; entry < ENTRIES; entry++) {
-            while (probe(entry, mConfigurationVersion) != 200) {
+            while (probe(entry, mConfiguration.version()) != 200) {
                 if (System.nanoTime() > endNanos) {
                     mRecorder.recordViolation(
                             "entry "
                                     + entry
                                     + " does not serve configuration version "
-                                    + mConfigurationVersion);
+                                    + mConfiguration.version());
                     return;
                 }
                 TimeUnit.MILLISECONDS.sleep(50);
@@ -189,14 +213,40 @@
     /** Checks that all entries have removed the route of the previous configuration. */
     void checkPreviousRouteRemoved() {
         for (int entry = 0; entry < ENTRIES; entry++) {
-            int status = probe(entry, mConfigurationVersion - 1);
-            if (mConfigurationVersion > 1 && status != 404) {
+            int status = probe(entry, mConfiguration.version() - 1);
+            if (mConfiguration.version() > 1 && status != 404) {
                 mRecorder.recordViolation(
                         "entry " + entry + " responds to a removed route with status " + status);
             }
         }
     }
 
+    /**
+     * Checks that no entry denies the route of a configuration that was acknowledged longer ago
+     * than the bound for applying it.
+     */
+    void checkConfigurationApplied() {
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            Configuration newest = mConfiguration;
+            long sentNanos = System.nanoTime();
+            if (sentNanos - newest.acknowledgedNanos() < APPLY_NANOS || !isInTouch(sentNanos)) {
+                return;
+            }
+            int status = probe(entry, newest.version());
+            if (status == 401 || status == 403 || status == 404) {
+                mRecorder.recordViolation(
+                        "entry "
+                                + entry
+                                + " answers "
+                                + status
+                                + " to a route that was acknowledged "
+                                + TimeUnit.NANOSECONDS.toMillis(
+                                        sentNanos - newest.acknowledgedNanos())
+                                + " ms before");
+            }
+        }
+    }
+
     private int probe(int entry, long version) {
         String id = "probe-" + entry + '-' + System.nanoTime();
         mRecorder.recordSent(id, "v" + version);
@@ -218,7 +268,7 @@
         }
         String key = "servers/" + standIn.instance();
         mRegistrationKeys.set(replica, key);
-        String service = replica < ENGINES ? "model" : "desk";
+        String service = replica < ENGINES ? MODEL : DESK;
         mStore.put(
                 key, standIn.registration(service, mReplicaProxies.get(replica).address(), ZONE));
     }
@@ -254,8 +304,8 @@
                 store.address().getAddress().getHostAddress() + ':' + store.address().getPort());
         settings.put("bounds.grace_s", "6");
         settings.put("bounds.lease_ms", "3000");
-        settings.put("bounds.retry_budget_ratio", "0.2");
-        settings.put("bounds.retry_budget_extra", "50");
+        settings.put("bounds.retry_budget_ratio", Double.toString(SoakRetries.RATIO));
+        settings.put("bounds.retry_budget_extra", Integer.toString(SoakRetries.EXTRA));
         if (program.equals("loader")) {
             settings.put("backend", "model");
             settings.put("app", ip + ':' + mFirstPort);
--- a/src/test/java/ebonygw/platform/SoakRecorder.java
+++ b/src/test/java/ebonygw/platform/SoakRecorder.java
@@ -20,6 +20,7 @@
     private final Map<String, AtomicInteger> mCounts = new ConcurrentHashMap<>();
     private final Queue<String> mViolations = new ConcurrentLinkedQueue<>();
     private final Map<String, CrashingPart> mCrashingParts = new ConcurrentHashMap<>();
+    private final SoakRetries mRetries = new SoakRetries();
     private volatile String mCrashingPart = "";
 
     /** Returns the body of a replica's response to a request. */
@@ -69,6 +70,11 @@
         mRefused.put(id, status);
     }
 
+    /** Records that a request reaches a replica, whether it runs there or not. */
+    void recordArrival(String id, String service) {
+        mRetries.recordArrival(service, id, System.nanoTime());
+    }
+
     /** Records that a replica starts to run a request. */
     void recordRun(String id, String kind) {
         if (!kind.equals(mSent.get(id))) {
@@ -84,6 +90,8 @@
     /** Records a request; to be called before it is sent. */
     void recordSent(String id, String kind) {
         mSent.put(id, kind);
+        String service = kind.equals(SoakCaller.STREAMING) ? SoakFleet.MODEL : SoakFleet.DESK;
+        mRetries.recordRequest(service, System.nanoTime());
     }
 
     /** Returns the prompt part that crashes engines now, empty if there is none. */
@@ -142,6 +150,7 @@
                                         + " but ran");
                     }
                 });
+        mRetries.violation().ifPresent(this::recordViolation);
         return List.copyOf(mViolations);
     }
 }
--- a/src/test/java/ebonygw/platform/SoakReplica.java
+++ b/src/test/java/ebonygw/platform/SoakReplica.java
@@ -43,6 +43,7 @@
     private long mStartedAtMillis = System.currentTimeMillis();
     private long mOrderCount;
     private long mFencingToken;
+    private volatile boolean mRejecting;
     private volatile CrashHandler mCrashHandler = part -> {};
 
     /** Handles that the replica crashes under a prompt part. */
@@ -64,6 +65,11 @@
         mCrashHandler = handler;
     }
 
+    /** Starts or stops to reject all requests without running them. */
+    void setRejecting(boolean on) {
+        mRejecting = on;
+    }
+
     InetSocketAddress address() {
         return mServer.address();
     }
@@ -210,6 +216,12 @@
             throws IOException, InterruptedException {
         String id = header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(new HttpString("Attempt-Id"), id);
+        mRecorder.recordArrival(id, mEngine ? SoakFleet.MODEL : SoakFleet.DESK);
+        if (mRejecting) {
+            exchange.getResponseHeaders().put(new HttpString("Not-Executed"), "1");
+            exchange.setStatusCode(503);
+            return;
+        }
         if (mNotices.apply(exchange, id, System.nanoTime())) {
             return;
         }
--- a/src/test/java/ebonygw/platform/StoreStandIn.java
+++ b/src/test/java/ebonygw/platform/StoreStandIn.java
@@ -45,6 +45,12 @@
         mCompactedRevision = mRevision;
     }
 
+    /** Ends all leases and removes their keys. */
+    synchronized void lapseLeases() {
+        mLeases.clear();
+        expireLeases();
+    }
+
     /** Responds to all requests with a status, or normally if it is 0. */
     void failWith(int status) {
         mFailureStatus = status;
