--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -219,12 +219,12 @@
             if (i == RESTARTS / 2) {
                 mFleet.mStore.lapseLeases();
             }
-            if (mCheckRandom.nextBoolean()) {
-                mFleet.mEntries.get(i % SoakFleet.ENTRIES).kill();
+            if (mCheckRandom.nextInt(4) > 0) {
+                mFleet.mEntries.forEach(SoakProcess::kill);
             } else {
                 mFleet.mEntries.get(i % SoakFleet.ENTRIES).terminate();
             }
-            TimeUnit.MILLISECONDS.sleep(1_000 + mCheckRandom.nextInt(1_000));
+            TimeUnit.MILLISECONDS.sleep(2_000 + mCheckRandom.nextInt(1_000));
         }
         plain.forEach(replica -> replica.setRejecting(false));
         callers.forEach(caller -> caller.setSlow(false));
