--- a/src/main/java/ebonygw/gateway/EntryDirectory.java
+++ b/src/main/java/ebonygw/gateway/EntryDirectory.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * Returns the time since the service last confirmed the registrations, -1 if it never did, in
-     * milliseconds.
+     * Returns the milliseconds since the service last confirmed the registrations, -1 if it never
+     * did.
      */
     long ageMillis(long nowNanos) {
         return mMirror.ageMillis(nowNanos);
--- a/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
+++ b/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
@@ -14,8 +14,8 @@
  *
  * <p>The budgets of all entries together never exceed those of the fleet: a budget starts empty,
  * because a former process of this entry may have spent its part; a change of the number of entries
- * adds nothing to a balance; and an entry that cannot know its part has that of its own requests
- * only.
+ * adds nothing to a balance; and an entry that may not use its part (see {@link FleetSize}) has the
+ * deposits of its own requests only.
  *
  * <p>Not thread-safe.
  */
@@ -23,7 +23,9 @@
     /** Minimum time left until the deadline for an attempt: a round trip between regions. */
     static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
-    /** Balance below which no retry is possible, which each entry may always hold. */
+    /**
+     * Balance that every entry may hold, so that deposits of its own requests add up to a retry.
+     */
     private static final double MIN_BALANCE = 1;
 
     private final GatewayOptions mOptions;
@@ -95,7 +97,7 @@
     /**
      * Returns the bounds of this entry's budgets. Within one window a budget spends at most its
      * balance at the start and what it receives meanwhile, hence half of the extra retries for
-     * each. The minimum balances of entries that cannot know their part are taken off the latter.
+     * each. The minimum balances of entries that may not use their part are taken off the latter.
      */
     private RetryOptions retryOptions() {
         double half = mOptions.retryExtra() / 2;
