--- a/src/test/java/ebonygw/gateway/RejectedLoad.java
+++ b/src/test/java/ebonygw/gateway/RejectedLoad.java
@@ -1,11 +1,8 @@
 package ebonygw.gateway;
 
-import java.util.ArrayList;
-import java.util.HashSet;
+import ebonygw.retry.RetryWindows;
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A fleet of five entries whose targets reject every request without running it, so that entries
@@ -14,23 +11,24 @@
 final class RejectedLoad {
     static final int ENTRIES = 5;
     private static final int REPLICAS = 9;
-
-    /** Length of the window in which retries are counted, and what the platform allows in it. */
-    private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-    private static final double RATIO = 0.2;
-    private static final int EXTRA = 56;
-
     private static final int INTERVAL_MILLIS = 40;
 
     final GatewayFleet mFleet;
     private final SplittableRandom mRandom;
-    private final List<Long> mRequests = new ArrayList<>();
+    private final RetryWindows mWindows;
+    private int mRequests;
+    private int mCountedArrivals;
 
     RejectedLoad(long seed) {
         mRandom = new SplittableRandom(seed);
         mFleet = new GatewayFleet(seed, ENTRIES, REPLICAS);
         mFleet.mRejecting = true;
+        GatewayOptions options = GatewayFixture.options();
+        mWindows =
+                new RetryWindows(
+                        options.retryRatio(),
+                        (int) options.retryExtra(),
+                        options.retryWindowNanos());
     }
 
     /** Sends requests to entries at random for a time. */
@@ -39,53 +37,19 @@
             List<String> entries = List.copyOf(mFleet.mEntries.keySet());
             if (!entries.isEmpty()) {
                 String entry = entries.get(mRandom.nextInt(entries.size()));
-                mRequests.add(mFleet.nowNanos());
-                mFleet.submit(entry, GatewayFleet.prompt("own" + mRequests.size()));
+                mWindows.addRequest(mFleet.nowNanos());
+                mFleet.submit(entry, GatewayFleet.prompt("own" + ++mRequests));
             }
             mFleet.run(INTERVAL_MILLIS);
         }
     }
 
-    /**
-     * Returns the maximum, over all windows, of the retries in a window divided by those allowed in
-     * it: a fraction of its requests, or of those of a window before it, and a constant.
-     */
+    /** Returns the maximum, over all windows, of the retries made divided by those allowed. */
     double maxUse() {
-        List<Long> retries = retryTimes();
-        double max = 0;
-        for (int last = 0; last < retries.size(); last++) {
-            long endNanos = retries.get(last) + 1;
-            long requests =
-                    Math.max(
-                            count(mRequests, endNanos),
-                            Math.max(
-                                    count(mRequests, endNanos - WINDOW_NANOS / 2),
-                                    count(mRequests, endNanos - WINDOW_NANOS)));
-            max = Math.max(max, count(retries, endNanos) / (RATIO * requests + EXTRA));
-        }
-        return max;
-    }
-
-    /** Returns the number of retries that arrived in the last window. */
-    long recentRetries() {
-        return count(retryTimes(), mFleet.nowNanos());
-    }
-
-    /** Returns the arrival times of all attempts but the first of each request. */
-    private List<Long> retryTimes() {
-        List<Long> retries = new ArrayList<>();
-        Set<String> seen = new HashSet<>();
-        for (GatewayFleet.Arrival arrival : mFleet.mArrivals) {
-            if (!seen.add(arrival.request().id())) {
-                retries.add(arrival.nanos());
-            }
-        }
-        return retries;
-    }
-
-    private static long count(List<Long> times, long endNanos) {
-        return times.stream()
-                .filter(time -> time >= endNanos - WINDOW_NANOS && time < endNanos)
-                .count();
+        List<GatewayFleet.Arrival> arrivals = mFleet.mArrivals;
+        arrivals.subList(mCountedArrivals, arrivals.size())
+                .forEach(it -> mWindows.addArrival(it.request().id(), it.nanos()));
+        mCountedArrivals = arrivals.size();
+        return mWindows.maxUse();
     }
 }
--- a/src/test/java/ebonygw/platform/SoakRecorder.java
+++ b/src/test/java/ebonygw/platform/SoakRecorder.java
@@ -72,7 +72,7 @@
 
     /** Records that a request reaches a replica, whether it runs there or not. */
     void recordArrival(String id, String service) {
-        mRetries.recordArrival(service, id, System.nanoTime());
+        mRetries.recordArrival(service, id);
     }
 
     /** Records that a replica starts to run a request. */
@@ -91,7 +91,7 @@
     void recordSent(String id, String kind) {
         mSent.put(id, kind);
         String service = kind.equals(SoakCaller.STREAMING) ? SoakFleet.MODEL : SoakFleet.DESK;
-        mRetries.recordRequest(service, System.nanoTime());
+        mRetries.recordRequest(service);
     }
 
     /** Returns the prompt part that crashes engines now, empty if there is none. */
--- a/src/test/java/ebonygw/platform/SoakRetries.java
+++ b/src/test/java/ebonygw/platform/SoakRetries.java
@@ -1,11 +1,8 @@
 package ebonygw.platform;
 
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
+import ebonygw.retry.RetryWindows;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -20,74 +17,34 @@
     static final int EXTRA = 20;
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    private final Map<String, Service> mServices = new TreeMap<>();
+    private final Map<String, RetryWindows> mByService = new TreeMap<>();
 
-    private static final class Service {
-        private final List<Long> mRequests = new ArrayList<>();
-        private final List<Long> mRetries = new ArrayList<>();
-        private final Set<String> mArrived = new HashSet<>();
+    /** Records that a caller is about to send a request for a service. */
+    synchronized void recordRequest(String service) {
+        windows(service).addRequest(System.nanoTime());
     }
 
-    synchronized void recordRequest(String service, long nowNanos) {
-        service(service).mRequests.add(nowNanos);
+    /** Records that a request reaches a replica of a service. */
+    synchronized void recordArrival(String service, String id) {
+        windows(service).addArrival(id, System.nanoTime());
     }
 
-    synchronized void recordArrival(String service, String id, long nowNanos) {
-        if (!service(service).mArrived.add(id)) {
-            service(service).mRetries.add(nowNanos);
-        }
-    }
-
-    /**
-     * Returns the first window with more retries than the budget allows, by the requests of that
-     * window or of those that end half a window and a window before.
-     */
+    /** Returns the service with more retries in some window than the budget allows. */
     synchronized Optional<String> violation() {
-        for (Map.Entry<String, Service> entry : mServices.entrySet()) {
-            List<Long> retries = entry.getValue().mRetries;
-            List<Long> requests = entry.getValue().mRequests;
-            for (int last = 0; last < retries.size(); last++) {
-                long endNanos = retries.get(last) + 1;
-                long granted =
-                        Math.max(
-                                count(requests, endNanos),
-                                Math.max(
-                                        count(requests, endNanos - WINDOW_NANOS / 2),
-                                        count(requests, endNanos - WINDOW_NANOS)));
-                long retried = count(retries, endNanos);
-                if (retried > RATIO * granted + EXTRA) {
-                    return Optional.of(
-                            retried
-                                    + " retries for "
-                                    + granted
-                                    + " requests of service "
-                                    + entry.getKey());
-                }
-            }
-        }
-        return Optional.empty();
-    }
-
-    /** Returns how many times lie in the window that ends at a time; they are in order. */
-    private static long count(List<Long> times, long endNanos) {
-        return firstFrom(times, endNanos) - firstFrom(times, endNanos - WINDOW_NANOS);
-    }
-
-    private static int firstFrom(List<Long> times, long nanos) {
-        int low = 0;
-        int high = times.size();
-        while (low < high) {
-            int middle = (low + high) / 2;
-            if (times.get(middle) - nanos < 0) {
-                low = middle + 1;
-            } else {
-                high = middle;
-            }
-        }
-        return low;
+        return mByService.entrySet().stream()
+                .filter(entry -> entry.getValue().maxUse() > 1)
+                .map(
+                        entry ->
+                                "retries of service "
+                                        + entry.getKey()
+                                        + " are "
+                                        + entry.getValue().maxUse()
+                                        + " times those allowed in a window")
+                .findFirst();
     }
 
-    private Service service(String name) {
-        return mServices.computeIfAbsent(name, n -> new Service());
+    private RetryWindows windows(String service) {
+        return mByService.computeIfAbsent(
+                service, name -> new RetryWindows(RATIO, EXTRA, WINDOW_NANOS));
     }
 }
