--- a/src/main/java/ebonygw/gateway/GatewayRoute.java
+++ b/src/main/java/ebonygw/gateway/GatewayRoute.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.AllowedRegions;
 import java.util.List;
 import java.util.Objects;
 
@@ -18,6 +19,7 @@
  * @param priority scheduling priority of its requests, 0 is the highest
  * @param openToAll whether requests without a key are accepted
  * @param resumable whether a stream may be resumed at another target
+ * @param allowedRegions regions in which its requests may run
  */
 public record GatewayRoute(
         String name,
@@ -30,7 +32,8 @@
         int maxAttempts,
         int priority,
         boolean openToAll,
-        boolean resumable) {
+        boolean resumable,
+        AllowedRegions allowedRegions) {
     /**
      * Creates a route.
      *
@@ -42,6 +45,7 @@
         Objects.requireNonNull(host, "host");
         Objects.requireNonNull(prefix, "prefix");
         Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(allowedRegions, "allowedRegions");
         services = List.copyOf(services);
         if (services.isEmpty() || timeoutNanos <= 0 || maxAttempts < 1) {
             throw new IllegalArgumentException(
@@ -56,6 +60,34 @@
         }
     }
 
+    /** Creates a route whose requests may run in all regions. */
+    public GatewayRoute(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            List<WeightedService> services,
+            long timeoutNanos,
+            long objectiveNanos,
+            int maxAttempts,
+            int priority,
+            boolean openToAll,
+            boolean resumable) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                services,
+                timeoutNanos,
+                objectiveNanos,
+                maxAttempts,
+                priority,
+                openToAll,
+                resumable,
+                AllowedRegions.ANY);
+    }
+
     /**
      * A service that receives a fraction of a route's requests.
      *
@@ -69,6 +101,23 @@
         return kind == RequestKind.IDEMPOTENT;
     }
 
+    /** Returns this route with other allowed regions. */
+    public GatewayRoute withAllowedRegions(AllowedRegions regions) {
+        return new GatewayRoute(
+                name,
+                host,
+                prefix,
+                kind,
+                services,
+                timeoutNanos,
+                objectiveNanos,
+                maxAttempts,
+                priority,
+                openToAll,
+                resumable,
+                regions);
+    }
+
     /**
      * Returns the service of a request, chosen by weight. Equal hashes give the same service; if
      * all weights are 0, the first service is returned.
--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /**
  * One revision of the complete configuration.
@@ -15,6 +18,8 @@
 public final class GatewaySettings {
     private final long mRevision;
     private final Map<String, List<GatewayRoute>> mRoutesByHost = new HashMap<>();
+    private final Map<String, GatewayRoute> mRoutesByName = new HashMap<>();
+    private final Map<String, GatewayCustomer> mCustomersByName = new HashMap<>();
     private final Map<String, GatewayService> mServices = new HashMap<>();
     private final List<GatewayCustomer> mCustomers;
     private final Map<String, GatewayCustomer> mCustomersByKey = new HashMap<>();
@@ -41,12 +46,14 @@
         mMaxBodyBytes = maxBodyBytes;
         for (GatewayRoute route : routes) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+            mRoutesByName.put(route.name(), route);
         }
         Comparator<GatewayRoute> longestFirst =
                 Comparator.comparingInt((GatewayRoute route) -> route.prefix().length()).reversed();
         mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> mServices.put(service.name(), service));
         for (GatewayCustomer customer : customers) {
+            mCustomersByName.put(customer.name(), customer);
             customer.keyHashes().forEach(hash -> mCustomersByKey.put(hash, customer));
         }
     }
@@ -56,6 +63,11 @@
         return Optional.ofNullable(mCustomersByKey.get(keyHash));
     }
 
+    /** Returns the customer with a name, empty if there is none. */
+    public Optional<GatewayCustomer> customerNamed(String name) {
+        return Optional.ofNullable(mCustomersByName.get(name));
+    }
+
     /** Returns all customers. */
     public List<GatewayCustomer> customers() {
         return mCustomers;
@@ -86,8 +98,22 @@
         return Optional.empty();
     }
 
+    /** Returns the route with a name, empty if there is none. */
+    public Optional<GatewayRoute> routeNamed(String name) {
+        return Optional.ofNullable(mRoutesByName.get(name));
+    }
+
     /** Returns a service by name, empty if there is none. */
     public Optional<GatewayService> service(String name) {
         return Optional.ofNullable(mServices.get(name));
     }
+
+    /** Returns the allowed regions of routes and customers that are not among the known ones. */
+    public SortedSet<String> unknownRegions(Set<String> known) {
+        SortedSet<String> unknown = new TreeSet<>();
+        mRoutesByName.values().forEach(it -> unknown.addAll(it.allowedRegions().names()));
+        mCustomers.forEach(it -> unknown.addAll(it.allowedRegions().names()));
+        unknown.removeAll(known);
+        return unknown;
+    }
 }
--- a/src/main/java/ebonygw/gateway/StoreReader.java
+++ b/src/main/java/ebonygw/gateway/StoreReader.java
@@ -2,6 +2,7 @@
 
 import ebonygw.keyvalue.KeyValueResponse.Entry;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Parses the values that operators and targets write to the key-value service.
@@ -9,6 +10,21 @@
  * <p>Stateless; used on the control thread.
  */
 public interface StoreReader {
+    /**
+     * Reads the data centre whose evacuation a key requests; the value of the key has no meaning.
+     *
+     * @return empty if the key does not request an evacuation
+     * @throws IllegalArgumentException if the key names no data centre
+     */
+    default Optional<String> evacuatedDataCenter(String key) {
+        return Optional.empty();
+    }
+
+    /** Returns the regions of the fleet, empty if they are not known. */
+    default Set<String> knownRegions() {
+        return Set.of();
+    }
+
     /** Returns the prefix of the operators' keys. */
     String operatorPrefix();
 
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -1,6 +1,7 @@
 package ebonygw.gateway;
 
 import com.google.protobuf.ByteString;
+import ebonygw.eligibility.AllowedRegions;
 import ebonygw.keyvalue.KeyValueRequest;
 import ebonygw.keyvalue.KeyValueResponse;
 import ebonygw.keyvalue.KeyValueResponse.Entry;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +27,7 @@
     static final String KEY = "secret-of-a";
     static final Locality KINGSTON = new Locality("kingston", "kgn-a");
     static final Locality MONTEGO = new Locality("montego", "mbj-a");
+    private static final String EVACUATION_PREFIX = "op/evacuate/";
     static final int LOADER_PORT = 7600;
     static final int MAX_BODY_BYTES = 64;
 
@@ -124,15 +127,28 @@
     }
 
     static GatewaySettings settings(long revision, long tokensPerSecond, long burst) {
+        return settings(revision, tokensPerSecond, burst, AllowedRegions.ANY, AllowedRegions.ANY);
+    }
+
+    /** Returns settings with allowed regions of all routes, and of the customer. */
+    static GatewaySettings settings(
+            long revision,
+            long tokensPerSecond,
+            long burst,
+            AllowedRegions routes,
+            AllowedRegions customer) {
         EngineLimits engine =
                 new EngineLimits(
                         96, 100_000, 8, 35_000, Map.of("m0", new EngineLimits.Model(34_000, 40)));
         return new GatewaySettings(
                 revision,
                 List.of(
-                        route("book", "/book/", RequestKind.NON_IDEMPOTENT, "desk"),
-                        route("look", "/look/", RequestKind.IDEMPOTENT, "desk"),
-                        route("ask", "/ask/", RequestKind.STREAMING, "model")),
+                        route("book", "/book/", RequestKind.NON_IDEMPOTENT, "desk")
+                                .withAllowedRegions(routes),
+                        route("look", "/look/", RequestKind.IDEMPOTENT, "desk")
+                                .withAllowedRegions(routes),
+                        route("ask", "/ask/", RequestKind.STREAMING, "model")
+                                .withAllowedRegions(routes)),
                 List.of(
                         new GatewayService("desk", 110, "/health", Optional.empty()),
                         new GatewayService("model", 500, "/health", Optional.of(engine))),
@@ -143,7 +159,8 @@
                                 tokensPerSecond,
                                 burst,
                                 200,
-                                List.of(CallerKeys.hash(KEY)))),
+                                List.of(CallerKeys.hash(KEY)),
+                                customer)),
                 MAX_BODY_BYTES);
     }
 
@@ -228,6 +245,16 @@
                 .findFirst();
     }
 
+    void evacuate(Locality locality) {
+        put(EVACUATION_PREFIX + locality.dataCenter());
+    }
+
+    void endEvacuation(Locality locality) {
+        String key = EVACUATION_PREFIX + locality.dataCenter();
+        mStore.remove(key);
+        changed(new Entry(key, null, ++mRevision, 0));
+    }
+
     void removeTarget(String id) {
         mTargets.remove(id);
         Entry entry = mStore.remove("servers/" + id);
@@ -348,6 +375,18 @@
     }
 
     private final class Reader implements StoreReader {
+        @Override
+        public Optional<String> evacuatedDataCenter(String key) {
+            return key.startsWith(EVACUATION_PREFIX)
+                    ? Optional.of(key.substring(EVACUATION_PREFIX.length()))
+                    : Optional.empty();
+        }
+
+        @Override
+        public Set<String> knownRegions() {
+            return Set.of(KINGSTON.region(), MONTEGO.region());
+        }
+
         @Override
         public String operatorPrefix() {
             return "op/";
--- a/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
+++ b/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.protobuf.ByteString;
+import ebonygw.eligibility.AllowedRegions;
 import ebonygw.gateway.GatewayRoute;
 import ebonygw.gateway.GatewaySettings;
 import ebonygw.gateway.RequestKind;
@@ -74,6 +75,35 @@
                 .isEqualTo("t1");
     }
 
+    // Guards against lists that are not read, or that allow more than they name.
+    @Test
+    void allowedRegionsAreReadAndWhatIsNoListOfNamesAllowsNothing() {
+        String restricted =
+                CONFIGURATION
+                        .replace(
+                                "\"name\":\"r1\",",
+                                "\"name\":\"r1\",\"allowed_regions\":[\"a\",7],")
+                        .replace("\"name\":\"t1\",", "\"name\":\"t1\",\"allowed_regions\":\"a\",");
+        GatewaySettings settings = mReader.settings(entry("op/config", restricted)).orElseThrow();
+
+        AllowedRegions route = settings.routeNamed("r1").orElseThrow().allowedRegions();
+        assertThat(route.allows("a")).isTrue();
+        assertThat(route.allows("7")).isFalse();
+        assertThat(settings.customerNamed("t1").orElseThrow().allowedRegions().allows("a"))
+                .isFalse();
+        assertThat(settings.routeNamed("r2").orElseThrow().allowedRegions())
+                .isEqualTo(AllowedRegions.ANY);
+        assertThat(settings.unknownRegions(mReader.knownRegions())).hasSize(3);
+    }
+
+    @Test
+    void aKeyOfAnEvacuationNamesItsDataCenter() {
+        assertThat(mReader.evacuatedDataCenter("op/evacuate/z1")).contains("z1");
+        assertThat(mReader.evacuatedDataCenter("op/config")).isEmpty();
+        assertThatThrownBy(() -> mReader.evacuatedDataCenter("op/evacuate/"))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+
     @Test
     void theLongestPrefixSelectsTheRouteAndTheWeightsItsService() {
         GatewayRoute route =
