Ignore older writes of removed keys in PrefixMirror

The mirror compared revisions with the known entry only, so that an old write that was received after the removal of its key brought the key back for good. For a key under op/evacuate/ that would evacuate a data centre until somebody wrote the key again. The revisions of the newest 1,024 removals are kept.

The new test failed before: the mirror reported p/a at revision 12 after its removal at 13.

--- a/src/main/java/ebonygw/keyvalue/PrefixMirror.java
+++ b/src/main/java/ebonygw/keyvalue/PrefixMirror.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -15,10 +16,10 @@
 /**
  * A local copy of all keys with a prefix, kept up to date by a range read and a watch.
  *
- * <p>A key never goes back to an earlier revision. During an outage of the service, leases of live
- * processes expire because they cannot be renewed. A removal that is received within {@link
- * #REWRITE_GRACE_NANOS} after the service is available again is therefore applied only if the key
- * is still absent at the end of that period. Not thread-safe.
+ * <p>A key never goes back to an earlier revision, also if it was removed. During an outage of the
+ * service, leases of live processes expire because they cannot be renewed. A removal that is
+ * received within {@link #REWRITE_GRACE_NANOS} after the service is available again is therefore
+ * applied only if the key is still absent at the end of that period. Not thread-safe.
  */
 public final class PrefixMirror {
     /** Time after an outage in which live processes write their leased keys again. */
@@ -33,11 +34,18 @@
     /** Maximum delay after a failed request, well below the time limit for applying settings. */
     private static final long MAX_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+    /** Maximum number of removed keys whose revisions are kept, the newest ones. */
+    private static final int MAX_REMOVED_KEYS = 1_024;
+
     private final String mPrefix;
     private final String mRangeEnd;
     private final KeyValueRequestIds mRequestIds;
     private final Map<String, Entry> mEntries = new HashMap<>();
     private final Map<String, Long> mPendingRemovals = new HashMap<>();
+
+    /** Revisions of the latest removals by key, the newest one last. */
+    private final Map<String, Long> mRemovedRevisions = new LinkedHashMap<>();
+
     private final List<Change> mChanges = new ArrayList<>();
     private long mRevision;
     private long mReadRequestId;
@@ -175,7 +183,11 @@
         if (known != null && known.modRevision() >= entry.modRevision()) {
             return;
         }
+        if (mRemovedRevisions.getOrDefault(entry.key(), Long.MIN_VALUE) >= entry.modRevision()) {
+            return;
+        }
         if (entry.value() == null) {
+            recordRemoval(entry.key(), entry.modRevision());
             removeOrDefer(entry.key(), nowNanos);
             return;
         }
@@ -217,6 +229,15 @@
         mRetryDelayNanos = Math.min(MAX_RETRY_NANOS, 2 * mRetryDelayNanos);
     }
 
+    /** Records the revision of a removal, below which the key is not written again. */
+    private void recordRemoval(String key, long revision) {
+        mRemovedRevisions.remove(key);
+        mRemovedRevisions.put(key, revision);
+        if (mRemovedRevisions.size() > MAX_REMOVED_KEYS) {
+            mRemovedRevisions.remove(mRemovedRevisions.keySet().iterator().next());
+        }
+    }
+
     /** Removes a key, or defers the removal while the grace period after an outage lasts. */
     private void removeOrDefer(String key, long nowNanos) {
         if (!mEntries.containsKey(key)) {
@@ -240,6 +261,7 @@
         }
         for (String key : List.copyOf(mEntries.keySet())) {
             if (!present.contains(key)) {
+                recordRemoval(key, found.revision());
                 removeOrDefer(key, nowNanos);
             }
         }
--- a/src/test/java/ebonygw/keyvalue/PrefixMirrorTest.java
+++ b/src/test/java/ebonygw/keyvalue/PrefixMirrorTest.java
@@ -89,6 +89,17 @@
         assertThat(mMirror.drainChanges()).isEmpty();
     }
 
+    // Guards against a removed key that an older write, received later, brings back for good.
+    @Test
+    void anOlderWriteDoesNotBringBackARemovedKey() {
+        loadMirror(entry("p/a", 4));
+        respond(new KeyValueResponse.Changed(13, List.of(removal("p/a", 13), entry("p/a", 12))));
+
+        assertThat(mMirror.drainChanges()).containsExactly(new PrefixMirror.Change("p/a", null));
+        respond(new KeyValueResponse.Changed(14, List.of(entry("p/a", 14))));
+        assertThat(mMirror.drainChanges()).hasSize(1);
+    }
+
     @Test
     void aKeyDeletedDuringAnOutageIsKeptUntilTheGracePeriodEnds() {
         loadMirror(entry("p/a", 3));
