Keep requests to allowed regions and out of evacuated data centres

One predicate, GatewayTarget.ineligibility, gives the reason why a target takes no requests of a route and customer now, with its start, end, source and age. It replaces Unavailability and is used by the chooser, and so by retries and waits for adapters. Requests keep the lists of the newest configuration.

--- a/src/main/java/ebonygw/gateway/GatewayAdmission.java
+++ b/src/main/java/ebonygw/gateway/GatewayAdmission.java
@@ -1,5 +1,7 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.AllowedRegions;
+import ebonygw.eligibility.RegionScope;
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
@@ -66,7 +68,7 @@
         if (needsKey && customer.isEmpty()) {
             return refuseUnknown(RefusalCode.UNAUTHENTICATED, nowNanos);
         }
-        return Either.right(
+        PendingRequest pending =
                 new PendingRequest(
                         exchange,
                         request,
@@ -77,7 +79,13 @@
                                 .filter(priority -> priority >= 0)
                                 .orElse(route.get().priority()),
                         customer.map(it -> request.charge(it.defaultTokens())).orElse(0L),
-                        nowNanos));
+                        nowNanos);
+        pending.mRegions =
+                new RegionScope(
+                        route.get().allowedRegions(),
+                        customer.map(GatewayCustomer::allowedRegions).orElse(AllowedRegions.ANY),
+                        mOperator.settingsSinceNanos());
+        return Either.right(pending);
     }
 
     /**
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -1,7 +1,14 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.Ineligibility.Reason;
+import ebonygw.eligibility.RegionScope;
 import ebonygw.log.LogLine;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -81,6 +88,7 @@
     TargetChooser.Choice choose(PendingRequest pending, long nowNanos) {
         return mChooser.choose(
                 pending.mRequest,
+                pending.mRegions,
                 mOperator.wantedVersion(pending.mRequest.adapter()),
                 mTargets.ofService(pending.mService),
                 pending.mTriedTargetIds,
@@ -142,36 +150,38 @@
         if (target == null || !target.record().incarnation().equals(pending.mTargetIncarnation)) {
             return false;
         }
-        GatewayTarget.Unavailability before = target.unavailability(nowNanos);
+        RegionScope regions = RegionScope.UNRESTRICTED;
+        Optional<Reason> before = target.ineligibilityReason(regions, nowNanos);
         target.onNotice(notice, nowNanos);
-        GatewayTarget.Unavailability after = target.unavailability(nowNanos);
-        if (after != before || notice.pauseNanos() > 0) {
+        Optional<Reason> after = target.ineligibilityReason(regions, nowNanos);
+        boolean changed = !after.equals(before);
+        if (changed || notice.pauseNanos() > 0) {
             mOut.log(
                     LogLine.of("target_noticed")
                             .with("target", pending.mTargetId)
                             .with("request", pending.mRequest.id())
                             .with("leaving", notice.leaving())
                             .with("pause_ms", notice.pauseNanos() / 1_000_000)
-                            .with("before", before)
-                            .with("after", after));
+                            .with("before", before.map(Reason::name).orElse("NONE"))
+                            .with("after", after.map(Reason::name).orElse("NONE")));
         }
-        if (after != before) {
+        if (changed) {
             mOut.effect(new GatewayEffect.WithdrawWaiting(target.record().address()));
         }
-        return after != before;
+        return changed;
     }
 
     /**
-     * Returns how long it takes until the first of a service's paused targets accepts requests
-     * again, if no other of its targets remains.
+     * Returns how long it takes until the first of the paused targets of a request's service
+     * accepts requests again, if no other target that may run the request remains.
      */
-    Optional<Long> remainingPauseNanos(String service, long nowNanos) {
+    Optional<Long> remainingPauseNanos(PendingRequest pending, long nowNanos) {
         long earliest = Long.MAX_VALUE;
-        for (GatewayTarget target : mTargets.ofService(service)) {
-            GatewayTarget.Unavailability why = target.unavailability(nowNanos);
-            if (why == GatewayTarget.Unavailability.PAUSED) {
+        for (GatewayTarget target : mTargets.ofService(pending.mService)) {
+            Reason why = target.ineligibilityReason(pending.mRegions, nowNanos).orElse(null);
+            if (why == Reason.PAUSED) {
                 earliest = Math.min(earliest, target.pausedUntilNanos());
-            } else if (why != GatewayTarget.Unavailability.LEAVING) {
+            } else if (why != Reason.LEAVING && (why == null || !why.isSetByOperators())) {
                 return Optional.empty();
             }
         }
@@ -188,10 +198,39 @@
         if (status == MISDIRECTED && !adapter.isEmpty()) {
             target.onAdapterAbsent(adapter, nowNanos);
         } else {
-            target.avoidUntil(nowNanos + REJECTION_BACKOFF_NANOS);
+            target.avoidUntil(nowNanos + REJECTION_BACKOFF_NANOS, nowNanos);
         }
     }
 
+    /**
+     * Handles that the attempt of a request was withdrawn before it was sent. If its target still
+     * takes the request, because the withdrawal concerned others, it may be chosen again.
+     */
+    void onWithdrawn(PendingRequest pending, long nowNanos) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target != null && target.ineligibility(pending.mRegions, nowNanos).isEmpty()) {
+            pending.mTriedTargetIds.remove(pending.mTargetId);
+        }
+    }
+
+    /** Returns how many targets of a request's service operators have excluded, by reason. */
+    Map<Reason, Integer> excludedByOperators(PendingRequest pending, long nowNanos) {
+        Map<Reason, Integer> counts = new EnumMap<>(Reason.class);
+        for (GatewayTarget target : mTargets.ofService(pending.mService)) {
+            target.ineligibilityReason(pending.mRegions, nowNanos)
+                    .filter(Reason::isSetByOperators)
+                    .ifPresent(reason -> counts.merge(reason, 1, Integer::sum));
+        }
+        return counts;
+    }
+
+    /** Withdraws the attempts that still wait for a connection to some targets. */
+    void withdrawUnsent(Collection<GatewayTarget> targets) {
+        Set<String> addresses = new HashSet<>();
+        targets.forEach(target -> addresses.add(target.record().address()));
+        addresses.forEach(it -> mOut.effect(new GatewayEffect.WithdrawWaiting(it)));
+    }
+
     /** Handles the start of a target's response, which ends the prefill of the prompt. */
     void onStarted(PendingRequest pending) {
         GatewayTarget target = mTargets.get(pending.mTargetId);
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -1,5 +1,8 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.Evacuations;
+import ebonygw.eligibility.Ineligibility;
+import ebonygw.eligibility.RegionScope;
 import ebonygw.keyvalue.KeyValueRequestIds;
 import ebonygw.keyvalue.KeyValueResponse;
 import ebonygw.keyvalue.PrefixMirror;
@@ -44,6 +47,9 @@
     /** Time after the end of acceptance that refusals in transmission get before the exit. */
     private static final long FINAL_RESPONSES_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Maximum number of names in a log line, so that its length is bounded. */
+    private static final int MAX_LOGGED_NAMES = 10;
+
     private final GatewayOptions mOptions;
     private final GatewayOutbox mOut = new GatewayOutbox();
     private final KeyValueRequestIds mRequestIds = new KeyValueRequestIds(REQUEST_ID_OWNER);
@@ -53,6 +59,7 @@
     private final FleetSize mFleetSize = new FleetSize();
     private final FleetQuota mQuota;
     private final UsageExchange mUsage;
+    private final Evacuations mEvacuations = new Evacuations();
     private final TargetTable mTargets;
     private final PromptGuard mGuard;
     private final PendingRequests mRequests;
@@ -71,13 +78,23 @@
     public GatewayNode(GatewayOptions options) {
         mOptions = Objects.requireNonNull(options, "options");
         Member self = options.self();
-        mOperator = new OperatorState(options.reader(), mRequestIds, mOut, this::onSettings);
+        mOperator =
+                new OperatorState(
+                        options.reader(),
+                        mRequestIds,
+                        mOut,
+                        this::onSettings,
+                        new EvacuationHandler());
         mTargetMirror = new PrefixMirror(options.reader().targetPrefix(), mRequestIds);
         SplittableRandom random = new SplittableRandom(options.seed());
         mDirectory = new EntryDirectory(self, mRequestIds, random.split());
         mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
         mUsage = new UsageExchange(self.id(), self.locality(), random.nextLong(), mQuota);
-        mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
+        mTargets =
+                new TargetTable(
+                        RouterOptions.defaults(self.id(), self.locality()),
+                        mEvacuations,
+                        this::ageMillis);
         mGuard = new PromptGuard(self.id(), random.nextLong(), mRequestIds, mOut);
         mRequests =
                 new PendingRequests(options, mOperator, mTargets, mQuota, mGuard, mFleetSize, mOut);
@@ -105,8 +122,11 @@
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
         dump.put("wantedVersions", mOperator.wantedVersions());
-        dump.put("targetsLeaving", count(GatewayTarget.Unavailability.LEAVING, nowNanos));
-        dump.put("targetsPaused", count(GatewayTarget.Unavailability.PAUSED, nowNanos));
+        dump.put("targetsLeaving", count(Ineligibility.Reason.LEAVING, nowNanos));
+        dump.put("targetsPaused", count(Ineligibility.Reason.PAUSED, nowNanos));
+        long evacuated = mTargets.all().stream().filter(GatewayTarget::isEvacuated).count();
+        dump.put("targetsEvacuated", evacuated);
+        dump.put("evacuations", mEvacuations.dump(nowNanos));
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
         dump.put("targets", targets);
@@ -206,7 +226,7 @@
             endIncarnation(known.record(), nowNanos);
         }
         mLinksChanged |= changed || !known.record().service().equals(record.service());
-        mTargets.put(record);
+        mTargets.put(record).onRegistrationRead(nowNanos);
         if (changed) {
             mOut.log(
                     LogLine.of("target_seen")
@@ -218,8 +238,20 @@
         }
     }
 
-    private long count(GatewayTarget.Unavailability why, long nowNanos) {
-        return mTargets.all().stream().filter(it -> it.unavailability(nowNanos) == why).count();
+    /** Returns the age of what this entry knows by a source, for diagnostics. */
+    private long ageMillis(Ineligibility.Source source, long sinceNanos, long nowNanos) {
+        return switch (source) {
+            case CONFIGURATION, EVACUATION_KEY -> mOperator.ageMillis(nowNanos);
+            case REGISTRATION -> mTargetMirror.ageMillis(nowNanos);
+            case RESPONSE, ATTEMPTS -> TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos);
+        };
+    }
+
+    private long count(Ineligibility.Reason why, long nowNanos) {
+        return mTargets.all().stream()
+                .flatMap(it -> it.ineligibility(RegionScope.UNRESTRICTED, nowNanos).stream())
+                .filter(it -> it.reason() == why)
+                .count();
     }
 
     /** Tells the guard of prompts that a target is gone, unless that was announced. */
@@ -285,6 +317,22 @@
     private void onSettings(GatewaySettings settings, long nowNanos) {
         mLinksChanged = true;
         mQuota.onSettings(settings.customers(), nowNanos);
+        mResidencyChanged |= mRequests.onSettings(settings, nowNanos);
+        checkRegions(settings);
+    }
+
+    /** Logs and counts the allowed regions of a configuration that the fleet does not have. */
+    private void checkRegions(GatewaySettings settings) {
+        Set<String> known = mOptions.reader().knownRegions();
+        Set<String> unknown = known.isEmpty() ? Set.of() : settings.unknownRegions(known);
+        if (!unknown.isEmpty()) {
+            mRequests.onInvalidInput("region_unknown", unknown.size());
+            mOut.log(
+                    LogLine.of("region_unknown")
+                            .with("revision", settings.revision())
+                            .with("unknown", unknown.size())
+                            .with("names", unknown.stream().limit(MAX_LOGGED_NAMES).toList()));
+        }
     }
 
     private void onStop(long nowNanos) {
@@ -296,6 +344,7 @@
 
     private void onTick(long nowNanos) {
         mOperator.onTick(nowNanos);
+        mEvacuations.onTick(nowNanos);
         mTargetMirror.onTick(nowNanos, mOut);
         if (mDirectory.onTick(nowNanos, mOut)) {
             mLinksChanged = true;
@@ -392,4 +441,34 @@
                     .ifPresent(needs -> mOut.send(target.loader(), needs));
         }
     }
+
+    /** Applies the evacuations that operators request and end. */
+    private final class EvacuationHandler implements OperatorState.EvacuationListener {
+        @Override
+        public void onChange(String dataCenter, long revision, long nowNanos) {
+            boolean changed =
+                    revision > 0
+                            ? mEvacuations.onRequested(dataCenter, nowNanos)
+                            : mEvacuations.onEnded(dataCenter, nowNanos);
+            if (!changed) {
+                return;
+            }
+            mResidencyChanged = true;
+            mOut.log(
+                    LogLine.of(revision > 0 ? "evacuation_started" : "evacuation_ended")
+                            .with("data_center", dataCenter)
+                            .with("revision", revision)
+                            .with("previous_age_ms", mOperator.previousAgeMillis())
+                            .with("targets", mTargets.ofDataCenter(dataCenter).size()));
+            if (revision > 0) {
+                mRequests.onEvacuated(dataCenter);
+            }
+        }
+
+        @Override
+        public void onMalformed(String key) {
+            mRequests.onInvalidInput("evacuation_malformed", 1);
+            mOut.log(LogLine.of("evacuation_malformed").with("key", key));
+        }
+    }
 }
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -1,5 +1,10 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.Evacuations;
+import ebonygw.eligibility.Ineligibility;
+import ebonygw.eligibility.Ineligibility.Reason;
+import ebonygw.eligibility.Ineligibility.Source;
+import ebonygw.eligibility.RegionScope;
 import ebonygw.membership.MemberMessage.TargetReport;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.AdapterVersion;
@@ -11,6 +16,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -30,21 +37,9 @@
     /** Open adapter slots assumed until the loader reports them: enough for one adapter. */
     private static final int DEFAULT_OPEN_SLOTS = 1;
 
-    /** Why a target gets no new requests. */
-    enum Unavailability {
-        /** It gets them. */
-        NONE,
-        /** It is about to stop. */
-        LEAVING,
-        /** It asked for a pause. */
-        PAUSED,
-        /** It failed several times in a row. */
-        EJECTED,
-        /** It rejected a request a moment ago. */
-        REJECTED
-    }
-
     final TargetHealth mHealth;
+    private final Evacuations mEvacuations;
+    private final Ineligibility.SourceAge mSourceAge;
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
     private final Map<String, Long> mAbsentUntilNanos = new HashMap<>();
     private final Set<String> mLoading = new HashSet<>();
@@ -76,12 +71,34 @@
     private long mLoadReportedNanos = Long.MIN_VALUE;
     private int mSentSinceReport;
     private int mEndedSinceReport;
+    private long mAvoidSinceNanos = Long.MIN_VALUE;
     private long mAvoidUntilNanos = Long.MIN_VALUE;
 
+    /** When the registration first said that the target drains, minimum value if it does not. */
+    private long mDrainingSinceNanos = Long.MIN_VALUE;
+
     /** Notices of the present incarnation. */
     private IncarnationNotices.Held mNotices;
 
+    /** Creates a target that no evacuation concerns. */
     GatewayTarget(TargetRecord record, IncarnationNotices.Held notices, RouterOptions options) {
+        this(record, notices, options, new Evacuations(), (source, sinceNanos, nowNanos) -> -1);
+    }
+
+    /**
+     * Creates a target.
+     *
+     * @param evacuations the data centres that are evacuated, kept up to date by the owner
+     * @param sourceAge age of what this entry knows, for diagnostics
+     */
+    GatewayTarget(
+            TargetRecord record,
+            IncarnationNotices.Held notices,
+            RouterOptions options,
+            Evacuations evacuations,
+            Ineligibility.SourceAge sourceAge) {
+        mEvacuations = evacuations;
+        mSourceAge = sourceAge;
         mHealth = new TargetHealth(options);
         mNotices = notices;
         mRecord = record;
@@ -106,9 +123,9 @@
         return mRecentlyHeld.contains(adapter);
     }
 
-    /** Returns whether new requests may be sent to the target. */
-    boolean isUsable(long nowNanos) {
-        return unavailability(nowNanos) == Unavailability.NONE;
+    /** Returns whether the target is in an evacuated data centre. */
+    boolean isEvacuated() {
+        return mEvacuations.sinceNanos(mRecord.locality().dataCenter()).isPresent();
     }
 
     /** Returns whether the target is about to stop, by its registration or its own notice. */
@@ -116,18 +133,96 @@
         return mRecord.draining() || mNotices.isLeaving();
     }
 
-    /** Returns why no new requests may be sent to the target. */
-    Unavailability unavailability(long nowNanos) {
-        if (isLeaving()) {
-            return Unavailability.LEAVING;
+    /** Returns whether the data centre of the target gets its work back after an evacuation. */
+    boolean isReturning(long nowNanos) {
+        return mEvacuations.capacityFraction(mRecord.locality().dataCenter(), nowNanos) < 1;
+    }
+
+    /** Returns whether the target wants no requests for a while, and does not leave. */
+    boolean isPaused(long nowNanos) {
+        return !isLeaving() && mNotices.isPaused(nowNanos);
+    }
+
+    /**
+     * Returns why the target takes no requests, the first reason by the order of {@link Reason},
+     * empty if it takes them.
+     *
+     * @param regions where the request may run
+     */
+    Optional<Ineligibility> ineligibility(RegionScope regions, long nowNanos) {
+        if (mNotices.isLeaving()) {
+            return because(
+                    Reason.LEAVING,
+                    mNotices.leavingSinceNanos(),
+                    OptionalLong.empty(),
+                    Source.RESPONSE,
+                    nowNanos);
+        }
+        if (mRecord.draining()) {
+            return because(
+                    Reason.LEAVING,
+                    mDrainingSinceNanos,
+                    OptionalLong.empty(),
+                    Source.REGISTRATION,
+                    nowNanos);
+        }
+        if (!regions.allows(mRecord.locality().region())) {
+            return because(
+                    Reason.OUTSIDE_REGIONS,
+                    regions.sinceNanos(),
+                    OptionalLong.empty(),
+                    Source.CONFIGURATION,
+                    nowNanos);
+        }
+        OptionalLong evacuated = mEvacuations.sinceNanos(mRecord.locality().dataCenter());
+        if (evacuated.isPresent()) {
+            return because(
+                    Reason.EVACUATED,
+                    evacuated.getAsLong(),
+                    OptionalLong.empty(),
+                    Source.EVACUATION_KEY,
+                    nowNanos);
         }
         if (mNotices.isPaused(nowNanos)) {
-            return Unavailability.PAUSED;
+            return because(
+                    Reason.PAUSED,
+                    mNotices.pausedSinceNanos(),
+                    OptionalLong.of(mNotices.pausedUntilNanos()),
+                    Source.RESPONSE,
+                    nowNanos);
         }
         if (mHealth.isEjected(nowNanos)) {
-            return Unavailability.EJECTED;
+            return because(
+                    Reason.EJECTED,
+                    mHealth.ejectedSinceNanos(),
+                    OptionalLong.of(mHealth.ejectedUntilNanos()),
+                    Source.ATTEMPTS,
+                    nowNanos);
+        }
+        if (nowNanos < mAvoidUntilNanos) {
+            return because(
+                    Reason.REJECTED,
+                    mAvoidSinceNanos,
+                    OptionalLong.of(mAvoidUntilNanos),
+                    Source.ATTEMPTS,
+                    nowNanos);
         }
-        return nowNanos < mAvoidUntilNanos ? Unavailability.REJECTED : Unavailability.NONE;
+        return Optional.empty();
+    }
+
+    /** Returns the reason why the target takes no requests, empty if it takes them. */
+    Optional<Reason> ineligibilityReason(RegionScope regions, long nowNanos) {
+        return ineligibility(regions, nowNanos).map(Ineligibility::reason);
+    }
+
+    /**
+     * Returns whether a request should rather go elsewhere because the data centre has been
+     * evacuated and gets its work back gradually.
+     *
+     * @param requestHash hash of the request's identifier
+     */
+    boolean prefersOthers(long requestHash, long nowNanos) {
+        return mEvacuations.prefersOthers(requestHash, mRecord.locality().dataCenter(), nowNanos);
     }
 
     /** Returns when the latest pause ends, {@link Long#MIN_VALUE} if there was none. */
@@ -175,9 +270,14 @@
         return mRecord;
     }
 
-    /** Returns how many requests the target runs concurrently, at least 1. */
-    int slots() {
-        return Math.max(1, mReportedSlots > 0 ? mReportedSlots : mRecord.slots());
+    /**
+     * Returns how many requests the target runs concurrently, at least 1; fewer while its data
+     * centre gets its work back.
+     */
+    int slots(long nowNanos) {
+        int slots = mReportedSlots > 0 ? mReportedSlots : mRecord.slots();
+        double fraction = mEvacuations.capacityFraction(mRecord.locality().dataCenter(), nowNanos);
+        return Math.max(1, (int) (slots * fraction));
     }
 
     /**
@@ -195,7 +295,8 @@
     }
 
     /** Excludes the target from new requests until a time. */
-    void avoidUntil(long nanos) {
+    void avoidUntil(long nanos, long nowNanos) {
+        mAvoidSinceNanos = nowNanos < mAvoidUntilNanos ? mAvoidSinceNanos : nowNanos;
         mAvoidUntilNanos = Math.max(mAvoidUntilNanos, nanos);
     }
 
@@ -299,6 +400,15 @@
         }
     }
 
+    /** Records when the registration first says that the target drains. */
+    void onRegistrationRead(long nowNanos) {
+        if (!mRecord.draining()) {
+            mDrainingSinceNanos = Long.MIN_VALUE;
+        } else if (mDrainingSinceNanos == Long.MIN_VALUE) {
+            mDrainingSinceNanos = nowNanos;
+        }
+    }
+
     /** Applies a report of the target's loader; returns whether adapters have changed. */
     boolean onReport(TargetReport report, long nowNanos) {
         if (report.sequence() <= mReportSequence) {
@@ -348,7 +458,9 @@
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("address", mRecord.address());
         dump.put("service", mRecord.service());
-        dump.put("unavailability", unavailability(nowNanos));
+        Optional<Ineligibility> why = ineligibility(RegionScope.UNRESTRICTED, nowNanos);
+        dump.put("unavailability", why.map(it -> it.reason().name()).orElse("NONE"));
+        why.ifPresent(it -> dump.put("ineligibility", it.dump(nowNanos)));
         dump.put("load", load(nowNanos));
         dump.put("loaderUp", mLoaderUp);
         dump.put("adapters", Map.copyOf(mAdapters));
@@ -356,6 +468,12 @@
         return dump;
     }
 
+    private Optional<Ineligibility> because(
+            Reason reason, long sinceNanos, OptionalLong untilNanos, Source source, long nowNanos) {
+        long ageMillis = mSourceAge.millis(source, sinceNanos, nowNanos);
+        return Optional.of(new Ineligibility(reason, sinceNanos, untilNanos, source, ageMillis));
+    }
+
     private static Map<String, Long> versions(List<AdapterVersion> versions) {
         Map<String, Long> byName = new HashMap<>();
         for (AdapterVersion version : versions) {
--- a/src/main/java/ebonygw/gateway/IncarnationNotices.java
+++ b/src/main/java/ebonygw/gateway/IncarnationNotices.java
@@ -18,16 +18,28 @@
     /** The notices of one incarnation. */
     static final class Held {
         private boolean mLeaving;
+        private long mLeavingSinceNanos;
+        private long mPausedSinceNanos;
         private long mPausedUntilNanos = Long.MIN_VALUE;
 
         boolean isLeaving() {
             return mLeaving;
         }
 
+        /** Returns when the target first said that it leaves; only if it did. */
+        long leavingSinceNanos() {
+            return mLeavingSinceNanos;
+        }
+
         boolean isPaused(long nowNanos) {
             return nowNanos < mPausedUntilNanos;
         }
 
+        /** Returns when the present pause began; only if there is one. */
+        long pausedSinceNanos() {
+            return mPausedSinceNanos;
+        }
+
         /** Returns when the latest pause ends, {@link Long#MIN_VALUE} if there was none. */
         long pausedUntilNanos() {
             return mPausedUntilNanos;
@@ -35,8 +47,12 @@
 
         /** Applies a notice; of several pauses the latest end counts. */
         void apply(TargetNotice notice, long nowNanos) {
-            mLeaving |= notice.leaving();
+            if (notice.leaving() && !mLeaving) {
+                mLeaving = true;
+                mLeavingSinceNanos = nowNanos;
+            }
             if (notice.pauseNanos() > 0) {
+                mPausedSinceNanos = isPaused(nowNanos) ? mPausedSinceNanos : nowNanos;
                 mPausedUntilNanos = Math.max(mPausedUntilNanos, nowNanos + notice.pauseNanos());
             }
         }
--- a/src/main/java/ebonygw/gateway/OperatorState.java
+++ b/src/main/java/ebonygw/gateway/OperatorState.java
@@ -20,9 +20,11 @@
     private final StoreReader mReader;
     private final GatewayOutbox mOut;
     private final SettingsListener mListener;
+    private final EvacuationListener mEvacuationListener;
     private final PrefixMirror mMirror;
     private final Map<String, Long> mWantedVersions = new HashMap<>();
     private GatewaySettings mSettings;
+    private long mSettingsSinceNanos;
 
     /** Age of this state just before the last response; -1 if it was the first. */
     private long mPreviousAgeMillis = -1;
@@ -30,6 +32,15 @@
     /** When a newer configuration came that cannot be read, minimum value if there is none. */
     private long mUnreadSinceNanos = Long.MIN_VALUE;
 
+    /** Creates a state without a configuration that ignores evacuations. */
+    OperatorState(
+            StoreReader reader,
+            KeyValueRequestIds requestIds,
+            GatewayOutbox out,
+            SettingsListener listener) {
+        this(reader, requestIds, out, listener, EvacuationListener.NONE);
+    }
+
     /**
      * Creates a state without a configuration.
      *
@@ -37,19 +48,45 @@
      * @param requestIds issues correlation ids
      * @param out receives requests and log lines
      * @param listener is notified of each newer configuration
+     * @param evacuationListener is notified of changes of the evacuated data centres
      * @throws NullPointerException if an argument is null
      */
     OperatorState(
             StoreReader reader,
             KeyValueRequestIds requestIds,
             GatewayOutbox out,
-            SettingsListener listener) {
+            SettingsListener listener,
+            EvacuationListener evacuationListener) {
+        mEvacuationListener = Objects.requireNonNull(evacuationListener, "evacuationListener");
         mReader = Objects.requireNonNull(reader, "reader");
         mOut = Objects.requireNonNull(out, "out");
         mListener = Objects.requireNonNull(listener, "listener");
         mMirror = new PrefixMirror(reader.operatorPrefix(), requestIds);
     }
 
+    /** Is notified of changes of the evacuated data centres. */
+    interface EvacuationListener {
+        /** Ignores all changes. */
+        EvacuationListener NONE =
+                new EvacuationListener() {
+                    @Override
+                    public void onChange(String dataCenter, long revision, long nowNanos) {}
+
+                    @Override
+                    public void onMalformed(String key) {}
+                };
+
+        /**
+         * Handles that an evacuation is requested or ends.
+         *
+         * @param revision revision of the key that requests it, 0 if the key was removed
+         */
+        void onChange(String dataCenter, long revision, long nowNanos);
+
+        /** Handles a key that names no data centre. */
+        void onMalformed(String key);
+    }
+
     /** Is notified of each newer configuration. */
     @FunctionalInterface
     interface SettingsListener {
@@ -99,6 +136,16 @@
         return mSettings;
     }
 
+    /** Returns the age of this state just before the last response, -1 if it was the first. */
+    long previousAgeMillis() {
+        return mPreviousAgeMillis;
+    }
+
+    /** Returns when the configuration in force was taken. */
+    long settingsSinceNanos() {
+        return mSettingsSinceNanos;
+    }
+
     /** Returns the revision in force, 0 before the first one. */
     long revision() {
         return mSettings == null ? 0 : mSettings.revision();
@@ -115,6 +162,7 @@
     }
 
     private void apply(PrefixMirror.Change change, long nowNanos) {
+        applyEvacuation(change, nowNanos);
         if (change.entry() == null) {
             return;
         }
@@ -139,6 +187,18 @@
                         .with("cause", malformed.getMessage()));
     }
 
+    private void applyEvacuation(PrefixMirror.Change change, long nowNanos) {
+        long revision = change.entry() == null ? 0 : change.entry().modRevision();
+        try {
+            mReader.evacuatedDataCenter(change.key())
+                    .ifPresent(it -> mEvacuationListener.onChange(it, revision, nowNanos));
+        } catch (IllegalArgumentException malformed) {
+            if (revision > 0) {
+                mEvacuationListener.onMalformed(change.key());
+            }
+        }
+    }
+
     private void applyChanges(long nowNanos) {
         mMirror.drainChanges().forEach(change -> apply(change, nowNanos));
     }
@@ -148,6 +208,7 @@
             return;
         }
         mSettings = settings;
+        mSettingsSinceNanos = nowNanos;
         mUnreadSinceNanos = Long.MIN_VALUE;
         mOut.log(
                 LogLine.of("configuration_in_force")
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.RegionScope;
 import ebonygw.http.BodySummary;
 import java.util.HashSet;
 import java.util.Set;
@@ -22,6 +23,9 @@
     /** Targets that the request has been sent to. */
     final Set<String> mTriedTargetIds = new HashSet<>();
 
+    /** Where it may run by the newest configuration in force. */
+    RegionScope mRegions = RegionScope.UNRESTRICTED;
+
     int mAttempts;
 
     /** Number of attempts that may have run the request. */
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -1,5 +1,8 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.AllowedRegions;
+import ebonygw.eligibility.Ineligibility.Reason;
+import ebonygw.eligibility.RegionScope;
 import ebonygw.log.LogLine;
 import ebonygw.quarantine.PartQuarantine;
 import ebonygw.request.Refusal;
@@ -7,11 +10,13 @@
 import ebonygw.request.Verdict;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -113,6 +118,9 @@
         if (failed.started() && !failed.deadlineExceeded() && target != null) {
             mGuard.onBroken(pending, target, nowNanos);
         }
+        if (failed.withdrawn()) {
+            mAttempts.onWithdrawn(pending, nowNanos);
+        }
         mAttempts.endAttempt(pending, failed.withdrawn(), nowNanos);
         if (failed.withdrawn()) {
             count("withdrawn");
@@ -171,6 +179,51 @@
         dispatch(pending, nowNanos);
     }
 
+    /** Withdraws the attempts at a data centre that is evacuated which were not sent yet. */
+    void onEvacuated(String dataCenter) {
+        mAttempts.withdrawUnsent(mTargets.ofDataCenter(dataCenter));
+    }
+
+    /** Counts input of operators that is wrong. */
+    void onInvalidInput(String what, int number) {
+        mCounts.merge(what, (long) number, Long::sum);
+    }
+
+    /**
+     * Applies the allowed regions of a newer configuration to all requests, and withdraws attempts
+     * which were not sent yet to targets that it excludes. A request whose route or customer the
+     * configuration lacks keeps the list that applied last.
+     *
+     * @return whether the allowed regions of any request have changed
+     */
+    boolean onSettings(GatewaySettings settings, long nowNanos) {
+        boolean changed = false;
+        Set<GatewayTarget> excluded = new HashSet<>();
+        for (PendingRequest pending : mByExchange.values()) {
+            RegionScope before = pending.mRegions;
+            AllowedRegions route =
+                    settings.routeNamed(pending.mRoute.name())
+                            .map(GatewayRoute::allowedRegions)
+                            .orElse(before.route());
+            AllowedRegions customer =
+                    settings.customerNamed(pending.mCustomer)
+                            .map(GatewayCustomer::allowedRegions)
+                            .orElse(before.customer());
+            pending.mRegions = before.updated(route, customer, nowNanos);
+            GatewayTarget target = mTargets.get(pending.mTargetId);
+            if (pending.mRegions != before) {
+                changed = true;
+                if (target != null
+                        && !pending.mStarted
+                        && !pending.mRegions.allows(target.record().locality().region())) {
+                    excluded.add(target);
+                }
+            }
+        }
+        mAttempts.withdrawUnsent(excluded);
+        return changed;
+    }
+
     void onResponseEnded(GatewayEvent.ResponseEnded ended, long nowNanos) {
         PendingRequest pending = ofCurrentAttempt(ended.exchange(), ended.attempt());
         if (pending == null) {
@@ -193,9 +246,7 @@
             mAttempts.onRejected(pending, held.status(), nowNanos);
         }
         GatewayTarget target = mTargets.get(pending.mTargetId);
-        boolean paused =
-                target != null
-                        && target.unavailability(nowNanos) == GatewayTarget.Unavailability.PAUSED;
+        boolean paused = target != null && target.isPaused(nowNanos);
         boolean succeeded = !held.run() || held.status() < 500 || paused;
         mAttempts.endAttempt(pending, succeeded, nowNanos);
         pending.mResponseHeld = true;
@@ -258,14 +309,7 @@
         }
         TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
         if (choice == null) {
-            Optional<Long> pause = mAttempts.remainingPauseNanos(pending.mService, nowNanos);
-            refuse(
-                    pending,
-                    pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
-                    (pause.isPresent() ? "all targets pause of " : "no target of ")
-                            + pending.mService,
-                    Math.max(UNAVAILABLE_RETRY_NANOS, pause.orElse(0L)),
-                    nowNanos);
+            refuseWithoutTarget(pending, nowNanos);
         } else if (choice.startNanos() > remaining) {
             refuse(
                     pending,
@@ -376,6 +420,25 @@
         mOut.effect(new GatewayEffect.Refused(exchange, refusal));
     }
 
+    /** Refuses a request that no target takes now. */
+    private void refuseWithoutTarget(PendingRequest pending, long nowNanos) {
+        Optional<Long> pause = mAttempts.remainingPauseNanos(pending, nowNanos);
+        Map<Reason, Integer> excluded = mAttempts.excludedByOperators(pending, nowNanos);
+        StringBuilder detail = new StringBuilder();
+        detail.append(pause.isPresent() ? "all targets pause of " : "no target of ");
+        detail.append(pending.mService);
+        excluded.forEach((reason, targets) -> detail.append(' ' + reason.name() + '=' + targets));
+        if (!excluded.isEmpty()) {
+            count("no_allowed_target");
+        }
+        refuse(
+                pending,
+                pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
+                detail.toString(),
+                Math.max(UNAVAILABLE_RETRY_NANOS, pause.orElse(0L)),
+                nowNanos);
+    }
+
     /**
      * Dispatches a request again after a failed attempt if the verdict, the route and the retry
      * budget allow it; refuses it otherwise.
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.RegionScope;
 import ebonygw.protocol.Locality;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,6 +8,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -15,6 +17,14 @@
  * <p>Immutable and thread-safe; the targets passed in are not.
  */
 final class TargetChooser {
+    /**
+     * Cost of a target for the requests that should rather go elsewhere while its data centre gets
+     * its work back. Above the load of an adapter (600 ms) and another region (100 ms), so that
+     * these requests stay away; below the queueing at five requests above full targets, so that
+     * they do not overload the others.
+     */
+    private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final ChooserOptions mOptions;
 
     TargetChooser(ChooserOptions options) {
@@ -31,9 +41,30 @@
      */
     record Choice(GatewayTarget target, boolean resident, long costNanos, long startNanos) {}
 
+    /** Chooses among the targets of one service for a request that may run in all regions. */
+    Choice choose(
+            GatewayRequest request,
+            long wantedVersion,
+            Collection<GatewayTarget> targets,
+            Set<String> excluded,
+            String awaited,
+            long meanPrefillTokens,
+            long nowNanos) {
+        return choose(
+                request,
+                RegionScope.UNRESTRICTED,
+                wantedVersion,
+                targets,
+                excluded,
+                awaited,
+                meanPrefillTokens,
+                nowNanos);
+    }
+
     /**
      * Chooses among the targets of one service.
      *
+     * @param regions where the request may run
      * @param wantedVersion minimum version of the adapter that must run the request, 0 for any
      * @param targets targets of its service
      * @param excluded ids of the targets that it was sent to before
@@ -44,6 +75,7 @@
      */
     Choice choose(
             GatewayRequest request,
+            RegionScope regions,
             long wantedVersion,
             Collection<GatewayTarget> targets,
             Set<String> excluded,
@@ -52,7 +84,8 @@
             long nowNanos) {
         List<GatewayTarget> usable = new ArrayList<>();
         for (GatewayTarget target : targets) {
-            if (target.isUsable(nowNanos) && !excluded.contains(target.record().id())) {
+            if (!excluded.contains(target.record().id())
+                    && target.ineligibility(regions, nowNanos).isEmpty()) {
                 usable.add(target);
             }
         }
@@ -125,7 +158,10 @@
             long nowNanos) {
         long cost = distanceNanos(target.record().locality());
         int load = target.load(nowNanos);
-        int slots = target.slots();
+        int slots = target.slots(nowNanos);
+        if (target.isReturning(nowNanos) && target.prefersOthers(request.hash(), nowNanos)) {
+            cost += RETURN_NANOS;
+        }
         if (request.model().isEmpty()) {
             long excess = Math.max(0, load + 1 - slots);
             cost +=
--- a/src/main/java/ebonygw/gateway/TargetTable.java
+++ b/src/main/java/ebonygw/gateway/TargetTable.java
@@ -1,5 +1,7 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.Evacuations;
+import ebonygw.eligibility.Ineligibility;
 import ebonygw.protocol.NodeId;
 import ebonygw.routing.RouterOptions;
 import java.util.Collection;
@@ -11,12 +13,16 @@
 /** The targets that an entry knows, by instance, service and loader. Not thread-safe. */
 final class TargetTable {
     private final RouterOptions mOptions;
+    private final Evacuations mEvacuations;
+    private final Ineligibility.SourceAge mSourceAge;
     private final IncarnationNotices mNotices = new IncarnationNotices();
     private final Map<String, GatewayTarget> mById = new LinkedHashMap<>();
     private final Map<String, Map<String, GatewayTarget>> mByService = new HashMap<>();
 
-    TargetTable(RouterOptions options) {
+    TargetTable(RouterOptions options, Evacuations evacuations, Ineligibility.SourceAge sourceAge) {
         mOptions = options;
+        mEvacuations = evacuations;
+        mSourceAge = sourceAge;
     }
 
     Collection<GatewayTarget> all() {
@@ -32,6 +38,12 @@
         return mByService.getOrDefault(service, Map.of()).values();
     }
 
+    List<GatewayTarget> ofDataCenter(String dataCenter) {
+        return mById.values().stream()
+                .filter(target -> target.record().locality().dataCenter().equals(dataCenter))
+                .toList();
+    }
+
     List<GatewayTarget> ofLoader(NodeId loader) {
         return mById.values().stream().filter(t -> loader.equals(t.loader())).toList();
     }
@@ -40,7 +52,13 @@
     GatewayTarget put(TargetRecord record) {
         GatewayTarget known = mById.get(record.id());
         if (known == null) {
-            known = new GatewayTarget(record, mNotices.of(record.incarnation()), mOptions);
+            known =
+                    new GatewayTarget(
+                            record,
+                            mNotices.of(record.incarnation()),
+                            mOptions,
+                            mEvacuations,
+                            mSourceAge);
             mById.put(record.id(), known);
         } else {
             if (!known.record().service().equals(record.service())) {
--- a/src/main/java/ebonygw/routing/TargetHealth.java
+++ b/src/main/java/ebonygw/routing/TargetHealth.java
@@ -12,6 +12,7 @@
     private final RouterOptions mOptions;
     private int mConsecutiveFailures;
     private int mEjections;
+    private long mEjectedSinceNanos = Long.MIN_VALUE;
     private long mEjectedUntilNanos = Long.MIN_VALUE;
     private long mRampUpStartNanos = Long.MIN_VALUE;
 
@@ -37,6 +38,16 @@
         return Math.max(MIN_CAPACITY_FRACTION, fraction);
     }
 
+    /** Returns when the latest ejection began, {@link Long#MIN_VALUE} if there was none. */
+    public long ejectedSinceNanos() {
+        return mEjectedSinceNanos;
+    }
+
+    /** Returns when the latest ejection ends, {@link Long#MIN_VALUE} if there was none. */
+    public long ejectedUntilNanos() {
+        return mEjectedUntilNanos;
+    }
+
     /** Returns whether the target is ejected and must get no work. */
     public boolean isEjected(long nowNanos) {
         return nowNanos < mEjectedUntilNanos;
@@ -54,6 +65,7 @@
             return;
         }
         long duration = mOptions.ejectionNanos() << Math.min(mEjections, 16);
+        mEjectedSinceNanos = nowNanos;
         mEjectedUntilNanos = nowNanos + Math.min(duration, mOptions.maxEjectionNanos());
         mRampUpStartNanos = mEjectedUntilNanos;
         mEjections++;
