--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -39,7 +39,11 @@
      * @param costNanos expected cost by {@link ChooserOptions}
      * @param startNanos expected time until the response starts, without a load of the adapter
      */
-    record Choice(GatewayTarget target, boolean resident, long costNanos, long startNanos) {}
+    record Choice(GatewayTarget target, boolean resident, long costNanos, long startNanos) {
+        private Choice plusCost(long nanos) {
+            return new Choice(target, resident, costNanos + nanos, startNanos);
+        }
+    }
 
     /** Chooses among the targets of one service for a request that may run in all regions. */
     Choice choose(
@@ -83,12 +87,15 @@
             long meanPrefillTokens,
             long nowNanos) {
         List<GatewayTarget> usable = new ArrayList<>();
+        boolean returning = false;
         for (GatewayTarget target : targets) {
             if (!excluded.contains(target.record().id())
                     && target.ineligibility(regions, nowNanos).isEmpty()) {
                 usable.add(target);
+                returning |= target.isReturning(nowNanos);
             }
         }
+        long requestHash = returning ? request.hash() : 0;
         boolean waits =
                 usable.stream()
                         .anyMatch(it -> it.record().id().equals(awaited) && canLoad(it, request));
@@ -107,6 +114,11 @@
                             waits ? awaited : "",
                             meanPrefillTokens,
                             nowNanos);
+            if (choice != null
+                    && returning
+                    && choice.target().prefersOthers(requestHash, nowNanos)) {
+                choice = choice.plusCost(RETURN_NANOS);
+            }
             if (choice != null && (best == null || choice.costNanos() < best.costNanos())) {
                 best = choice;
             }
@@ -159,9 +171,6 @@
         long cost = distanceNanos(target.record().locality());
         int load = target.load(nowNanos);
         int slots = target.slots(nowNanos);
-        if (target.isReturning(nowNanos) && target.prefersOthers(request.hash(), nowNanos)) {
-            cost += RETURN_NANOS;
-        }
         if (request.model().isEmpty()) {
             long excess = Math.max(0, load + 1 - slots);
             cost +=
--- a/src/main/java/ebonygw/operator/ExplainCommand.java
+++ b/src/main/java/ebonygw/operator/ExplainCommand.java
@@ -33,6 +33,10 @@
     private static final Set<String> PART_EVENTS =
             Set.of("part_blocked", "part_unblocked", "part_block_read", "part_lifted");
 
+    /** Events that explain a request to which targets were denied because of an evacuation. */
+    private static final Set<String> EVACUATION_EVENTS =
+            Set.of("evacuation_started", "evacuation_ended");
+
     /** Creates the command. */
     public ExplainCommand() {}
 
@@ -121,6 +125,13 @@
                 String part = "part " + field("part");
                 return requestLines.stream().anyMatch(it -> it.field("detail").equals(part));
             }
+            if (EVACUATION_EVENTS.contains(event())) {
+                return requestLines.stream()
+                        .anyMatch(
+                                it ->
+                                        it.field("detail").contains(" EVACUATED=")
+                                                && !time().isAfter(it.time()));
+            }
             if (!CONTEXT_EVENTS.contains(event())) {
                 return false;
             }
--- a/src/test/java/ebonygw/operator/ExplainCommandTest.java
+++ b/src/test/java/ebonygw/operator/ExplainCommandTest.java
@@ -24,6 +24,10 @@
             time=2026-01-01T00:00:03Z level=INFO event=request_ended request=r1 outcome=lost
             time=2026-01-01T00:00:09Z level=INFO event=request_refused request=r3 \
             code=CRASHING_PROMPT verdict=NOT_RUN detail="part ab"
+            time=2026-01-01T00:00:07Z level=INFO event=evacuation_started data_center=z1
+            time=2026-01-01T00:00:10Z level=INFO event=request_refused request=r4 \
+            code=UNAVAILABLE verdict=NOT_RUN detail="no target of s1 EVACUATED=2"
+            time=2026-01-01T00:00:11Z level=INFO event=evacuation_started data_center=z2
             """;
     private static final String OTHER =
             """
@@ -72,6 +76,14 @@
         assertThat(mOut.toString()).contains("part_blocked part=ab").doesNotContain("part=cd");
     }
 
+    // Guards against a refusal whose cause, an evacuation long before it, is not shown.
+    @Test
+    void aRequestRefusedInAnEvacuationIsExplainedByItsStart() throws IOException {
+        assertThat(explain("r4")).isZero();
+
+        assertThat(mOut.toString()).contains("data_center=z1").doesNotContain("data_center=z2");
+    }
+
     @Test
     void aRequestWithoutLogLinesIsReportedAndFails() throws IOException {
         assertThat(explain("r9")).isEqualTo(1);
