Connect to loaders where restricted requests may run

With more than 24 replicas of a service an entry is connected to loaders of its own region only, so that a request for another region whose adapter no replica holds was refused, and so was every such request while the whole own region was evacuated.

Both new tests failed before: 'no target of model OUTSIDE_REGIONS=21' and 'EVACUATED=21' with 42 replicas in two regions.

--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -13,7 +13,6 @@
 import ebonygw.membership.Role;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
-import ebonygw.routing.LinkSets;
 import ebonygw.routing.RouterOptions;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,7 +22,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SortedSet;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -38,12 +39,6 @@
     /** Owner number of this node's correlation ids, see {@link KeyValueRequestIds}. */
     private static final int REQUEST_ID_OWNER = 7;
 
-    /**
-     * Maximum number of loaders of a service that an entry is connected to. An entry has loads done
-     * at these replicas only; together they hold about two hundred adapters.
-     */
-    private static final int MAX_LOADER_LINKS_PER_SERVICE = 24;
-
     /** Time after the end of acceptance that refusals in transmission get before the exit. */
     private static final long FINAL_RESPONSES_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -324,8 +319,9 @@
     /** Logs and counts the allowed regions of a configuration that the fleet does not have. */
     private void checkRegions(GatewaySettings settings) {
         Set<String> known = mOptions.reader().knownRegions();
-        Set<String> unknown = known.isEmpty() ? Set.of() : settings.unknownRegions(known);
-        if (!unknown.isEmpty()) {
+        SortedSet<String> unknown = new TreeSet<>(settings.allowedRegions());
+        unknown.removeAll(known);
+        if (!known.isEmpty() && !unknown.isEmpty()) {
             mRequests.onInvalidInput("region_unknown", unknown.size());
             mOut.log(
                     LogLine.of("region_unknown")
@@ -390,8 +386,9 @@
             }
         }
         Member self = mOptions.self();
-        Set<NodeId> loaders =
-                LinkSets.choose(self.id(), self.locality(), members, MAX_LOADER_LINKS_PER_SERVICE);
+        Set<String> regions =
+                mOperator.settings() == null ? Set.of() : mOperator.settings().allowedRegions();
+        Set<NodeId> loaders = LoaderLinks.choose(self, members, mEvacuations, regions);
         for (Member member : members) {
             if (member.role() == Role.TARGET && loaders.contains(member.id())) {
                 links.add(member);
@@ -454,6 +451,7 @@
                 return;
             }
             mResidencyChanged = true;
+            mLinksChanged = true;
             mOut.log(
                     LogLine.of(revision > 0 ? "evacuation_started" : "evacuation_ended")
                             .with("data_center", dataCenter)
--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -1,14 +1,14 @@
 package ebonygw.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SortedSet;
-import java.util.TreeSet;
 
 /**
  * One revision of the complete configuration.
@@ -23,6 +23,7 @@
     private final Map<String, GatewayService> mServices = new HashMap<>();
     private final List<GatewayCustomer> mCustomers;
     private final Map<String, GatewayCustomer> mCustomersByKey = new HashMap<>();
+    private final Set<String> mAllowedRegions = new HashSet<>();
     private final long mMaxBodyBytes;
 
     /**
@@ -47,6 +48,7 @@
         for (GatewayRoute route : routes) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
             mRoutesByName.put(route.name(), route);
+            mAllowedRegions.addAll(route.allowedRegions().names());
         }
         Comparator<GatewayRoute> longestFirst =
                 Comparator.comparingInt((GatewayRoute route) -> route.prefix().length()).reversed();
@@ -54,10 +56,16 @@
         services.forEach(service -> mServices.put(service.name(), service));
         for (GatewayCustomer customer : customers) {
             mCustomersByName.put(customer.name(), customer);
+            mAllowedRegions.addAll(customer.allowedRegions().names());
             customer.keyHashes().forEach(hash -> mCustomersByKey.put(hash, customer));
         }
     }
 
+    /** Returns the names of the regions in the lists of all routes and customers. */
+    public Set<String> allowedRegions() {
+        return Collections.unmodifiableSet(mAllowedRegions);
+    }
+
     /** Returns the customer that owns the key with a SHA-256, empty if there is none. */
     public Optional<GatewayCustomer> customerByKey(String keyHash) {
         return Optional.ofNullable(mCustomersByKey.get(keyHash));
@@ -107,13 +115,4 @@
     public Optional<GatewayService> service(String name) {
         return Optional.ofNullable(mServices.get(name));
     }
-
-    /** Returns the allowed regions of routes and customers that are not among the known ones. */
-    public SortedSet<String> unknownRegions(Set<String> known) {
-        SortedSet<String> unknown = new TreeSet<>();
-        mRoutesByName.values().forEach(it -> unknown.addAll(it.allowedRegions().names()));
-        mCustomers.forEach(it -> unknown.addAll(it.allowedRegions().names()));
-        unknown.removeAll(known);
-        return unknown;
-    }
 }
--- a/src/test/java/ebonygw/gateway/AllowedRegionsTest.java
+++ b/src/test/java/ebonygw/gateway/AllowedRegionsTest.java
@@ -109,6 +109,19 @@
         assertThat(mEntry.refusal(waiting)).isPresent();
     }
 
+    // Guards against a refusal for lack of a connection to a loader where the request may run.
+    @Test
+    void anAdapterIsLoadedInAnAllowedRegionAlsoInAFleetTooLargeForAllConnections() {
+        mEntry.putManyReplicas();
+        allow(MONTEGO, AllowedRegions.ANY);
+        mEntry.connectPublishedLoaders();
+        mEntry.handle(new GatewayEvent.PeerDown(GatewayFixture.loader("10.2.0.2"), 1));
+
+        long exchange = askForAdapter();
+        assertThat(mEntry.refusal(exchange)).isEmpty();
+        assertThat(mEntry.attempts(exchange)).isEmpty();
+    }
+
     // Guards against a body that is sent after the configuration forbids it, and against a request
     // that loses an allowed target because another one was withdrawn from it.
     @Test
--- a/src/test/java/ebonygw/gateway/EvacuationTest.java
+++ b/src/test/java/ebonygw/gateway/EvacuationTest.java
@@ -72,6 +72,19 @@
         assertThat(mEntry.mNode.dump(mEntry.mNowNanos).get("retryBudgets")).isEqualTo(budgets);
     }
 
+    // Guards against a refusal because only loaders of the evacuated data centre are connected.
+    @Test
+    void anAdapterIsLoadedInAnotherRegionWhileTheWholeOwnRegionIsEvacuated() {
+        mEntry.putManyReplicas();
+        mEntry.evacuate(KINGSTON);
+        mEntry.connectPublishedLoaders();
+        mEntry.handle(new GatewayEvent.PeerDown(GatewayFixture.loader("10.2.0.2"), 1));
+
+        long waiting = mEntry.submit("/ask/1", GatewayFixture.KEY, "m0/a7");
+        assertThat(mEntry.refusal(waiting)).isEmpty();
+        assertThat(mEntry.attempts(waiting)).isEmpty();
+    }
+
     // Guards against an evacuation that is forgotten with the service, or outlives its key.
     @Test
     void anEvacuationLastsThroughAnOutageAndEndsWithItsKey() {
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -232,6 +232,25 @@
         handle(new GatewayEvent.PeerUp(loader(host), 1));
     }
 
+    /** Registers so many replicas in two regions that the entry is not connected to all loaders. */
+    void putManyReplicas() {
+        for (int i = 10; i < 50; i++) {
+            Locality locality = i % 2 == 0 ? KINGSTON : MONTEGO;
+            putTarget(replica("model-" + i, "10.2.0." + i + ":80", locality));
+        }
+    }
+
+    /** Connects the entry to all loaders that it has last asked for. */
+    void connectPublishedLoaders() {
+        Set<Member> links = Set.of();
+        for (GatewayEffect effect : mEffects) {
+            links = effect instanceof GatewayEffect.Links latest ? latest.members() : links;
+        }
+        links.stream()
+                .filter(member -> member.role() == Role.TARGET)
+                .forEach(member -> handle(new GatewayEvent.PeerUp(member.id(), 1)));
+    }
+
     static NodeId loader(String host) {
         return new NodeId(host + ":" + LOADER_PORT);
     }
--- a/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
+++ b/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
@@ -93,7 +93,8 @@
                 .isFalse();
         assertThat(settings.routeNamed("r2").orElseThrow().allowedRegions())
                 .isEqualTo(AllowedRegions.ANY);
-        assertThat(settings.unknownRegions(mReader.knownRegions())).hasSize(3);
+        assertThat(settings.allowedRegions()).hasSize(3);
+        assertThat(mReader.knownRegions()).containsExactly("region1");
     }
 
     @Test
