Fault soak: two regions, evacuations and allowed regions

Replicas check what reaches them against the evacuation in force for longer than bounds.evacuate_ms and the allowed region in force for longer than the bound of the configuration; both change during the faults, and a check after them evacuates a data centre to which some requests are restricted.

--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -27,6 +27,15 @@
     /** Number of times that entries start again while their retries are counted. */
     private static final int RESTARTS = 8;
 
+    /** One in so many faults is accompanied by a change of where requests may run. */
+    private static final int PLACEMENT_PERIOD = 4;
+
+    /** Separates the random numbers of these changes from those of other faults. */
+    private static final long PLACEMENT_SEED = 1L << 42;
+
+    /** Duration of the check of an evacuation: its bound, and time to see requests after it. */
+    private static final long EVACUATION_MILLIS = SoakPlacement.EVACUATE_MILLIS + 2_000;
+
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS_PER_RUN = 10;
 
@@ -57,6 +66,7 @@
     private final SplittableRandom mCrashRandom;
     private final SplittableRandom mEndlessRandom;
     private final SplittableRandom mCheckRandom;
+    private final SplittableRandom mPlacementRandom;
     private final List<Thread> mRecoveryThreads = new ArrayList<>();
     private final long mSeed;
     private SoakFleet mFleet;
@@ -67,6 +77,7 @@
         mCrashRandom = new SplittableRandom(~seed);
         mEndlessRandom = new SplittableRandom(seed + ENDLESS_SEED);
         mCheckRandom = new SplittableRandom(seed + CHECK_SEED);
+        mPlacementRandom = new SplittableRandom(seed + PLACEMENT_SEED);
     }
 
     /**
@@ -128,17 +139,22 @@
                 if (mEndlessRandom.nextInt(ENDLESS_PERIOD) == 0) {
                     injectEndlessResponses();
                 }
+                if (mPlacementRandom.nextInt(PLACEMENT_PERIOD) == 0) {
+                    changePlacement();
+                }
                 TimeUnit.MILLISECONDS.sleep(100 + mRandom.nextInt(1_500));
             }
             for (Thread thread : mRecoveryThreads) {
                 thread.join();
             }
             mRecorder.setCrashing(false);
+            fleet.evacuate("");
             TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS);
-            fleet.publishConfiguration();
+            fleet.allowRegion("");
             fleet.awaitReady();
             fleet.checkPreviousRouteRemoved();
             checkServing();
+            checkPlacement();
             checkNotices();
             checkSilentStore();
             checkRetryBudget(callers);
@@ -172,6 +188,37 @@
         mRecorder.setCrashing(false);
     }
 
+    /**
+     * Checks that requests leave an evacuated data centre, and that those which may run only there
+     * run nowhere.
+     */
+    private void checkPlacement() throws InterruptedException {
+        int place = mPlacementRandom.nextInt(SoakPlacement.ZONES.size());
+        mFleet.allowRegion(SoakPlacement.REGIONS.get(place));
+        mFleet.evacuate(SoakPlacement.ZONES.get(place));
+        TimeUnit.MILLISECONDS.sleep(EVACUATION_MILLIS);
+        int before = servedCount();
+        TimeUnit.MILLISECONDS.sleep(1_000);
+        if (servedCount() - before < MIN_SERVED / 2) {
+            mRecorder.recordViolation(
+                    "in an evacuation " + (servedCount() - before) + " requests were served");
+        }
+        mFleet.evacuate("");
+        mFleet.allowRegion("");
+    }
+
+    /** Evacuates another data centre or none, or allows another region or any. */
+    private void changePlacement() {
+        int place = mPlacementRandom.nextInt(SoakPlacement.ZONES.size() + 1);
+        boolean none = place == SoakPlacement.ZONES.size();
+        if (mPlacementRandom.nextBoolean()) {
+            mFleet.evacuate(none ? "" : SoakPlacement.ZONES.get(place));
+        } else {
+            mFleet.allowRegion(none ? "" : SoakPlacement.REGIONS.get(place));
+        }
+        mRecorder.count("fault placement");
+    }
+
     /** Checks that entries heed what replicas say with their responses before the store says so. */
     private void checkNotices() throws InterruptedException {
         int leavingIndex = SoakFleet.ENGINES;
--- a/src/test/java/ebonygw/platform/SoakFleet.java
+++ b/src/test/java/ebonygw/platform/SoakFleet.java
@@ -32,8 +32,6 @@
 
     static final String DESK = "desk";
 
-    private static final String ZONE = "z1";
-
     /** Time after a disturbance within which its effects may last. */
     private static final long DISTURBANCE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -48,6 +46,7 @@
     final List<SoakProxy> mReplicaProxies = new ArrayList<>();
     final List<SoakProxy> mStoreProxies = new ArrayList<>();
     final StoreStandIn mStore = new StoreStandIn();
+    private final SoakPlacement mPlacement;
     private final SoakRecorder mRecorder;
     private final Path mDirectory;
     private final String mNetworkPrefix;
@@ -71,6 +70,7 @@
      */
     SoakFleet(SoakRecorder recorder, Path directory, int port) throws IOException {
         mRecorder = recorder;
+        mPlacement = new SoakPlacement(recorder);
         mDirectory = Files.createDirectories(directory);
         mNetworkPrefix = "127." + (1 + ProcessHandle.current().pid() % 250) + '.';
         mFirstPort = port;
@@ -80,6 +80,10 @@
             SoakReplica replica = new SoakReplica("replica" + i, engine, recorder);
             int index = i;
             replica.setCrashHandler(part -> crashReplica(index, part));
+            replica.setArrivalCheck(
+                    (id, kind) ->
+                            mPlacement.check(
+                                    id, kind, location(index), isInTouch(System.nanoTime())));
             mReplicas.add(replica);
             mReplicaProxies.add(
                     new SoakProxy(mNetworkPrefix + "2." + (i + 1), mFirstPort, replica.address()));
@@ -136,7 +140,12 @@
         long version = mConfiguration.version() + 1;
         StringBuilder routes = new StringBuilder();
         routes.append(route(SoakCaller.NON_IDEMPOTENT, "non_idempotent", 1, "desk")).append(',');
-        routes.append(route(SoakCaller.IDEMPOTENT, "idempotent", 2, "desk")).append(',');
+        String idempotent = route(SoakCaller.IDEMPOTENT, "idempotent", 2, "desk");
+        if (!mPlacement.allowed().isEmpty()) {
+            String list = "{\"allowed_regions\":[\"" + mPlacement.allowed() + "\"],";
+            idempotent = idempotent.replaceFirst("\\{", list);
+        }
+        routes.append(idempotent).append(',');
         routes.append(route(SoakCaller.STREAMING, "streaming", 1, "model")).append(',');
         routes.append(route("v" + version, "idempotent", 1, "desk"));
         mStore.put(
@@ -155,6 +164,34 @@
         mConfiguration = new Configuration(version, System.nanoTime());
     }
 
+    /**
+     * Allows idempotent requests in one region only, by a new configuration.
+     *
+     * @param region the region, empty for any
+     */
+    void allowRegion(String region) {
+        mPlacement.setAllowed(region);
+        publishConfiguration();
+        mPlacement.onPublished();
+    }
+
+    /**
+     * Evacuates a data centre instead of the one that was evacuated before.
+     *
+     * @param zone the data centre, empty for none
+     */
+    void evacuate(String zone) {
+        String former = mPlacement.evacuated();
+        if (!former.isEmpty() && !former.equals(zone)) {
+            mPlacement.setEvacuated("");
+            mStore.remove("op/evacuate/" + former);
+        }
+        if (!zone.isEmpty() && !former.equals(zone)) {
+            mStore.put("op/evacuate/" + zone, "{}");
+            mPlacement.setEvacuated(zone);
+        }
+    }
+
     /** Records that something other than a planned stop disturbs the fleet now. */
     void recordDisturbance() {
         mLastDisturbanceNanos = System.nanoTime();
@@ -270,7 +307,16 @@
         mRegistrationKeys.set(replica, key);
         String service = replica < ENGINES ? MODEL : DESK;
         mStore.put(
-                key, standIn.registration(service, mReplicaProxies.get(replica).address(), ZONE));
+                key,
+                standIn.registration(
+                        service,
+                        mReplicaProxies.get(replica).address(),
+                        SoakPlacement.ZONES.get(location(replica))));
+    }
+
+    /** Returns the index of the data centre and region of an entry, engine or replica. */
+    private static int location(int index) {
+        return index % SoakPlacement.ZONES.size();
     }
 
     private static String route(String name, String type, int attempts, String service) {
@@ -292,9 +338,12 @@
         Map<String, String> settings = new LinkedHashMap<>();
         settings.put("node_name", program + index);
         settings.put("ip", ip);
-        settings.put("zone", ZONE);
-        settings.put("region", "r1");
-        settings.put("zones." + ZONE, "r1");
+        settings.put("zone", SoakPlacement.ZONES.get(location(index)));
+        settings.put("region", SoakPlacement.REGIONS.get(location(index)));
+        for (int i = 0; i < SoakPlacement.ZONES.size(); i++) {
+            settings.put("zones." + SoakPlacement.ZONES.get(i), SoakPlacement.REGIONS.get(i));
+        }
+        settings.put("bounds.evacuate_ms", Long.toString(SoakPlacement.EVACUATE_MILLIS));
         settings.put("listen.frontend", ip + ':' + (mFirstPort + 1));
         settings.put("listen.readiness", ip + ':' + (mFirstPort + 2));
         settings.put("listen.metrics", ip + ':' + (mFirstPort + 3));
--- a/src/test/java/ebonygw/platform/SoakReplica.java
+++ b/src/test/java/ebonygw/platform/SoakReplica.java
@@ -45,6 +45,14 @@
     private long mFencingToken;
     private volatile boolean mRejecting;
     private volatile CrashHandler mCrashHandler = part -> {};
+    private volatile ArrivalCheck mArrivalCheck = (id, kind) -> {};
+
+    /** Checks a request that reaches the replica. */
+    @FunctionalInterface
+    interface ArrivalCheck {
+        /** Checks whether a request of a kind may be here now. */
+        void onArrival(String id, String kind);
+    }
 
     /** Handles that the replica crashes under a prompt part. */
     @FunctionalInterface
@@ -61,6 +69,10 @@
         mServer = new LoopbackServer(64, this::handle);
     }
 
+    void setArrivalCheck(ArrivalCheck check) {
+        mArrivalCheck = check;
+    }
+
     void setCrashHandler(CrashHandler handler) {
         mCrashHandler = handler;
     }
@@ -217,6 +229,7 @@
         String id = header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(new HttpString("Attempt-Id"), id);
         mRecorder.recordArrival(id, mEngine ? SoakFleet.MODEL : SoakFleet.DESK);
+        mArrivalCheck.onArrival(id, path.split("/")[1]);
         if (mRejecting) {
             exchange.getResponseHeaders().put(new HttpString("Not-Executed"), "1");
             exchange.setStatusCode(503);
