Keep further loaders until an evacuated data centre has its work back

Right after the end of an evacuation the connections to other regions were given up, so that requests whose adapter no replica holds all returned at once. They stay until the return of 5 s is over. The test of a region that is evacuated as a whole covers it; another one covers a reload of all keys.

--- a/src/main/java/ebonygw/eligibility/Evacuations.java
+++ b/src/main/java/ebonygw/eligibility/Evacuations.java
@@ -41,6 +41,11 @@
         return Math.min(1, Math.max(MIN_CAPACITY_FRACTION, fraction));
     }
 
+    /** Returns whether a data centre is evacuated or does not have all its work back yet. */
+    public boolean affects(String dataCenter) {
+        return mSinceNanos.containsKey(dataCenter) || mReturnNanos.containsKey(dataCenter);
+    }
+
     /** Returns the number of evacuated data centres. */
     public int count() {
         return mSinceNanos.size();
@@ -86,9 +91,13 @@
         return mSinceNanos.putIfAbsent(dataCenter, nowNanos) == null;
     }
 
-    /** Forgets the data centres that have all their work back. */
-    public void onTick(long nowNanos) {
-        mReturnNanos.values().removeIf(start -> nowNanos - start >= RETURN_NANOS);
+    /**
+     * Forgets the data centres that have all their work back.
+     *
+     * @return whether there were any
+     */
+    public boolean onTick(long nowNanos) {
+        return mReturnNanos.values().removeIf(start -> nowNanos - start >= RETURN_NANOS);
     }
 
     /**
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -340,7 +340,7 @@
 
     private void onTick(long nowNanos) {
         mOperator.onTick(nowNanos);
-        mEvacuations.onTick(nowNanos);
+        mLinksChanged |= mEvacuations.onTick(nowNanos);
         mTargetMirror.onTick(nowNanos, mOut);
         if (mDirectory.onTick(nowNanos, mOut)) {
             mLinksChanged = true;
--- a/src/main/java/ebonygw/gateway/LoaderLinks.java
+++ b/src/main/java/ebonygw/gateway/LoaderLinks.java
@@ -29,9 +29,10 @@
 
     /**
      * Chooses loaders of each service. In a large fleet these are mostly of the entry's own region.
-     * While data centres are evacuated, as many others are added that are chosen as if the
-     * evacuated ones did not exist; the former ones stay, because requests go on running there. For
-     * each other region that routes or customers allow by name, some loaders of it are added.
+     * While data centres are evacuated, and until they have all their work back, as many others are
+     * added that are chosen as if these did not exist; the former ones stay, because requests go on
+     * running there. For each other region that routes or customers allow by name, some loaders of
+     * it are added.
      *
      * @param self the entry
      * @param members the loaders and the other entries
@@ -46,7 +47,7 @@
                 new HashSet<>(
                         LinkSets.choose(
                                 self.id(), self.locality(), members, MAX_LINKS_PER_SERVICE));
-        List<Member> open = members.stream().filter(it -> !isEvacuated(it, evacuations)).toList();
+        List<Member> open = members.stream().filter(it -> !isAffected(it, evacuations)).toList();
         if (open.size() < members.size()) {
             chosen.addAll(LinkSets.choose(self.id(), self.locality(), open, MAX_LINKS_PER_SERVICE));
         }
@@ -64,9 +65,8 @@
         return chosen;
     }
 
-    private static boolean isEvacuated(Member member, Evacuations evacuations) {
-        return isLoader(member)
-                && evacuations.sinceNanos(member.locality().dataCenter()).isPresent();
+    private static boolean isAffected(Member member, Evacuations evacuations) {
+        return isLoader(member) && evacuations.affects(member.locality().dataCenter());
     }
 
     private static boolean isLoader(Member member) {
--- a/src/test/java/ebonygw/gateway/EvacuationTest.java
+++ b/src/test/java/ebonygw/gateway/EvacuationTest.java
@@ -83,6 +83,11 @@
         long waiting = mEntry.submit("/ask/1", GatewayFixture.KEY, "m0/a7");
         assertThat(mEntry.refusal(waiting)).isEmpty();
         assertThat(mEntry.attempts(waiting)).isEmpty();
+        mEntry.endEvacuation(KINGSTON);
+        mEntry.tick();
+        assertThat(mEntry.publishedLoaders()).anyMatch(it -> it.locality().equals(MONTEGO));
+        mEntry.advance(5_000);
+        assertThat(mEntry.publishedLoaders()).noneMatch(it -> it.locality().equals(MONTEGO));
     }
 
     // Guards against an evacuation that is forgotten with the service, or outlives its key.
@@ -106,6 +111,18 @@
         assertThat(ask()).isEqualTo("model-1");
     }
 
+    // Guards against changes that are lost because no watch reports them.
+    @Test
+    void aReloadOfAllKeysEndsAndStartsEvacuations() {
+        mEntry.evacuate(KINGSTON);
+        mEntry.compact();
+        mEntry.endEvacuation(KINGSTON);
+        mEntry.evacuate(MONTEGO);
+        assertThat(ask()).isEqualTo("model-2");
+        mEntry.tick();
+        assertThat(ask()).isEqualTo("model-1");
+    }
+
     // Guards against an entry that is ready before it knows what was evacuated before its start.
     @Test
     void anEntryThatStartsKnowsTheEvacuationsOnceItIsReady() {
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -242,13 +242,16 @@
 
     /** Connects the entry to all loaders that it has last asked for. */
     void connectPublishedLoaders() {
+        publishedLoaders().forEach(it -> handle(new GatewayEvent.PeerUp(it.id(), 1)));
+    }
+
+    /** Returns the loaders that the entry has last asked for connections to. */
+    List<Member> publishedLoaders() {
         Set<Member> links = Set.of();
         for (GatewayEffect effect : mEffects) {
             links = effect instanceof GatewayEffect.Links latest ? latest.members() : links;
         }
-        links.stream()
-                .filter(member -> member.role() == Role.TARGET)
-                .forEach(member -> handle(new GatewayEvent.PeerUp(member.id(), 1)));
+        return links.stream().filter(member -> member.role() == Role.TARGET).toList();
     }
 
     static NodeId loader(String host) {
@@ -303,6 +306,13 @@
         put("op/config");
     }
 
+    /** Makes the key-value service forget all changes, so that the entry reads all keys again. */
+    void compact() {
+        List<Long> watches = List.copyOf(mWatches.values());
+        mWatches.clear();
+        watches.forEach(id -> onKeyValueResponse(id, new KeyValueResponse.Compacted(mRevision)));
+    }
+
     /** Makes the key-value service fail all requests, or respond again. */
     void setStoreUp(boolean up) {
         mStoreUp = up;
