--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -1,11 +1,14 @@
 package ebonygw.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One revision of the complete configuration.
@@ -15,9 +18,12 @@
 public final class GatewaySettings {
     private final long mRevision;
     private final Map<String, List<GatewayRoute>> mRoutesByHost = new HashMap<>();
+    private final Map<String, GatewayRoute> mRoutesByName = new HashMap<>();
+    private final Map<String, GatewayCustomer> mCustomersByName = new HashMap<>();
     private final Map<String, GatewayService> mServices = new HashMap<>();
     private final List<GatewayCustomer> mCustomers;
     private final Map<String, GatewayCustomer> mCustomersByKey = new HashMap<>();
+    private final Set<String> mAllowedRegions = new HashSet<>();
     private final long mMaxBodyBytes;
 
     /**
@@ -41,21 +47,35 @@
         mMaxBodyBytes = maxBodyBytes;
         for (GatewayRoute route : routes) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+            mRoutesByName.put(route.name(), route);
+            mAllowedRegions.addAll(route.allowedRegions().names());
         }
         Comparator<GatewayRoute> longestFirst =
                 Comparator.comparingInt((GatewayRoute route) -> route.prefix().length()).reversed();
         mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> mServices.put(service.name(), service));
         for (GatewayCustomer customer : customers) {
+            mCustomersByName.put(customer.name(), customer);
+            mAllowedRegions.addAll(customer.allowedRegions().names());
             customer.keyHashes().forEach(hash -> mCustomersByKey.put(hash, customer));
         }
     }
 
+    /** Returns the names of the regions in the lists of all routes and customers. */
+    public Set<String> allowedRegions() {
+        return Collections.unmodifiableSet(mAllowedRegions);
+    }
+
     /** Returns the customer that owns the key with a SHA-256, empty if there is none. */
     public Optional<GatewayCustomer> customerByKey(String keyHash) {
         return Optional.ofNullable(mCustomersByKey.get(keyHash));
     }
 
+    /** Returns the customer with a name, empty if there is none. */
+    public Optional<GatewayCustomer> customerNamed(String name) {
+        return Optional.ofNullable(mCustomersByName.get(name));
+    }
+
     /** Returns all customers. */
     public List<GatewayCustomer> customers() {
         return mCustomers;
@@ -86,6 +106,11 @@
         return Optional.empty();
     }
 
+    /** Returns the route with a name, empty if there is none. */
+    public Optional<GatewayRoute> routeNamed(String name) {
+        return Optional.ofNullable(mRoutesByName.get(name));
+    }
+
     /** Returns a service by name, empty if there is none. */
     public Optional<GatewayService> service(String name) {
         return Optional.ofNullable(mServices.get(name));
