Decode the fourth number of the load header and learn the speed of each target

Entries compared targets by constants that are the same for every target. The fourth number of Instance-Load becomes TargetLoad.workPercent; a bad one leaves the other three valid. TargetSpeed learns a factor of the nominal time from completions and scales it by the reported number while that is fresh; TargetChooser uses it, with a seeded draw among nearly equal targets, for services whose targets report the number. Other services keep the constants.

--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -29,10 +29,14 @@
     /** HTTP status of a target that lacks the adapter or holds another version of it. */
     private static final int MISDIRECTED = 421;
 
+    /** Lowest HTTP status of a response that says nothing about the speed of its target. */
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final OperatorState mOperator;
     private final TargetTable mTargets;
     private final FleetSize mFleet;
     private final TargetChooser mChooser;
+    private final TargetSpeeds mSpeeds;
     private final GatewayOutbox mOut;
     private double mMeanPrefillTokens;
 
@@ -41,11 +45,13 @@
             TargetTable targets,
             FleetSize fleet,
             TargetChooser chooser,
+            TargetSpeeds speeds,
             GatewayOutbox out) {
         mOperator = operator;
         mTargets = targets;
         mFleet = fleet;
         mChooser = chooser;
+        mSpeeds = speeds;
         mOut = out;
     }
 
@@ -100,6 +106,7 @@
         if (target == null) {
             return;
         }
+        target.mSpeed.onAbandoned(pending.mExchange);
         target.onEnded(pending.mRequest.adapter(), pending.mStarted, pending.mPrefillTokens);
         pending.mPrefillTokens = 0;
         if (succeeded) {
@@ -128,6 +135,29 @@
         GatewayTarget target = mTargets.get(pending.mTargetId);
         if (target != null) {
             load.ifPresent(it -> target.onLoad(it, nowNanos));
+            load.ifPresent(it -> mSpeeds.onReport(target, it.workPercent(), nowNanos));
+        }
+    }
+
+    /** Learns the speed of a target from the end of a complete response. */
+    void learnEnd(PendingRequest pending, long nowNanos) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target != null && pending.mStarted) {
+            mSpeeds.onEnded(
+                    target,
+                    pending.mRequest.maxTokens(),
+                    nowNanos - pending.mStartedNanos,
+                    nowNanos);
+        }
+    }
+
+    /** Learns the speed of a target from the start of a response, unless that is an error. */
+    void learnStart(PendingRequest pending, int status, long nowNanos) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target != null && status < FIRST_ERROR_STATUS) {
+            mSpeeds.onStarted(target, pending.mExchange, nowNanos);
+        } else if (target != null) {
+            target.mSpeed.onAbandoned(pending.mExchange);
         }
     }
 
@@ -144,6 +174,9 @@
         }
         GatewayTarget.Unavailability before = target.unavailability(nowNanos);
         target.onNotice(notice, nowNanos);
+        if (notice.pauseNanos() > 0) {
+            target.mSpeed.onReturned(target.pausedUntilNanos());
+        }
         GatewayTarget.Unavailability after = target.unavailability(nowNanos);
         if (after != before || notice.pauseNanos() > 0) {
             mOut.log(
@@ -226,10 +259,11 @@
         String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.promptCache().cachedTokens(cacheOwner, request.promptParts());
         pending.mPrefillTokens = Math.max(0, request.promptTokens() - cached);
+        long predicted = mSpeeds.onSent(target, pending, (long) mMeanPrefillTokens, nowNanos);
         target.onSent(request.adapter(), pending.mPrefillTokens);
         mMeanPrefillTokens += MEAN_WEIGHT * (pending.mPrefillTokens - mMeanPrefillTokens);
         target.promptCache().onPromptSent(cacheOwner, request.promptParts());
-        mOut.log(
+        LogLine line =
                 LogLine.of("attempt_sent")
                         .with("request", request.id())
                         .with("attempt", pending.mAttempts)
@@ -242,7 +276,8 @@
                         .with("adapter", request.adapter())
                         .with("version", wanted)
                         .with("parts", String.join(",", request.sharedPartIds()))
-                        .with("left_ms", remainingNanos / 1_000_000));
+                        .with("left_ms", remainingNanos / 1_000_000);
+        mOut.log(mSpeeds.describe(target, predicted, line, nowNanos));
         mOut.effect(
                 new GatewayEffect.Attempt(
                         pending.mExchange,
@@ -258,6 +293,10 @@
                                 remainingNanos)));
     }
 
+    TargetSpeeds speeds() {
+        return mSpeeds;
+    }
+
     /** Returns this entry's part of the connections that a target of a service accepts. */
     private int maxConnections(String service) {
         int accepted = mOperator.service(service).map(GatewayService::maxConnections).orElse(1);
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -101,6 +101,7 @@
         dump.put("counts", Map.copyOf(mRequests.counts()));
         dump.put("quota", mQuota.dump());
         dump.put("retryBudgets", mRequests.retryBudgets());
+        dump.put("balancing", mRequests.speeds(nowNanos));
         Map<String, List<String>> blocked = mGuard.blockedParts();
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
@@ -202,11 +203,15 @@
                 known == null
                         || !known.record().isSameIncarnation(record)
                         || known.record().draining() != record.draining();
-        if (known != null && !known.record().isSameIncarnation(record)) {
+        boolean started = known == null || !known.record().isSameIncarnation(record);
+        if (known != null && started) {
             endIncarnation(known.record(), nowNanos);
         }
         mLinksChanged |= changed || !known.record().service().equals(record.service());
-        mTargets.put(record);
+        GatewayTarget target = mTargets.put(record);
+        if (started) {
+            mRequests.onTargetStarted(target, nowNanos);
+        }
         if (changed) {
             mOut.log(
                     LogLine.of("target_seen")
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -1,5 +1,7 @@
 package ebonygw.gateway;
 
+import ebonygw.balancing.BalancingOptions;
+import ebonygw.balancing.TargetSpeed;
 import ebonygw.membership.MemberMessage.TargetReport;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.AdapterVersion;
@@ -45,6 +47,10 @@
     }
 
     final TargetHealth mHealth;
+
+    /** How fast the target is; learnt only if targets of its service report it. */
+    final TargetSpeed mSpeed = new TargetSpeed(BalancingOptions.defaults());
+
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
     private final Map<String, Long> mAbsentUntilNanos = new HashMap<>();
     private final Set<String> mLoading = new HashSet<>();
@@ -78,6 +84,9 @@
     private int mEndedSinceReport;
     private long mAvoidUntilNanos = Long.MIN_VALUE;
 
+    /** Whether the target has reported an invalid number for how long work takes. */
+    private boolean mReportedInvalid;
+
     /** Notices of the present incarnation. */
     private IncarnationNotices.Held mNotices;
 
@@ -256,6 +265,13 @@
         }
     }
 
+    /** Handles an invalid number in a report; returns whether it is the first one. */
+    boolean onInvalidWorkPercent() {
+        boolean first = !mReportedInvalid;
+        mReportedInvalid = true;
+        return first;
+    }
+
     /** Applies a notice of the target's present incarnation. */
     void onNotice(TargetNotice notice, long nowNanos) {
         mNotices.apply(notice, nowNanos);
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -60,13 +60,12 @@
         mOut = out;
         mAdmission = new GatewayAdmission(operator, options.maxSettingsAgeNanos());
         mRetries = new FleetRetryBudgets(options, fleet, out);
+        ChooserOptions costs = ChooserOptions.defaults(options.self().locality());
+        long drawSeed = options.seed() ^ options.self().id().name().hashCode();
+        TargetSpeeds speeds = new TargetSpeeds(costs, targets, drawSeed, out);
         mAttempts =
                 new GatewayAttempts(
-                        operator,
-                        targets,
-                        fleet,
-                        new TargetChooser(ChooserOptions.defaults(options.self().locality())),
-                        out);
+                        operator, targets, fleet, new TargetChooser(costs, speeds), speeds, out);
     }
 
     /** Returns the number of requests received and the numbers of requests by outcome. */
@@ -79,6 +78,11 @@
         return mRetries.dump();
     }
 
+    /** Returns what is known about the speed of each service's targets, for diagnostics. */
+    Map<String, Object> speeds(long nowNanos) {
+        return mAttempts.speeds().dump(nowNanos);
+    }
+
     /** Returns the number of requests that have not ended. */
     int size() {
         return mByExchange.size();
@@ -178,6 +182,7 @@
         }
         pending.mBody = ended.body();
         mGuard.countSurvival(pending, true, nowNanos);
+        mAttempts.learnEnd(pending, nowNanos);
         count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
@@ -214,6 +219,7 @@
         pending.mStartedNanos = nowNanos;
         mAttempts.onStarted(pending);
         mAttempts.onLoad(pending, started.load(), nowNanos);
+        mAttempts.learnStart(pending, started.status(), nowNanos);
     }
 
     /**
@@ -230,6 +236,11 @@
         return mAttempts.onNotice(pending, noticed.notice(), nowNanos);
     }
 
+    /** Handles that a target has been registered or has another incarnation. */
+    void onTargetStarted(GatewayTarget target, long nowNanos) {
+        mAttempts.speeds().onTargetStarted(target, nowNanos);
+    }
+
     private void count(String what) {
         mCounts.merge(what, 1L, Long::sum);
     }
--- a/src/main/java/ebonygw/gateway/PromptCacheEstimate.java
+++ b/src/main/java/ebonygw/gateway/PromptCacheEstimate.java
@@ -35,12 +35,30 @@
         return tokens;
     }
 
+    /**
+     * Returns the length in tokens of the cached prefix of a prompt.
+     *
+     * @param keys keys of its parts, see {@link #keys}
+     */
+    long cachedTokens(String[] keys, List<PromptPart> parts) {
+        long tokens = 0;
+        for (int i = 0; i < keys.length && mParts.containsKey(keys[i]); i++) {
+            tokens += parts.get(i).tokens();
+        }
+        return tokens;
+    }
+
     /** Discards all parts, as after a restart of the target. */
     void clear() {
         mParts.clear();
         mTokens = 0;
     }
 
+    /** Returns the keys of a prompt's parts, which are the same at all targets. */
+    static String[] keys(String owner, List<PromptPart> parts) {
+        return parts.stream().map(part -> key(owner, part)).toArray(String[]::new);
+    }
+
     /** Records that a prompt was sent, so that its parts count as cached. */
     void onPromptSent(String owner, List<PromptPart> parts) {
         for (PromptPart part : parts) {
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -1,24 +1,44 @@
 package ebonygw.gateway;
 
-import ebonygw.protocol.Locality;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import net.openhft.hashing.LongHashFunction;
 
 /**
  * Chooses the target of an attempt by the lowest expected cost.
  *
- * <p>Immutable and thread-safe; the targets passed in are not.
+ * <p>Not thread-safe, as the targets passed in and their learnt speeds are not.
  */
 final class TargetChooser {
+    /** Cost of a target that cannot load an adapter. */
+    private static final long IMPOSSIBLE = Long.MAX_VALUE;
+
     private final ChooserOptions mOptions;
+    private final ExpectedTimes mTimes;
+    private final DistanceCost mDistance;
+    private final Optional<TargetSpeeds> mSpeeds;
 
+    /** Creates a chooser whose costs are the constants of the options. */
     TargetChooser(ChooserOptions options) {
+        this(options, DistanceCost.constants(options), Optional.empty());
+    }
+
+    /** Creates a chooser that uses the learnt speeds of services whose targets report theirs. */
+    TargetChooser(ChooserOptions options, TargetSpeeds speeds) {
+        this(options, DistanceCost.constants(options), Optional.of(speeds));
+    }
+
+    TargetChooser(ChooserOptions options, DistanceCost distance, Optional<TargetSpeeds> speeds) {
         mOptions = Objects.requireNonNull(options, "options");
+        mTimes = ExpectedTimes.constants(options);
+        mDistance = Objects.requireNonNull(distance, "distance");
+        mSpeeds = Objects.requireNonNull(speeds, "speeds");
     }
 
     /**
@@ -57,8 +77,19 @@
             }
         }
         boolean waits =
-                usable.stream()
-                        .anyMatch(it -> it.record().id().equals(awaited) && canLoad(it, request));
+                !awaited.isEmpty()
+                        && usable.stream()
+                                .anyMatch(
+                                        it ->
+                                                it.record().id().equals(awaited)
+                                                        && canLoad(it, request));
+        TargetSpeeds.Evaluation learnt =
+                mSpeeds.map(it -> it.evaluate(request, usable, meanPrefillTokens, nowNanos))
+                        .orElse(null);
+        if (learnt != null) {
+            return chooseByModel(
+                    learnt, request, wantedVersion, usable, waits ? awaited : "", nowNanos);
+        }
         Choice best = null;
         boolean ranked = !request.adapter().isEmpty();
         if (ranked) {
@@ -102,9 +133,7 @@
      * prefer the same targets for an adapter.
      */
     private static Comparator<GatewayTarget> byRank(String adapter) {
-        return Comparator.comparingLong(
-                target ->
-                        LongHashFunction.xx().hashChars(target.record().address() + ' ' + adapter));
+        return Comparator.comparingLong(target -> rankHash(target, adapter));
     }
 
     /** Returns whether the adapter of a request can be loaded at a target. */
@@ -123,42 +152,130 @@
             String awaited,
             long meanPrefillTokens,
             long nowNanos) {
-        long cost = distanceNanos(target.record().locality());
-        int load = target.load(nowNanos);
-        int slots = target.slots();
-        if (request.model().isEmpty()) {
-            long excess = Math.max(0, load + 1 - slots);
-            cost +=
-                    mOptions.plainRequestNanos() * excess / slots
-                            + mOptions.plainRequestNanos() * load / slots / 2;
-            return new Choice(target, true, cost, 0);
-        }
         boolean resident = isResident(target, request, wantedVersion, nowNanos);
-        if (!resident) {
-            if (!canLoad(target, request)) {
-                return null;
+        long adapterNanos = resident ? 0 : adapterNanos(request, target, rank, awaited);
+        if (adapterNanos == IMPOSSIBLE) {
+            return null;
+        }
+        long prefillTokens = 0;
+        if (!request.model().isEmpty()) {
+            String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
+            long uncached =
+                    request.promptTokens()
+                            - target.promptCache().cachedTokens(cacheOwner, request.promptParts());
+            prefillTokens =
+                    Math.max(0, uncached) + target.prefillTokens(meanPrefillTokens, nowNanos);
+        }
+        ExpectedTimes.Times times =
+                mTimes.of(request, target, prefillTokens, target.load(nowNanos), nowNanos);
+        long cost =
+                mDistance.nanos(request, target, nowNanos) + adapterNanos + times.completionNanos();
+        return new Choice(target, resident, cost, times.startNanos());
+    }
+
+    /**
+     * Returns the cost of an adapter that is not resident at a target, less the bonus of the target
+     * at which the request waits; {@link #IMPOSSIBLE} if the target cannot load it or may not get
+     * the request.
+     */
+    private long adapterNanos(
+            GatewayRequest request, GatewayTarget target, int rank, String awaited) {
+        if (!canLoad(target, request)) {
+            return IMPOSSIBLE;
+        }
+        boolean waitsHere = target.record().id().equals(awaited);
+        // A request that moves is queued last at its new target, so it moves to an open slot
+        // only.
+        if (!waitsHere && !awaited.isEmpty() && target.openAdapterSlots() < 1) {
+            return IMPOSSIBLE;
+        }
+        return loadNanos(target, request.adapter(), rank)
+                - (waitsHere ? mOptions.moveThresholdNanos() : 0);
+    }
+
+    /**
+     * Chooses by the learnt speeds. Among targets that can run the request now a draw decides
+     * between nearly equal costs. An adapter that must be loaded goes to the target of lowest cost,
+     * so that all entries have it loaded at the same one.
+     */
+    private Choice chooseByModel(
+            TargetSpeeds.Evaluation learnt,
+            GatewayRequest request,
+            long wantedVersion,
+            List<GatewayTarget> usable,
+            String awaited,
+            long nowNanos) {
+        int count = usable.size();
+        long[] residentCosts = new long[count];
+        int best = -1;
+        long bestCost = Long.MAX_VALUE;
+        boolean allResident = true;
+        for (int i = 0; i < count; i++) {
+            GatewayTarget target = usable.get(i);
+            residentCosts[i] = Long.MAX_VALUE;
+            if (isResident(target, request, wantedVersion, nowNanos)) {
+                residentCosts[i] =
+                        learnt.completionNanos(i) + mDistance.nanos(request, target, nowNanos);
+                if (residentCosts[i] < bestCost) {
+                    bestCost = residentCosts[i];
+                    best = i;
+                }
+            } else {
+                allResident = false;
+            }
+        }
+        int loading = -1;
+        long[] ranks = null;
+        for (int i = 0; i < count && !allResident; i++) {
+            GatewayTarget target = usable.get(i);
+            if (residentCosts[i] != Long.MAX_VALUE) {
+                continue;
+            }
+            long adapterNanos = adapterNanos(request, target, 0, awaited);
+            if (adapterNanos == IMPOSSIBLE) {
+                continue;
+            }
+            long otherNanos =
+                    learnt.completionNanos(i) + mDistance.nanos(request, target, nowNanos);
+            // The rank only adds to the cost, so it is not computed for a target that is too
+            // expensive without it.
+            if (otherNanos + adapterNanos >= bestCost) {
+                continue;
             }
-            cost += loadNanos(target, request.adapter(), rank);
-            boolean waitsHere = target.record().id().equals(awaited);
-            // A request that moves is queued last at its new target, so it moves to an open slot
-            // only.
-            if (!waitsHere && !awaited.isEmpty() && target.openAdapterSlots() < 1) {
-                return null;
+            ranks = ranks == null ? ranks(usable, request.adapter()) : ranks;
+            int rank = (int) ranks[i];
+            long cost = otherNanos + adapterNanos(request, target, rank, awaited);
+            if (cost < bestCost) {
+                bestCost = cost;
+                loading = i;
             }
-            cost -= waitsHere ? mOptions.moveThresholdNanos() : 0;
-        }
-        String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
-        long uncached =
-                request.promptTokens()
-                        - target.promptCache().cachedTokens(cacheOwner, request.promptParts());
-        long tokens = Math.max(0, uncached) + target.prefillTokens(meanPrefillTokens, nowNanos);
-        long start = tokens * mOptions.prefillNanosPerToken();
-        cost += start;
-        cost += mOptions.fullTargetNanos() * load / slots / 2;
-        if (load >= slots) {
-            cost += mOptions.fullTargetNanos() * (1 + load - slots);
-        }
-        return new Choice(target, resident, cost, start);
+        }
+        if (loading >= 0) {
+            return new Choice(usable.get(loading), false, bestCost, learnt.startNanos(loading));
+        }
+        if (best < 0) {
+            return null;
+        }
+        int drawn = learnt.draw(residentCosts, best);
+        return new Choice(usable.get(drawn), true, residentCosts[drawn], learnt.startNanos(drawn));
+    }
+
+    /** Returns the position of each target in the order of {@link #byRank}. */
+    private static long[] ranks(List<GatewayTarget> targets, String adapter) {
+        long[] ranks = new long[targets.size()];
+        for (int i = 0; i < ranks.length; i++) {
+            ranks[i] = rankHash(targets.get(i), adapter);
+        }
+        long[] sorted = ranks.clone();
+        Arrays.sort(sorted);
+        for (int i = 0; i < ranks.length; i++) {
+            ranks[i] = Arrays.binarySearch(sorted, ranks[i]);
+        }
+        return ranks;
+    }
+
+    private static long rankHash(GatewayTarget target, String adapter) {
+        return LongHashFunction.xx().hashChars(target.record().address() + ' ' + adapter);
     }
 
     /** Returns the expected cost of loading an adapter at a target. */
@@ -173,11 +290,4 @@
                 ? mOptions.reloadNanos() + queued
                 : mOptions.loadNanos() + queued + rank * mOptions.rankNanos();
     }
-
-    private long distanceNanos(Locality locality) {
-        if (!mOptions.locality().sameRegion(locality)) {
-            return mOptions.regionNanos();
-        }
-        return mOptions.locality().sameDataCenter(locality) ? 0 : mOptions.dataCenterNanos();
-    }
 }
--- a/src/test/java/ebonygw/platform/PlatformHeadersTest.java
+++ b/src/test/java/ebonygw/platform/PlatformHeadersTest.java
@@ -139,4 +139,15 @@
                 .contains(new TargetLoad(3, 0, 8));
         assertThat(mHeaders.parseResponse(200, Map.of("instance-load", "3")).load()).isEmpty();
     }
+
+    @Test
+    void theFourthNumberOfTheLoadIsReadAndABadOneLeavesTheOthersValid() {
+        assertThat(mHeaders.parseResponse(200, Map.of("instance-load", "3,0,8, 250")).load())
+                .contains(new TargetLoad(3, 0, 8, 250));
+        for (String bad : new String[] {"slow", "-5", "0", "NaN", "1e9", " "}) {
+            assertThat(mHeaders.parseResponse(200, Map.of("instance-load", "3,0,8," + bad)).load())
+                    .as(bad)
+                    .contains(new TargetLoad(3, 0, 8, TargetLoad.INVALID));
+        }
+    }
 }
