--- a/src/main/java/ebonygw/balancing/BalancingOptions.java
+++ b/src/main/java/ebonygw/balancing/BalancingOptions.java
@@ -63,14 +63,14 @@
      * Returns the constants for production.
      *
      * <p>At 800 requests per second, 28 entries and 35 targets, an entry sees about one completion
-     * a second of each target, and a disturbance lasts 6 s: a half-life of 2 s uses the last few
+     * a second of each target, and a disturbance lasts 6 s: a half-life of 3 s uses the last few
      * completions. Periods of slow work last 600 ms, after which a report says nothing.
      */
     public static BalancingOptions defaults() {
         return new BalancingOptions(
-                TimeUnit.SECONDS.toNanos(2),
-                1,
-                3,
+                TimeUnit.SECONDS.toNanos(3),
+                2,
+                2,
                 10,
                 TimeUnit.MILLISECONDS.toNanos(600),
                 TimeUnit.SECONDS.toNanos(60),
--- a/src/main/java/ebonygw/balancing/ServiceSpeeds.java
+++ b/src/main/java/ebonygw/balancing/ServiceSpeeds.java
@@ -7,8 +7,8 @@
 import java.util.stream.Stream;
 
 /**
- * What the targets of one service have in common: the prior of their models, the duration of
- * streams, and the error of the predictions. Not thread-safe.
+ * What the targets of one service have in common: the prior of their models, the nominal time, and
+ * the error of the predictions. Not thread-safe.
  */
 public final class ServiceSpeeds {
     /** Weight of the newest value in moving averages: the last few dozen completions count. */
@@ -17,11 +17,11 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final BalancingOptions mOptions;
+    private final NominalTime mNominal = new NominalTime();
     private TargetSpeed.Prior mPrior = TargetSpeed.Prior.NONE;
     private long mPriorNanos = Long.MIN_VALUE;
     private long mReportedNanos;
     private double mMeanPercent;
-    private double mStreamNanosPerToken;
     private double mErrorNanos;
     private double mObservedNanos;
     private double mBiasNanos;
@@ -41,6 +41,9 @@
         dump.put("enabled", isEnabled(nowNanos) ? 1 : 0);
         dump.put("medianFactor", mPrior.factor());
         dump.put("meanWorkPercent", mMeanPercent);
+        dump.put("idleCoefficient", mNominal.coefficient(0));
+        dump.put("tokenCoefficient", mNominal.coefficient(1));
+        dump.put("loadCoefficient", mNominal.coefficient(2));
         dump.put("predictions", mPredictions);
         dump.put("predictionErrorMillis", mErrorNanos / NANOS_PER_MILLI);
         dump.put("predictionBiasMillis", mBiasNanos / NANOS_PER_MILLI);
@@ -54,36 +57,24 @@
         return nowNanos - mReportedNanos <= mOptions.enabledNanos();
     }
 
+    /** Returns the time to the first event at a typical target. */
+    public NominalTime nominal() {
+        return mNominal;
+    }
+
     /** Returns the prior of the models of the service's targets. */
     public TargetSpeed.Prior prior() {
         return mPrior;
     }
 
-    /** Returns the expected time from the first event to the last at a factor of 1. */
-    public double streamNanos(long tokens) {
-        return mStreamNanosPerToken * Math.max(0, tokens);
-    }
-
-    /**
-     * Learns the duration of a stream.
-     *
-     * @param tokens maximum number of tokens of the response
-     * @param factor factor of its target
-     */
-    public void onEnded(long tokens, double factor, long streamNanos) {
-        if (tokens > 0 && factor > 0) {
-            double perToken = streamNanos / factor / tokens;
-            mStreamNanosPerToken += MEAN_WEIGHT * (perToken - mStreamNanosPerToken);
-        }
-    }
-
     /** Counts a report that was malformed or out of range. */
     public void onInvalidReport() {
         mInvalidReports++;
     }
 
-    /** Records what came of a prediction. */
+    /** Records what came of a prediction, and learns from it. */
     public void onPrediction(TargetSpeed.Prediction prediction) {
+        mNominal.learn(prediction.parts(), prediction.clippedNanos() / prediction.factor());
         double error = prediction.observedNanos() - prediction.predictedNanos();
         double weight = Math.max(MEAN_WEIGHT, 1.0 / ++mPredictions);
         mErrorNanos += weight * (Math.abs(error) - mErrorNanos);
--- a/src/main/java/ebonygw/balancing/TargetSpeed.java
+++ b/src/main/java/ebonygw/balancing/TargetSpeed.java
@@ -53,10 +53,23 @@
      *
      * @param predictedNanos predicted time to the first event
      * @param observedNanos observed time to the first event
+     * @param clippedNanos the observed time, clipped if it is far from the expected one
+     * @param factor expected factor of the target
+     * @param parts parts of the nominal time
      */
-    public record Prediction(long predictedNanos, long observedNanos) {}
-
-    private record Sent(long nanos, long nominalNanos, long predictedNanos, long networkNanos) {
+    public record Prediction(
+            long predictedNanos,
+            long observedNanos,
+            double clippedNanos,
+            double factor,
+            NominalTime.Parts parts) {}
+
+    private record Sent(
+            long nanos,
+            NominalTime.Parts parts,
+            long nominalNanos,
+            long predictedNanos,
+            long networkNanos) {
         /** Returns the time that the target has spent on the request, at least 1. */
         long spentNanos(long nowNanos) {
             return Math.max(1, nowNanos - nanos - networkNanos);
@@ -74,7 +87,7 @@
 
     /** Returns the factor by which work takes longer than its nominal time at this moment. */
     public double factor(Prior prior, long nowNanos) {
-        double factor = learntFactor(prior, nowNanos) * reportRatio(prior, nowNanos);
+        double factor = expectedFactor(prior, nowNanos);
         if (mOldest != null) {
             double overdue = (double) mOldest.spentNanos(nowNanos) / mOldest.nominalNanos();
             factor = Math.max(factor, Math.min(overdue, factor * mOptions.maxOverdue()));
@@ -128,17 +141,19 @@
     /**
      * Registers a request that is being sent.
      *
+     * @param parts parts of its nominal time
      * @param nominalNanos time to the first event at a target with a factor of 1, positive
      * @param predictedNanos predicted time to the first event
      * @param networkNanos part of the time to the response that the network takes
      */
     public void onSent(
             long exchange,
+            NominalTime.Parts parts,
             long nominalNanos,
             long predictedNanos,
             long networkNanos,
             long nowNanos) {
-        mOpen.put(exchange, new Sent(nowNanos, nominalNanos, predictedNanos, networkNanos));
+        mOpen.put(exchange, new Sent(nowNanos, parts, nominalNanos, predictedNanos, networkNanos));
         findOldest();
     }
 
@@ -148,7 +163,7 @@
      * @return the prediction, null if the request is not known
      */
     public Prediction onStarted(long exchange, Prior prior, long nowNanos) {
-        double expected = learntFactor(prior, nowNanos) * reportRatio(prior, nowNanos);
+        double expected = expectedFactor(prior, nowNanos);
         Sent sent = remove(exchange);
         if (sent == null) {
             return null;
@@ -159,23 +174,31 @@
                         expected / mOptions.maxStep(),
                         Math.min(expected * mOptions.maxStep(), observed));
         double weight = weight(nowNanos);
-        double meanPercent = meanPercent(prior, nowNanos);
-        double percent = meanPercent * reportRatio(prior, nowNanos);
+        double mean = weight > 0 ? mMeanPercent : prior.percent();
+        double percent = mean * reportRatio(mean, nowNanos);
         mFactor = (weight * mFactor + clipped) / (weight + 1);
         mMeanPercent = (weight * mMeanPercent + percent) / (weight + 1);
         mWeight = weight + 1;
         mLearntNanos = nowNanos;
-        return new Prediction(sent.predictedNanos(), sent.spentNanos(nowNanos));
+        return new Prediction(
+                sent.predictedNanos(),
+                sent.spentNanos(nowNanos),
+                clipped * sent.nominalNanos(),
+                expected,
+                sent.parts());
     }
 
-    private void findOldest() {
-        mOldest = mOpen.isEmpty() ? null : mOpen.values().iterator().next();
+    /** Returns the learnt factor, with the target's own part and the prior scaled by the report. */
+    private double expectedFactor(Prior prior, long nowNanos) {
+        double weight = weight(nowNanos);
+        double own = weight * mFactor * reportRatio(mMeanPercent, nowNanos);
+        double ofPrior =
+                mOptions.priorWeight() * prior.factor() * reportRatio(prior.percent(), nowNanos);
+        return (own + ofPrior) / (weight + mOptions.priorWeight());
     }
 
-    private double meanPercent(Prior prior, long nowNanos) {
-        double weight = weight(nowNanos);
-        return (weight * mMeanPercent + mOptions.priorWeight() * prior.percent())
-                / (weight + mOptions.priorWeight());
+    private void findOldest() {
+        mOldest = mOpen.isEmpty() ? null : mOpen.values().iterator().next();
     }
 
     private Sent remove(long exchange) {
@@ -184,15 +207,16 @@
         return sent;
     }
 
-    /** Returns the effect of the newest report, which fades to none as the report ages. */
-    private double reportRatio(Prior prior, long nowNanos) {
+    /**
+     * Returns the effect of the newest report, which fades to none as the report ages.
+     *
+     * @param meanPercent mean of the numbers to which the scaled factor belongs
+     */
+    private double reportRatio(double meanPercent, long nowNanos) {
         if (mReportedNanos == Long.MIN_VALUE) {
             return 1;
         }
         double age = (double) (nowNanos - mReportedNanos) / mOptions.reportFadeNanos();
-        if (age >= 1) {
-            return 1;
-        }
-        return 1 + (1 - age) * (mPercent / meanPercent(prior, nowNanos) - 1);
+        return age >= 1 ? 1 : 1 + (1 - age) * (mPercent / meanPercent - 1);
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -139,18 +139,6 @@
         }
     }
 
-    /** Learns the speed of a target from the end of a complete response. */
-    void learnEnd(PendingRequest pending, long nowNanos) {
-        GatewayTarget target = mTargets.get(pending.mTargetId);
-        if (target != null && pending.mStarted) {
-            mSpeeds.onEnded(
-                    target,
-                    pending.mRequest.maxTokens(),
-                    nowNanos - pending.mStartedNanos,
-                    nowNanos);
-        }
-    }
-
     /** Learns the speed of a target from the start of a response, unless that is an error. */
     void learnStart(PendingRequest pending, int status, long nowNanos) {
         GatewayTarget target = mTargets.get(pending.mTargetId);
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -182,7 +182,6 @@
         }
         pending.mBody = ended.body();
         mGuard.countSurvival(pending, true, nowNanos);
-        mAttempts.learnEnd(pending, nowNanos);
         count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -70,7 +70,7 @@
             String awaited,
             long meanPrefillTokens,
             long nowNanos) {
-        List<GatewayTarget> usable = new ArrayList<>();
+        List<GatewayTarget> usable = new ArrayList<>(targets.size());
         for (GatewayTarget target : targets) {
             if (target.isUsable(nowNanos) && !excluded.contains(target.record().id())) {
                 usable.add(target);
--- a/src/main/java/ebonygw/gateway/TargetSpeeds.java
+++ b/src/main/java/ebonygw/gateway/TargetSpeeds.java
@@ -2,6 +2,7 @@
 
 import ebonygw.balancing.BalancingOptions;
 import ebonygw.balancing.NearlyEqualDraw;
+import ebonygw.balancing.NominalTime;
 import ebonygw.balancing.ServiceSpeeds;
 import ebonygw.balancing.TargetSpeed;
 import ebonygw.log.LogLine;
@@ -35,7 +36,7 @@
     private static final double BOUND_RAMP = 0.25;
 
     private final ChooserOptions mCosts;
-    private final ExpectedTimes mNominal;
+    private final ExpectedTimes mConstants;
     private final TargetTable mTargets;
     private final NearlyEqualDraw mDraw;
     private final GatewayOutbox mOut;
@@ -44,7 +45,7 @@
 
     TargetSpeeds(ChooserOptions costs, TargetTable targets, long seed, GatewayOutbox out) {
         mCosts = costs;
-        mNominal = ExpectedTimes.constants(costs);
+        mConstants = ExpectedTimes.constants(costs);
         mTargets = targets;
         mDraw = new NearlyEqualDraw(seed);
         mOut = out;
@@ -91,15 +92,6 @@
                 : new Evaluation(service, request, targets, meanPrefillTokens, nowNanos);
     }
 
-    /** Learns from the end of a complete response. */
-    void onEnded(GatewayTarget target, long maxTokens, long streamNanos, long nowNanos) {
-        ServiceSpeeds service = enabled(target.record().service(), nowNanos);
-        if (service != null && !target.record().models().isEmpty()) {
-            double factor = target.mSpeed.factor(service.prior(), nowNanos);
-            service.onEnded(maxTokens, factor, streamNanos);
-        }
-    }
-
     /** Applies the number of a load report; a target that reports none changes nothing. */
     void onReport(GatewayTarget target, int workPercent, long nowNanos) {
         if (workPercent == TargetLoad.NOT_REPORTED) {
@@ -143,11 +135,13 @@
             return -1;
         }
         long tokens = pending.mPrefillTokens + target.prefillTokens(meanPrefillTokens, nowNanos);
-        long nominal =
-                nominalNanos(pending.mRequest, target, tokens, target.load(nowNanos), nowNanos);
+        NominalTime.Parts parts =
+                parts(pending.mRequest, target, tokens, target.load(nowNanos), nowNanos);
+        long nominal = service.nominal().nanos(parts);
         long predicted = (long) (nominal * target.mSpeed.factor(service.prior(), nowNanos));
         target.mSpeed.onSent(
                 pending.mExchange,
+                parts,
                 nominal,
                 predicted,
                 networkNanos(target.record().locality()),
@@ -197,15 +191,14 @@
         return mCosts.locality().sameDataCenter(locality) ? 0 : DATA_CENTER_NETWORK_NANOS;
     }
 
-    /** Returns the time to the first event at a target with a factor of 1, positive. */
-    private long nominalNanos(
+    /** Returns the parts of the time to the first event, by the constants of all targets. */
+    private NominalTime.Parts parts(
             GatewayRequest request, GatewayTarget target, long tokens, int load, long nowNanos) {
-        return idleNanos(request)
-                + mNominal.of(request, target, tokens, load, nowNanos).completionNanos();
-    }
-
-    private long idleNanos(GatewayRequest request) {
-        return request.model().isEmpty() ? mCosts.plainRequestNanos() : FIRST_EVENT_NANOS;
+        ExpectedTimes.Times times = mConstants.of(request, target, tokens, load, nowNanos);
+        return new NominalTime.Parts(
+                request.model().isEmpty() ? mCosts.plainRequestNanos() : FIRST_EVENT_NANOS,
+                times.startNanos(),
+                times.completionNanos() - times.startNanos());
     }
 
     private static double rounded(double value) {
@@ -243,38 +236,36 @@
             }
             boolean plain = request.model().isEmpty();
             String owner = request.adapter().isEmpty() ? request.model() : request.adapter();
-            String[] parts = PromptCacheEstimate.keys(owner, request.promptParts());
-            double stream = plain ? 0 : service.streamNanos(request.maxTokens());
+            String[] keys = PromptCacheEstimate.keys(owner, request.promptParts());
             double fairLoad = regionSpeed > 0 ? regionLoad / regionSpeed : 0;
             for (int i = 0; i < count; i++) {
                 GatewayTarget target = targets.get(i);
                 long cached = 0;
                 long ahead = 0;
                 if (!plain) {
-                    cached = target.promptCache().cachedTokens(parts, request.promptParts());
+                    cached = target.promptCache().cachedTokens(keys, request.promptParts());
                     ahead = target.prefillTokens(meanPrefillTokens, nowNanos);
                 }
                 long uncached = plain ? 0 : Math.max(0, request.promptTokens() - cached);
-                long nominal = nominalNanos(request, target, uncached + ahead, loads[i], nowNanos);
-                mStartNanos[i] =
-                        (long) ((plain ? nominal - idleNanos(request) : nominal) * factors[i]);
+                NominalTime.Parts parts =
+                        parts(request, target, uncached + ahead, loads[i], nowNanos);
+                NominalTime nominal = service.nominal();
+                long started = plain ? nominal.waitNanos(parts) : nominal.nanos(parts);
+                mStartNanos[i] = (long) (started * factors[i]);
                 mCapacities[i] =
                         Math.min(
                                 target.mHealth.capacityFraction(nowNanos),
                                 target.mSpeed.capacity(nowNanos));
                 double fair = fairLoad * target.slots() / factors[i];
                 long credited = (long) (cached * credit(loads[i], fair));
-                long effective = Math.max(0, request.promptTokens() - credited) + ahead;
                 // With a fraction of its capacity, a target is as loaded as others with a multiple
                 // of its requests.
-                int load =
-                        mCapacities[i] < 1 ? (int) ((loads[i] + 1) / mCapacities[i]) - 1 : loads[i];
-                long compared =
-                        credited == cached && load == loads[i]
-                                ? nominal
-                                : nominalNanos(
-                                        request, target, plain ? 0 : effective, load, nowNanos);
-                mCompletionNanos[i] = (long) ((compared + stream) * factors[i]);
+                int load = (int) (loads[i] / mCapacities[i]);
+                if (credited != cached || load != loads[i]) {
+                    long tokens = plain ? 0 : Math.max(0, request.promptTokens() - credited);
+                    parts = parts(request, target, tokens + ahead, load, nowNanos);
+                }
+                mCompletionNanos[i] = (long) (nominal.nanos(parts) * factors[i]);
             }
         }
 
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -54,15 +54,19 @@
     private boolean mStoreUp = true;
 
     GatewayFixture() {
-        mNode = new GatewayNode(options(SELF, new Reader()));
+        this(1);
+    }
+
+    GatewayFixture(long seed) {
+        mNode = new GatewayNode(options(SELF, new Reader(), seed));
     }
 
     /** Returns options of an entry with an empty key-value service. */
     static GatewayOptions options() {
-        return options(SELF, new GatewayFixture().new Reader());
+        return options(SELF, new GatewayFixture().new Reader(), 1);
     }
 
-    private static GatewayOptions options(Member self, StoreReader reader) {
+    private static GatewayOptions options(Member self, StoreReader reader, long seed) {
         return new GatewayOptions(
                 self,
                 reader,
@@ -75,7 +79,7 @@
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.SECONDS.toNanos(7),
                 TimeUnit.MILLISECONDS.toNanos(MAX_SETTINGS_AGE_MILLIS),
-                1);
+                seed);
     }
 
     /**
