--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import net.openhft.hashing.LongHashFunction;
 
 /**
  * State of one target as an entry knows it: registration, resident adapters, load and health.
@@ -32,6 +33,9 @@
     /** Open adapter slots assumed until the loader reports them: enough for one adapter. */
     private static final int DEFAULT_OPEN_SLOTS = 1;
 
+    /** Number of adapters whose rank hashes are kept: about 16 KB for each target. */
+    private static final int MAX_RANK_HASHES = 512;
+
     /** Why a target gets no new requests. */
     enum Unavailability {
         /** It gets them. */
@@ -57,6 +61,7 @@
     private final Map<String, Long> mAdapters = new HashMap<>();
     private final Set<String> mRecentlyHeld = Collections.newSetFromMap(new RecentNames());
     private final TargetNeeds mNeeds = new TargetNeeds();
+    private final Map<String, Long> mRankHashes = new HashMap<>();
     private TargetRecord mRecord;
     private NodeId mLoader;
     private boolean mLoaderUp;
@@ -184,6 +189,19 @@
         return mRecord;
     }
 
+    /** Returns the hash of the target and an adapter by which targets are ranked for it. */
+    long rankHash(String adapter) {
+        Long hash = mRankHashes.get(adapter);
+        if (hash == null) {
+            if (mRankHashes.size() >= MAX_RANK_HASHES) {
+                mRankHashes.clear();
+            }
+            hash = LongHashFunction.xx().hashChars(mRecord.address() + ' ' + adapter);
+            mRankHashes.put(adapter, hash);
+        }
+        return hash;
+    }
+
     /** Returns how many requests the target runs concurrently, at least 1. */
     int slots() {
         return Math.max(1, mReportedSlots > 0 ? mReportedSlots : mRecord.slots());
@@ -304,6 +322,7 @@
         boolean sameIncarnation = mRecord.isSameIncarnation(record);
         mRecord = record;
         if (!sameIncarnation) {
+            mRankHashes.clear();
             mPromptCache.clear();
             mLoading.clear();
             mRecentlyHeld.clear();
--- a/src/main/java/ebonygw/gateway/PromptCacheEstimate.java
+++ b/src/main/java/ebonygw/gateway/PromptCacheEstimate.java
@@ -56,7 +56,11 @@
 
     /** Returns the keys of a prompt's parts, which are the same at all targets. */
     static String[] keys(String owner, List<PromptPart> parts) {
-        return parts.stream().map(part -> key(owner, part)).toArray(String[]::new);
+        String[] keys = new String[parts.size()];
+        for (int i = 0; i < keys.length; i++) {
+            keys[i] = key(owner, parts.get(i));
+        }
+        return keys;
     }
 
     /** Records that a prompt was sent, so that its parts count as cached. */
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import net.openhft.hashing.LongHashFunction;
 
 /**
  * Chooses the target of an attempt by the lowest expected cost.
@@ -133,7 +132,7 @@
      * prefer the same targets for an adapter.
      */
     private static Comparator<GatewayTarget> byRank(String adapter) {
-        return Comparator.comparingLong(target -> rankHash(target, adapter));
+        return Comparator.comparingLong(target -> target.rankHash(adapter));
     }
 
     /** Returns whether the adapter of a request can be loaded at a target. */
@@ -264,7 +263,7 @@
     private static long[] ranks(List<GatewayTarget> targets, String adapter) {
         long[] ranks = new long[targets.size()];
         for (int i = 0; i < ranks.length; i++) {
-            ranks[i] = rankHash(targets.get(i), adapter);
+            ranks[i] = targets.get(i).rankHash(adapter);
         }
         long[] sorted = ranks.clone();
         Arrays.sort(sorted);
@@ -274,10 +273,6 @@
         return ranks;
     }
 
-    private static long rankHash(GatewayTarget target, String adapter) {
-        return LongHashFunction.xx().hashChars(target.record().address() + ' ' + adapter);
-    }
-
     /** Returns the expected cost of loading an adapter at a target. */
     private long loadNanos(GatewayTarget target, String adapter, int rank) {
         if (target.isLoading(adapter)) {
--- a/src/main/java/ebonygw/gateway/TargetSpeeds.java
+++ b/src/main/java/ebonygw/gateway/TargetSpeeds.java
@@ -222,6 +222,7 @@
             mStartNanos = new long[count];
             mCapacities = new double[count];
             double[] factors = new double[count];
+            double[] speeds = new double[count];
             int[] loads = new int[count];
             double regionLoad = 0;
             double regionSpeed = 0;
@@ -229,9 +230,10 @@
                 GatewayTarget target = targets.get(i);
                 factors[i] = target.mSpeed.factor(service.prior(), nowNanos);
                 loads[i] = target.load(nowNanos);
+                speeds[i] = target.slots() / factors[i];
                 if (mCosts.locality().sameRegion(target.record().locality())) {
                     regionLoad += loads[i];
-                    regionSpeed += target.slots() / factors[i];
+                    regionSpeed += speeds[i];
                 }
             }
             boolean plain = request.model().isEmpty();
@@ -256,8 +258,8 @@
                         Math.min(
                                 target.mHealth.capacityFraction(nowNanos),
                                 target.mSpeed.capacity(nowNanos));
-                double fair = fairLoad * target.slots() / factors[i];
-                long credited = (long) (cached * credit(loads[i], fair));
+                long credited =
+                        cached == 0 ? 0 : (long) (cached * credit(loads[i], fairLoad * speeds[i]));
                 // With a fraction of its capacity, a target is as loaded as others with a multiple
                 // of its requests.
                 int load = (int) (loads[i] / mCapacities[i]);
--- a/src/test/java/ebonygw/gateway/TargetChooserBenchmark.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserBenchmark.java
@@ -34,8 +34,8 @@
     @Param({"false", "true"})
     public boolean mReporting;
 
-    /** Adapter of the requests, empty for the base model. */
-    @Param({"", "m0/a1"})
+    /** Adapter of the requests: none, one that all replicas hold, one that none holds. */
+    @Param({"", "m0/a1", "m0/none"})
     public String mAdapter;
 
     private final ChooserOptions mCosts = ChooserOptions.defaults(GatewayFixture.KINGSTON);
@@ -81,6 +81,7 @@
                             Map.of("m0", 1L),
                             Map.of("m0/a1", 1L, "m0/b" + i, 1L));
             GatewayTarget target = mTable.put(record);
+            target.onLoaderUp();
             target.onLoad(new TargetLoad(i, i % 3, 64), mNow);
             target.promptCache().onPromptSent(owner, List.of(new PromptPart("system", 400)));
             if (mReporting) {
