Spillover: the excess load of a data centre leaves it, at the operator's price

Distance cost a constant regardless of what is full or idle. With the settings spillover.data_center_ms_per_mb and spillover.region_ms_per_mb an entry sends a smoothed fraction of a service's requests to another data centre, which follows the expected times on both sides, the network and the price of the bytes; spillover.cap_bytes_per_s bounds the traffic of a pair. Without the settings, and for services whose targets do not report how long work takes, the constants stay.

--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -1,6 +1,7 @@
 package ebonygw.gateway;
 
 import ebonygw.log.LogLine;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +38,7 @@
     private final FleetSize mFleet;
     private final TargetChooser mChooser;
     private final TargetSpeeds mSpeeds;
+    private final Optional<SpilloverCosts> mSpillover;
     private final GatewayOutbox mOut;
     private double mMeanPrefillTokens;
 
@@ -46,12 +48,14 @@
             FleetSize fleet,
             TargetChooser chooser,
             TargetSpeeds speeds,
+            Optional<SpilloverCosts> spillover,
             GatewayOutbox out) {
         mOperator = operator;
         mTargets = targets;
         mFleet = fleet;
         mChooser = chooser;
         mSpeeds = speeds;
+        mSpillover = spillover;
         mOut = out;
     }
 
@@ -139,6 +143,14 @@
         }
     }
 
+    /** Learns the size of a complete response. */
+    void learnEnd(PendingRequest pending, long responseBytes) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target != null) {
+            mSpillover.ifPresent(it -> it.onEnded(target, pending, responseBytes));
+        }
+    }
+
     /** Learns the speed of a target from the start of a response, unless that is an error. */
     void learnStart(PendingRequest pending, int status, long nowNanos) {
         GatewayTarget target = mTargets.get(pending.mTargetId);
@@ -247,6 +259,7 @@
         String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.promptCache().cachedTokens(cacheOwner, request.promptParts());
         pending.mPrefillTokens = Math.max(0, request.promptTokens() - cached);
+        mSpillover.ifPresent(it -> it.onSent(target, pending));
         long predicted = mSpeeds.onSent(target, pending, (long) mMeanPrefillTokens, nowNanos);
         target.onSent(request.adapter(), pending.mPrefillTokens);
         mMeanPrefillTokens += MEAN_WEIGHT * (pending.mPrefillTokens - mMeanPrefillTokens);
@@ -281,6 +294,11 @@
                                 remainingNanos)));
     }
 
+    /** Returns what leaves for other data centres, for diagnostics. */
+    Map<String, Object> spillover() {
+        return mSpillover.map(SpilloverCosts::dump).orElse(Map.of());
+    }
+
     TargetSpeeds speeds() {
         return mSpeeds;
     }
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -102,6 +102,7 @@
         dump.put("quota", mQuota.dump());
         dump.put("retryBudgets", mRequests.retryBudgets());
         dump.put("balancing", mRequests.speeds(nowNanos));
+        dump.put("spillover", mRequests.spillover());
         Map<String, List<String>> blocked = mGuard.blockedParts();
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -1,7 +1,9 @@
 package ebonygw.gateway;
 
 import ebonygw.membership.Member;
+import ebonygw.spillover.SpilloverOptions;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Options of a {@link GatewayNode}.
@@ -19,6 +21,8 @@
  * @param maxSettingsAgeNanos time after the key-value service last confirmed the configuration in
  *     which it still decides that a route or key does not exist, positive
  * @param seed seed of random decisions
+ * @param spillover the operator's price of traffic between data centres, empty to compare them by
+ *     constants
  */
 public record GatewayOptions(
         Member self,
@@ -32,7 +36,38 @@
         long acceptNanos,
         long graceNanos,
         long maxSettingsAgeNanos,
-        long seed) {
+        long seed,
+        Optional<SpilloverOptions> spillover) {
+    /** Creates options without a price of traffic between data centres. */
+    public GatewayOptions(
+            Member self,
+            StoreReader reader,
+            int loaderPort,
+            double quotaToleranceTokens,
+            double quotaOverage,
+            double retryRatio,
+            double retryExtra,
+            long retryWindowNanos,
+            long acceptNanos,
+            long graceNanos,
+            long maxSettingsAgeNanos,
+            long seed) {
+        this(
+                self,
+                reader,
+                loaderPort,
+                quotaToleranceTokens,
+                quotaOverage,
+                retryRatio,
+                retryExtra,
+                retryWindowNanos,
+                acceptNanos,
+                graceNanos,
+                maxSettingsAgeNanos,
+                seed,
+                Optional.empty());
+    }
+
     /**
      * Creates options.
      *
@@ -42,6 +77,7 @@
     public GatewayOptions {
         Objects.requireNonNull(self, "self");
         Objects.requireNonNull(reader, "reader");
+        Objects.requireNonNull(spillover, "spillover");
         if (loaderPort < 1 || retryRatio < 0 || retryExtra < 0 || retryWindowNanos <= 0) {
             throw new IllegalArgumentException(
                     "loaderPort must be at least 1, retryRatio and retryExtra not negative,"
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -158,6 +158,13 @@
         return Math.max(mOutstanding, mReportedLoad + mSentSinceReport - mEndedSinceReport);
     }
 
+    /** Returns the age of the last reported load, {@link Long#MAX_VALUE} if there was none. */
+    long loadAgeNanos(long nowNanos) {
+        return mLoadReportedNanos == Long.MIN_VALUE
+                ? Long.MAX_VALUE
+                : nowNanos - mLoadReportedNanos;
+    }
+
     /** Returns the loader of the target, null before it is assigned. */
     NodeId loader() {
         return mLoader;
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -48,6 +48,9 @@
     /** Prompt tokens that the current target still has to prefill, 0 once it responds. */
     long mPrefillTokens;
 
+    /** Expected bytes of the current attempt to another data centre, 0 within this one. */
+    long mSpilloverBytes;
+
     /** Target at which the request waits for its adapter, empty if it does not wait. */
     String mAwaitedTargetId = "";
 
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -63,9 +63,10 @@
         ChooserOptions costs = ChooserOptions.defaults(options.self().locality());
         long drawSeed = options.seed() ^ options.self().id().name().hashCode();
         TargetSpeeds speeds = new TargetSpeeds(costs, targets, drawSeed, out);
-        mAttempts =
-                new GatewayAttempts(
-                        operator, targets, fleet, new TargetChooser(costs, speeds), speeds, out);
+        Optional<SpilloverCosts> spillover =
+                options.spillover().map(it -> new SpilloverCosts(it, costs.locality(), fleet, out));
+        TargetChooser chooser = new TargetChooser(costs, Optional.of(speeds), spillover);
+        mAttempts = new GatewayAttempts(operator, targets, fleet, chooser, speeds, spillover, out);
     }
 
     /** Returns the number of requests received and the numbers of requests by outcome. */
@@ -83,6 +84,11 @@
         return mAttempts.speeds().dump(nowNanos);
     }
 
+    /** Returns what leaves for other data centres, for diagnostics. */
+    Map<String, Object> spillover() {
+        return mAttempts.spillover();
+    }
+
     /** Returns the number of requests that have not ended. */
     int size() {
         return mByExchange.size();
@@ -182,6 +188,7 @@
         }
         pending.mBody = ended.body();
         mGuard.countSurvival(pending, true, nowNanos);
+        mAttempts.learnEnd(pending, ended.body().bytes());
         count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -22,22 +22,34 @@
     private final ExpectedTimes mTimes;
     private final DistanceCost mDistance;
     private final Optional<TargetSpeeds> mSpeeds;
+    private final Optional<SpilloverCosts> mSpillover;
 
     /** Creates a chooser whose costs are the constants of the options. */
     TargetChooser(ChooserOptions options) {
-        this(options, DistanceCost.constants(options), Optional.empty());
+        this(options, Optional.empty(), Optional.empty());
     }
 
     /** Creates a chooser that uses the learnt speeds of services whose targets report theirs. */
     TargetChooser(ChooserOptions options, TargetSpeeds speeds) {
-        this(options, DistanceCost.constants(options), Optional.of(speeds));
+        this(options, Optional.of(speeds), Optional.empty());
     }
 
-    TargetChooser(ChooserOptions options, DistanceCost distance, Optional<TargetSpeeds> speeds) {
+    /**
+     * Creates a chooser.
+     *
+     * @param speeds learnt speeds, empty to use the constants for all services
+     * @param spillover costs of the distance for services with learnt speeds, empty to use the
+     *     constants
+     */
+    TargetChooser(
+            ChooserOptions options,
+            Optional<TargetSpeeds> speeds,
+            Optional<SpilloverCosts> spillover) {
         mOptions = Objects.requireNonNull(options, "options");
         mTimes = ExpectedTimes.constants(options);
-        mDistance = Objects.requireNonNull(distance, "distance");
+        mDistance = DistanceCost.constants(options);
         mSpeeds = Objects.requireNonNull(speeds, "speeds");
+        mSpillover = Objects.requireNonNull(spillover, "spillover");
     }
 
     /**
@@ -206,36 +218,40 @@
             long nowNanos) {
         int count = usable.size();
         long[] residentCosts = new long[count];
+        boolean allResident = true;
+        for (int i = 0; i < count; i++) {
+            boolean resident = isResident(usable.get(i), request, wantedVersion, nowNanos);
+            residentCosts[i] = resident ? learnt.completionNanos(i) : Long.MAX_VALUE;
+            allResident &= resident;
+        }
+        long[] distances = distances(request, usable, residentCosts, nowNanos);
         int best = -1;
         long bestCost = Long.MAX_VALUE;
-        boolean allResident = true;
+        boolean[] resident = new boolean[count];
         for (int i = 0; i < count; i++) {
-            GatewayTarget target = usable.get(i);
-            residentCosts[i] = Long.MAX_VALUE;
-            if (isResident(target, request, wantedVersion, nowNanos)) {
-                residentCosts[i] =
-                        learnt.completionNanos(i) + mDistance.nanos(request, target, nowNanos);
+            resident[i] = residentCosts[i] != Long.MAX_VALUE;
+            if (resident[i] && distances[i] != SpilloverCosts.EXCLUDED) {
+                residentCosts[i] += distances[i];
                 if (residentCosts[i] < bestCost) {
                     bestCost = residentCosts[i];
                     best = i;
                 }
             } else {
-                allResident = false;
+                residentCosts[i] = Long.MAX_VALUE;
             }
         }
         int loading = -1;
         long[] ranks = null;
         for (int i = 0; i < count && !allResident; i++) {
             GatewayTarget target = usable.get(i);
-            if (residentCosts[i] != Long.MAX_VALUE) {
+            if (resident[i] || distances[i] == SpilloverCosts.EXCLUDED) {
                 continue;
             }
             long adapterNanos = adapterNanos(request, target, 0, awaited);
             if (adapterNanos == IMPOSSIBLE) {
                 continue;
             }
-            long otherNanos =
-                    learnt.completionNanos(i) + mDistance.nanos(request, target, nowNanos);
+            long otherNanos = learnt.completionNanos(i) + distances[i];
             // The rank only adds to the cost, so it is not computed for a target that is too
             // expensive without it.
             if (otherNanos + adapterNanos >= bestCost) {
@@ -259,6 +275,19 @@
         return new Choice(usable.get(drawn), true, residentCosts[drawn], learnt.startNanos(drawn));
     }
 
+    /** Returns the cost of the distance of each target. */
+    private long[] distances(
+            GatewayRequest request, List<GatewayTarget> targets, long[] times, long nowNanos) {
+        if (mSpillover.isPresent()) {
+            return mSpillover.get().costs(request, targets, times, nowNanos);
+        }
+        long[] costs = new long[times.length];
+        for (int i = 0; i < costs.length; i++) {
+            costs[i] = mDistance.nanos(request, targets.get(i), nowNanos);
+        }
+        return costs;
+    }
+
     /** Returns the position of each target in the order of {@link #byRank}. */
     private static long[] ranks(List<GatewayTarget> targets, String adapter) {
         long[] ranks = new long[targets.size()];
--- a/src/main/java/ebonygw/gateway/TargetSpeeds.java
+++ b/src/main/java/ebonygw/gateway/TargetSpeeds.java
@@ -51,6 +51,14 @@
         mOut = out;
     }
 
+    /** Returns the round trip between two data centres. */
+    static long networkNanos(Locality here, Locality there) {
+        if (!here.sameRegion(there)) {
+            return REGION_NETWORK_NANOS;
+        }
+        return here.sameDataCenter(there) ? 0 : DATA_CENTER_NETWORK_NANOS;
+    }
+
     /** Adds to a log line what the model knows of the target that a request is sent to. */
     LogLine describe(GatewayTarget target, long predictedNanos, LogLine line, long nowNanos) {
         ServiceSpeeds service = enabled(target.record().service(), nowNanos);
@@ -144,7 +152,7 @@
                 parts,
                 nominal,
                 predicted,
-                networkNanos(target.record().locality()),
+                networkNanos(mCosts.locality(), target.record().locality()),
                 nowNanos);
         return predicted;
     }
@@ -184,13 +192,6 @@
         return service != null && service.isEnabled(nowNanos) ? service : null;
     }
 
-    private long networkNanos(Locality locality) {
-        if (!mCosts.locality().sameRegion(locality)) {
-            return REGION_NETWORK_NANOS;
-        }
-        return mCosts.locality().sameDataCenter(locality) ? 0 : DATA_CENTER_NETWORK_NANOS;
-    }
-
     /** Returns the parts of the time to the first event, by the constants of all targets. */
     private NominalTime.Parts parts(
             GatewayRequest request, GatewayTarget target, long tokens, int load, long nowNanos) {
