--- a/src/main/java/ebonygw/spillover/Spillover.java
+++ b/src/main/java/ebonygw/spillover/Spillover.java
@@ -19,6 +19,13 @@
     /** Time in which it falls from 1 to 0: less, so that two data centres do not swap load. */
     private static final double FALL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * How far the state of the fraction falls below 0: requests leave only after a saving that
+     * lasted about a second. Less, and the load that another data centre has just sent here in
+     * excess, by reports 150 ms old, goes back.
+     */
+    private static final double RESERVE = 0.25;
+
     /** Saving at which the fraction rises at the full rate: a fraction of the local time. */
     private static final double FULL_RATE_SAVING = 0.5;
 
@@ -40,7 +47,7 @@
     private final SpilloverOptions mOptions;
     private final long mNetworkNanos;
     private final boolean mSameRegion;
-    private double mFraction;
+    private double mState = -RESERVE;
     private double mThreshold;
     private long mDecidedNanos = Long.MIN_VALUE;
     private double mCapBytes;
@@ -63,7 +70,7 @@
     /** Returns the numbers for diagnostics. */
     public Map<String, Object> dump() {
         Map<String, Object> dump = new LinkedHashMap<>();
-        dump.put("fraction", mFraction);
+        dump.put("fraction", fraction());
         dump.put("left", mLeft);
         dump.put("capped", mCapped);
         return dump;
@@ -71,7 +78,7 @@
 
     /** Returns the fraction of requests that may leave. */
     public double fraction() {
-        return mFraction;
+        return Math.max(0, mState);
     }
 
     /** Returns the cost of the distance for a request: the network and the price of its bytes. */
@@ -104,12 +111,12 @@
         double workPerByte = (double) local.completionNanos() / bytes;
         boolean first = workPerByte >= mThreshold;
         // Moves the threshold to the quantile above which the fraction of all requests lies.
-        double fraction = Math.max(MIN_FRACTION, mFraction);
+        double fraction = Math.max(MIN_FRACTION, mState);
         mThreshold =
                 mThreshold == 0
                         ? workPerByte
                         : mThreshold * (1 + THRESHOLD_STEP * ((first ? 1 : 0) - fraction));
-        return pays && first && mFraction >= MIN_FRACTION;
+        return pays && first && mState >= MIN_FRACTION;
     }
 
     /**
@@ -158,9 +165,9 @@
         mDecidedNanos = nowNanos;
         if (pays) {
             double rate = Math.min(1, relativeSaving / FULL_RATE_SAVING);
-            mFraction = Math.min(1, mFraction + rate * elapsed / RISE_NANOS);
+            mState = Math.min(1, mState + rate * elapsed / RISE_NANOS);
         } else {
-            mFraction = Math.max(0, mFraction - elapsed / FALL_NANOS);
+            mState = Math.max(-RESERVE, mState - elapsed / FALL_NANOS);
         }
     }
 }
