--- a/src/main/java/ebonygw/balancing/TargetSpeed.java
+++ b/src/main/java/ebonygw/balancing/TargetSpeed.java
@@ -175,7 +175,7 @@
                         Math.min(expected * mOptions.maxStep(), observed));
         double weight = weight(nowNanos);
         double mean = weight > 0 ? mMeanPercent : prior.percent();
-        double percent = mean * reportRatio(mean, nowNanos);
+        double percent = mean * reportRatio(mean, freshness(nowNanos));
         mFactor = (weight * mFactor + clipped) / (weight + 1);
         mMeanPercent = (weight * mMeanPercent + percent) / (weight + 1);
         mWeight = weight + 1;
@@ -191,9 +191,10 @@
     /** Returns the learnt factor, with the target's own part and the prior scaled by the report. */
     private double expectedFactor(Prior prior, long nowNanos) {
         double weight = weight(nowNanos);
-        double own = weight * mFactor * reportRatio(mMeanPercent, nowNanos);
+        double freshness = freshness(nowNanos);
+        double own = weight * mFactor * reportRatio(mMeanPercent, freshness);
         double ofPrior =
-                mOptions.priorWeight() * prior.factor() * reportRatio(prior.percent(), nowNanos);
+                mOptions.priorWeight() * prior.factor() * reportRatio(prior.percent(), freshness);
         return (own + ofPrior) / (weight + mOptions.priorWeight());
     }
 
@@ -207,16 +208,22 @@
         return sent;
     }
 
+    /** Returns the weight of the newest report, which falls from 1 to 0 as the report ages. */
+    private double freshness(long nowNanos) {
+        if (mReportedNanos == Long.MIN_VALUE) {
+            return 0;
+        }
+        double age = (double) (nowNanos - mReportedNanos) / mOptions.reportFadeNanos();
+        return Math.max(0, 1 - age);
+    }
+
     /**
-     * Returns the effect of the newest report, which fades to none as the report ages.
+     * Returns the effect of the newest report.
      *
      * @param meanPercent mean of the numbers to which the scaled factor belongs
+     * @param freshness weight of the report
      */
-    private double reportRatio(double meanPercent, long nowNanos) {
-        if (mReportedNanos == Long.MIN_VALUE) {
-            return 1;
-        }
-        double age = (double) (nowNanos - mReportedNanos) / mOptions.reportFadeNanos();
-        return age >= 1 ? 1 : 1 + (1 - age) * (mPercent / meanPercent - 1);
+    private double reportRatio(double meanPercent, double freshness) {
+        return freshness == 0 ? 1 : 1 + freshness * (mPercent / meanPercent - 1);
     }
 }
--- a/src/main/java/ebonygw/gateway/SpilloverCosts.java
+++ b/src/main/java/ebonygw/gateway/SpilloverCosts.java
@@ -5,6 +5,7 @@
 import ebonygw.spillover.Side;
 import ebonygw.spillover.Spillover;
 import ebonygw.spillover.SpilloverOptions;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -79,20 +80,34 @@
      *     Long#MAX_VALUE}
      */
     long[] costs(GatewayRequest request, List<GatewayTarget> targets, long[] times, long nowNanos) {
-        Side local = side(mLocality, targets, times, nowNanos);
         long bytes = targets.isEmpty() ? 0 : bytes(targets.get(0).record().service(), request);
-        Map<Locality, Cost> known = new HashMap<>();
+        // One pass over the targets; there are only a few data centres.
+        List<Locality> places = new ArrayList<>();
+        places.add(mLocality);
+        List<SideBuilder> sides = new ArrayList<>();
+        sides.add(new SideBuilder());
+        int[] placeOf = new int[times.length];
+        for (int i = 0; i < times.length; i++) {
+            GatewayTarget target = targets.get(i);
+            int place = indexOf(places, target.record().locality());
+            if (place == places.size()) {
+                places.add(target.record().locality());
+                sides.add(new SideBuilder());
+            }
+            placeOf[i] = place;
+            sides.get(place).add(target, times[i], nowNanos);
+        }
+        String service = targets.isEmpty() ? "" : targets.get(0).record().service();
+        Cost[] known = new Cost[places.size()];
+        known[0] = new Cost(true, 0);
+        for (int place = 1; place < known.length; place++) {
+            Pair pair = new Pair(service, places.get(place));
+            known[place] =
+                    cost(pair, sides.get(0).side(), sides.get(place).side(), bytes, nowNanos);
+        }
         long[] costs = new long[times.length];
         for (int i = 0; i < costs.length; i++) {
-            Locality there = targets.get(i).record().locality();
-            if (mLocality.sameDataCenter(there)) {
-                continue;
-            }
-            Cost cost = known.get(there);
-            if (cost == null) {
-                cost = cost(there, targets, times, local, bytes, nowNanos);
-                known.put(there, cost);
-            }
+            Cost cost = known[placeOf[i]];
             boolean runs = times[i] != Long.MAX_VALUE;
             costs[i] = runs && !cost.mayRun() ? EXCLUDED : cost.nanos();
         }
@@ -129,14 +144,8 @@
         return request.body().size() + HEADER_BYTES + (long) response;
     }
 
-    private Cost cost(
-            Locality there,
-            List<GatewayTarget> targets,
-            long[] times,
-            Side local,
-            long bytes,
-            long nowNanos) {
-        Pair pair = new Pair(targets.get(0).record().service(), there);
+    private Cost cost(Pair pair, Side local, Side other, long bytes, long nowNanos) {
+        Locality there = pair.other();
         Spillover spillover = mSpillovers.get(pair);
         if (spillover == null) {
             if (mSpillovers.size() >= MAX_PAIRS) {
@@ -147,7 +156,6 @@
             spillover = new Spillover(mOptions, network, sameRegion);
             mSpillovers.put(pair, spillover);
         }
-        Side other = side(there, targets, times, nowNanos);
         int before = step(spillover);
         boolean mayLeave = spillover.mayLeave(local, other, bytes, nowNanos);
         if (step(spillover) != before) {
@@ -172,23 +180,34 @@
         return new Cost(mayLeave && !capped, capped ? EXCLUDED : spillover.costNanos(bytes));
     }
 
-    private static Side side(
-            Locality locality, List<GatewayTarget> targets, long[] times, long nowNanos) {
-        long best = Long.MAX_VALUE;
-        boolean full = true;
-        boolean fresh = false;
-        for (int i = 0; i < times.length; i++) {
-            GatewayTarget target = targets.get(i);
-            if (times[i] != Long.MAX_VALUE && target.record().locality().sameDataCenter(locality)) {
-                best = Math.min(best, times[i]);
-                full &= target.load(nowNanos) >= target.slots();
-                fresh |= target.loadAgeNanos(nowNanos) <= FRESH_NANOS;
-            }
+    private static int indexOf(List<Locality> places, Locality place) {
+        int index = 0;
+        while (index < places.size() && !places.get(index).sameDataCenter(place)) {
+            index++;
         }
-        return new Side(best, full, fresh);
+        return index;
     }
 
     private static int step(Spillover spillover) {
         return (int) Math.ceil(spillover.fraction() * LOGGED_STEPS);
     }
+
+    /** Collects what is known of the targets of a data centre that can run a request now. */
+    private static final class SideBuilder {
+        private long mBest = Long.MAX_VALUE;
+        private boolean mFull = true;
+        private boolean mFresh;
+
+        void add(GatewayTarget target, long nanos, long nowNanos) {
+            if (nanos != Long.MAX_VALUE) {
+                mBest = Math.min(mBest, nanos);
+                mFull &= target.load(nowNanos) >= target.slots();
+                mFresh |= target.loadAgeNanos(nowNanos) <= FRESH_NANOS;
+            }
+        }
+
+        Side side() {
+            return new Side(mBest, mFull, mFresh);
+        }
+    }
 }
--- a/src/test/java/ebonygw/platform/PlatformSettingsTest.java
+++ b/src/test/java/ebonygw/platform/PlatformSettingsTest.java
@@ -24,6 +24,7 @@
                 new String[] {
                     "spillover.region_ms_per_mb=1",
                     "spillover.cap_bytes_per_s=1",
+                    "spillover.data_center_ms_per_mb=NaN\nspillover.region_ms_per_mb=1",
                     PRICES + "spillover.cap_bytes_per_s=-1",
                     PRICES + "spillover.cap_bytes_per_s=much"
                 }) {
