--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -36,10 +36,15 @@
     /** HTTP status of a target that lacks the adapter or holds another version of it. */
     private static final int MISDIRECTED = 421;
 
+    /** Lowest HTTP status of a response that says nothing about the speed of its target. */
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final OperatorState mOperator;
     private final TargetTable mTargets;
     private final FleetSize mFleet;
     private final TargetChooser mChooser;
+    private final TargetSpeeds mSpeeds;
+    private final Optional<SpilloverCosts> mSpillover;
     private final GatewayOutbox mOut;
     private double mMeanPrefillTokens;
 
@@ -48,11 +53,15 @@
             TargetTable targets,
             FleetSize fleet,
             TargetChooser chooser,
+            TargetSpeeds speeds,
+            Optional<SpilloverCosts> spillover,
             GatewayOutbox out) {
         mOperator = operator;
         mTargets = targets;
         mFleet = fleet;
         mChooser = chooser;
+        mSpeeds = speeds;
+        mSpillover = spillover;
         mOut = out;
     }
 
@@ -108,6 +117,7 @@
         if (target == null) {
             return;
         }
+        target.mSpeed.onAbandoned(pending.mExchange);
         target.onEnded(pending.mRequest.adapter(), pending.mStarted, pending.mPrefillTokens);
         pending.mPrefillTokens = 0;
         if (succeeded) {
@@ -136,6 +146,25 @@
         GatewayTarget target = mTargets.get(pending.mTargetId);
         if (target != null) {
             load.ifPresent(it -> target.onLoad(it, nowNanos));
+            load.ifPresent(it -> mSpeeds.onReport(target, it.workPercent(), nowNanos));
+        }
+    }
+
+    /** Learns the size of a complete response. */
+    void learnEnd(PendingRequest pending, long responseBytes) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target != null) {
+            mSpillover.ifPresent(it -> it.onEnded(target, pending, responseBytes));
+        }
+    }
+
+    /** Learns the speed of a target from the start of a response, unless that is an error. */
+    void learnStart(PendingRequest pending, int status, long nowNanos) {
+        GatewayTarget target = mTargets.get(pending.mTargetId);
+        if (target != null && status < FIRST_ERROR_STATUS) {
+            mSpeeds.onStarted(target, pending.mExchange, nowNanos);
+        } else if (target != null) {
+            target.mSpeed.onAbandoned(pending.mExchange);
         }
     }
 
@@ -154,6 +183,9 @@
         Optional<Reason> before = target.ineligibilityReason(regions, nowNanos);
         target.onNotice(notice, nowNanos);
         Optional<Reason> after = target.ineligibilityReason(regions, nowNanos);
+        if (notice.pauseNanos() > 0) {
+            target.mSpeed.onReturned(target.pausedUntilNanos());
+        }
         boolean changed = !after.equals(before);
         if (changed || notice.pauseNanos() > 0) {
             mOut.log(
@@ -265,10 +297,12 @@
         String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.promptCache().cachedTokens(cacheOwner, request.promptParts());
         pending.mPrefillTokens = Math.max(0, request.promptTokens() - cached);
+        mSpillover.ifPresent(it -> it.onSent(target, pending));
+        long predicted = mSpeeds.onSent(target, pending, (long) mMeanPrefillTokens, nowNanos);
         target.onSent(request.adapter(), pending.mPrefillTokens);
         mMeanPrefillTokens += MEAN_WEIGHT * (pending.mPrefillTokens - mMeanPrefillTokens);
         target.promptCache().onPromptSent(cacheOwner, request.promptParts());
-        mOut.log(
+        LogLine line =
                 LogLine.of("attempt_sent")
                         .with("request", request.id())
                         .with("attempt", pending.mAttempts)
@@ -281,7 +315,8 @@
                         .with("adapter", request.adapter())
                         .with("version", wanted)
                         .with("parts", String.join(",", request.sharedPartIds()))
-                        .with("left_ms", remainingNanos / 1_000_000));
+                        .with("left_ms", remainingNanos / 1_000_000);
+        mOut.log(mSpeeds.describe(target, predicted, line, nowNanos));
         mOut.effect(
                 new GatewayEffect.Attempt(
                         pending.mExchange,
@@ -297,6 +332,15 @@
                                 remainingNanos)));
     }
 
+    /** Returns what leaves for other data centres, for diagnostics. */
+    Map<String, Object> spillover() {
+        return mSpillover.map(SpilloverCosts::dump).orElse(Map.of());
+    }
+
+    TargetSpeeds speeds() {
+        return mSpeeds;
+    }
+
     /** Returns this entry's part of the connections that a target of a service accepts. */
     private int maxConnections(String service) {
         int accepted = mOperator.service(service).map(GatewayService::maxConnections).orElse(1);
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -113,6 +113,8 @@
         dump.put("counts", Map.copyOf(mRequests.counts()));
         dump.put("quota", mQuota.dump());
         dump.put("retryBudgets", mRequests.retryBudgets());
+        dump.put("balancing", mRequests.speeds(nowNanos));
+        dump.put("spillover", mRequests.spillover());
         Map<String, List<String>> blocked = mGuard.blockedParts();
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
@@ -217,11 +219,16 @@
                 known == null
                         || !known.record().isSameIncarnation(record)
                         || known.record().draining() != record.draining();
-        if (known != null && !known.record().isSameIncarnation(record)) {
+        boolean started = known == null || !known.record().isSameIncarnation(record);
+        if (known != null && started) {
             endIncarnation(known.record(), nowNanos);
         }
         mLinksChanged |= changed || !known.record().service().equals(record.service());
-        mTargets.put(record).onRegistrationRead(nowNanos);
+        GatewayTarget target = mTargets.put(record);
+        target.onRegistrationRead(nowNanos);
+        if (started) {
+            mRequests.onTargetStarted(target, nowNanos);
+        }
         if (changed) {
             mOut.log(
                     LogLine.of("target_seen")
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -1,5 +1,7 @@
 package ebonygw.gateway;
 
+import ebonygw.balancing.BalancingOptions;
+import ebonygw.balancing.TargetSpeed;
 import ebonygw.eligibility.Evacuations;
 import ebonygw.eligibility.Ineligibility;
 import ebonygw.eligibility.Ineligibility.Reason;
@@ -20,6 +22,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import net.openhft.hashing.LongHashFunction;
 
 /**
  * State of one target as an entry knows it: registration, resident adapters, load and health.
@@ -37,7 +40,14 @@
     /** Open adapter slots assumed until the loader reports them: enough for one adapter. */
     private static final int DEFAULT_OPEN_SLOTS = 1;
 
+    /** Number of adapters whose rank hashes are kept: about 16 KB for each target. */
+    private static final int MAX_RANK_HASHES = 512;
+
     final TargetHealth mHealth;
+
+    /** How fast the target is; learnt only if targets of its service report it. */
+    final TargetSpeed mSpeed = new TargetSpeed(BalancingOptions.defaults());
+
     private final Evacuations mEvacuations;
     private final Ineligibility.SourceAge mSourceAge;
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
@@ -46,6 +56,7 @@
     private final Map<String, Long> mAdapters = new HashMap<>();
     private final Set<String> mRecentlyHeld = Collections.newSetFromMap(new RecentNames());
     private final TargetNeeds mNeeds = new TargetNeeds();
+    private final Map<String, Long> mRankHashes = new HashMap<>();
     private TargetRecord mRecord;
     private NodeId mLoader;
     private boolean mLoaderUp;
@@ -77,6 +88,9 @@
     /** When the registration first said that the target drains, minimum value if it does not. */
     private long mDrainingSinceNanos = Long.MIN_VALUE;
 
+    /** Whether the target has reported an invalid number for how long work takes. */
+    private boolean mReportedInvalid;
+
     /** Notices of the present incarnation. */
     private IncarnationNotices.Held mNotices;
 
@@ -239,6 +253,13 @@
         return Math.max(mOutstanding, mReportedLoad + mSentSinceReport - mEndedSinceReport);
     }
 
+    /** Returns the age of the last reported load, {@link Long#MAX_VALUE} if there was none. */
+    long loadAgeNanos(long nowNanos) {
+        return mLoadReportedNanos == Long.MIN_VALUE
+                ? Long.MAX_VALUE
+                : nowNanos - mLoadReportedNanos;
+    }
+
     /** Returns the loader of the target, null before it is assigned. */
     NodeId loader() {
         return mLoader;
@@ -270,6 +291,19 @@
         return mRecord;
     }
 
+    /** Returns the hash of the target and an adapter by which targets are ranked for it. */
+    long rankHash(String adapter) {
+        Long hash = mRankHashes.get(adapter);
+        if (hash == null) {
+            if (mRankHashes.size() >= MAX_RANK_HASHES) {
+                mRankHashes.clear();
+            }
+            hash = LongHashFunction.xx().hashChars(mRecord.address() + ' ' + adapter);
+            mRankHashes.put(adapter, hash);
+        }
+        return hash;
+    }
+
     /**
      * Returns how many requests the target runs concurrently, at least 1; fewer while its data
      * centre gets its work back.
@@ -357,6 +391,13 @@
         }
     }
 
+    /** Handles an invalid number in a report; returns whether it is the first one. */
+    boolean onInvalidWorkPercent() {
+        boolean first = !mReportedInvalid;
+        mReportedInvalid = true;
+        return first;
+    }
+
     /** Applies a notice of the target's present incarnation. */
     void onNotice(TargetNotice notice, long nowNanos) {
         mNotices.apply(notice, nowNanos);
@@ -389,6 +430,7 @@
         boolean sameIncarnation = mRecord.isSameIncarnation(record);
         mRecord = record;
         if (!sameIncarnation) {
+            mRankHashes.clear();
             mPromptCache.clear();
             mLoading.clear();
             mRecentlyHeld.clear();
--- a/src/main/java/ebonygw/gateway/TargetTable.java
+++ b/src/main/java/ebonygw/gateway/TargetTable.java
@@ -19,6 +19,11 @@
     private final Map<String, GatewayTarget> mById = new LinkedHashMap<>();
     private final Map<String, Map<String, GatewayTarget>> mByService = new HashMap<>();
 
+    /** Creates a table without evacuated data centres. */
+    TargetTable(RouterOptions options) {
+        this(options, new Evacuations(), (source, sinceNanos, nowNanos) -> -1);
+    }
+
     TargetTable(RouterOptions options, Evacuations evacuations, Ineligibility.SourceAge sourceAge) {
         mOptions = options;
         mEvacuations = evacuations;
