--- a/src/main/java/ebonygw/gateway/GatewayMessage.java
+++ b/src/main/java/ebonygw/gateway/GatewayMessage.java
@@ -46,6 +46,14 @@
      */
     record OpenAdapterSlots(int count) implements GatewayMessage {}
 
+    /**
+     * Prompt tokens that wait for prefill at the loader's replica: those of the sender if sent from
+     * an entry to a loader, those of all other entries if sent from a loader to an entry.
+     *
+     * @param tokens number of tokens, not negative
+     */
+    record PrefillBacklog(long tokens) implements GatewayMessage {}
+
     /**
      * What the sender knows of prompt parts that crash targets, as far as it has changed since its
      * last message on the same link. Sent between entries.
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -154,7 +154,10 @@
             mResidencyChanged = false;
             mRequests.dispatchWaiting(nowNanos);
         }
-        mTargets.all().forEach(target -> sendNeeds(target, nowNanos));
+        for (GatewayTarget target : mTargets.all()) {
+            sendNeeds(target, nowNanos);
+            sendBacklog(target, nowNanos);
+        }
         publishLinks();
     }
 
@@ -266,6 +269,8 @@
             mGuard.onEvidence(evidence.evidence(), nowNanos);
         } else if (message instanceof GatewayMessage.TargetEnded ended) {
             mGuard.onTargetEnded(ended.incarnation(), nowNanos);
+        } else if (message instanceof GatewayMessage.PrefillBacklog backlog) {
+            mTargets.ofLoader(from).forEach(it -> it.backlog().onReport(backlog.tokens()));
         } else if (message instanceof GatewayMessage.OpenAdapterSlots slots) {
             mTargets.ofLoader(from).forEach(target -> target.onOpenAdapterSlots(slots.count()));
         } else if (message instanceof MemberMessage.TargetReport report) {
@@ -383,6 +388,19 @@
         }
     }
 
+    /** Sends the prompt tokens that wait for prefill at a target to its loader if that is due. */
+    private void sendBacklog(GatewayTarget target, long nowNanos) {
+        if (mOptions.loadShedding() && target.isLoaderUp()) {
+            target.backlog()
+                    .drainIfDue(target.ownPrefillTokens(), nowNanos)
+                    .ifPresent(
+                            tokens ->
+                                    mOut.send(
+                                            target.loader(),
+                                            new GatewayMessage.PrefillBacklog(tokens)));
+        }
+    }
+
     /** Sends the adapter needs at a target to its loader if they are due. */
     private void sendNeeds(GatewayTarget target, long nowNanos) {
         if (target.isLoaderUp()) {
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.backlog.TargetBacklog;
 import ebonygw.membership.MemberMessage.TargetReport;
 import ebonygw.protocol.NodeId;
 import ebonygw.request.AdapterVersion;
@@ -51,6 +52,7 @@
     private final Map<String, Long> mAdapters = new HashMap<>();
     private final Set<String> mRecentlyHeld = Collections.newSetFromMap(new RecentNames());
     private final TargetNeeds mNeeds = new TargetNeeds();
+    private final TargetBacklog mBacklog = new TargetBacklog();
     private TargetRecord mRecord;
     private NodeId mLoader;
     private boolean mLoaderUp;
@@ -167,6 +169,16 @@
         return mOpenAdapterSlots;
     }
 
+    /** Returns what is known of the prompt tokens that wait for prefill. */
+    TargetBacklog backlog() {
+        return mBacklog;
+    }
+
+    /** Returns the prompt tokens of this entry that wait for prefill. */
+    long ownPrefillTokens() {
+        return mPrefillTokens;
+    }
+
     PromptCacheEstimate promptCache() {
         return mPromptCache;
     }
@@ -182,11 +194,15 @@
 
     /**
      * Returns the number of prompt tokens to prefill before those of a new attempt. Those of this
-     * entry are known; those of other entries are estimated from the reported queue length.
+     * entry are known; those of other entries are reported by the loader, else estimated from the
+     * reported queue length.
      *
      * @param meanPrefillTokens mean number of tokens to prefill for a request of another entry
      */
     long prefillTokens(long meanPrefillTokens, long nowNanos) {
+        if (mBacklog.othersTokens().isPresent()) {
+            return mPrefillTokens + mBacklog.othersTokens().getAsLong();
+        }
         boolean recent =
                 mLoadReportedNanos != Long.MIN_VALUE
                         && nowNanos - mLoadReportedNanos <= MAX_LOAD_AGE_NANOS;
@@ -229,6 +245,7 @@
         mHasReport = false;
         mReportSequence = -1;
         mOpenAdapterSlots = DEFAULT_OPEN_SLOTS;
+        mBacklog.reset();
         mLoading.clear();
     }
 
@@ -291,6 +308,7 @@
             mPromptCache.clear();
             mLoading.clear();
             mRecentlyHeld.clear();
+            mBacklog.reset();
             mHasReport = false;
         }
         if (!mHasReport) {
@@ -350,6 +368,8 @@
         dump.put("service", mRecord.service());
         dump.put("unavailability", unavailability(nowNanos));
         dump.put("load", load(nowNanos));
+        dump.put("prefillTokens", mPrefillTokens);
+        dump.put("othersPrefillTokens", mBacklog.othersTokens().orElse(-1));
         dump.put("loaderUp", mLoaderUp);
         dump.put("adapters", Map.copyOf(mAdapters));
         dump.put("loading", List.copyOf(mLoading));
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -1,6 +1,7 @@
 package ebonygw.gateway;
 
 import com.google.protobuf.ByteString;
+import ebonygw.backlog.FleetBacklog;
 import ebonygw.keyvalue.KeyValueRequest;
 import ebonygw.keyvalue.KeyValueRequestIds;
 import ebonygw.keyvalue.KeyValueResponse;
@@ -75,6 +76,7 @@
     private final KeyValueRequestIds mRequestIds = new KeyValueRequestIds(REQUEST_ID_OWNER);
     private final OperatorState mOperator;
     private final AdapterDemands mDemands = new AdapterDemands();
+    private final FleetBacklog mBacklog = new FleetBacklog();
     private final Map<String, Long> mModelReloadDueNanos = new HashMap<>();
     private final Set<NodeId> mEntries = new TreeSet<>();
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
@@ -121,6 +123,7 @@
         dump.put("revision", mOperator.revision());
         dump.put("status", String.valueOf(mStatus));
         dump.put("entries", mEntries.toString());
+        dump.put("backlogTokens", mBacklog.totalTokens());
         dump.put("counts", Map.copyOf(mCounts));
         return dump;
     }
@@ -136,6 +139,8 @@
         if (event instanceof GatewayEvent.PeerMessageReceived said) {
             if (said.message() instanceof GatewayMessage.AdapterNeeds needs) {
                 mDemands.onNeeds(said.peer(), needs.needs(), nowNanos);
+            } else if (said.message() instanceof GatewayMessage.PrefillBacklog backlog) {
+                mBacklog.onReport(said.peer(), backlog.tokens());
             }
         } else if (event instanceof GatewayEvent.PeerUp up) {
             mEntries.add(up.peer());
@@ -146,6 +151,7 @@
         } else if (event instanceof GatewayEvent.PeerDown down) {
             mEntries.remove(down.peer());
             mDemands.onEntryDisconnected(down.peer(), nowNanos);
+            mBacklog.onDisconnected(down.peer());
         } else if (event instanceof GatewayEvent.KeyValueResponseReceived replied) {
             onKeyValue(replied.requestId(), replied.response(), nowNanos);
         } else if (event instanceof GatewayEvent.StatusRead read) {
@@ -159,6 +165,9 @@
         }
         orderNext(nowNanos);
         sendOpenSlots(nowNanos);
+        mBacklog.sendDue(
+                nowNanos,
+                (entry, tokens) -> mOut.send(entry, new GatewayMessage.PrefillBacklog(tokens)));
         if (mStopping && !mOrderPending) {
             mOut.effect(new GatewayEffect.Exit());
         }
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -33,6 +33,10 @@
                     Optional.of(
                             new GatewayMessage.TargetEnded(
                                     envelope.getTargetEnded().getIncarnation()));
+            case PREFILL_BACKLOG ->
+                    Optional.of(
+                            new GatewayMessage.PrefillBacklog(
+                                    envelope.getPrefillBacklog().getTokens()));
             case OPEN_PLACES ->
                     Optional.of(
                             new GatewayMessage.OpenAdapterSlots(
@@ -48,6 +52,8 @@
             encode(needs, envelope.getAdapterNeedsBuilder());
         } else if (message instanceof GatewayMessage.OpenAdapterSlots places) {
             envelope.getOpenPlacesBuilder().setCount(places.count());
+        } else if (message instanceof GatewayMessage.PrefillBacklog backlog) {
+            envelope.getPrefillBacklogBuilder().setTokens(backlog.tokens());
         } else if (message instanceof GatewayMessage.PromptEvidence evidence) {
             encode(evidence.evidence(), envelope.getPromptEvidenceBuilder());
         } else if (message instanceof GatewayMessage.TargetEnded ended) {
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -360,6 +360,21 @@
      */
     ebonygw.wire.PeerProtocol.TargetEndedOrBuilder getTargetEndedOrBuilder();
 
+    /**
+     * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+     * @return Whether the prefillBacklog field is set.
+     */
+    boolean hasPrefillBacklog();
+    /**
+     * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+     * @return The prefillBacklog.
+     */
+    ebonygw.wire.PeerProtocol.PrefillBacklog getPrefillBacklog();
+    /**
+     * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+     */
+    ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder getPrefillBacklogOrBuilder();
+
     ebonygw.wire.PeerProtocol.Envelope.KindCase getKindCase();
   }
   /**
@@ -432,6 +447,7 @@
       OPEN_PLACES(42),
       PROMPT_EVIDENCE(43),
       TARGET_ENDED(44),
+      PREFILL_BACKLOG(45),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -471,6 +487,7 @@
           case 42: return OPEN_PLACES;
           case 43: return PROMPT_EVIDENCE;
           case 44: return TARGET_ENDED;
+          case 45: return PREFILL_BACKLOG;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -1168,6 +1185,37 @@
       return ebonygw.wire.PeerProtocol.TargetEnded.getDefaultInstance();
     }
 
+    public static final int PREFILL_BACKLOG_FIELD_NUMBER = 45;
+    /**
+     * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+     * @return Whether the prefillBacklog field is set.
+     */
+    @java.lang.Override
+    public boolean hasPrefillBacklog() {
+      return kindCase_ == 45;
+    }
+    /**
+     * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+     * @return The prefillBacklog.
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PrefillBacklog getPrefillBacklog() {
+      if (kindCase_ == 45) {
+         return (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
+    }
+    /**
+     * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+     */
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder getPrefillBacklogOrBuilder() {
+      if (kindCase_ == 45) {
+         return (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_;
+      }
+      return ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1248,6 +1296,9 @@
       if (kindCase_ == 44) {
         output.writeMessage(44, (ebonygw.wire.PeerProtocol.TargetEnded) kind_);
       }
+      if (kindCase_ == 45) {
+        output.writeMessage(45, (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1340,6 +1391,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(44, (ebonygw.wire.PeerProtocol.TargetEnded) kind_);
       }
+      if (kindCase_ == 45) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(45, (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1454,6 +1509,10 @@
           if (!getTargetEnded()
               .equals(other.getTargetEnded())) return false;
           break;
+        case 45:
+          if (!getPrefillBacklog()
+              .equals(other.getPrefillBacklog())) return false;
+          break;
         case 0:
         default:
       }
@@ -1557,6 +1616,10 @@
           hash = (37 * hash) + TARGET_ENDED_FIELD_NUMBER;
           hash = (53 * hash) + getTargetEnded().hashCode();
           break;
+        case 45:
+          hash = (37 * hash) + PREFILL_BACKLOG_FIELD_NUMBER;
+          hash = (53 * hash) + getPrefillBacklog().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1757,6 +1820,9 @@
         if (targetEndedBuilder_ != null) {
           targetEndedBuilder_.clear();
         }
+        if (prefillBacklogBuilder_ != null) {
+          prefillBacklogBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -1886,6 +1952,10 @@
             targetEndedBuilder_ != null) {
           result.kind_ = targetEndedBuilder_.build();
         }
+        if (kindCase_ == 45 &&
+            prefillBacklogBuilder_ != null) {
+          result.kind_ = prefillBacklogBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1989,6 +2059,10 @@
             mergeTargetEnded(other.getTargetEnded());
             break;
           }
+          case PREFILL_BACKLOG: {
+            mergePrefillBacklog(other.getPrefillBacklog());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -2171,6 +2245,13 @@
                 kindCase_ = 44;
                 break;
               } // case 354
+              case 362: {
+                input.readMessage(
+                    internalGetPrefillBacklogFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 45;
+                break;
+              } // case 362
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5283,6 +5364,146 @@
         return targetEndedBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.PrefillBacklog, ebonygw.wire.PeerProtocol.PrefillBacklog.Builder, ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder> prefillBacklogBuilder_;
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       * @return Whether the prefillBacklog field is set.
+       */
+      @java.lang.Override
+      public boolean hasPrefillBacklog() {
+        return kindCase_ == 45;
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       * @return The prefillBacklog.
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PrefillBacklog getPrefillBacklog() {
+        if (prefillBacklogBuilder_ == null) {
+          if (kindCase_ == 45) {
+            return (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
+        } else {
+          if (kindCase_ == 45) {
+            return prefillBacklogBuilder_.getMessage();
+          }
+          return ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      public Builder setPrefillBacklog(ebonygw.wire.PeerProtocol.PrefillBacklog value) {
+        if (prefillBacklogBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          kind_ = value;
+          onChanged();
+        } else {
+          prefillBacklogBuilder_.setMessage(value);
+        }
+        kindCase_ = 45;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      public Builder setPrefillBacklog(
+          ebonygw.wire.PeerProtocol.PrefillBacklog.Builder builderForValue) {
+        if (prefillBacklogBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          prefillBacklogBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 45;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      public Builder mergePrefillBacklog(ebonygw.wire.PeerProtocol.PrefillBacklog value) {
+        if (prefillBacklogBuilder_ == null) {
+          if (kindCase_ == 45 &&
+              kind_ != ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance()) {
+            kind_ = ebonygw.wire.PeerProtocol.PrefillBacklog.newBuilder((ebonygw.wire.PeerProtocol.PrefillBacklog) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 45) {
+            prefillBacklogBuilder_.mergeFrom(value);
+          } else {
+            prefillBacklogBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 45;
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      public Builder clearPrefillBacklog() {
+        if (prefillBacklogBuilder_ == null) {
+          if (kindCase_ == 45) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 45) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          prefillBacklogBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      public ebonygw.wire.PeerProtocol.PrefillBacklog.Builder getPrefillBacklogBuilder() {
+        return internalGetPrefillBacklogFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder getPrefillBacklogOrBuilder() {
+        if ((kindCase_ == 45) && (prefillBacklogBuilder_ != null)) {
+          return prefillBacklogBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 45) {
+            return (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_;
+          }
+          return ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.ebonygw.PrefillBacklog prefill_backlog = 45;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          ebonygw.wire.PeerProtocol.PrefillBacklog, ebonygw.wire.PeerProtocol.PrefillBacklog.Builder, ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder> 
+          internalGetPrefillBacklogFieldBuilder() {
+        if (prefillBacklogBuilder_ == null) {
+          if (!(kindCase_ == 45)) {
+            kind_ = ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
+          }
+          prefillBacklogBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              ebonygw.wire.PeerProtocol.PrefillBacklog, ebonygw.wire.PeerProtocol.PrefillBacklog.Builder, ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder>(
+                  (ebonygw.wire.PeerProtocol.PrefillBacklog) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 45;
+        onChanged();
+        return prefillBacklogBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.Envelope)
     }
 
@@ -26664,27 +26885,27 @@
 
   }
 
-  public interface OpenPlacesOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.OpenPlaces)
+  public interface PrefillBacklogOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.PrefillBacklog)
       com.google.protobuf.MessageOrBuilder {
 
     /**
      * <pre>
-     * Adapters that can be placed at once, below 0 if some wait for a place.
+     * Prompt tokens that wait for prefill at the loader's replica.
      * </pre>
      *
-     * <code>sint32 count = 1;</code>
-     * @return The count.
+     * <code>uint64 tokens = 1;</code>
+     * @return The tokens.
      */
-    int getCount();
+    long getTokens();
   }
   /**
-   * Protobuf type {@code ebonygw.OpenPlaces}
+   * Protobuf type {@code ebonygw.PrefillBacklog}
    */
-  public static final class OpenPlaces extends
+  public static final class PrefillBacklog extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:ebonygw.OpenPlaces)
-      OpenPlacesOrBuilder {
+      // @@protoc_insertion_point(message_implements:ebonygw.PrefillBacklog)
+      PrefillBacklogOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -26693,46 +26914,46 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "OpenPlaces");
+        "PrefillBacklog");
     }
-    // Use OpenPlaces.newBuilder() to construct.
-    private OpenPlaces(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use PrefillBacklog.newBuilder() to construct.
+    private PrefillBacklog(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private OpenPlaces() {
+    private PrefillBacklog() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PrefillBacklog_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PrefillBacklog_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_fieldAccessorTable
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PrefillBacklog_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              ebonygw.wire.PeerProtocol.OpenPlaces.class, ebonygw.wire.PeerProtocol.OpenPlaces.Builder.class);
+              ebonygw.wire.PeerProtocol.PrefillBacklog.class, ebonygw.wire.PeerProtocol.PrefillBacklog.Builder.class);
     }
 
-    public static final int COUNT_FIELD_NUMBER = 1;
-    private int count_ = 0;
+    public static final int TOKENS_FIELD_NUMBER = 1;
+    private long tokens_ = 0L;
     /**
      * <pre>
-     * Adapters that can be placed at once, below 0 if some wait for a place.
+     * Prompt tokens that wait for prefill at the loader's replica.
      * </pre>
      *
-     * <code>sint32 count = 1;</code>
-     * @return The count.
+     * <code>uint64 tokens = 1;</code>
+     * @return The tokens.
      */
     @java.lang.Override
-    public int getCount() {
-      return count_;
+    public long getTokens() {
+      return tokens_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -26749,16 +26970,16 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (count_ != 0) {
-        output.writeSInt32(1, count_);
+      if (tokens_ != 0L) {
+        output.writeUInt64(1, tokens_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (count_ != 0) {
+      if (tokens_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeSInt32Size(1, count_);
+          .computeUInt64Size(1, tokens_);
       }
       return size;
     }
@@ -26779,13 +27000,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof ebonygw.wire.PeerProtocol.OpenPlaces)) {
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.PrefillBacklog)) {
         return super.equals(obj);
       }
-      ebonygw.wire.PeerProtocol.OpenPlaces other = (ebonygw.wire.PeerProtocol.OpenPlaces) obj;
+      ebonygw.wire.PeerProtocol.PrefillBacklog other = (ebonygw.wire.PeerProtocol.PrefillBacklog) obj;
 
-      if (getCount()
-          != other.getCount()) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -26797,51 +27018,52 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + COUNT_FIELD_NUMBER;
-      hash = (53 * hash) + getCount();
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(byte[] data)
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -26849,26 +27071,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseDelimitedFrom(java.io.InputStream input)
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseDelimitedFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -26881,7 +27103,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(ebonygw.wire.PeerProtocol.OpenPlaces prototype) {
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.PrefillBacklog prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -26897,26 +27119,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code ebonygw.OpenPlaces}
+     * Protobuf type {@code ebonygw.PrefillBacklog}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:ebonygw.OpenPlaces)
-        ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder {
+        // @@protoc_insertion_point(builder_implements:ebonygw.PrefillBacklog)
+        ebonygw.wire.PeerProtocol.PrefillBacklogOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PrefillBacklog_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_fieldAccessorTable
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PrefillBacklog_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                ebonygw.wire.PeerProtocol.OpenPlaces.class, ebonygw.wire.PeerProtocol.OpenPlaces.Builder.class);
+                ebonygw.wire.PeerProtocol.PrefillBacklog.class, ebonygw.wire.PeerProtocol.PrefillBacklog.Builder.class);
       }
 
-      // Construct using ebonygw.wire.PeerProtocol.OpenPlaces.newBuilder()
+      // Construct using ebonygw.wire.PeerProtocol.PrefillBacklog.newBuilder()
       private Builder() {
 
       }
@@ -26930,24 +27152,24 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        count_ = 0;
+        tokens_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_PrefillBacklog_descriptor;
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstanceForType() {
-        return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+      public ebonygw.wire.PeerProtocol.PrefillBacklog getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance();
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.OpenPlaces build() {
-        ebonygw.wire.PeerProtocol.OpenPlaces result = buildPartial();
+      public ebonygw.wire.PeerProtocol.PrefillBacklog build() {
+        ebonygw.wire.PeerProtocol.PrefillBacklog result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -26955,34 +27177,34 @@
       }
 
       @java.lang.Override
-      public ebonygw.wire.PeerProtocol.OpenPlaces buildPartial() {
-        ebonygw.wire.PeerProtocol.OpenPlaces result = new ebonygw.wire.PeerProtocol.OpenPlaces(this);
+      public ebonygw.wire.PeerProtocol.PrefillBacklog buildPartial() {
+        ebonygw.wire.PeerProtocol.PrefillBacklog result = new ebonygw.wire.PeerProtocol.PrefillBacklog(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(ebonygw.wire.PeerProtocol.OpenPlaces result) {
+      private void buildPartial0(ebonygw.wire.PeerProtocol.PrefillBacklog result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.count_ = count_;
+          result.tokens_ = tokens_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof ebonygw.wire.PeerProtocol.OpenPlaces) {
-          return mergeFrom((ebonygw.wire.PeerProtocol.OpenPlaces)other);
+        if (other instanceof ebonygw.wire.PeerProtocol.PrefillBacklog) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.PrefillBacklog)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(ebonygw.wire.PeerProtocol.OpenPlaces other) {
-        if (other == ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance()) return this;
-        if (other.getCount() != 0) {
-          setCount(other.getCount());
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.PrefillBacklog other) {
+        if (other == ebonygw.wire.PeerProtocol.PrefillBacklog.getDefaultInstance()) return this;
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -27009,7 +27231,7 @@
                 done = true;
                 break;
               case 8: {
-                count_ = input.readSInt32();
+                tokens_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
@@ -27030,67 +27252,67 @@
       }
       private int bitField0_;
 
-      private int count_ ;
+      private long tokens_ ;
       /**
        * <pre>
-       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * Prompt tokens that wait for prefill at the loader's replica.
        * </pre>
        *
-       * <code>sint32 count = 1;</code>
-       * @return The count.
+       * <code>uint64 tokens = 1;</code>
+       * @return The tokens.
        */
       @java.lang.Override
-      public int getCount() {
-        return count_;
+      public long getTokens() {
+        return tokens_;
       }
       /**
        * <pre>
-       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * Prompt tokens that wait for prefill at the loader's replica.
        * </pre>
        *
-       * <code>sint32 count = 1;</code>
-       * @param value The count to set.
+       * <code>uint64 tokens = 1;</code>
+       * @param value The tokens to set.
        * @return This builder for chaining.
        */
-      public Builder setCount(int value) {
+      public Builder setTokens(long value) {
 
-        count_ = value;
+        tokens_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * Prompt tokens that wait for prefill at the loader's replica.
        * </pre>
        *
-       * <code>sint32 count = 1;</code>
+       * <code>uint64 tokens = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearCount() {
+      public Builder clearTokens() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        count_ = 0;
+        tokens_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:ebonygw.OpenPlaces)
+      // @@protoc_insertion_point(builder_scope:ebonygw.PrefillBacklog)
     }
 
-    // @@protoc_insertion_point(class_scope:ebonygw.OpenPlaces)
-    private static final ebonygw.wire.PeerProtocol.OpenPlaces DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:ebonygw.PrefillBacklog)
+    private static final ebonygw.wire.PeerProtocol.PrefillBacklog DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.OpenPlaces();
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.PrefillBacklog();
     }
 
-    public static ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstance() {
+    public static ebonygw.wire.PeerProtocol.PrefillBacklog getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<OpenPlaces>
-        PARSER = new com.google.protobuf.AbstractParser<OpenPlaces>() {
+    private static final com.google.protobuf.Parser<PrefillBacklog>
+        PARSER = new com.google.protobuf.AbstractParser<PrefillBacklog>() {
       @java.lang.Override
-      public OpenPlaces parsePartialFrom(
+      public PrefillBacklog parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -27109,40 +27331,501 @@
       }
     };
 
-    public static com.google.protobuf.Parser<OpenPlaces> parser() {
+    public static com.google.protobuf.Parser<PrefillBacklog> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<OpenPlaces> getParserForType() {
+    public com.google.protobuf.Parser<PrefillBacklog> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstanceForType() {
+    public ebonygw.wire.PeerProtocol.PrefillBacklog getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface PromptEvidenceOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:ebonygw.PromptEvidence)
+  public interface OpenPlacesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.OpenPlaces)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
-     */
-    java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> 
-        getPartsList();
-    /**
-     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
-     */
-    ebonygw.wire.PeerProtocol.PartEvidence getParts(int index);
-    /**
-     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     * <pre>
+     * Adapters that can be placed at once, below 0 if some wait for a place.
+     * </pre>
+     *
+     * <code>sint32 count = 1;</code>
+     * @return The count.
      */
-    int getPartsCount();
-    /**
+    int getCount();
+  }
+  /**
+   * Protobuf type {@code ebonygw.OpenPlaces}
+   */
+  public static final class OpenPlaces extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:ebonygw.OpenPlaces)
+      OpenPlacesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "OpenPlaces");
+    }
+    // Use OpenPlaces.newBuilder() to construct.
+    private OpenPlaces(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private OpenPlaces() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              ebonygw.wire.PeerProtocol.OpenPlaces.class, ebonygw.wire.PeerProtocol.OpenPlaces.Builder.class);
+    }
+
+    public static final int COUNT_FIELD_NUMBER = 1;
+    private int count_ = 0;
+    /**
+     * <pre>
+     * Adapters that can be placed at once, below 0 if some wait for a place.
+     * </pre>
+     *
+     * <code>sint32 count = 1;</code>
+     * @return The count.
+     */
+    @java.lang.Override
+    public int getCount() {
+      return count_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (count_ != 0) {
+        output.writeSInt32(1, count_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (count_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt32Size(1, count_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof ebonygw.wire.PeerProtocol.OpenPlaces)) {
+        return super.equals(obj);
+      }
+      ebonygw.wire.PeerProtocol.OpenPlaces other = (ebonygw.wire.PeerProtocol.OpenPlaces) obj;
+
+      if (getCount()
+          != other.getCount()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + COUNT_FIELD_NUMBER;
+      hash = (53 * hash) + getCount();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static ebonygw.wire.PeerProtocol.OpenPlaces parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(ebonygw.wire.PeerProtocol.OpenPlaces prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code ebonygw.OpenPlaces}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:ebonygw.OpenPlaces)
+        ebonygw.wire.PeerProtocol.OpenPlacesOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                ebonygw.wire.PeerProtocol.OpenPlaces.class, ebonygw.wire.PeerProtocol.OpenPlaces.Builder.class);
+      }
+
+      // Construct using ebonygw.wire.PeerProtocol.OpenPlaces.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        count_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return ebonygw.wire.PeerProtocol.internal_static_ebonygw_OpenPlaces_descriptor;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstanceForType() {
+        return ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces build() {
+        ebonygw.wire.PeerProtocol.OpenPlaces result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public ebonygw.wire.PeerProtocol.OpenPlaces buildPartial() {
+        ebonygw.wire.PeerProtocol.OpenPlaces result = new ebonygw.wire.PeerProtocol.OpenPlaces(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(ebonygw.wire.PeerProtocol.OpenPlaces result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.count_ = count_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof ebonygw.wire.PeerProtocol.OpenPlaces) {
+          return mergeFrom((ebonygw.wire.PeerProtocol.OpenPlaces)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(ebonygw.wire.PeerProtocol.OpenPlaces other) {
+        if (other == ebonygw.wire.PeerProtocol.OpenPlaces.getDefaultInstance()) return this;
+        if (other.getCount() != 0) {
+          setCount(other.getCount());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                count_ = input.readSInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int count_ ;
+      /**
+       * <pre>
+       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * </pre>
+       *
+       * <code>sint32 count = 1;</code>
+       * @return The count.
+       */
+      @java.lang.Override
+      public int getCount() {
+        return count_;
+      }
+      /**
+       * <pre>
+       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * </pre>
+       *
+       * <code>sint32 count = 1;</code>
+       * @param value The count to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCount(int value) {
+
+        count_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Adapters that can be placed at once, below 0 if some wait for a place.
+       * </pre>
+       *
+       * <code>sint32 count = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCount() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        count_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:ebonygw.OpenPlaces)
+    }
+
+    // @@protoc_insertion_point(class_scope:ebonygw.OpenPlaces)
+    private static final ebonygw.wire.PeerProtocol.OpenPlaces DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new ebonygw.wire.PeerProtocol.OpenPlaces();
+    }
+
+    public static ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<OpenPlaces>
+        PARSER = new com.google.protobuf.AbstractParser<OpenPlaces>() {
+      @java.lang.Override
+      public OpenPlaces parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<OpenPlaces> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<OpenPlaces> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public ebonygw.wire.PeerProtocol.OpenPlaces getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PromptEvidenceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:ebonygw.PromptEvidence)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    java.util.List<ebonygw.wire.PeerProtocol.PartEvidence> 
+        getPartsList();
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    ebonygw.wire.PeerProtocol.PartEvidence getParts(int index);
+    /**
+     * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
+     */
+    int getPartsCount();
+    /**
      * <code>repeated .ebonygw.PartEvidence parts = 1;</code>
      */
     java.util.List<? extends ebonygw.wire.PeerProtocol.PartEvidenceOrBuilder> 
@@ -32264,6 +32947,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ebonygw_AdapterNeed_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ebonygw_PrefillBacklog_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ebonygw_PrefillBacklog_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ebonygw_OpenPlaces_descriptor;
   private static final 
@@ -32304,7 +32992,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\007ebonygw\032\016settings.proto\032\014s" +
-      "hares.proto\"\357\006\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
+      "hares.proto\"\243\007\n\010Envelope\022\037\n\005hello\030\001 \001(\0132" +
       "\016.ebonygw.HelloH\000\022\'\n\theartbeat\030\002 \001(\0132\022.e" +
       "bonygw.HeartbeatH\000\022\'\n\006report\030\003 \001(\0132\025.ebo" +
       "nygw.TargetReportH\000\022\'\n\006digest\030\004 \001(\0132\025.eb" +
@@ -32326,76 +33014,78 @@
       " \001(\0132\023.ebonygw.OpenPlacesH\000\0222\n\017prompt_ev" +
       "idence\030+ \001(\0132\027.ebonygw.PromptEvidenceH\000\022" +
       ",\n\014target_ended\030, \001(\0132\024.ebonygw.TargetEn" +
-      "dedH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002id\030\001 \001(\t\022\023\n\013" +
-      "incarnation\030\002 \001(\006\022\014\n\004role\030\003 \001(\005\022\r\n\005state" +
-      "\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013data_center\030\006 " +
-      "\001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serves\030\010 \001(\t\"[\n\005" +
-      "Hello\022\035\n\004self\030\001 \001(\0132\017.ebonygw.Member\022\031\n\021" +
-      "settings_revision\030\002 \001(\004\022\030\n\020protocol_vers" +
-      "ion\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010sequence\030\001 \001(\004" +
-      "\022\031\n\021settings_revision\030\002 \001(\004\"\031\n\007LinkUse\022\016" +
-      "\n\006wanted\030\001 \001(\010\"2\n\016AdapterVersion\022\017\n\007adap" +
-      "ter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037\n\014MemberDige" +
-      "st\022\017\n\007buckets\030\001 \003(\006\"?\n\rMemberUpdates\022 \n\007" +
-      "members\030\001 \003(\0132\017.ebonygw.Member\022\014\n\004news\030\002" +
-      " \001(\010\"4\n\010Prefetch\022(\n\007adapter\030\001 \001(\0132\027.ebon" +
-      "ygw.AdapterVersion\"k\n\nTargetLoad\022\020\n\010sequ" +
-      "ence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 " +
-      "\001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_token" +
-      "s\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010sequence\030\001 \001" +
-      "(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\023\n\013c" +
-      "oncurrency\030\004 \001(\r\022\025\n\rqueued_tokens\030\005 \001(\004\022" +
-      ")\n\010resident\030\006 \003(\0132\027.ebonygw.AdapterVersi" +
-      "on\022(\n\007loading\030\007 \003(\0132\027.ebonygw.AdapterVer" +
-      "sion\"A\n\tRequestId\022\r\n\005entry\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\"%\n\006Heade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\376\002\n\003Run\022\036" +
-      "\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attemp" +
-      "t\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n\006key_id\030\004 \001(" +
-      "\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030\006 \001(\0132\027.ebon" +
-      "ygw.AdapterVersion\022\022\n\nidempotent\030\007 \001(\010\022\020" +
-      "\n\010priority\030\010 \001(\021\022\025\n\rprompt_tokens\030\t \001(\004\022" +
-      "\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefix_hash\030\013 \001(\006" +
-      "\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method\030\r \001(\t\022\014\n\004pa" +
-      "th\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017.ebonygw.Head" +
-      "er\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_nanos\030\021 \001(\004\022" +
-      "\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002id\030\001 \001(\0132\022.eb" +
-      "onygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\016\n\006stat" +
-      "us\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017.ebonygw.Head" +
-      "er\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Request" +
-      "Id\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index\030\003 \001(\004\022\014\n\004da" +
-      "ta\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Re" +
-      "questId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005parts\030\003 \001(\004\022" +
-      "\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Failed\022\036\n\002id\030\001 " +
-      "\001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r" +
-      "\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 \001(\r\022\016\n\006detai" +
-      "l\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\004\"9\n\006Ca" +
-      "ncel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007" +
-      "attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002id\030\001 \001(\0132\022.eb" +
-      "onygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005part" +
-      "s\030\003 \001(\r\"J\n\014GatewayUsage\022\016\n\006wanted\030\002 \001(\010\022" +
-      "$\n\007entries\030\003 \003(\0132\023.ebonygw.EntryUsageJ\004\010" +
-      "\001\020\002\"l\n\nEntryUsage\022\r\n\005entry\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022(\n\007charg" +
-      "ed\030\004 \003(\0132\027.ebonygw.CustomerTokens\"D\n\016Cus" +
-      "tomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens\030" +
-      "\002 \001(\022\022\020\n\010sequence\030\003 \001(\004\"3\n\014AdapterNeeds\022" +
-      "#\n\005needs\030\001 \003(\0132\024.ebonygw.AdapterNeed\"q\n\013" +
-      "AdapterNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030" +
-      "\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r" +
-      "\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenP" +
-      "laces\022\r\n\005count\030\001 \001(\021\"`\n\016PromptEvidence\022$" +
-      "\n\005parts\030\001 \003(\0132\025.ebonygw.PartEvidence\022(\n\r" +
-      "ended_targets\030\002 \003(\0132\021.ebonygw.Sighting\"\212" +
-      "\001\n\014PartEvidence\022\014\n\004part\030\001 \001(\t\022\"\n\007crashed" +
-      "\030\002 \003(\0132\021.ebonygw.Sighting\022!\n\006broken\030\003 \003(" +
-      "\0132\021.ebonygw.Sighting\022%\n\tsurvivals\030\004 \003(\0132" +
-      "\022.ebonygw.Survivals\".\n\010Sighting\022\016\n\006targe" +
-      "t\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"R\n\tSurvivals" +
-      "\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\022\r\n\005" +
-      "count\030\003 \001(\r\022\022\n\nage_millis\030\004 \001(\r\"\"\n\013Targe" +
-      "tEnded\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebonygw.w" +
-      "ireB\014PeerProtocolb\006proto3"
+      "dedH\000\0222\n\017prefill_backlog\030- \001(\0132\027.ebonygw" +
+      ".PrefillBacklogH\000B\006\n\004kind\"\214\001\n\006Member\022\n\n\002" +
+      "id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004role\030\003 " +
+      "\001(\005\022\r\n\005state\030\004 \001(\005\022\016\n\006region\030\005 \001(\t\022\023\n\013da" +
+      "ta_center\030\006 \001(\t\022\017\n\007address\030\007 \001(\t\022\016\n\006serv" +
+      "es\030\010 \001(\t\"[\n\005Hello\022\035\n\004self\030\001 \001(\0132\017.ebonyg" +
+      "w.Member\022\031\n\021settings_revision\030\002 \001(\004\022\030\n\020p" +
+      "rotocol_version\030\003 \001(\r\"8\n\tHeartbeat\022\020\n\010se" +
+      "quence\030\001 \001(\004\022\031\n\021settings_revision\030\002 \001(\004\"" +
+      "\031\n\007LinkUse\022\016\n\006wanted\030\001 \001(\010\"2\n\016AdapterVer" +
+      "sion\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\"\037" +
+      "\n\014MemberDigest\022\017\n\007buckets\030\001 \003(\006\"?\n\rMembe" +
+      "rUpdates\022 \n\007members\030\001 \003(\0132\017.ebonygw.Memb" +
+      "er\022\014\n\004news\030\002 \001(\010\"4\n\010Prefetch\022(\n\007adapter\030" +
+      "\001 \001(\0132\027.ebonygw.AdapterVersion\"k\n\nTarget" +
+      "Load\022\020\n\010sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022" +
+      "\016\n\006queued\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\r" +
+      "queued_tokens\030\005 \001(\004\"\302\001\n\014TargetReport\022\020\n\010" +
+      "sequence\030\001 \001(\004\022\017\n\007running\030\002 \001(\r\022\016\n\006queue" +
+      "d\030\003 \001(\r\022\023\n\013concurrency\030\004 \001(\r\022\025\n\rqueued_t" +
+      "okens\030\005 \001(\004\022)\n\010resident\030\006 \003(\0132\027.ebonygw." +
+      "AdapterVersion\022(\n\007loading\030\007 \003(\0132\027.ebonyg" +
+      "w.AdapterVersion\"A\n\tRequestId\022\r\n\005entry\030\001" +
+      " \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 " +
+      "\001(\004\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
+      "(\t\"\376\002\n\003Run\022\036\n\002id\030\001 \001(\0132\022.ebonygw.Request" +
+      "Id\022\017\n\007attempt\030\002 \001(\r\022\020\n\010customer\030\003 \001(\t\022\016\n" +
+      "\006key_id\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022(\n\007adapter\030" +
+      "\006 \001(\0132\027.ebonygw.AdapterVersion\022\022\n\nidempo" +
+      "tent\030\007 \001(\010\022\020\n\010priority\030\010 \001(\021\022\025\n\rprompt_t" +
+      "okens\030\t \001(\004\022\022\n\nmax_tokens\030\n \001(\004\022\023\n\013prefi" +
+      "x_hash\030\013 \001(\006\022\020\n\010streamed\030\014 \001(\010\022\016\n\006method" +
+      "\030\r \001(\t\022\014\n\004path\030\016 \001(\t\022 \n\007headers\030\017 \003(\0132\017." +
+      "ebonygw.Header\022\014\n\004body\030\020 \001(\014\022\025\n\rtimeout_" +
+      "nanos\030\021 \001(\004\022\016\n\006credit\030\022 \001(\r\"i\n\004Head\022\036\n\002i" +
+      "d\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002" +
+      " \001(\r\022\016\n\006status\030\003 \001(\r\022 \n\007headers\030\004 \003(\0132\017." +
+      "ebonygw.Header\"T\n\004Body\022\036\n\002id\030\001 \001(\0132\022.ebo" +
+      "nygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005index" +
+      "\030\003 \001(\004\022\014\n\004data\030\004 \001(\014\"Z\n\003End\022\036\n\002id\030\001 \001(\0132" +
+      "\022.ebonygw.RequestId\022\017\n\007attempt\030\002 \001(\r\022\r\n\005" +
+      "parts\030\003 \001(\004\022\023\n\013tokens_used\030\004 \001(\022\"\203\001\n\006Fai" +
+      "led\022\036\n\002id\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007a" +
+      "ttempt\030\002 \001(\r\022\014\n\004code\030\003 \001(\t\022\017\n\007verdict\030\004 " +
+      "\001(\r\022\016\n\006detail\030\005 \001(\t\022\031\n\021retry_after_nanos" +
+      "\030\006 \001(\004\"9\n\006Cancel\022\036\n\002id\030\001 \001(\0132\022.ebonygw.R" +
+      "equestId\022\017\n\007attempt\030\002 \001(\r\"H\n\006Credit\022\036\n\002i" +
+      "d\030\001 \001(\0132\022.ebonygw.RequestId\022\017\n\007attempt\030\002" +
+      " \001(\r\022\r\n\005parts\030\003 \001(\r\"J\n\014GatewayUsage\022\016\n\006w" +
+      "anted\030\002 \001(\010\022$\n\007entries\030\003 \003(\0132\023.ebonygw.E" +
+      "ntryUsageJ\004\010\001\020\002\"l\n\nEntryUsage\022\r\n\005entry\030\001" +
+      " \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 " +
+      "\001(\004\022(\n\007charged\030\004 \003(\0132\027.ebonygw.CustomerT" +
+      "okens\"D\n\016CustomerTokens\022\020\n\010customer\030\001 \001(" +
+      "\t\022\016\n\006tokens\030\002 \001(\022\022\020\n\010sequence\030\003 \001(\004\"3\n\014A" +
+      "dapterNeeds\022#\n\005needs\030\001 \003(\0132\024.ebonygw.Ada" +
+      "pterNeed\"q\n\013AdapterNeed\022\017\n\007adapter\030\001 \001(\t" +
+      "\022\017\n\007version\030\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010pu" +
+      "nctual\030\004 \001(\r\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 " +
+      "\001(\r\" \n\016PrefillBacklog\022\016\n\006tokens\030\001 \001(\004\"\033\n" +
+      "\nOpenPlaces\022\r\n\005count\030\001 \001(\021\"`\n\016PromptEvid" +
+      "ence\022$\n\005parts\030\001 \003(\0132\025.ebonygw.PartEviden" +
+      "ce\022(\n\rended_targets\030\002 \003(\0132\021.ebonygw.Sigh" +
+      "ting\"\212\001\n\014PartEvidence\022\014\n\004part\030\001 \001(\t\022\"\n\007c" +
+      "rashed\030\002 \003(\0132\021.ebonygw.Sighting\022!\n\006broke" +
+      "n\030\003 \003(\0132\021.ebonygw.Sighting\022%\n\tsurvivals\030" +
+      "\004 \003(\0132\022.ebonygw.Survivals\".\n\010Sighting\022\016\n" +
+      "\006target\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"R\n\tSur" +
+      "vivals\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequence\030\002 \001" +
+      "(\004\022\r\n\005count\030\003 \001(\r\022\022\n\nage_millis\030\004 \001(\r\"\"\n" +
+      "\013TargetEnded\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebo" +
+      "nygw.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32408,7 +33098,7 @@
     internal_static_ebonygw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Envelope_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterNeeds", "OpenPlaces", "PromptEvidence", "TargetEnded", "Kind", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Report", "Digest", "Updates", "Use", "Load", "Prefetch", "Run", "Head", "Body", "End", "Failed", "Cancel", "Credit", "Settings", "Shares", "GatewayUsage", "AdapterNeeds", "OpenPlaces", "PromptEvidence", "TargetEnded", "PrefillBacklog", "Kind", });
     internal_static_ebonygw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ebonygw_Member_fieldAccessorTable = new
@@ -32553,38 +33243,44 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterNeed_descriptor,
         new java.lang.String[] { "Adapter", "Version", "Waiting", "Punctual", "Running", "Sent", });
-    internal_static_ebonygw_OpenPlaces_descriptor =
+    internal_static_ebonygw_PrefillBacklog_descriptor =
       getDescriptor().getMessageType(25);
+    internal_static_ebonygw_PrefillBacklog_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ebonygw_PrefillBacklog_descriptor,
+        new java.lang.String[] { "Tokens", });
+    internal_static_ebonygw_OpenPlaces_descriptor =
+      getDescriptor().getMessageType(26);
     internal_static_ebonygw_OpenPlaces_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_OpenPlaces_descriptor,
         new java.lang.String[] { "Count", });
     internal_static_ebonygw_PromptEvidence_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_ebonygw_PromptEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_PromptEvidence_descriptor,
         new java.lang.String[] { "Parts", "EndedTargets", });
     internal_static_ebonygw_PartEvidence_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_ebonygw_PartEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_PartEvidence_descriptor,
         new java.lang.String[] { "Part", "Crashed", "Broken", "Survivals", });
     internal_static_ebonygw_Sighting_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_ebonygw_Sighting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Sighting_descriptor,
         new java.lang.String[] { "Target", "AgeMillis", });
     internal_static_ebonygw_Survivals_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_ebonygw_Survivals_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_Survivals_descriptor,
         new java.lang.String[] { "Observer", "Sequence", "Count", "AgeMillis", });
     internal_static_ebonygw_TargetEnded_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_ebonygw_TargetEnded_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_TargetEnded_descriptor,
