--- a/src/test/java/ebonygw/gateway/LoaderNodeTest.java
+++ b/src/test/java/ebonygw/gateway/LoaderNodeTest.java
@@ -384,4 +384,33 @@
             return Optional.empty();
         }
     }
+
+    /** Guards against messages to entries that do not exchange the backlog. */
+    @Test
+    void theBacklogOfOneEntryIsReportedOnlyToEntriesThatReportTheirs() {
+        NodeId other = new NodeId("entry-2");
+        NodeId third = new NodeId("entry-3");
+        for (NodeId entry : List.of(ENTRY, other, third)) {
+            handle(new GatewayEvent.PeerUp(entry, 1));
+        }
+        handle(
+                new GatewayEvent.PeerMessageReceived(
+                        ENTRY, 1, new GatewayMessage.PrefillBacklog(9_000)));
+        handle(
+                new GatewayEvent.PeerMessageReceived(
+                        other, 1, new GatewayMessage.PrefillBacklog(0)));
+        advance(100);
+
+        List<GatewayEffect.Send> sent = new ArrayList<>();
+        mEffects.forEach(
+                it -> {
+                    if (it instanceof GatewayEffect.Send send
+                            && send.message() instanceof GatewayMessage.PrefillBacklog) {
+                        sent.add(send);
+                    }
+                });
+        assertThat(sent)
+                .contains(new GatewayEffect.Send(other, new GatewayMessage.PrefillBacklog(9_000)))
+                .noneMatch(it -> it.to().equals(third));
+    }
 }
--- a/src/test/java/ebonygw/gateway/TargetChooserTest.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserTest.java
@@ -275,4 +275,22 @@
 
         assertThat(choice.target()).isSameAs(far);
     }
+
+    /**
+     * Guards against long prompts of many entries that meet at one target: each entry sees only its
+     * own, and all choose the nearest target while another one is idle.
+     */
+    @Test
+    void aTargetWithAPrefillBacklogOfOtherEntriesIsAvoided() {
+        List<GatewayTarget> replicas = replicas().subList(0, 2);
+        replicas.forEach(it -> report(it, 1, 1, "m0/a7"));
+        TargetChooser chooser = chooser(GatewayFixture.KINGSTON);
+        GatewayTarget first =
+                chooser.choose(ADAPTER_REQUEST, 0, replicas, Set.of(), "", 0, NOW).target();
+
+        first.backlog().onReport(30_000);
+
+        assertThat(chooser.choose(ADAPTER_REQUEST, 0, replicas, Set.of(), "", 0, NOW).target())
+                .isNotSameAs(first);
+    }
 }
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -157,6 +157,7 @@
                 adapterNeeds(random),
                 new GatewayMessage.OpenAdapterSlots(random.nextInt()),
                 new GatewayMessage.TargetEnded(word(random)),
+                new GatewayMessage.PrefillBacklog(number(random)),
                 evidence(random),
                 usage(random));
     }
