--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.RegionScope;
 import ebonygw.protocol.Locality;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,6 +8,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -15,6 +17,14 @@
  * <p>Immutable and thread-safe; the targets passed in are not.
  */
 final class TargetChooser {
+    /**
+     * Cost of a target for the requests that should rather go elsewhere while its data centre gets
+     * its work back. Above the load of an adapter (600 ms) and another region (100 ms), so that
+     * these requests stay away; below the queueing at five requests above full targets, so that
+     * they do not overload the others.
+     */
+    private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final ChooserOptions mOptions;
 
     TargetChooser(ChooserOptions options) {
@@ -29,11 +39,36 @@
      * @param costNanos expected cost by {@link ChooserOptions}
      * @param startNanos expected time until the response starts, without a load of the adapter
      */
-    record Choice(GatewayTarget target, boolean resident, long costNanos, long startNanos) {}
+    record Choice(GatewayTarget target, boolean resident, long costNanos, long startNanos) {
+        private Choice plusCost(long nanos) {
+            return new Choice(target, resident, costNanos + nanos, startNanos);
+        }
+    }
+
+    /** Chooses among the targets of one service for a request that may run in all regions. */
+    Choice choose(
+            GatewayRequest request,
+            long wantedVersion,
+            Collection<GatewayTarget> targets,
+            Set<String> excluded,
+            String awaited,
+            long meanPrefillTokens,
+            long nowNanos) {
+        return choose(
+                request,
+                RegionScope.UNRESTRICTED,
+                wantedVersion,
+                targets,
+                excluded,
+                awaited,
+                meanPrefillTokens,
+                nowNanos);
+    }
 
     /**
      * Chooses among the targets of one service.
      *
+     * @param regions where the request may run
      * @param wantedVersion minimum version of the adapter that must run the request, 0 for any
      * @param targets targets of its service
      * @param excluded ids of the targets that it was sent to before
@@ -44,6 +79,7 @@
      */
     Choice choose(
             GatewayRequest request,
+            RegionScope regions,
             long wantedVersion,
             Collection<GatewayTarget> targets,
             Set<String> excluded,
@@ -51,11 +87,15 @@
             long meanPrefillTokens,
             long nowNanos) {
         List<GatewayTarget> usable = new ArrayList<>();
+        boolean returning = false;
         for (GatewayTarget target : targets) {
-            if (target.isUsable(nowNanos) && !excluded.contains(target.record().id())) {
+            if (!excluded.contains(target.record().id())
+                    && target.ineligibility(regions, nowNanos).isEmpty()) {
                 usable.add(target);
+                returning |= target.isReturning(nowNanos);
             }
         }
+        long requestHash = returning ? request.hash() : 0;
         boolean waits =
                 usable.stream()
                         .anyMatch(it -> it.record().id().equals(awaited) && canLoad(it, request));
@@ -74,6 +114,11 @@
                             waits ? awaited : "",
                             meanPrefillTokens,
                             nowNanos);
+            if (choice != null
+                    && returning
+                    && choice.target().prefersOthers(requestHash, nowNanos)) {
+                choice = choice.plusCost(RETURN_NANOS);
+            }
             if (choice != null && (best == null || choice.costNanos() < best.costNanos())) {
                 best = choice;
             }
@@ -125,7 +170,7 @@
             long nowNanos) {
         long cost = distanceNanos(target.record().locality());
         int load = target.load(nowNanos);
-        int slots = target.slots();
+        int slots = target.slots(nowNanos);
         if (request.model().isEmpty()) {
             long excess = Math.max(0, load + 1 - slots);
             cost +=
