--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -394,7 +394,7 @@
         Set<String> regions =
                 mOperator.settings() == null ? Set.of() : mOperator.settings().allowedRegions();
         Set<NodeId> loaders =
-                LoaderLinks.choose(self, members, mEvacuations, regions);
+                LoaderLinks.choose(self, members, mEvacuations, regions, mOptions.loadShedding());
         for (Member member : members) {
             if (member.role() == Role.TARGET && loaders.contains(member.id())) {
                 links.add(member);
--- a/src/main/java/ebonygw/gateway/LoaderLinks.java
+++ b/src/main/java/ebonygw/gateway/LoaderLinks.java
@@ -19,6 +19,13 @@
      */
     private static final int MAX_LINKS_PER_SERVICE = 24;
 
+    /**
+     * The same where adapter slots are scarce. In a fleet of 28 to 36 replicas with the smaller
+     * number each region loads its own copies of all adapters; with this one its requests use the
+     * copies of the others.
+     */
+    private static final int MAX_LINKS_TO_SHARE_COPIES = 48;
+
     /**
      * Maximum number of further loaders of a service in each region to which the configuration
      * restricts requests; a third of the usual number, as only the restricted requests use them.
@@ -37,19 +44,20 @@
      * @param self the entry
      * @param members the loaders and the other entries
      * @param allowedRegions names of the regions in all lists of the configuration
+     * @param shareCopies whether adapter slots are scarce, so that regions share loaded adapters
      */
     static Set<NodeId> choose(
             Member self,
             Collection<Member> members,
             Evacuations evacuations,
-            Set<String> allowedRegions) {
+            Set<String> allowedRegions,
+            boolean shareCopies) {
+        int limit = shareCopies ? MAX_LINKS_TO_SHARE_COPIES : MAX_LINKS_PER_SERVICE;
         Set<NodeId> chosen =
-                new HashSet<>(
-                        LinkSets.choose(
-                                self.id(), self.locality(), members, MAX_LINKS_PER_SERVICE));
+                new HashSet<>(LinkSets.choose(self.id(), self.locality(), members, limit));
         List<Member> open = members.stream().filter(it -> !isAffected(it, evacuations)).toList();
         if (open.size() < members.size()) {
-            chosen.addAll(LinkSets.choose(self.id(), self.locality(), open, MAX_LINKS_PER_SERVICE));
+            chosen.addAll(LinkSets.choose(self.id(), self.locality(), open, limit));
         }
         Set<String> regions = new HashSet<>();
         open.stream().filter(LoaderLinks::isLoader).forEach(it -> regions.add(region(it)));
