Merge the prefill backlog over all entries

Optional features of an entry are one record now. The backlog is exchanged with load shedding, or once a target reports how long work takes.

--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -65,6 +65,12 @@
     private boolean mExited;
     private boolean mResidencyChanged;
 
+    /**
+     * Whether the prefill backlog is exchanged: load beyond the capacity is expected, or targets
+     * are of uneven speed.
+     */
+    private boolean mSharesBacklog;
+
     /**
      * Creates a node without configuration and targets; it reads both from the key-value service.
      *
@@ -171,7 +177,14 @@
             mResidencyChanged = false;
             mRequests.dispatchWaiting(nowNanos);
         }
-        mTargets.all().forEach(target -> sendNeeds(target, nowNanos));
+        if (!mSharesBacklog && (mOptions.features().loadShedding() || mRequests.reportsSpeeds())) {
+            mSharesBacklog = true;
+            mLinksChanged = true;
+        }
+        for (GatewayTarget target : mTargets.all()) {
+            sendNeeds(target, nowNanos);
+            sendBacklog(target, nowNanos);
+        }
         publishLinks();
     }
 
@@ -300,6 +313,8 @@
             mGuard.onEvidence(evidence.evidence(), nowNanos);
         } else if (message instanceof GatewayMessage.TargetEnded ended) {
             mGuard.onTargetEnded(ended.incarnation(), nowNanos);
+        } else if (message instanceof GatewayMessage.PrefillBacklog backlog) {
+            mTargets.ofLoader(from).forEach(it -> it.backlog().onReport(backlog.tokens()));
         } else if (message instanceof GatewayMessage.OpenAdapterSlots slots) {
             mTargets.ofLoader(from).forEach(target -> target.onOpenAdapterSlots(slots.count()));
         } else if (message instanceof MemberMessage.TargetReport report) {
@@ -395,7 +410,8 @@
         Member self = mOptions.self();
         Set<String> regions =
                 mOperator.settings() == null ? Set.of() : mOperator.settings().allowedRegions();
-        Set<NodeId> loaders = LoaderLinks.choose(self, members, mEvacuations, regions);
+        Set<NodeId> loaders =
+                LoaderLinks.choose(self, members, mEvacuations, regions, mSharesBacklog);
         for (Member member : members) {
             if (member.role() == Role.TARGET && loaders.contains(member.id())) {
                 links.add(member);
@@ -436,6 +452,19 @@
         }
     }
 
+    /** Sends the prompt tokens that wait for prefill at a target to its loader if that is due. */
+    private void sendBacklog(GatewayTarget target, long nowNanos) {
+        if (mSharesBacklog && target.isLoaderUp()) {
+            target.backlog()
+                    .drainIfDue(target.ownPrefillTokens(), nowNanos)
+                    .ifPresent(
+                            tokens ->
+                                    mOut.send(
+                                            target.loader(),
+                                            new GatewayMessage.PrefillBacklog(tokens)));
+        }
+    }
+
     /** Sends the adapter needs at a target to its loader if they are due. */
     private void sendNeeds(GatewayTarget target, long nowNanos) {
         if (target.isLoaderUp()) {
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -1,9 +1,7 @@
 package ebonygw.gateway;
 
 import ebonygw.membership.Member;
-import ebonygw.spillover.SpilloverOptions;
 import java.util.Objects;
-import java.util.Optional;
 
 /**
  * Options of a {@link GatewayNode}.
@@ -21,8 +19,7 @@
  * @param maxSettingsAgeNanos time after the key-value service last confirmed the configuration in
  *     which it still decides that a route or key does not exist, positive
  * @param seed seed of random decisions
- * @param spillover the operator's price of traffic between data centres, empty to compare them by
- *     constants
+ * @param features optional features that the deployment asks for
  */
 public record GatewayOptions(
         Member self,
@@ -37,8 +34,8 @@
         long graceNanos,
         long maxSettingsAgeNanos,
         long seed,
-        Optional<SpilloverOptions> spillover) {
-    /** Creates options without a price of traffic between data centres. */
+        GatewayFeatures features) {
+    /** Creates options without optional features. */
     public GatewayOptions(
             Member self,
             StoreReader reader,
@@ -65,7 +62,7 @@
                 graceNanos,
                 maxSettingsAgeNanos,
                 seed,
-                Optional.empty());
+                GatewayFeatures.NONE);
     }
 
     /**
@@ -77,7 +74,7 @@
     public GatewayOptions {
         Objects.requireNonNull(self, "self");
         Objects.requireNonNull(reader, "reader");
-        Objects.requireNonNull(spillover, "spillover");
+        Objects.requireNonNull(features, "features");
         if (loaderPort < 1 || retryRatio < 0 || retryExtra < 0 || retryWindowNanos <= 0) {
             throw new IllegalArgumentException(
                     "loaderPort must be at least 1, retryRatio and retryExtra not negative,"
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -69,7 +69,9 @@
         long drawSeed = options.seed() ^ options.self().id().name().hashCode();
         TargetSpeeds speeds = new TargetSpeeds(costs, targets, drawSeed, out);
         Optional<SpilloverCosts> spillover =
-                options.spillover().map(it -> new SpilloverCosts(it, costs.locality(), fleet, out));
+                options.features()
+                        .spillover()
+                        .map(it -> new SpilloverCosts(it, costs.locality(), fleet, out));
         TargetChooser chooser = new TargetChooser(costs, Optional.of(speeds), spillover);
         mAttempts = new GatewayAttempts(operator, targets, fleet, chooser, speeds, spillover, out);
     }
@@ -94,6 +96,11 @@
         return mAttempts.spillover();
     }
 
+    /** Returns whether any target has reported how long work takes. */
+    boolean reportsSpeeds() {
+        return mAttempts.speeds().isReported();
+    }
+
     /** Returns the number of requests that have not ended. */
     int size() {
         return mByExchange.size();
--- a/src/main/java/ebonygw/gateway/TargetSpeeds.java
+++ b/src/main/java/ebonygw/gateway/TargetSpeeds.java
@@ -51,6 +51,11 @@
         mOut = out;
     }
 
+    /** Returns whether any target has reported how long work takes. */
+    boolean isReported() {
+        return !mServices.isEmpty();
+    }
+
     /** Returns the round trip between two data centres. */
     static long networkNanos(Locality here, Locality there) {
         if (!here.sameRegion(there)) {
