Read the limit and the remaining time of cold targets

Cause: part 1b of docs/load-management.md; nothing of it was decoded. Change: services have a ColdLimit (cold_per_s, cold_start_s), registrations a ColdRemaining (cold_remaining_ms). Missing, malformed and negative values are told apart and never make a registration or configuration unusable. Nothing uses them yet. Test: PlatformStoreReaderTest.coldTimesAndLimitsAreReadAndWrongOnesCountAsUnknown.

--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -61,6 +61,11 @@
         return mCustomers;
     }
 
+    /** Returns the number of services whose limit for cold targets could not be read. */
+    long malformedColdLimits() {
+        return mServices.values().stream().filter(it -> it.cold().malformed()).count();
+    }
+
     /** Returns the maximum size of a request body. */
     public long maxBodyBytes() {
         return mMaxBodyBytes;
--- a/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
+++ b/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
@@ -12,6 +12,8 @@
 import ebonygw.keyvalue.KeyValueResponse.Entry;
 import ebonygw.protocol.Locality;
 import ebonygw.settings.CallerKeys;
+import ebonygw.warmup.ColdLimit;
+import ebonygw.warmup.ColdRemaining;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -108,6 +110,36 @@
         assertThat(record.draining()).isFalse();
     }
 
+    // Guards against a wrong time or limit that makes a registration or configuration unusable.
+    @Test
+    void coldTimesAndLimitsAreReadAndWrongOnesCountAsUnknown() {
+        String time = "\"cold_remaining_ms\":";
+        Map.of(
+                        time + "1500,",
+                        ColdRemaining.ofMillis(1_500),
+                        time + "-1,",
+                        ColdRemaining.MALFORMED,
+                        time + "\"soon\",",
+                        ColdRemaining.MALFORMED,
+                        "",
+                        ColdRemaining.MISSING)
+                .forEach(
+                        (field, expected) -> {
+                            String value = REPLICA.replace(time + "0,", field);
+                            TargetRecord record =
+                                    mReader.target(entry("servers/i-1", value)).orElseThrow();
+                            assertThat(record.coldRemaining()).as(field).isEqualTo(expected);
+                        });
+        String limited =
+                CONFIGURATION
+                        .replace("500,", "500,\"cold_start_s\":4.5,\"cold_per_s\":7.1,")
+                        .replace("110}", "110,\"cold_per_s\":-1}");
+        GatewaySettings settings = mReader.settings(entry("op/config", limited)).orElseThrow();
+
+        assertThat(settings.service("s1").orElseThrow().cold()).isEqualTo(ColdLimit.of(7.1, 4.5));
+        assertThat(settings.service("s2").orElseThrow().cold()).isEqualTo(ColdLimit.MALFORMED);
+    }
+
     @Test
     void aMalformedRegistrationIsSkipped() {
         String[] malformed = {
--- a/src/test/java/ebonygw/platform/WireNamesTest.java
+++ b/src/test/java/ebonygw/platform/WireNamesTest.java
@@ -34,7 +34,12 @@
                     "fencing_token\":",
                     "ebonygw_config",
                     "quota_tolerance",
-                    "retry_budget_ratio");
+                    "retry_budget_ratio",
+                    "cold_remaining_ms",
+                    "cold-remaining-ms",
+                    "cold_per_s",
+                    "cold_start_s",
+                    "cold_overage");
 
     @Test
     void platformNamesAppearOnlyInThePlatformPackage() throws IOException {
