Limit the requests to cold targets over all entries

Cause: a target that has just started got its full part of the load: 50 of 100 requests in a second with two targets, where 15 are allowed. Change: package ebonygw.warmup. At most four entries are designated for a cold target by rendezvous hashing, those of its region first. Each has a token bucket of one token; burst and rate over 1.4 s add up to the limit. An entry counts registrations for 15 s, must have known its own for 6 s, and needs a view of at most 2.5 s. GatewayTarget.unavailability has the reason COLD. Tokens are withdrawn when an attempt is sent and given back after a 421 or an attempt that was not sent. Attempts that wait for a connection to a cold target are withdrawn after 250 ms, and when it becomes cold. Enabled by bounds.cold_overage and cold_per_s only. Without the hook in GatewayTarget five of the seven tests of ColdTargetLoadTest fail.

--- a/src/main/java/ebonygw/gateway/EntryDirectory.java
+++ b/src/main/java/ebonygw/gateway/EntryDirectory.java
@@ -13,6 +13,7 @@
 import ebonygw.membership.ProcessLease;
 import ebonygw.protocol.NodeId;
 import ebonygw.protocol.Outbox;
+import ebonygw.warmup.EntryView;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,7 @@
     private final PrefixMirror mMirror;
     private final ProcessLease mLease;
     private final Map<NodeId, Member> mEntries = new TreeMap<>();
+    private long mOwnRevision;
     private long mRecoveredNanos = Long.MIN_VALUE;
     private long mRegisteredLease;
     private long mRegisterRequestId;
@@ -69,6 +71,15 @@
         return mMirror.ageMillis(nowNanos);
     }
 
+    /** Returns the registrations with what tells how far they can be relied upon. */
+    EntryView view(long nowNanos) {
+        return new EntryView(
+                entries(),
+                isRegistered() ? mOwnRevision : 0,
+                ageMillis(nowNanos),
+                mMirror.recoveredNanos());
+    }
+
     /** Returns whether this entry is among the registrations. */
     boolean isRegistered() {
         return mEntries.containsKey(mSelf.id());
@@ -123,6 +134,9 @@
     /** Applies a changed or removed registration; a malformed one is logged and ignored. */
     private void apply(PrefixMirror.Change change) {
         NodeId id = new NodeId(change.key().substring(Presence.KEY_PREFIX.length()));
+        if (id.equals(mSelf.id()) && change.entry() != null) {
+            mOwnRevision = change.entry().modRevision();
+        }
         if (change.entry() == null) {
             mEntries.remove(id);
             return;
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -1,6 +1,8 @@
 package ebonygw.gateway;
 
 import ebonygw.log.LogLine;
+import ebonygw.warmup.ColdTarget;
+import ebonygw.warmup.ColdToken;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -67,6 +69,7 @@
         pending.mAwaitedTargetId = id;
         pending.mAwaitedWithinObjective = withinObjective;
         target.onWaiting(adapter, wanted, withinObjective);
+        target.cold().ifPresent(ColdTarget::onWaiting);
         mOut.log(
                 LogLine.of("adapter_awaited")
                         .with("request", pending.mRequest.id())
@@ -113,6 +116,30 @@
         }
     }
 
+    /**
+     * Returns how long it takes until the first target of a service takes a request again, if all
+     * of them are cold without a free share or, some of them, paused.
+     */
+    Optional<Long> coldNanos(String service, long nowNanos) {
+        long earliest = Long.MAX_VALUE;
+        boolean anyCold = false;
+        for (GatewayTarget target : mTargets.ofService(service)) {
+            switch (target.unavailability(nowNanos)) {
+                case LEAVING -> {}
+                case PAUSED -> earliest = Math.min(earliest, target.pausedUntilNanos() - nowNanos);
+                case COLD -> {
+                    anyCold = true;
+                    long free = target.cold().orElseThrow().untilFreeNanos(nowNanos);
+                    earliest = Math.min(earliest, free);
+                }
+                default -> {
+                    return Optional.empty();
+                }
+            }
+        }
+        return anyCold ? Optional.of(earliest) : Optional.empty();
+    }
+
     /** Ends the wait of a request for its adapter; does nothing if it does not wait. */
     void endWait(PendingRequest pending) {
         GatewayTarget target = mTargets.get(pending.mAwaitedTargetId);
@@ -120,6 +147,7 @@
         if (target != null) {
             target.needs()
                     .onWaitingEnded(pending.mRequest.adapter(), pending.mAwaitedWithinObjective);
+            target.cold().ifPresent(ColdTarget::onWaitingEnded);
         }
     }
 
@@ -185,6 +213,9 @@
             return;
         }
         String adapter = pending.mRequest.adapter();
+        if (status == MISDIRECTED) {
+            returnColdToken(pending);
+        }
         if (status == MISDIRECTED && !adapter.isEmpty()) {
             target.onAdapterAbsent(adapter, nowNanos);
         } else {
@@ -201,6 +232,14 @@
         pending.mPrefillTokens = 0;
     }
 
+    /**
+     * Returns the token of the current attempt, which did not reach its target or does not count.
+     */
+    void returnColdToken(PendingRequest pending) {
+        pending.mColdToken.giveBack();
+        pending.mColdToken = ColdToken.NONE;
+    }
+
     /**
      * Sends a request to a target.
      *
@@ -226,10 +265,11 @@
         String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.promptCache().cachedTokens(cacheOwner, request.promptParts());
         pending.mPrefillTokens = Math.max(0, request.promptTokens() - cached);
+        pending.mColdToken = target.cold().map(it -> it.withdraw(nowNanos)).orElse(ColdToken.NONE);
         target.onSent(request.adapter(), pending.mPrefillTokens);
         mMeanPrefillTokens += MEAN_WEIGHT * (pending.mPrefillTokens - mMeanPrefillTokens);
         target.promptCache().onPromptSent(cacheOwner, request.promptParts());
-        mOut.log(
+        LogLine line =
                 LogLine.of("attempt_sent")
                         .with("request", request.id())
                         .with("attempt", pending.mAttempts)
@@ -242,7 +282,9 @@
                         .with("adapter", request.adapter())
                         .with("version", wanted)
                         .with("parts", String.join(",", request.sharedPartIds()))
-                        .with("left_ms", remainingNanos / 1_000_000));
+                        .with("left_ms", remainingNanos / 1_000_000);
+        target.cold().ifPresent(cold -> logCold(line, pending, cold, nowNanos));
+        mOut.log(line);
         mOut.effect(
                 new GatewayEffect.Attempt(
                         pending.mExchange,
@@ -258,6 +300,24 @@
                                 remainingNanos)));
     }
 
+    /** Adds the state of the chosen target to a line, and how many cold ones were passed over. */
+    private void logCold(LogLine line, PendingRequest pending, ColdTarget cold, long nowNanos) {
+        long passed =
+                mTargets.ofService(pending.mService).stream()
+                        .filter(it -> !it.record().id().equals(pending.mTargetId))
+                        .filter(
+                                it ->
+                                        it.unavailability(nowNanos)
+                                                == GatewayTarget.Unavailability.COLD)
+                        .count();
+        if (passed > 0) {
+            line.with("cold_passed", passed);
+        }
+        if (pending.mColdToken != ColdToken.NONE) {
+            line.withAll(cold.logFields(nowNanos));
+        }
+    }
+
     /** Returns this entry's part of the connections that a target of a service accepts. */
     private int maxConnections(String service) {
         int accepted = mOperator.service(service).map(GatewayService::maxConnections).orElse(1);
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -12,6 +12,9 @@
 import ebonygw.protocol.NodeId;
 import ebonygw.routing.LinkSets;
 import ebonygw.routing.RouterOptions;
+import ebonygw.warmup.ColdLimit;
+import ebonygw.warmup.TargetRegistration;
+import ebonygw.warmup.WarmUp;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +60,10 @@
     private final TargetTable mTargets;
     private final PromptGuard mGuard;
     private final PendingRequests mRequests;
+
+    /** Cold targets, empty if they get as many requests as others. */
+    private final Optional<WarmUp> mWarmUp;
+
     private final Map<NodeId, Long> mConnectedPeers = new HashMap<>();
     private Set<Member> mPublishedLinks = Set.of();
     private boolean mLinksChanged = true;
@@ -81,6 +89,16 @@
         mGuard = new PromptGuard(self.id(), random.nextLong(), mRequestIds, mOut);
         mRequests =
                 new PendingRequests(options, mOperator, mTargets, mQuota, mGuard, mFleetSize, mOut);
+        mWarmUp =
+                options.cold()
+                        .map(
+                                cold ->
+                                        new WarmUp(
+                                                cold,
+                                                self,
+                                                this::coldLimit,
+                                                mOut::log,
+                                                this::withdraw));
     }
 
     /** Returns the state as maps, lists, strings and numbers for JSON, without secrets. */
@@ -107,6 +125,7 @@
         dump.put("wantedVersions", mOperator.wantedVersions());
         dump.put("targetsLeaving", count(GatewayTarget.Unavailability.LEAVING, nowNanos));
         dump.put("targetsPaused", count(GatewayTarget.Unavailability.PAUSED, nowNanos));
+        mWarmUp.ifPresent(it -> dump.put("cold", it.dump(nowNanos)));
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
         dump.put("targets", targets);
@@ -192,6 +211,7 @@
             GatewayTarget removed = mTargets.remove(id);
             if (removed != null) {
                 mLinksChanged = true;
+                mWarmUp.ifPresent(it -> it.onTargetGone(id));
                 endIncarnation(removed.record(), nowNanos);
                 mOut.log(LogLine.of("target_gone").with("target", id));
             }
@@ -206,7 +226,8 @@
             endIncarnation(known.record(), nowNanos);
         }
         mLinksChanged |= changed || !known.record().service().equals(record.service());
-        mTargets.put(record);
+        GatewayTarget target = mTargets.put(record);
+        mWarmUp.ifPresent(it -> target.setCold(it.onRegistration(registration(record), nowNanos)));
         if (changed) {
             mOut.log(
                     LogLine.of("target_seen")
@@ -218,6 +239,10 @@
         }
     }
 
+    private ColdLimit coldLimit(String service) {
+        return mOperator.service(service).map(GatewayService::cold).orElse(ColdLimit.NONE);
+    }
+
     private long count(GatewayTarget.Unavailability why, long nowNanos) {
         return mTargets.all().stream().filter(it -> it.unavailability(nowNanos) == why).count();
     }
@@ -285,6 +310,7 @@
     private void onSettings(GatewaySettings settings, long nowNanos) {
         mLinksChanged = true;
         mQuota.onSettings(settings.customers(), nowNanos);
+        mWarmUp.ifPresent(it -> it.onMalformedLimits(settings.malformedColdLimits()));
     }
 
     private void onStop(long nowNanos) {
@@ -308,6 +334,7 @@
                 mDirectory.ageMillis(nowNanos),
                 nowNanos);
         applyTargetChanges(nowNanos);
+        mWarmUp.ifPresent(it -> it.onTick(mDirectory.view(nowNanos), nowNanos));
         mRequests.onTick(nowNanos);
         mGuard.onTick(nowNanos);
         mRequests.dispatchWaiting(nowNanos);
@@ -383,6 +410,16 @@
         }
     }
 
+    private static TargetRegistration registration(TargetRecord record) {
+        return new TargetRegistration(
+                record.id(),
+                record.address(),
+                record.service(),
+                record.locality(),
+                record.startedAtMillis(),
+                record.coldRemaining());
+    }
+
     /** Sends the adapter needs at a target to its loader if they are due. */
     private void sendNeeds(GatewayTarget target, long nowNanos) {
         if (target.isLoaderUp()) {
@@ -392,4 +429,8 @@
                     .ifPresent(needs -> mOut.send(target.loader(), needs));
         }
     }
+
+    private void withdraw(String address) {
+        mOut.effect(new GatewayEffect.WithdrawWaiting(address));
+    }
 }
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -1,7 +1,9 @@
 package ebonygw.gateway;
 
 import ebonygw.membership.Member;
+import ebonygw.warmup.ColdOptions;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Options of a {@link GatewayNode}.
@@ -19,6 +21,7 @@
  * @param maxSettingsAgeNanos time after the key-value service last confirmed the configuration in
  *     which it still decides that a route or key does not exist, positive
  * @param seed seed of random decisions
+ * @param cold bound on the requests to cold targets, empty if they get as many as others
  */
 public record GatewayOptions(
         Member self,
@@ -32,7 +35,8 @@
         long acceptNanos,
         long graceNanos,
         long maxSettingsAgeNanos,
-        long seed) {
+        long seed,
+        Optional<ColdOptions> cold) {
     /**
      * Creates options.
      *
@@ -42,6 +46,7 @@
     public GatewayOptions {
         Objects.requireNonNull(self, "self");
         Objects.requireNonNull(reader, "reader");
+        Objects.requireNonNull(cold, "cold");
         if (loaderPort < 1 || retryRatio < 0 || retryExtra < 0 || retryWindowNanos <= 0) {
             throw new IllegalArgumentException(
                     "loaderPort must be at least 1, retryRatio and retryExtra not negative,"
@@ -66,4 +71,52 @@
                             + acceptNanos);
         }
     }
+
+    /** Creates options without a bound on the requests to cold targets. */
+    public GatewayOptions(
+            Member self,
+            StoreReader reader,
+            int loaderPort,
+            double quotaToleranceTokens,
+            double quotaOverage,
+            double retryRatio,
+            double retryExtra,
+            long retryWindowNanos,
+            long acceptNanos,
+            long graceNanos,
+            long maxSettingsAgeNanos,
+            long seed) {
+        this(
+                self,
+                reader,
+                loaderPort,
+                quotaToleranceTokens,
+                quotaOverage,
+                retryRatio,
+                retryExtra,
+                retryWindowNanos,
+                acceptNanos,
+                graceNanos,
+                maxSettingsAgeNanos,
+                seed,
+                Optional.empty());
+    }
+
+    /** Returns a copy of these options with a bound on the requests to cold targets. */
+    public GatewayOptions withCold(Optional<ColdOptions> bound) {
+        return new GatewayOptions(
+                self,
+                reader,
+                loaderPort,
+                quotaToleranceTokens,
+                quotaOverage,
+                retryRatio,
+                retryExtra,
+                retryWindowNanos,
+                acceptNanos,
+                graceNanos,
+                maxSettingsAgeNanos,
+                seed,
+                bound);
+    }
 }
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -5,12 +5,14 @@
 import ebonygw.request.AdapterVersion;
 import ebonygw.routing.RouterOptions;
 import ebonygw.routing.TargetHealth;
+import ebonygw.warmup.ColdTarget;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -41,7 +43,9 @@
         /** It failed several times in a row. */
         EJECTED,
         /** It rejected a request a moment ago. */
-        REJECTED
+        REJECTED,
+        /** It is cold, and this entry has no token for it. */
+        COLD
     }
 
     final TargetHealth mHealth;
@@ -81,6 +85,9 @@
     /** Notices of the present incarnation. */
     private IncarnationNotices.Held mNotices;
 
+    /** Its state as a target that may be cold, null if that is not limited. */
+    private ColdTarget mCold;
+
     GatewayTarget(TargetRecord record, IncarnationNotices.Held notices, RouterOptions options) {
         mHealth = new TargetHealth(options);
         mNotices = notices;
@@ -127,7 +134,12 @@
         if (mHealth.isEjected(nowNanos)) {
             return Unavailability.EJECTED;
         }
-        return nowNanos < mAvoidUntilNanos ? Unavailability.REJECTED : Unavailability.NONE;
+        if (nowNanos < mAvoidUntilNanos) {
+            return Unavailability.REJECTED;
+        }
+        return mCold != null && mCold.isClosed(nowNanos)
+                ? Unavailability.COLD
+                : Unavailability.NONE;
     }
 
     /** Returns when the latest pause ends, {@link Long#MIN_VALUE} if there was none. */
@@ -144,6 +156,11 @@
         return Math.max(mOutstanding, mReportedLoad + mSentSinceReport - mEndedSinceReport);
     }
 
+    /** Returns its state as a target that may be cold, empty if that is not limited. */
+    Optional<ColdTarget> cold() {
+        return Optional.ofNullable(mCold);
+    }
+
     /** Returns the loader of the target, null before it is assigned. */
     NodeId loader() {
         return mLoader;
@@ -199,6 +216,10 @@
         mAvoidUntilNanos = Math.max(mAvoidUntilNanos, nanos);
     }
 
+    void setCold(ColdTarget cold) {
+        mCold = cold;
+    }
+
     void setLoader(NodeId loader) {
         mLoader = loader;
     }
@@ -353,6 +374,7 @@
         dump.put("loaderUp", mLoaderUp);
         dump.put("adapters", Map.copyOf(mAdapters));
         dump.put("loading", List.copyOf(mLoading));
+        cold().ifPresent(cold -> dump.put("cold", cold.dump(nowNanos)));
         return dump;
     }
 
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -1,6 +1,7 @@
 package ebonygw.gateway;
 
 import ebonygw.http.BodySummary;
+import ebonygw.warmup.ColdToken;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -45,6 +46,9 @@
     /** Incarnation of that target when the request was sent. */
     String mTargetIncarnation = "";
 
+    /** Token of the current attempt if its target is cold. */
+    ColdToken mColdToken = ColdToken.NONE;
+
     /** Prompt tokens that the current target still has to prefill, 0 once it responds. */
     long mPrefillTokens;
 
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -113,6 +113,9 @@
         if (failed.started() && !failed.deadlineExceeded() && target != null) {
             mGuard.onBroken(pending, target, nowNanos);
         }
+        if (failed.withdrawn() || !failed.mayHaveRun()) {
+            mAttempts.returnColdToken(pending);
+        }
         mAttempts.endAttempt(pending, failed.withdrawn(), nowNanos);
         if (failed.withdrawn()) {
             count("withdrawn");
@@ -258,6 +261,17 @@
         }
         TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
         if (choice == null) {
+            Optional<Long> cold = mAttempts.coldNanos(pending.mService, nowNanos);
+            if (cold.isPresent()) {
+                count("cold_refused");
+                refuse(
+                        pending,
+                        pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
+                        "all targets cold of " + pending.mService,
+                        cold.get(),
+                        nowNanos);
+                return;
+            }
             Optional<Long> pause = mAttempts.remainingPauseNanos(pending.mService, nowNanos);
             refuse(
                     pending,
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -50,26 +50,29 @@
             String awaited,
             long meanPrefillTokens,
             long nowNanos) {
-        List<GatewayTarget> usable = new ArrayList<>();
+        List<GatewayTarget> candidates = new ArrayList<>();
         for (GatewayTarget target : targets) {
-            if (target.isUsable(nowNanos) && !excluded.contains(target.record().id())) {
-                usable.add(target);
+            boolean usable =
+                    target.isUsable(nowNanos)
+                            || canWaitAtCold(target, request, wantedVersion, awaited, nowNanos);
+            if (usable && !excluded.contains(target.record().id())) {
+                candidates.add(target);
             }
         }
         boolean waits =
-                usable.stream()
+                candidates.stream()
                         .anyMatch(it -> it.record().id().equals(awaited) && canLoad(it, request));
         Choice best = null;
         boolean ranked = !request.adapter().isEmpty();
         if (ranked) {
-            usable.sort(byRank(request.adapter()));
+            candidates.sort(byRank(request.adapter()));
         }
-        for (int rank = 0; rank < usable.size(); rank++) {
+        for (int rank = 0; rank < candidates.size(); rank++) {
             Choice choice =
                     evaluate(
                             request,
                             wantedVersion,
-                            usable.get(rank),
+                            candidates.get(rank),
                             ranked ? rank : 0,
                             waits ? awaited : "",
                             meanPrefillTokens,
@@ -114,6 +117,21 @@
                 && target.record().models().containsKey(request.model());
     }
 
+    /** Returns whether a request may go on to wait at a cold target, or be sent to it. */
+    private static boolean canWaitAtCold(
+            GatewayTarget target,
+            GatewayRequest request,
+            long wantedVersion,
+            String awaited,
+            long nowNanos) {
+        return target.record().id().equals(awaited)
+                && target.unavailability(nowNanos) == GatewayTarget.Unavailability.COLD
+                && !target.cold()
+                        .orElseThrow()
+                        .isClosedToWaiting(
+                                isResident(target, request, wantedVersion, nowNanos), nowNanos);
+    }
+
     /** Returns the choice of one target with its cost, null if it cannot run the request. */
     private Choice evaluate(
             GatewayRequest request,
--- /dev/null
+++ b/src/main/java/ebonygw/warmup/TargetRegistration.java
@@ -0,0 +1,21 @@
+package ebonygw.warmup;
+
+import ebonygw.protocol.Locality;
+
+/**
+ * What a registration of a target states that its coldness depends on.
+ *
+ * @param id instance id
+ * @param address IP address and port
+ * @param service name of its service
+ * @param locality where it runs
+ * @param startedAtMillis when it started, in milliseconds since the Unix epoch
+ * @param remaining time for which it will stay cold
+ */
+public record TargetRegistration(
+        String id,
+        String address,
+        String service,
+        Locality locality,
+        long startedAtMillis,
+        ColdRemaining remaining) {}
