Merge the limit on requests to cold targets

Conflicts: the cold state is a reason of ineligibility like the others; a request withdrawn from a cold target is not sent there again, one withdrawn for another reason may be.

--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -3,6 +3,8 @@
 import ebonygw.eligibility.Ineligibility.Reason;
 import ebonygw.eligibility.RegionScope;
 import ebonygw.log.LogLine;
+import ebonygw.warmup.ColdTarget;
+import ebonygw.warmup.ColdToken;
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashSet;
@@ -83,6 +85,7 @@
         pending.mAwaitedTargetId = id;
         pending.mAwaitedWithinObjective = withinObjective;
         target.onWaiting(adapter, wanted, withinObjective);
+        target.cold().ifPresent(ColdTarget::onWaiting);
         mOut.log(
                 LogLine.of("adapter_awaited")
                         .with("request", pending.mRequest.id())
@@ -131,6 +134,34 @@
         }
     }
 
+    /**
+     * Returns how long it takes until the first target of a service takes a request again, if all
+     * of them are cold without a free share or, some of them, paused.
+     */
+    Optional<Long> coldNanos(PendingRequest pending, long nowNanos) {
+        long earliest = Long.MAX_VALUE;
+        boolean anyCold = false;
+        for (GatewayTarget target : mTargets.ofService(pending.mService)) {
+            Optional<Reason> reason = target.ineligibilityReason(pending.mRegions, nowNanos);
+            if (reason.isEmpty()) {
+                return Optional.empty();
+            }
+            switch (reason.get()) {
+                case LEAVING, OUTSIDE_REGIONS, EVACUATED -> {}
+                case PAUSED -> earliest = Math.min(earliest, target.pausedUntilNanos() - nowNanos);
+                case COLD -> {
+                    anyCold = true;
+                    long free = target.cold().orElseThrow().untilFreeNanos(nowNanos);
+                    earliest = Math.min(earliest, free);
+                }
+                default -> {
+                    return Optional.empty();
+                }
+            }
+        }
+        return anyCold ? Optional.of(earliest) : Optional.empty();
+    }
+
     /** Ends the wait of a request for its adapter; does nothing if it does not wait. */
     void endWait(PendingRequest pending) {
         GatewayTarget target = mTargets.get(pending.mAwaitedTargetId);
@@ -138,6 +169,7 @@
         if (target != null) {
             target.needs()
                     .onWaitingEnded(pending.mRequest.adapter(), pending.mAwaitedWithinObjective);
+            target.cold().ifPresent(ColdTarget::onWaitingEnded);
         }
     }
 
@@ -227,6 +259,9 @@
             return;
         }
         String adapter = pending.mRequest.adapter();
+        if (status == MISDIRECTED) {
+            returnColdToken(pending);
+        }
         if (status == MISDIRECTED && !adapter.isEmpty()) {
             target.onAdapterAbsent(adapter, nowNanos);
         } else {
@@ -272,6 +307,14 @@
         pending.mPrefillTokens = 0;
     }
 
+    /**
+     * Returns the token of the current attempt, which did not reach its target or does not count.
+     */
+    void returnColdToken(PendingRequest pending) {
+        pending.mColdToken.giveBack();
+        pending.mColdToken = ColdToken.NONE;
+    }
+
     /**
      * Sends a request to a target.
      *
@@ -299,6 +342,7 @@
         pending.mPrefillTokens = Math.max(0, request.promptTokens() - cached);
         mSpillover.ifPresent(it -> it.onSent(target, pending));
         long predicted = mSpeeds.onSent(target, pending, (long) mMeanPrefillTokens, nowNanos);
+        pending.mColdToken = target.cold().map(it -> it.withdraw(nowNanos)).orElse(ColdToken.NONE);
         target.onSent(request.adapter(), pending.mPrefillTokens);
         mMeanPrefillTokens += MEAN_WEIGHT * (pending.mPrefillTokens - mMeanPrefillTokens);
         target.promptCache().onPromptSent(cacheOwner, request.promptParts());
@@ -316,6 +360,7 @@
                         .with("version", wanted)
                         .with("parts", String.join(",", request.sharedPartIds()))
                         .with("left_ms", remainingNanos / 1_000_000);
+        target.cold().ifPresent(cold -> logCold(line, pending, cold, nowNanos));
         mOut.log(mSpeeds.describe(target, predicted, line, nowNanos));
         mOut.effect(
                 new GatewayEffect.Attempt(
@@ -341,6 +386,24 @@
         return mSpeeds;
     }
 
+    /** Adds the state of the chosen target to a line, and how many cold ones were passed over. */
+    private void logCold(LogLine line, PendingRequest pending, ColdTarget cold, long nowNanos) {
+        long passed =
+                mTargets.ofService(pending.mService).stream()
+                        .filter(it -> !it.record().id().equals(pending.mTargetId))
+                        .filter(
+                                it ->
+                                        it.ineligibilityReason(pending.mRegions, nowNanos)
+                                                .equals(Optional.of(Reason.COLD)))
+                        .count();
+        if (passed > 0) {
+            line.with("cold_passed", passed);
+        }
+        if (pending.mColdToken != ColdToken.NONE) {
+            line.withAll(cold.logFields(nowNanos));
+        }
+    }
+
     /** Returns this entry's part of the connections that a target of a service accepts. */
     private int maxConnections(String service) {
         int accepted = mOperator.service(service).map(GatewayService::maxConnections).orElse(1);
--- a/src/main/java/ebonygw/gateway/GatewayFeatures.java
+++ b/src/main/java/ebonygw/gateway/GatewayFeatures.java
@@ -1,6 +1,7 @@
 package ebonygw.gateway;
 
 import ebonygw.spillover.SpilloverOptions;
+import ebonygw.warmup.ColdOptions;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -11,13 +12,17 @@
  *     decides who is served first
  * @param spillover the operator's price of traffic between data centres, empty to compare them by
  *     constants
+ * @param cold bound on the requests to cold targets, empty if they get as many as others
  */
-public record GatewayFeatures(boolean loadShedding, Optional<SpilloverOptions> spillover) {
+public record GatewayFeatures(
+        boolean loadShedding, Optional<SpilloverOptions> spillover, Optional<ColdOptions> cold) {
     /** No feature. */
-    public static final GatewayFeatures NONE = new GatewayFeatures(false, Optional.empty());
+    public static final GatewayFeatures NONE =
+            new GatewayFeatures(false, Optional.empty(), Optional.empty());
 
     /** Creates features. */
     public GatewayFeatures {
         Objects.requireNonNull(spillover, "spillover");
+        Objects.requireNonNull(cold, "cold");
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -14,6 +14,9 @@
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.routing.RouterOptions;
+import ebonygw.warmup.ColdLimit;
+import ebonygw.warmup.TargetRegistration;
+import ebonygw.warmup.WarmUp;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.SplittableRandom;
@@ -58,6 +62,10 @@
     private final TargetTable mTargets;
     private final PromptGuard mGuard;
     private final PendingRequests mRequests;
+
+    /** Cold targets, empty if they get as many requests as others. */
+    private final Optional<WarmUp> mWarmUp;
+
     private final Map<NodeId, Long> mConnectedPeers = new HashMap<>();
     private Set<Member> mPublishedLinks = Set.of();
     private boolean mLinksChanged = true;
@@ -99,6 +107,17 @@
         mGuard = new PromptGuard(self.id(), random.nextLong(), mRequestIds, mOut);
         mRequests =
                 new PendingRequests(options, mOperator, mTargets, mQuota, mGuard, mFleetSize, mOut);
+        mWarmUp =
+                options.features()
+                        .cold()
+                        .map(
+                                cold ->
+                                        new WarmUp(
+                                                cold,
+                                                self,
+                                                this::coldLimit,
+                                                mOut::log,
+                                                this::withdraw));
     }
 
     /** Returns the state as maps, lists, strings and numbers for JSON, without secrets. */
@@ -130,6 +149,7 @@
         long evacuated = mTargets.all().stream().filter(GatewayTarget::isEvacuated).count();
         dump.put("targetsEvacuated", evacuated);
         dump.put("evacuations", mEvacuations.dump(nowNanos));
+        mWarmUp.ifPresent(it -> dump.put("cold", it.dump(nowNanos)));
         Map<String, Object> targets = new LinkedHashMap<>();
         mTargets.all().forEach(it -> targets.put(it.record().id(), it.dump(nowNanos)));
         dump.put("targets", targets);
@@ -222,6 +242,7 @@
             GatewayTarget removed = mTargets.remove(id);
             if (removed != null) {
                 mLinksChanged = true;
+                mWarmUp.ifPresent(it -> it.onTargetGone(id));
                 endIncarnation(removed.record(), nowNanos);
                 mOut.log(LogLine.of("target_gone").with("target", id));
             }
@@ -242,6 +263,7 @@
         if (started) {
             mRequests.onTargetStarted(target, nowNanos);
         }
+        mWarmUp.ifPresent(it -> target.setCold(it.onRegistration(registration(record), nowNanos)));
         if (changed) {
             mOut.log(
                     LogLine.of("target_seen")
@@ -253,6 +275,10 @@
         }
     }
 
+    private ColdLimit coldLimit(String service) {
+        return mOperator.service(service).map(GatewayService::cold).orElse(ColdLimit.NONE);
+    }
+
     /** Returns the age of what this entry knows by a source, for diagnostics. */
     private long ageMillis(Ineligibility.Source source, long sinceNanos, long nowNanos) {
         return switch (source) {
@@ -335,6 +361,7 @@
         mLinksChanged = true;
         mQuota.onSettings(settings.customers(), nowNanos);
         mResidencyChanged |= mRequests.onSettings(settings, nowNanos);
+        mWarmUp.ifPresent(it -> it.onMalformedLimits(settings.malformedColdLimits()));
         checkRegions(settings);
     }
 
@@ -375,6 +402,7 @@
                 mDirectory.ageMillis(nowNanos),
                 nowNanos);
         applyTargetChanges(nowNanos);
+        mWarmUp.ifPresent(it -> it.onTick(mDirectory.view(nowNanos), nowNanos));
         mRequests.onTick(nowNanos);
         mGuard.onTick(nowNanos);
         mRequests.dispatchWaiting(nowNanos);
@@ -465,6 +493,16 @@
         }
     }
 
+    private static TargetRegistration registration(TargetRecord record) {
+        return new TargetRegistration(
+                record.id(),
+                record.address(),
+                record.service(),
+                record.locality(),
+                record.startedAtMillis(),
+                record.coldRemaining());
+    }
+
     /** Sends the adapter needs at a target to its loader if they are due. */
     private void sendNeeds(GatewayTarget target, long nowNanos) {
         if (target.isLoaderUp()) {
@@ -505,4 +543,8 @@
             mOut.log(LogLine.of("evacuation_malformed").with("key", key));
         }
     }
+
+    private void withdraw(String address) {
+        mOut.effect(new GatewayEffect.WithdrawWaiting(address));
+    }
 }
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -99,4 +99,22 @@
                             + acceptNanos);
         }
     }
+
+    /** Returns a copy of these options with other optional features. */
+    public GatewayOptions withFeatures(GatewayFeatures newFeatures) {
+        return new GatewayOptions(
+                self,
+                reader,
+                loaderPort,
+                quotaToleranceTokens,
+                quotaOverage,
+                retryRatio,
+                retryExtra,
+                retryWindowNanos,
+                acceptNanos,
+                graceNanos,
+                maxSettingsAgeNanos,
+                seed,
+                newFeatures);
+    }
 }
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -13,6 +13,7 @@
 import ebonygw.request.AdapterVersion;
 import ebonygw.routing.RouterOptions;
 import ebonygw.routing.TargetHealth;
+import ebonygw.warmup.ColdTarget;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -96,6 +97,9 @@
     /** Notices of the present incarnation. */
     private IncarnationNotices.Held mNotices;
 
+    /** Its state as a target that may be cold, null if that is not limited. */
+    private ColdTarget mCold;
+
     /** Creates a target that no evacuation concerns. */
     GatewayTarget(TargetRecord record, IncarnationNotices.Held notices, RouterOptions options) {
         this(record, notices, options, new Evacuations(), (source, sinceNanos, nowNanos) -> -1);
@@ -223,6 +227,14 @@
                     Source.ATTEMPTS,
                     nowNanos);
         }
+        if (mCold != null && mCold.isClosed(nowNanos)) {
+            return because(
+                    Reason.COLD,
+                    mCold.receivedNanos(),
+                    OptionalLong.of(mCold.untilNanos()),
+                    Source.REGISTRATION,
+                    nowNanos);
+        }
         return Optional.empty();
     }
 
@@ -262,6 +274,11 @@
                 : nowNanos - mLoadReportedNanos;
     }
 
+    /** Returns its state as a target that may be cold, empty if that is not limited. */
+    Optional<ColdTarget> cold() {
+        return Optional.ofNullable(mCold);
+    }
+
     /** Returns the loader of the target, null before it is assigned. */
     NodeId loader() {
         return mLoader;
@@ -350,6 +367,10 @@
         mAvoidUntilNanos = Math.max(mAvoidUntilNanos, nanos);
     }
 
+    void setCold(ColdTarget cold) {
+        mCold = cold;
+    }
+
     void setLoader(NodeId loader) {
         mLoader = loader;
     }
@@ -527,6 +548,7 @@
         dump.put("loaderUp", mLoaderUp);
         dump.put("adapters", Map.copyOf(mAdapters));
         dump.put("loading", List.copyOf(mLoading));
+        cold().ifPresent(cold -> dump.put("cold", cold.dump(nowNanos)));
         return dump;
     }
 
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -2,6 +2,7 @@
 
 import ebonygw.eligibility.RegionScope;
 import ebonygw.http.BodySummary;
+import ebonygw.warmup.ColdToken;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -49,6 +50,9 @@
     /** Incarnation of that target when the request was sent. */
     String mTargetIncarnation = "";
 
+    /** Token of the current attempt if its target is cold. */
+    ColdToken mColdToken = ColdToken.NONE;
+
     /** Prompt tokens that the current target still has to prefill, 0 once it responds. */
     long mPrefillTokens;
 
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -8,6 +8,7 @@
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
+import ebonygw.warmup.ColdToken;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -135,7 +136,12 @@
         if (failed.started() && !failed.deadlineExceeded() && target != null) {
             mGuard.onBroken(pending, target, nowNanos);
         }
-        if (failed.withdrawn()) {
+        // One that waited too long for a connection to a cold target would wait there again.
+        boolean mayReturn = failed.withdrawn() && pending.mColdToken == ColdToken.NONE;
+        if (failed.withdrawn() || !failed.mayHaveRun()) {
+            mAttempts.returnColdToken(pending);
+        }
+        if (mayReturn) {
             mAttempts.onWithdrawn(pending, nowNanos);
         }
         mAttempts.endAttempt(pending, failed.withdrawn(), nowNanos);
@@ -333,6 +339,17 @@
         }
         TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
         if (choice == null) {
+            Optional<Long> cold = mAttempts.coldNanos(pending, nowNanos);
+            if (cold.isPresent()) {
+                count("cold_refused");
+                refuse(
+                        pending,
+                        pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
+                        "all targets cold of " + pending.mService,
+                        cold.get(),
+                        nowNanos);
+                return;
+            }
             refuseWithoutTarget(pending, nowNanos);
         } else if (choice.startNanos() > remaining) {
             refuse(
--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -1,5 +1,6 @@
 package ebonygw.gateway;
 
+import ebonygw.eligibility.Ineligibility.Reason;
 import ebonygw.eligibility.RegionScope;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -121,7 +122,9 @@
         boolean returning = false;
         for (GatewayTarget target : targets) {
             if (!excluded.contains(target.record().id())
-                    && target.ineligibility(regions, nowNanos).isEmpty()) {
+                    && (target.ineligibility(regions, nowNanos).isEmpty()
+                            || canWaitAtCold(
+                                    target, request, regions, wantedVersion, awaited, nowNanos))) {
                 usable.add(target);
                 returning |= target.isReturning(nowNanos);
             }
@@ -205,6 +208,22 @@
                 && target.record().models().containsKey(request.model());
     }
 
+    /** Returns whether a request may go on to wait at a cold target, or be sent to it. */
+    private static boolean canWaitAtCold(
+            GatewayTarget target,
+            GatewayRequest request,
+            RegionScope regions,
+            long wantedVersion,
+            String awaited,
+            long nowNanos) {
+        return target.record().id().equals(awaited)
+                && target.ineligibilityReason(regions, nowNanos).equals(Optional.of(Reason.COLD))
+                && !target.cold()
+                        .orElseThrow()
+                        .isClosedToWaiting(
+                                isResident(target, request, wantedVersion, nowNanos), nowNanos);
+    }
+
     /** Returns the choice of one target with its cost, null if it cannot run the request. */
     private Choice evaluate(
             GatewayRequest request,
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -14,6 +14,7 @@
 import ebonygw.request.AdapterVersion;
 import ebonygw.request.Refusal;
 import ebonygw.settings.CallerKeys;
+import ebonygw.warmup.ColdLimit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /** Runs an entry's node in virtual time with a fake key-value service that responds immediately. */
 final class GatewayFixture {
@@ -61,7 +63,16 @@
     }
 
     GatewayFixture(long seed) {
-        mNode = new GatewayNode(options(SELF, new Reader(), seed));
+        this(seed, UnaryOperator.identity());
+    }
+
+    /** Creates an entry whose options are changed by a function. */
+    GatewayFixture(UnaryOperator<GatewayOptions> change) {
+        this(1, change);
+    }
+
+    private GatewayFixture(long seed, UnaryOperator<GatewayOptions> change) {
+        mNode = new GatewayNode(change.apply(options(SELF, new Reader(), seed)));
     }
 
     /** Returns options of an entry with an empty key-value service. */
@@ -90,7 +101,11 @@
      * two replicas.
      */
     static GatewayFixture started() {
-        GatewayFixture fixture = new GatewayFixture();
+        return started(UnaryOperator.identity());
+    }
+
+    static GatewayFixture started(UnaryOperator<GatewayOptions> change) {
+        GatewayFixture fixture = new GatewayFixture(change);
         fixture.settings(settings(1, 0, 0));
         for (int i = 0; i < START_SECONDS; i++) {
             fixture.advance(1_000);
@@ -131,7 +146,13 @@
     }
 
     static GatewaySettings settings(long revision, long tokensPerSecond, long burst) {
-        return settings(revision, tokensPerSecond, burst, AllowedRegions.ANY, AllowedRegions.ANY);
+        return settings(revision, tokensPerSecond, burst, ColdLimit.NONE);
+    }
+
+    static GatewaySettings settings(
+            long revision, long tokensPerSecond, long burst, ColdLimit cold) {
+        return settings(
+                revision, tokensPerSecond, burst, AllowedRegions.ANY, AllowedRegions.ANY, cold);
     }
 
     /** Returns settings with allowed regions of all routes, and of the customer. */
@@ -141,6 +162,16 @@
             long burst,
             AllowedRegions routes,
             AllowedRegions customer) {
+        return settings(revision, tokensPerSecond, burst, routes, customer, ColdLimit.NONE);
+    }
+
+    private static GatewaySettings settings(
+            long revision,
+            long tokensPerSecond,
+            long burst,
+            AllowedRegions routes,
+            AllowedRegions customer,
+            ColdLimit cold) {
         EngineLimits engine =
                 new EngineLimits(
                         96, 100_000, 8, 35_000, Map.of("m0", new EngineLimits.Model(34_000, 40)));
@@ -154,8 +185,8 @@
                         route("ask", "/ask/", RequestKind.STREAMING, "model")
                                 .withAllowedRegions(routes)),
                 List.of(
-                        new GatewayService("desk", 110, "/health", Optional.empty()),
-                        new GatewayService("model", 500, "/health", Optional.of(engine))),
+                        new GatewayService("desk", 110, "/health", Optional.empty(), cold),
+                        new GatewayService("model", 500, "/health", Optional.of(engine), cold)),
                 List.of(
                         new GatewayCustomer(
                                 "a",
--- a/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
+++ b/src/test/java/ebonygw/platform/PlatformStoreReaderTest.java
@@ -13,6 +13,8 @@
 import ebonygw.keyvalue.KeyValueResponse.Entry;
 import ebonygw.protocol.Locality;
 import ebonygw.settings.CallerKeys;
+import ebonygw.warmup.ColdLimit;
+import ebonygw.warmup.ColdRemaining;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -139,6 +141,29 @@
         assertThat(record.draining()).isFalse();
     }
 
+    // Guards against a wrong time or limit that makes a registration or configuration unusable.
+    @Test
+    void coldTimesAndLimitsAreReadAndWrongOnesCountAsUnknown() {
+        Map<String, ColdRemaining> times =
+                Map.of(
+                        "1500", ColdRemaining.ofMillis(1_500),
+                        "-1", ColdRemaining.MALFORMED,
+                        "\"soon\"", ColdRemaining.MALFORMED);
+        times.forEach(
+                (time, expected) -> {
+                    String value = REPLICA.replace("_ms\":0", "_ms\":" + time);
+                    assertThat(mReader.target(entry("servers/i-1", value)).orElseThrow())
+                            .returns(expected, TargetRecord::coldRemaining);
+                });
+        String limited =
+                CONFIGURATION
+                        .replace("500,", "500,\"cold_start_s\":4.5,\"cold_per_s\":7.1,")
+                        .replace("110}", "110,\"cold_per_s\":-1}");
+        GatewaySettings settings = mReader.settings(entry("op/config", limited)).orElseThrow();
+        assertThat(settings.service("s1").orElseThrow().cold()).isEqualTo(ColdLimit.of(7.1, 4.5));
+        assertThat(settings.service("s2").orElseThrow().cold()).isEqualTo(ColdLimit.MALFORMED);
+    }
+
     @Test
     void aMalformedRegistrationIsSkipped() {
         String[] malformed = {
