Quotas by shares of the demand where load shedding is enabled

Cause: each entry used the whole bucket until it heard of the others, and charges made while unreachable or after a lapsed registration were counted wrongly, so that views stayed apart.

Change: SharedQuota admits this entry's part of the demand that entries report with their usage, counts all charges, sets an equal part aside for unreachable entries and aligns its level with the reported ones. Refused callers return one after the other. Enabled by 'pressure' in 'contracts' (GatewayOptions.loadShedding); FleetQuota is unchanged otherwise.

--- a/src/main/java/ebonygw/gateway/FleetQuota.java
+++ b/src/main/java/ebonygw/gateway/FleetQuota.java
@@ -14,7 +14,7 @@
  * unreachable it reserves an equal part of rate and burst. Together the entries exceed the quota by
  * at most what they admit within one exchange interval, hence the tolerance. Not thread-safe.
  */
-public final class FleetQuota {
+public final class FleetQuota implements CustomerQuota {
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** Fraction of the overage that is granted; the rest covers usage that is not reported yet. */
@@ -84,7 +84,13 @@
         return 0;
     }
 
+    @Override
+    public long charge(String customer, long tokens, int priority, long nowNanos) {
+        return charge(customer, tokens, nowNanos);
+    }
+
     /** Returns the available tokens of each limited customer, for diagnostics. */
+    @Override
     public Map<String, Long> dump() {
         Map<String, Long> availableByCustomer = new HashMap<>();
         mBuckets.forEach(
@@ -92,7 +98,7 @@
         return availableByCustomer;
     }
 
-    /** Refunds the charge of a request that did not run. */
+    @Override
     public void refund(String customer, long tokens) {
         Bucket bucket = mBuckets.get(customer);
         if (bucket != null) {
@@ -101,13 +107,13 @@
         }
     }
 
-    /** Returns a customer's available tokens, negative if overdrawn, 0 if it has no limit. */
-    long available(String customer) {
+    @Override
+    public long available(String customer) {
         Bucket bucket = mBuckets.get(customer);
         return bucket == null ? 0 : (long) bucket.mAvailable;
     }
 
-    /** Applies the tokens that another entry has charged; negative values are refunds. */
+    @Override
     public void onUsage(Map<String, Long> tokensByCustomer, long nowNanos) {
         tokensByCustomer.forEach(
                 (customer, tokens) -> {
@@ -127,6 +133,7 @@
      * @param nowNanos the current time
      * @throws IllegalArgumentException if a number is out of its bounds
      */
+    @Override
     public void onEntries(int reachable, int entries, long nowNanos) {
         if (reachable < 1 || entries < reachable) {
             throw new IllegalArgumentException(
@@ -138,7 +145,7 @@
         mBuckets.values().forEach(Bucket::capToCapacity);
     }
 
-    /** Applies the quotas of a new configuration; lower limits are in force on return. */
+    @Override
     public void onSettings(Collection<GatewayCustomer> customers, long nowNanos) {
         Objects.requireNonNull(customers, "customers");
         Map<String, Bucket> kept = new HashMap<>(mBuckets);
@@ -159,7 +166,7 @@
         }
     }
 
-    /** Returns the tokens charged since the last call, to be sent to all other entries. */
+    @Override
     public Map<String, Long> drainUnreported() {
         mUnreported.values().removeIf(tokens -> tokens == 0);
         if (mUnreported.isEmpty()) {
--- a/src/main/java/ebonygw/gateway/GatewayMessage.java
+++ b/src/main/java/ebonygw/gateway/GatewayMessage.java
@@ -107,11 +107,18 @@
      * @param customer name of the customer
      * @param tokens the tokens, less those given back
      * @param sequence sequence of the entry at which the value was set
+     * @param standing what the entry reports besides, {@link QuotaStanding#NONE} if nothing
      */
-    record CustomerTokens(String customer, long tokens, long sequence) {
+    record CustomerTokens(String customer, long tokens, long sequence, QuotaStanding standing) {
         /** Creates the value. */
         public CustomerTokens {
             Objects.requireNonNull(customer, "customer");
+            Objects.requireNonNull(standing, "standing");
+        }
+
+        /** Creates the value without a standing. */
+        public CustomerTokens(String customer, long tokens, long sequence) {
+            this(customer, tokens, sequence, QuotaStanding.NONE);
         }
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -51,7 +51,7 @@
     private final PrefixMirror mTargetMirror;
     private final EntryDirectory mDirectory;
     private final FleetSize mFleetSize = new FleetSize();
-    private final FleetQuota mQuota;
+    private final CustomerQuota mQuota;
     private final UsageExchange mUsage;
     private final TargetTable mTargets;
     private final PromptGuard mGuard;
@@ -75,7 +75,14 @@
         mTargetMirror = new PrefixMirror(options.reader().targetPrefix(), mRequestIds);
         SplittableRandom random = new SplittableRandom(options.seed());
         mDirectory = new EntryDirectory(self, mRequestIds, random.split());
-        mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
+        mQuota =
+                options.loadShedding()
+                        ? new SharedQuota(
+                                options.quotaToleranceTokens(),
+                                options.quotaOverage(),
+                                options.seed(),
+                                mOut::log)
+                        : new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
         mUsage = new UsageExchange(self.id(), self.locality(), random.nextLong(), mQuota);
         mTargets = new TargetTable(RouterOptions.defaults(self.id(), self.locality()));
         mGuard = new PromptGuard(self.id(), random.nextLong(), mRequestIds, mOut);
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -36,7 +36,7 @@
      */
     private static final int MAX_REJECTIONS = 3;
 
-    private final FleetQuota mQuota;
+    private final CustomerQuota mQuota;
     private final GatewayAdmission mAdmission;
     private final FleetRetryBudgets mRetries;
     private final GatewayAttempts mAttempts;
@@ -50,7 +50,7 @@
             GatewayOptions options,
             OperatorState operator,
             TargetTable targets,
-            FleetQuota quota,
+            CustomerQuota quota,
             PromptGuard guard,
             FleetSize fleet,
             GatewayOutbox out) {
@@ -159,10 +159,11 @@
         }
         PendingRequest pending = admission.get();
         mByExchange.put(exchange, pending);
-        long retryNanos = mQuota.charge(pending.mCustomer, pending.mCharge, nowNanos);
+        long retryNanos =
+                mQuota.charge(pending.mCustomer, pending.mCharge, pending.mPriority, nowNanos);
         if (retryNanos > 0) {
             String detail =
-                    "tokens=" + pending.mCharge + " left=" + mQuota.available(pending.mCustomer);
+                    "tokens=" + pending.mCharge + " " + mQuota.explain(pending.mCustomer, nowNanos);
             refuse(pending, RefusalCode.OVER_RATE, detail, retryNanos, nowNanos);
             return;
         }
--- a/src/main/java/ebonygw/gateway/UsageExchange.java
+++ b/src/main/java/ebonygw/gateway/UsageExchange.java
@@ -46,11 +46,29 @@
     /** Age after which an entry counts as unreachable: three renewals. */
     private static final long MAX_AGE_NANOS = 3 * RENEWAL_INTERVAL_NANOS;
 
+    /**
+     * Time for which the usage of an entry is kept after its registration has lapsed, if charges
+     * are accounted by entry. Without it, the total that an entry whose registration returns
+     * reports next would be counted as charged at that moment. Longer than any observed outage of
+     * the key-value service.
+     */
+    private static final long KEEP_LAPSED_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+    /** Maximum number of entries whose usage is kept. */
+    private static final int MAX_ROWS = 1_024;
+
+    /**
+     * Sequence up to which an entry has started a moment ago: its totals are counted in full when
+     * it is first heard of, those of an older process are not.
+     */
+    private static final long YOUNG_SEQUENCE = 20;
+
     private final NodeId mSelf;
     private final Locality mLocality;
-    private final FleetQuota mQuota;
+    private final CustomerQuota mQuota;
     private final Row mOwn;
     private final Map<NodeId, Locality> mEntries = new TreeMap<>();
+    private final Map<NodeId, Locality> mLapsedLocalities = new TreeMap<>();
     private final Map<String, List<NodeId>> mRelays = new TreeMap<>();
     private final Map<NodeId, Row> mRows = new TreeMap<>();
     private final Map<NodeId, Peer> mPeers = new TreeMap<>();
@@ -67,7 +85,7 @@
      * @param incarnation identifies this start of the process; need not be ordered
      * @param quota supplies what this entry charges and receives what others charge
      */
-    UsageExchange(NodeId self, Locality locality, long incarnation, FleetQuota quota) {
+    UsageExchange(NodeId self, Locality locality, long incarnation, CustomerQuota quota) {
         mSelf = Objects.requireNonNull(self, "self");
         mLocality = Objects.requireNonNull(locality, "locality");
         mQuota = Objects.requireNonNull(quota, "quota");
@@ -104,10 +122,11 @@
 
     /** Applies the registered entries. */
     void onEntries(Collection<Member> entries) {
+        Map<NodeId, Locality> before = Map.copyOf(mEntries);
         mEntries.clear();
         mEntries.put(mSelf, mLocality);
         entries.forEach(entry -> mEntries.put(entry.id(), entry.locality()));
-        mRows.keySet().retainAll(mEntries.keySet());
+        dropLapsed(before);
         mRelays.clear();
         mEntries.forEach(
                 (id, locality) ->
@@ -142,10 +161,26 @@
         }
         peer.mWantsUsage = usage.wanted();
         for (GatewayMessage.EntryUsage entry : usage.entries()) {
-            if (!entry.entry().equals(mSelf) && mEntries.containsKey(entry.entry())) {
+            boolean known =
+                    mEntries.containsKey(entry.entry())
+                            || mQuota.accountsByEntry() && mRows.containsKey(entry.entry());
+            if (!entry.entry().equals(mSelf) && known) {
                 apply(from, entry, nowNanos);
             }
         }
+        // After all charges, so that the reported levels are compared with one that includes them.
+        for (GatewayMessage.EntryUsage entry : usage.entries()) {
+            if (mRows.containsKey(entry.entry()) && !entry.entry().equals(mSelf)) {
+                entry.charged()
+                        .forEach(
+                                it ->
+                                        mQuota.onStanding(
+                                                entry.entry(),
+                                                it.customer(),
+                                                it.standing(),
+                                                nowNanos));
+            }
+        }
     }
 
     /** Applies the reachable entries to the quota and sends the messages that are due. */
@@ -153,23 +188,50 @@
         mReachable = 1;
         for (Map.Entry<NodeId, Row> row : mRows.entrySet()) {
             if (row.getValue() != mOwn) {
+                boolean registered = mEntries.containsKey(row.getKey());
+                if (registered) {
+                    row.getValue().mLapsedNanos = Long.MAX_VALUE;
+                } else if (row.getValue().mLapsedNanos == Long.MAX_VALUE) {
+                    row.getValue().mLapsedNanos = nowNanos;
+                }
                 row.getValue().mReachable = row.getValue().isRecent(nowNanos);
+                if (mQuota.accountsByEntry() && row.getValue().mSequence > 0) {
+                    mQuota.onReachable(row.getKey(), row.getValue().mReachable, nowNanos);
+                }
                 mReachable += row.getValue().mReachable ? 1 : 0;
             }
         }
-        mQuota.onEntries(mReachable, mEntries.size(), nowNanos);
+        mRows.entrySet()
+                .removeIf(
+                        row -> {
+                            boolean ended =
+                                    row.getValue().mLapsedNanos != Long.MAX_VALUE
+                                            && nowNanos - row.getValue().mLapsedNanos
+                                                    > KEEP_LAPSED_NANOS;
+                            if (ended) {
+                                mQuota.onRemoved(row.getKey());
+                            }
+                            return ended;
+                        });
+        mQuota.onEntries(mReachable, Math.max(mReachable, mEntries.size()), nowNanos);
         updateOwn(nowNanos);
         mPeers.forEach((id, peer) -> sendIfDue(id, peer, nowNanos, out));
     }
 
     private void apply(NodeId from, GatewayMessage.EntryUsage usage, long nowNanos) {
         Row row = mRows.computeIfAbsent(usage.entry(), id -> new Row(usage.incarnation()));
+        boolean isNew = row.mSequence == 0;
         if (row.mIncarnation != usage.incarnation()) {
             if (row.mEndedIncarnations.contains(usage.incarnation())) {
                 return;
             }
             row.restart(usage.incarnation());
+            isNew = true;
+        }
+        if (isNew) {
+            row.mStartUnknown = usage.sequence() > YOUNG_SEQUENCE;
         }
+        boolean isNewer = usage.sequence() > row.mSequence;
         if (usage.sequence() > row.mSequence) {
             row.mSequence = usage.sequence();
             row.mReceivedNanos = nowNanos;
@@ -178,9 +240,13 @@
         }
         Map<String, Long> charged = new HashMap<>();
         for (GatewayMessage.CustomerTokens tokens : usage.charged()) {
+            boolean isBaseline = row.mStartUnknown && !row.mCells.containsKey(tokens.customer());
             Cell cell = row.mCells.computeIfAbsent(tokens.customer(), c -> new Cell());
             if (tokens.sequence() > cell.mSequence) {
-                charged.merge(tokens.customer(), tokens.tokens() - cell.mTokens, Long::sum);
+                if (!isBaseline || !mQuota.accountsByEntry()) {
+                    charged.merge(tokens.customer(), tokens.tokens() - cell.mTokens, Long::sum);
+                }
+                cell.mStanding = tokens.standing();
                 cell.mTokens = tokens.tokens();
                 cell.mSequence = tokens.sequence();
                 cell.mChange = ++mChange;
@@ -188,10 +254,34 @@
                 row.mSource = from;
             }
         }
-        // The part of an unreachable entry was set aside, which covers what it has charged.
-        if (row.mReachable) {
+        if (mQuota.accountsByEntry()) {
+            if (isNewer) {
+                mQuota.onReachable(usage.entry(), true, nowNanos);
+            }
             mQuota.onUsage(charged, nowNanos);
+        } else if (row.mReachable) {
+            // The part of an unreachable entry was set aside, which covers what it has charged.
+            mQuota.onUsage(charged, nowNanos);
+        }
+    }
+
+    /** Drops the usage of entries that are not registered, unless it is still needed. */
+    private void dropLapsed(Map<NodeId, Locality> before) {
+        if (mQuota.accountsByEntry()) {
+            mLapsedLocalities.putAll(before);
+        } else {
+            mRows.keySet().retainAll(mEntries.keySet());
         }
+        mLapsedLocalities.keySet().retainAll(mRows.keySet());
+        mRows.keySet()
+                .removeIf(
+                        id -> {
+                            boolean excess = mRows.size() > MAX_ROWS && !mEntries.containsKey(id);
+                            if (excess) {
+                                mQuota.onRemoved(id);
+                            }
+                            return excess;
+                        });
     }
 
     private static long hash(NodeId id) {
@@ -199,7 +289,7 @@
     }
 
     private boolean isInRegion(NodeId entry) {
-        Locality locality = mEntries.get(entry);
+        Locality locality = mEntries.getOrDefault(entry, mLapsedLocalities.get(entry));
         return locality != null && locality.sameRegion(mLocality);
     }
 
@@ -214,7 +304,8 @@
         boolean early =
                 peer.mSentNanos != Long.MIN_VALUE
                         && nowNanos - peer.mSentNanos < SEND_INTERVAL_NANOS;
-        if (unchanged || early || !mEntries.containsKey(id)) {
+        boolean isEntry = mEntries.containsKey(id) || mLapsedLocalities.containsKey(id);
+        if (unchanged || early || !isEntry) {
             return;
         }
         boolean isUpstream = wanted && isInRegion(id);
@@ -237,25 +328,29 @@
         }
     }
 
+    /** Returns a cell of the own row, marked as changed now. */
+    private Cell changedCell(String customer) {
+        Cell cell = mOwn.mCells.computeIfAbsent(customer, c -> new Cell());
+        cell.mSequence = mOwn.mSequence;
+        cell.mChange = mChange;
+        return cell;
+    }
+
     /** Adds what this entry has charged to its own row. */
     private void updateOwn(long nowNanos) {
         Map<String, Long> charged = mQuota.drainUnreported();
         boolean due =
                 mRenewedNanos == Long.MIN_VALUE
                         || nowNanos - mRenewedNanos >= RENEWAL_INTERVAL_NANOS;
-        if (charged.isEmpty() && !due) {
+        Map<String, QuotaStanding> standings = mQuota.standings(nowNanos);
+        if (charged.isEmpty() && standings.isEmpty() && !due) {
             return;
         }
         mRenewedNanos = nowNanos;
         mOwn.mSequence++;
         mOwn.mChange = ++mChange;
-        charged.forEach(
-                (customer, tokens) -> {
-                    Cell cell = mOwn.mCells.computeIfAbsent(customer, c -> new Cell());
-                    cell.mTokens += tokens;
-                    cell.mSequence = mOwn.mSequence;
-                    cell.mChange = mChange;
-                });
+        charged.forEach((customer, tokens) -> changedCell(customer).mTokens += tokens);
+        standings.forEach((customer, standing) -> changedCell(customer).mStanding = standing);
     }
 
     /** Chooses the peers that this entry receives usage from. */
@@ -302,6 +397,7 @@
     /** All tokens that one entry has charged for one customer. */
     private static final class Cell {
         private long mTokens;
+        private QuotaStanding mStanding = QuotaStanding.NONE;
         private long mSequence;
         private long mChange;
     }
@@ -313,6 +409,13 @@
         private long mIncarnation;
         private long mSequence;
         private long mReceivedNanos;
+
+        /** When the registration was first seen to be missing, MAX_VALUE if it is there. */
+        private long mLapsedNanos = Long.MAX_VALUE;
+
+        /** Whether the entry had charged for a while when it was first heard of. */
+        private boolean mStartUnknown;
+
         private boolean mReachable;
 
         /** Number of the last change, which orders the changes of all rows. */
@@ -332,7 +435,10 @@
                         if (cell.mChange > change) {
                             charged.add(
                                     new GatewayMessage.CustomerTokens(
-                                            customer, cell.mTokens, cell.mSequence));
+                                            customer,
+                                            cell.mTokens,
+                                            cell.mSequence,
+                                            cell.mStanding));
                         }
                     });
             return new GatewayMessage.EntryUsage(entry, mIncarnation, mSequence, charged);
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -1,6 +1,7 @@
 package ebonygw.peer;
 
 import ebonygw.gateway.GatewayMessage;
+import ebonygw.gateway.QuotaStanding;
 import ebonygw.protocol.Message;
 import ebonygw.protocol.NodeId;
 import ebonygw.quarantine.Evidence;
@@ -105,10 +106,16 @@
                             .setIncarnation(entry.incarnation())
                             .setSequence(entry.sequence());
             for (GatewayMessage.CustomerTokens tokens : entry.charged()) {
-                row.addChargedBuilder()
-                        .setCustomer(tokens.customer())
-                        .setTokens(tokens.tokens())
-                        .setSequence(tokens.sequence());
+                CustomerTokens.Builder charged =
+                        row.addChargedBuilder()
+                                .setCustomer(tokens.customer())
+                                .setTokens(tokens.tokens())
+                                .setSequence(tokens.sequence());
+                if (tokens.standing().isReported()) {
+                    charged.setDemand(tokens.standing().demand())
+                            .setSmallDemand(tokens.standing().smallDemand())
+                            .setLevel(tokens.standing().level());
+                }
             }
         }
     }
@@ -168,7 +175,15 @@
             for (CustomerTokens tokens : row.getChargedList()) {
                 charged.add(
                         new GatewayMessage.CustomerTokens(
-                                tokens.getCustomer(), tokens.getTokens(), tokens.getSequence()));
+                                tokens.getCustomer(),
+                                tokens.getTokens(),
+                                tokens.getSequence(),
+                                tokens.hasDemand()
+                                        ? new QuotaStanding(
+                                                tokens.getDemand(),
+                                                tokens.getSmallDemand(),
+                                                tokens.getLevel())
+                                        : QuotaStanding.NONE));
             }
             entries.add(
                     new GatewayMessage.EntryUsage(
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -24304,6 +24304,45 @@
      * @return The sequence.
      */
     long getSequence();
+
+    /**
+     * <pre>
+     * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+     * </pre>
+     *
+     * <code>optional uint64 demand = 4;</code>
+     * @return Whether the demand field is set.
+     */
+    boolean hasDemand();
+    /**
+     * <pre>
+     * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+     * </pre>
+     *
+     * <code>optional uint64 demand = 4;</code>
+     * @return The demand.
+     */
+    long getDemand();
+
+    /**
+     * <pre>
+     * Available tokens as the entry knows them, without its charges of the last moment.
+     * </pre>
+     *
+     * <code>sint64 level = 5;</code>
+     * @return The level.
+     */
+    long getLevel();
+
+    /**
+     * <pre>
+     * Part of the demand that was requested by small requests.
+     * </pre>
+     *
+     * <code>uint64 small_demand = 6;</code>
+     * @return The smallDemand.
+     */
+    long getSmallDemand();
   }
   /**
    * Protobuf type {@code ebonygw.CustomerTokens}
@@ -24348,6 +24387,7 @@
               ebonygw.wire.PeerProtocol.CustomerTokens.class, ebonygw.wire.PeerProtocol.CustomerTokens.Builder.class);
     }
 
+    private int bitField0_;
     public static final int CUSTOMER_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object customer_ = "";
@@ -24417,6 +24457,63 @@
       return sequence_;
     }
 
+    public static final int DEMAND_FIELD_NUMBER = 4;
+    private long demand_ = 0L;
+    /**
+     * <pre>
+     * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+     * </pre>
+     *
+     * <code>optional uint64 demand = 4;</code>
+     * @return Whether the demand field is set.
+     */
+    @java.lang.Override
+    public boolean hasDemand() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+     * </pre>
+     *
+     * <code>optional uint64 demand = 4;</code>
+     * @return The demand.
+     */
+    @java.lang.Override
+    public long getDemand() {
+      return demand_;
+    }
+
+    public static final int LEVEL_FIELD_NUMBER = 5;
+    private long level_ = 0L;
+    /**
+     * <pre>
+     * Available tokens as the entry knows them, without its charges of the last moment.
+     * </pre>
+     *
+     * <code>sint64 level = 5;</code>
+     * @return The level.
+     */
+    @java.lang.Override
+    public long getLevel() {
+      return level_;
+    }
+
+    public static final int SMALL_DEMAND_FIELD_NUMBER = 6;
+    private long smallDemand_ = 0L;
+    /**
+     * <pre>
+     * Part of the demand that was requested by small requests.
+     * </pre>
+     *
+     * <code>uint64 small_demand = 6;</code>
+     * @return The smallDemand.
+     */
+    @java.lang.Override
+    public long getSmallDemand() {
+      return smallDemand_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -24440,6 +24537,15 @@
       if (sequence_ != 0L) {
         output.writeUInt64(3, sequence_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeUInt64(4, demand_);
+      }
+      if (level_ != 0L) {
+        output.writeSInt64(5, level_);
+      }
+      if (smallDemand_ != 0L) {
+        output.writeUInt64(6, smallDemand_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -24455,6 +24561,18 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, sequence_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, demand_);
+      }
+      if (level_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt64Size(5, level_);
+      }
+      if (smallDemand_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, smallDemand_);
+      }
       return size;
     }
     @java.lang.Override
@@ -24485,6 +24603,15 @@
           != other.getTokens()) return false;
       if (getSequence()
           != other.getSequence()) return false;
+      if (hasDemand() != other.hasDemand()) return false;
+      if (hasDemand()) {
+        if (getDemand()
+            != other.getDemand()) return false;
+      }
+      if (getLevel()
+          != other.getLevel()) return false;
+      if (getSmallDemand()
+          != other.getSmallDemand()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -24504,6 +24631,17 @@
       hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSequence());
+      if (hasDemand()) {
+        hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getDemand());
+      }
+      hash = (37 * hash) + LEVEL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLevel());
+      hash = (37 * hash) + SMALL_DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSmallDemand());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -24638,6 +24776,9 @@
         customer_ = "";
         tokens_ = 0L;
         sequence_ = 0L;
+        demand_ = 0L;
+        level_ = 0L;
+        smallDemand_ = 0L;
         return this;
       }
 
@@ -24680,6 +24821,18 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.sequence_ = sequence_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.demand_ = demand_;
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.level_ = level_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.smallDemand_ = smallDemand_;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -24705,6 +24858,15 @@
         if (other.getSequence() != 0L) {
           setSequence(other.getSequence());
         }
+        if (other.hasDemand()) {
+          setDemand(other.getDemand());
+        }
+        if (other.getLevel() != 0L) {
+          setLevel(other.getLevel());
+        }
+        if (other.getSmallDemand() != 0L) {
+          setSmallDemand(other.getSmallDemand());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -24744,6 +24906,21 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                demand_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                level_ = input.readSInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                smallDemand_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24921,6 +25098,150 @@
         return this;
       }
 
+      private long demand_ ;
+      /**
+       * <pre>
+       * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+       * </pre>
+       *
+       * <code>optional uint64 demand = 4;</code>
+       * @return Whether the demand field is set.
+       */
+      @java.lang.Override
+      public boolean hasDemand() {
+        return ((bitField0_ & 0x00000008) != 0);
+      }
+      /**
+       * <pre>
+       * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+       * </pre>
+       *
+       * <code>optional uint64 demand = 4;</code>
+       * @return The demand.
+       */
+      @java.lang.Override
+      public long getDemand() {
+        return demand_;
+      }
+      /**
+       * <pre>
+       * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+       * </pre>
+       *
+       * <code>optional uint64 demand = 4;</code>
+       * @param value The demand to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDemand(long value) {
+
+        demand_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Tokens per second requested at the entry; absent if it does not divide quotas by demand.
+       * </pre>
+       *
+       * <code>optional uint64 demand = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDemand() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        demand_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long level_ ;
+      /**
+       * <pre>
+       * Available tokens as the entry knows them, without its charges of the last moment.
+       * </pre>
+       *
+       * <code>sint64 level = 5;</code>
+       * @return The level.
+       */
+      @java.lang.Override
+      public long getLevel() {
+        return level_;
+      }
+      /**
+       * <pre>
+       * Available tokens as the entry knows them, without its charges of the last moment.
+       * </pre>
+       *
+       * <code>sint64 level = 5;</code>
+       * @param value The level to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLevel(long value) {
+
+        level_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Available tokens as the entry knows them, without its charges of the last moment.
+       * </pre>
+       *
+       * <code>sint64 level = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLevel() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        level_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long smallDemand_ ;
+      /**
+       * <pre>
+       * Part of the demand that was requested by small requests.
+       * </pre>
+       *
+       * <code>uint64 small_demand = 6;</code>
+       * @return The smallDemand.
+       */
+      @java.lang.Override
+      public long getSmallDemand() {
+        return smallDemand_;
+      }
+      /**
+       * <pre>
+       * Part of the demand that was requested by small requests.
+       * </pre>
+       *
+       * <code>uint64 small_demand = 6;</code>
+       * @param value The smallDemand to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSmallDemand(long value) {
+
+        smallDemand_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Part of the demand that was requested by small requests.
+       * </pre>
+       *
+       * <code>uint64 small_demand = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSmallDemand() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        smallDemand_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.CustomerTokens)
     }
 
@@ -32377,25 +32698,27 @@
       "$\n\007entries\030\003 \003(\0132\023.ebonygw.EntryUsageJ\004\010" +
       "\001\020\002\"l\n\nEntryUsage\022\r\n\005entry\030\001 \001(\t\022\023\n\013inca" +
       "rnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022(\n\007charg" +
-      "ed\030\004 \003(\0132\027.ebonygw.CustomerTokens\"D\n\016Cus" +
-      "tomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens\030" +
-      "\002 \001(\022\022\020\n\010sequence\030\003 \001(\004\"3\n\014AdapterNeeds\022" +
-      "#\n\005needs\030\001 \003(\0132\024.ebonygw.AdapterNeed\"q\n\013" +
-      "AdapterNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030" +
-      "\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r" +
-      "\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenP" +
-      "laces\022\r\n\005count\030\001 \001(\021\"`\n\016PromptEvidence\022$" +
-      "\n\005parts\030\001 \003(\0132\025.ebonygw.PartEvidence\022(\n\r" +
-      "ended_targets\030\002 \003(\0132\021.ebonygw.Sighting\"\212" +
-      "\001\n\014PartEvidence\022\014\n\004part\030\001 \001(\t\022\"\n\007crashed" +
-      "\030\002 \003(\0132\021.ebonygw.Sighting\022!\n\006broken\030\003 \003(" +
-      "\0132\021.ebonygw.Sighting\022%\n\tsurvivals\030\004 \003(\0132" +
-      "\022.ebonygw.Survivals\".\n\010Sighting\022\016\n\006targe" +
-      "t\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"R\n\tSurvivals" +
-      "\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\022\r\n\005" +
-      "count\030\003 \001(\r\022\022\n\nage_millis\030\004 \001(\r\"\"\n\013Targe" +
-      "tEnded\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebonygw.w" +
-      "ireB\014PeerProtocolb\006proto3"
+      "ed\030\004 \003(\0132\027.ebonygw.CustomerTokens\"\211\001\n\016Cu" +
+      "stomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens" +
+      "\030\002 \001(\022\022\020\n\010sequence\030\003 \001(\004\022\023\n\006demand\030\004 \001(\004" +
+      "H\000\210\001\001\022\r\n\005level\030\005 \001(\022\022\024\n\014small_demand\030\006 \001" +
+      "(\004B\t\n\007_demand\"3\n\014AdapterNeeds\022#\n\005needs\030\001" +
+      " \003(\0132\024.ebonygw.AdapterNeed\"q\n\013AdapterNee" +
+      "d\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\017\n\007w" +
+      "aiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r\022\017\n\007runnin" +
+      "g\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenPlaces\022\r\n\005c" +
+      "ount\030\001 \001(\021\"`\n\016PromptEvidence\022$\n\005parts\030\001 " +
+      "\003(\0132\025.ebonygw.PartEvidence\022(\n\rended_targ" +
+      "ets\030\002 \003(\0132\021.ebonygw.Sighting\"\212\001\n\014PartEvi" +
+      "dence\022\014\n\004part\030\001 \001(\t\022\"\n\007crashed\030\002 \003(\0132\021.e" +
+      "bonygw.Sighting\022!\n\006broken\030\003 \003(\0132\021.ebonyg" +
+      "w.Sighting\022%\n\tsurvivals\030\004 \003(\0132\022.ebonygw." +
+      "Survivals\".\n\010Sighting\022\016\n\006target\030\001 \001(\t\022\022\n" +
+      "\nage_millis\030\002 \001(\r\"R\n\tSurvivals\022\020\n\010observ" +
+      "er\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\022\r\n\005count\030\003 \001(" +
+      "\r\022\022\n\nage_millis\030\004 \001(\r\"\"\n\013TargetEnded\022\023\n\013" +
+      "incarnation\030\001 \001(\tB\034\n\014ebonygw.wireB\014PeerP" +
+      "rotocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32540,7 +32863,7 @@
     internal_static_ebonygw_CustomerTokens_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_CustomerTokens_descriptor,
-        new java.lang.String[] { "Customer", "Tokens", "Sequence", });
+        new java.lang.String[] { "Customer", "Tokens", "Sequence", "Demand", "Level", "SmallDemand", });
     internal_static_ebonygw_AdapterNeeds_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_ebonygw_AdapterNeeds_fieldAccessorTable = new
