Keep set aside what a restarted entry's former process may have used

Cause: the part of an unreachable entry came back when its next process was heard, although the former one may have used it without a report.

Both sides of a cut use a full bucket until they notice it.

--- a/src/main/java/ebonygw/gateway/UsageExchange.java
+++ b/src/main/java/ebonygw/gateway/UsageExchange.java
@@ -227,6 +227,8 @@
             }
             row.restart(usage.incarnation());
             isNew = true;
+            // What was set aside for the former process may have been used without a report.
+            mQuota.onRemoved(usage.entry());
         }
         if (isNew) {
             row.mStartUnknown = usage.sequence() > YOUNG_SEQUENCE;
