--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -56,7 +56,7 @@
     private final PrefixMirror mTargetMirror;
     private final EntryDirectory mDirectory;
     private final FleetSize mFleetSize = new FleetSize();
-    private final FleetQuota mQuota;
+    private final CustomerQuota mQuota;
     private final UsageExchange mUsage;
     private final Evacuations mEvacuations = new Evacuations();
     private final TargetTable mTargets;
@@ -97,7 +97,14 @@
         mTargetMirror = new PrefixMirror(options.reader().targetPrefix(), mRequestIds);
         SplittableRandom random = new SplittableRandom(options.seed());
         mDirectory = new EntryDirectory(self, mRequestIds, random.split());
-        mQuota = new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
+        mQuota =
+                options.features().loadShedding()
+                        ? new SharedQuota(
+                                options.quotaToleranceTokens(),
+                                options.quotaOverage(),
+                                options.seed(),
+                                mOut::log)
+                        : new FleetQuota(options.quotaToleranceTokens(), options.quotaOverage());
         mUsage = new UsageExchange(self.id(), self.locality(), random.nextLong(), mQuota);
         mTargets =
                 new TargetTable(
