Make the fair queue generic over the work that it orders

Cause: entries need start-time fair queueing over customers too, and the class was tied to the queued work of target processes. The older path behaves as before: TargetSchedulerTest, which is unchanged, passes.

--- a/src/main/java/ebonygw/scheduling/LoadPlanner.java
+++ b/src/main/java/ebonygw/scheduling/LoadPlanner.java
@@ -49,7 +49,7 @@
 
     /** Adds the loads and evictions to order now to {@code actions}. */
     void plan(
-            FairQueue queue,
+            FairQueue<QueuedWork> queue,
             long nowNanos,
             BooleanSupplier loadBudget,
             List<SchedulerAction> actions) {
@@ -170,13 +170,13 @@
      * Returns one work item for each version that is in no slot, taking customers in turn in fair
      * order, up to the maximum number of loads in flight.
      */
-    private List<QueuedWork> worksNeedingLoad(FairQueue queue, long nowNanos) {
+    private List<QueuedWork> worksNeedingLoad(FairQueue<QueuedWork> queue, long nowNanos) {
         List<QueuedWork> works = new ArrayList<>();
         if (!mayLoadMore() || queue.size() == 0) {
             return works;
         }
         List<Iterator<QueuedWork>> flows = new ArrayList<>();
-        for (FairQueue.Flow flow : queue.waitingFlowsInOrder()) {
+        for (FairQueue.Flow<QueuedWork> flow : queue.waitingFlowsInOrder()) {
             flows.add(flow.waiting().iterator());
         }
         List<AdapterVersion> seen = new ArrayList<>();
--- a/src/main/java/ebonygw/scheduling/QueuedWork.java
+++ b/src/main/java/ebonygw/scheduling/QueuedWork.java
@@ -2,9 +2,15 @@
 
 import ebonygw.request.AdapterVersion;
 import ebonygw.request.Work;
+import java.util.Comparator;
 
 /** Work in the queue of a {@link TargetScheduler}. Not thread-safe. */
-final class QueuedWork {
+final class QueuedWork implements FairQueue.Work {
+    /** Higher priority first, then earlier arrival. */
+    static final Comparator<QueuedWork> ORDER =
+            Comparator.comparingInt((QueuedWork w) -> -w.mWork.priority())
+                    .thenComparingLong(w -> w.mSequence);
+
     final Work mWork;
 
     /** The version to run on, null for plain services. */
@@ -24,4 +30,14 @@
         mQueuedNanos = queuedNanos;
         mDeadlineNanos = deadlineNanos;
     }
+
+    @Override
+    public long charge() {
+        return mWork.charge();
+    }
+
+    @Override
+    public String customer() {
+        return mWork.customer();
+    }
 }
--- a/src/main/java/ebonygw/scheduling/TargetScheduler.java
+++ b/src/main/java/ebonygw/scheduling/TargetScheduler.java
@@ -28,7 +28,7 @@
  */
 public final class TargetScheduler {
     private final SchedulerOptions mOptions;
-    private final FairQueue mQueue = new FairQueue();
+    private final FairQueue<QueuedWork> mQueue = new FairQueue<>(QueuedWork.ORDER);
     private final SlotTable mSlots = new SlotTable();
     private final EvictionPolicy mEviction;
     private final LoadFailures mFailures;
@@ -65,7 +65,11 @@
      * @return its work if it was queued; empty if it is running, has ended or is unknown
      */
     public Optional<Work> cancel(RequestId id, int attempt) {
-        Optional<QueuedWork> queued = mQueue.remove(id, attempt);
+        Optional<QueuedWork> queued =
+                mQueue.all().stream()
+                        .filter(it -> it.mWork.attempt() == attempt && it.mWork.id().equals(id))
+                        .findFirst();
+        queued.ifPresent(mQueue::remove);
         queued.ifPresent(this::releaseQueued);
         return queued.map(w -> w.mWork);
     }
@@ -298,15 +302,15 @@
      * new work would give its own customer at least as many.
      */
     private boolean makeRoom(Work work, double weight) {
-        Optional<FairQueue.Flow> largest = mQueue.mostBacklogged();
+        Optional<FairQueue.Flow<QueuedWork>> largest = mQueue.mostBacklogged();
         if (largest.isEmpty()) {
             return false;
         }
         String customer = work.customer();
         double after = (mQueue.tokens(customer) + work.charge()) / weight;
-        FairQueue.Flow flow = largest.get();
-        if (flow.mCustomer.equals(customer)
-                || mQueue.tokens(flow.mCustomer) / flow.weight() <= after) {
+        FairQueue.Flow<QueuedWork> flow = largest.get();
+        if (flow.customer().equals(customer)
+                || mQueue.tokens(flow.customer()) / flow.weight() <= after) {
             return false;
         }
         refuseQueued(flow.last(), RefusalCode.OVERLOADED, "queue of the target full");
@@ -378,7 +382,7 @@
     }
 
     private Optional<QueuedWork> firstRunnable() {
-        for (FairQueue.Flow flow : mQueue.waitingFlowsInOrder()) {
+        for (FairQueue.Flow<QueuedWork> flow : mQueue.waitingFlowsInOrder()) {
             for (QueuedWork queued : flow.waiting()) {
                 if (isRunnable(queued)) {
                     return Optional.of(queued);
