--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -3,6 +3,7 @@
 import ebonygw.protocol.NodeId;
 import ebonygw.scheduling.DecayedRate;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -31,10 +32,29 @@
     /** Number of tracked adapters above which usage of non-resident ones is discarded. */
     private static final int MAX_TRACKED_ADAPTERS = 500;
 
+    /**
+     * Every how many loads the adapter that has been waited for longest is loaded, whatever its
+     * urgency, so that it is loaded at last.
+     */
+    private static final int LOADS_PER_LONGEST_WAIT = 4;
+
+    /** Half-life of the loads given to a customer: some loads of 250 ms at four in parallel. */
+    private static final long LOADS_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Maximum number of customers whose loads are counted. */
+    private static final int MAX_CUSTOMERS = 100;
+
+    /** Maximum remaining time taken from a message; no request has a longer deadline. */
+    private static final long MAX_REMAINING_MILLIS = TimeUnit.HOURS.toMillis(1);
+
     private final Map<NodeId, Map<String, GatewayMessage.AdapterNeed>> mNeeds = new HashMap<>();
+    private final Map<NodeId, Long> mReceivedNanos = new HashMap<>();
+    private final Map<String, DecayedRate> mLoadsByCustomer = new HashMap<>();
     private final Map<String, WaitingRequests> mWaiting = new HashMap<>();
     private final Map<String, Usage> mUsage = new HashMap<>();
     private Set<String> mResident = Set.of();
+    private long mUpdatedNanos;
+    private long mLoads;
 
     /** Returns the resident adapter with the lowest usage rate, empty if all must stay. */
     Optional<String> evictionCandidate(Map<String, Long> resident, long nowNanos) {
@@ -50,10 +70,32 @@
         return Optional.ofNullable(candidate);
     }
 
+    /** Returns the inputs by which a missing adapter was ranked, for the log. */
+    String describe(String adapter, long nowNanos) {
+        WaitingRequests wait = mWaiting.get(adapter);
+        return String.format(
+                "priority=%d remaining_ms=%d waiting=%d since_ms=%d customer=%s",
+                wait.mPriority,
+                (wait.mDueNanos - nowNanos) / 1_000_000,
+                wait.mCount,
+                (nowNanos - wait.mSinceNanos) / 1_000_000,
+                wait.mCustomer);
+    }
+
+    /** Returns whether any entry reports how urgent its waiting requests are. */
+    boolean hasUrgency() {
+        return mWaiting.values().stream().anyMatch(it -> it.mHasUrgency);
+    }
+
     /**
-     * Returns the adapters to load. Adapters with more waiting requests that can still start within
-     * their latency objectives come first, then those with more waiting requests, then those that
-     * have been waited for longest.
+     * Returns the adapters to load. If entries report urgency: the most urgent priority first, then
+     * those whose requests can still start within their latency objectives, then those of the
+     * customer with the fewest recent loads, then those with the least time left; except that every
+     * fourth load is that of the adapter that has been waited for longest.
+     *
+     * <p>Otherwise adapters with more waiting requests that can still start within their latency
+     * objectives come first, then those with more waiting requests, then those that have been
+     * waited for longest.
      */
     List<String> missingAdapters(Map<String, Long> resident, List<String> loading) {
         List<String> missing = new ArrayList<>();
@@ -64,6 +106,10 @@
                         missing.add(adapter);
                     }
                 });
+        if (hasUrgency()) {
+            sortByUrgency(missing);
+            return missing;
+        }
         missing.sort(
                 Comparator.comparingInt((String adapter) -> -mWaiting.get(adapter).mWithinObjective)
                         .thenComparingInt(adapter -> -mWaiting.get(adapter).mCount)
@@ -78,10 +124,29 @@
     void onEntryDisconnected(NodeId entry, long nowNanos) {
         onNeeds(entry, List.of(), nowNanos);
         mNeeds.remove(entry);
+        mReceivedNanos.remove(entry);
+    }
+
+    /** Counts a load that is given to the customer whose requests wait for the adapter. */
+    void onLoadOrdered(String adapter, long nowNanos) {
+        WaitingRequests wait = mWaiting.get(adapter);
+        if (wait == null || !wait.mHasUrgency) {
+            return;
+        }
+        mUpdatedNanos = nowNanos;
+        mLoads++;
+        if (mLoadsByCustomer.size() >= MAX_CUSTOMERS) {
+            mLoadsByCustomer.clear();
+        }
+        mLoadsByCustomer
+                .computeIfAbsent(wait.mCustomer, c -> new DecayedRate(LOADS_HALF_LIFE_NANOS))
+                .add(1, nowNanos);
     }
 
     /** Applies all needs of an entry, which replace those it reported before. */
     void onNeeds(NodeId entry, List<GatewayMessage.AdapterNeed> needs, long nowNanos) {
+        mUpdatedNanos = nowNanos;
+        mReceivedNanos.put(entry, nowNanos);
         Map<String, GatewayMessage.AdapterNeed> current = new HashMap<>();
         for (GatewayMessage.AdapterNeed need : needs) {
             current.put(need.adapter(), need);
@@ -144,14 +209,16 @@
     /** Sums up the waiting requests of all entries by adapter. */
     private void recomputeWaiting(long nowNanos) {
         Map<String, WaitingRequests> waiting = new HashMap<>();
-        for (Map<String, GatewayMessage.AdapterNeed> needs : mNeeds.values()) {
-            for (GatewayMessage.AdapterNeed need : needs.values()) {
+        for (Map.Entry<NodeId, Map<String, GatewayMessage.AdapterNeed>> entry : mNeeds.entrySet()) {
+            for (GatewayMessage.AdapterNeed need : entry.getValue().values()) {
                 if (need.waiting() > 0) {
                     WaitingRequests wait =
                             waiting.computeIfAbsent(need.adapter(), a -> new WaitingRequests());
                     wait.mCount += need.waiting();
                     wait.mWithinObjective += need.punctual();
                     wait.mMinVersion = Math.max(wait.mMinVersion, need.version());
+                    need.urgency()
+                            .ifPresent(it -> wait.apply(it, mReceivedNanos.get(entry.getKey())));
                 }
             }
         }
@@ -164,6 +231,28 @@
         mWaiting.putAll(waiting);
     }
 
+    /** Sorts adapters by the urgency of the requests that wait for them. */
+    private void sortByUrgency(List<String> missing) {
+        Map<String, Double> loads = new HashMap<>();
+        mLoadsByCustomer.forEach(
+                (customer, rate) -> loads.put(customer, rate.count(mUpdatedNanos)));
+        missing.sort(
+                Comparator.comparingInt((String adapter) -> mWaiting.get(adapter).mPriority)
+                        .thenComparing(adapter -> mWaiting.get(adapter).mWithinObjective == 0)
+                        .thenComparingDouble(
+                                adapter -> loads.getOrDefault(mWaiting.get(adapter).mCustomer, 0.0))
+                        .thenComparingLong(adapter -> mWaiting.get(adapter).mDueNanos)
+                        .thenComparing(adapter -> adapter));
+        if (!missing.isEmpty() && mLoads % LOADS_PER_LONGEST_WAIT == LOADS_PER_LONGEST_WAIT - 1) {
+            String longest =
+                    Collections.min(
+                            missing,
+                            Comparator.comparingLong(adapter -> mWaiting.get(adapter).mSinceNanos));
+            missing.remove(longest);
+            missing.add(0, longest);
+        }
+    }
+
     private Usage usage(String adapter) {
         return mUsage.computeIfAbsent(adapter, a -> new Usage());
     }
@@ -178,5 +267,24 @@
         private long mMinVersion;
         private int mCount;
         private int mWithinObjective;
+        private boolean mHasUrgency;
+        private int mPriority = Integer.MAX_VALUE;
+        private long mDueNanos = Long.MAX_VALUE;
+        private String mCustomer = "";
+
+        /** Applies the urgency that an entry reported, if it is greater. */
+        void apply(GatewayMessage.Urgency urgency, long receivedNanos) {
+            mHasUrgency = true;
+            long dueNanos =
+                    receivedNanos
+                            + TimeUnit.MILLISECONDS.toNanos(
+                                    Math.min(MAX_REMAINING_MILLIS, urgency.remainingMillis()));
+            if (urgency.priority() < mPriority
+                    || urgency.priority() == mPriority && dueNanos < mDueNanos) {
+                mPriority = urgency.priority();
+                mDueNanos = dueNanos;
+                mCustomer = urgency.customer();
+            }
+        }
     }
 }
--- a/src/main/java/ebonygw/gateway/GatewayAdmission.java
+++ b/src/main/java/ebonygw/gateway/GatewayAdmission.java
@@ -22,7 +22,7 @@
     private static final long UNCONFIRMED_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /** Retry delay while this entry stops; short, as the caller retries at another entry. */
-    private static final long STOPPING_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    static final long STOPPING_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final OperatorState mOperator;
     private final long mMaxAgeMillis;
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -2,6 +2,7 @@
 
 import ebonygw.log.LogLine;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,19 +34,27 @@
     private final TargetTable mTargets;
     private final FleetSize mFleet;
     private final TargetChooser mChooser;
+    private final boolean mReportsUrgency;
     private final GatewayOutbox mOut;
     private double mMeanPrefillTokens;
 
+    /**
+     * Creates attempts.
+     *
+     * @param reportsUrgency whether loaders are told how urgent the waiting requests are
+     */
     GatewayAttempts(
             OperatorState operator,
             TargetTable targets,
             FleetSize fleet,
             TargetChooser chooser,
+            boolean reportsUrgency,
             GatewayOutbox out) {
         mOperator = operator;
         mTargets = targets;
         mFleet = fleet;
         mChooser = chooser;
+        mReportsUrgency = reportsUrgency;
         mOut = out;
     }
 
@@ -67,6 +76,9 @@
         pending.mAwaitedTargetId = id;
         pending.mAwaitedWithinObjective = withinObjective;
         target.onWaiting(adapter, wanted, withinObjective);
+        if (mReportsUrgency) {
+            target.needs().addWaiting(pending);
+        }
         mOut.log(
                 LogLine.of("adapter_awaited")
                         .with("request", pending.mRequest.id())
@@ -77,13 +89,17 @@
                         .with("again", alreadyWaiting));
     }
 
-    /** Returns the cheapest target that has not been tried yet, null if there is none. */
-    TargetChooser.Choice choose(PendingRequest pending, long nowNanos) {
+    /**
+     * Returns the cheapest target, null if there is none.
+     *
+     * @param excluded ids of the targets that must not be chosen
+     */
+    TargetChooser.Choice choose(PendingRequest pending, Set<String> excluded, long nowNanos) {
         return mChooser.choose(
                 pending.mRequest,
                 mOperator.wantedVersion(pending.mRequest.adapter()),
                 mTargets.ofService(pending.mService),
-                pending.mTriedTargetIds,
+                excluded,
                 pending.mAwaitedTargetId,
                 (long) mMeanPrefillTokens,
                 nowNanos);
@@ -113,6 +129,19 @@
         }
     }
 
+    /** Returns whether a usable target that has not been tried yet can run a request now. */
+    boolean canRunNow(PendingRequest pending, long nowNanos) {
+        long wanted = mOperator.wantedVersion(pending.mRequest.adapter());
+        for (GatewayTarget target : mTargets.ofService(pending.mService)) {
+            if (TargetChooser.isResident(target, pending.mRequest, wanted, nowNanos)
+                    && target.isUsable(nowNanos)
+                    && !pending.mTriedTargetIds.contains(target.record().id())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Ends the wait of a request for its adapter; does nothing if it does not wait. */
     void endWait(PendingRequest pending) {
         GatewayTarget target = mTargets.get(pending.mAwaitedTargetId);
@@ -120,6 +149,7 @@
         if (target != null) {
             target.needs()
                     .onWaitingEnded(pending.mRequest.adapter(), pending.mAwaitedWithinObjective);
+            target.needs().removeWaiting(pending);
         }
     }
 
@@ -220,6 +250,7 @@
         endWait(pending);
         pending.mResponseHeld = false;
         pending.mAttempts++;
+        pending.mSentNanos = nowNanos;
         pending.mTargetId = target.record().id();
         pending.mTargetIncarnation = target.record().incarnation();
         pending.mTriedTargetIds.add(pending.mTargetId);
--- a/src/main/java/ebonygw/gateway/GatewayMessage.java
+++ b/src/main/java/ebonygw/gateway/GatewayMessage.java
@@ -5,6 +5,7 @@
 import ebonygw.quarantine.Evidence;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /** Messages between entries that forward to targets directly and the loaders of the targets. */
 public sealed interface GatewayMessage extends Message {
@@ -17,12 +18,41 @@
      * @param punctual number of waiting requests that can still meet their latency objective
      * @param running number of requests that were sent and have not ended
      * @param sent number of requests sent since the last message
+     * @param urgency that of the waiting requests, empty if it is not reported
      */
     record AdapterNeed(
-            String adapter, long version, int waiting, int punctual, int running, int sent) {
+            String adapter,
+            long version,
+            int waiting,
+            int punctual,
+            int running,
+            int sent,
+            Optional<Urgency> urgency) {
         /** Creates the need. */
         public AdapterNeed {
             Objects.requireNonNull(adapter, "adapter");
+            Objects.requireNonNull(urgency, "urgency");
+        }
+
+        /** Creates a need that reports no urgency. */
+        public AdapterNeed(
+                String adapter, long version, int waiting, int punctual, int running, int sent) {
+            this(adapter, version, waiting, punctual, running, sent, Optional.empty());
+        }
+    }
+
+    /**
+     * Urgency of the requests that wait for an adapter.
+     *
+     * @param priority the most urgent scheduling priority of them, 0 is the highest
+     * @param remainingMillis time left of the first request of that priority until its latency
+     *     objective, or until its deadline if the objective is missed; not negative
+     * @param customer customer of that request, empty for none
+     */
+    record Urgency(int priority, long remainingMillis, String customer) {
+        /** Creates the urgency. */
+        public Urgency {
+            Objects.requireNonNull(customer, "customer");
         }
     }
 
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -101,6 +101,9 @@
         dump.put("counts", Map.copyOf(mRequests.counts()));
         dump.put("quota", mQuota.dump());
         dump.put("retryBudgets", mRequests.retryBudgets());
+        if (mOptions.loadShedding()) {
+            dump.put("overload", mRequests.overload(nowNanos));
+        }
         Map<String, List<String>> blocked = mGuard.blockedParts();
         dump.put("blockedParts", blocked);
         dump.put("blockedPartCount", blocked.size());
@@ -154,6 +157,7 @@
             mResidencyChanged = false;
             mRequests.dispatchWaiting(nowNanos);
         }
+        mRequests.releaseHeld(nowNanos);
         mTargets.all().forEach(target -> sendNeeds(target, nowNanos));
         publishLinks();
     }
@@ -373,6 +377,9 @@
     /** Exits once no request is open and no refusal can be in transmission, or after the grace. */
     private void continueStop(long nowNanos) {
         long elapsed = nowNanos - mStopRequestedNanos;
+        if (elapsed >= mOptions.graceNanos() - FINAL_RESPONSES_NANOS) {
+            mRequests.refuseHeld(nowNanos);
+        }
         boolean done =
                 mRequests.size() == 0 && elapsed >= mOptions.acceptNanos() + FINAL_RESPONSES_NANOS;
         if (done || elapsed >= mOptions.graceNanos()) {
--- a/src/main/java/ebonygw/gateway/GatewayOptions.java
+++ b/src/main/java/ebonygw/gateway/GatewayOptions.java
@@ -19,6 +19,7 @@
  * @param maxSettingsAgeNanos time after the key-value service last confirmed the configuration in
  *     which it still decides that a route or key does not exist, positive
  * @param seed seed of random decisions
+ * @param loadShedding whether requests are queued, shed and admitted by measured capacity
  */
 public record GatewayOptions(
         Member self,
@@ -32,7 +33,8 @@
         long acceptNanos,
         long graceNanos,
         long maxSettingsAgeNanos,
-        long seed) {
+        long seed,
+        boolean loadShedding) {
     /**
      * Creates options.
      *
@@ -66,4 +68,34 @@
                             + acceptNanos);
         }
     }
+
+    /** Creates options without load shedding; see the canonical constructor. */
+    public GatewayOptions(
+            Member self,
+            StoreReader reader,
+            int loaderPort,
+            double quotaToleranceTokens,
+            double quotaOverage,
+            double retryRatio,
+            double retryExtra,
+            long retryWindowNanos,
+            long acceptNanos,
+            long graceNanos,
+            long maxSettingsAgeNanos,
+            long seed) {
+        this(
+                self,
+                reader,
+                loaderPort,
+                quotaToleranceTokens,
+                quotaOverage,
+                retryRatio,
+                retryExtra,
+                retryWindowNanos,
+                acceptNanos,
+                graceNanos,
+                maxSettingsAgeNanos,
+                seed,
+                false);
+    }
 }
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -167,6 +167,11 @@
         return mOpenAdapterSlots;
     }
 
+    /** Returns the number of attempts of this entry that have not ended. */
+    int outstanding() {
+        return mOutstanding;
+    }
+
     PromptCacheEstimate promptCache() {
         return mPromptCache;
     }
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -396,6 +396,13 @@
             }
             int capacity = engine.adapterCapacity(model);
             if (resident.size() + loading.size() < capacity || resident.containsKey(adapter)) {
+                if (mDemands.hasUrgency()) {
+                    mOut.log(
+                            LogLine.of("load_ordered")
+                                    .with("adapter", adapter)
+                                    .with("why", mDemands.describe(adapter, nowNanos)));
+                }
+                mDemands.onLoadOrdered(adapter, nowNanos);
                 order(TargetOrder.Operation.LOAD, model, adapter, nowNanos);
                 return;
             }
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -54,6 +54,9 @@
     /** Whether the wait was last reported as able to meet the latency objective. */
     boolean mAwaitedWithinObjective;
 
+    /** When the current or last attempt was sent. */
+    long mSentNanos;
+
     long mStartedNanos;
 
     /** Whether the response has counted as one that its target survived. */
@@ -97,6 +100,15 @@
         return mRoute.isIdempotent() || mRoute.resumable();
     }
 
+    /**
+     * Returns the time left until the latency objective, or until the deadline if the objective is
+     * missed; not negative.
+     */
+    long remainingNanos(long nowNanos) {
+        long toObjective = mArrivedNanos + mRoute.objectiveNanos() - nowNanos;
+        return toObjective > 0 ? toObjective : Math.max(0, mDeadlineNanos - nowNanos);
+    }
+
     /** Returns whether the request waits for its adapter to be loaded. */
     boolean isWaiting() {
         return !mAwaitedTargetId.isEmpty();
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -7,11 +7,13 @@
 import ebonygw.request.Verdict;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -43,6 +45,10 @@
     private final PromptGuard mGuard;
     private final TargetTable mTargets;
     private final GatewayOutbox mOut;
+
+    /** The requests that wait for an adapter or for capacity, null without load shedding. */
+    private final HeldRequests mHeld;
+
     private final Map<Long, PendingRequest> mByExchange = new LinkedHashMap<>();
     private final Map<String, Long> mCounts = new LinkedHashMap<>();
 
@@ -58,6 +64,7 @@
         mGuard = guard;
         mTargets = targets;
         mOut = out;
+        mHeld = options.loadShedding() ? new HeldRequests(options.seed(), targets, out) : null;
         mAdmission = new GatewayAdmission(operator, options.maxSettingsAgeNanos());
         mRetries = new FleetRetryBudgets(options, fleet, out);
         mAttempts =
@@ -66,6 +73,7 @@
                         targets,
                         fleet,
                         new TargetChooser(ChooserOptions.defaults(options.self().locality())),
+                        options.loadShedding(),
                         out);
     }
 
@@ -79,6 +87,44 @@
         return mRetries.dump();
     }
 
+    /** Returns what is held and predicted, for diagnostics; empty without load shedding. */
+    Map<String, Object> overload(long nowNanos) {
+        return mHeld == null ? Map.of() : mHeld.dump(nowNanos);
+    }
+
+    /** Refuses all requests that are held, before the entry exits. */
+    void refuseHeld(long nowNanos) {
+        if (mHeld == null) {
+            return;
+        }
+        for (long exchange : mHeld.inOrder(it -> true)) {
+            PendingRequest pending = mByExchange.get(exchange);
+            refuse(
+                    pending,
+                    pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.STOPPING,
+                    "held at the end of the grace time",
+                    GatewayAdmission.STOPPING_RETRY_NANOS,
+                    nowNanos);
+        }
+    }
+
+    /** Sends held requests of plain services in order while their targets have room. */
+    void releaseHeld(long nowNanos) {
+        if (mHeld == null) {
+            return;
+        }
+        for (String service : List.copyOf(mHeld.services())) {
+            PendingRequest first = mByExchange.get(mHeld.first(service));
+            while (first != null
+                    && first.mRequest.model().isEmpty()
+                    && mHeld.hasRoom(service, nowNanos)) {
+                dispatch(first, nowNanos);
+                PendingRequest next = mByExchange.get(mHeld.first(service));
+                first = next == first ? null : next;
+            }
+        }
+    }
+
     /** Returns the number of requests that have not ended. */
     int size() {
         return mByExchange.size();
@@ -86,6 +132,10 @@
 
     /** Dispatches again all requests that wait for an adapter. */
     void dispatchWaiting(long nowNanos) {
+        if (mHeld != null) {
+            dispatchHeld(nowNanos);
+            return;
+        }
         List<PendingRequest> waiting = new ArrayList<>();
         for (PendingRequest pending : mByExchange.values()) {
             if (pending.isWaiting()) {
@@ -178,6 +228,9 @@
         }
         pending.mBody = ended.body();
         mGuard.countSurvival(pending, true, nowNanos);
+        if (mHeld != null) {
+            mHeld.onResponse(pending, nowNanos);
+        }
         count("framing_" + ended.body().framing().name().toLowerCase(Locale.ROOT));
         mAttempts.endAttempt(pending, true, nowNanos);
         end(pending, "served", nowNanos);
@@ -191,6 +244,9 @@
         mAttempts.onLoad(pending, held.load(), nowNanos);
         if (!held.run()) {
             mAttempts.onRejected(pending, held.status(), nowNanos);
+            if (mHeld != null) {
+                mHeld.onRejected(pending, nowNanos);
+            }
         }
         GatewayTarget target = mTargets.get(pending.mTargetId);
         boolean paused =
@@ -256,42 +312,96 @@
                     nowNanos);
             return;
         }
-        TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
-        if (choice == null) {
+        boolean queued =
+                mHeld != null
+                        && pending.mRequest.model().isEmpty()
+                        && !mHeld.isHeld(pending)
+                        && mHeld.isQueued(pending.mService);
+        if (queued) {
+            hold(pending, "queue", nowNanos);
+            return;
+        }
+        Set<String> excluded =
+                mHeld == null ? pending.mTriedTargetIds : mHeld.excluded(pending, nowNanos);
+        TargetChooser.Choice choice = mAttempts.choose(pending, excluded, nowNanos);
+        if (choice == null && mHeld != null && mHeld.mayWait(pending, nowNanos)) {
+            hold(pending, "no_capacity", nowNanos);
+        } else if (choice == null) {
             Optional<Long> pause = mAttempts.remainingPauseNanos(pending.mService, nowNanos);
             refuse(
                     pending,
                     pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
                     (pause.isPresent() ? "all targets pause of " : "no target of ")
                             + pending.mService,
-                    Math.max(UNAVAILABLE_RETRY_NANOS, pause.orElse(0L)),
+                    minRetryNanos(pause.orElse(0L)),
                     nowNanos);
         } else if (choice.startNanos() > remaining) {
             refuse(
                     pending,
                     pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED,
                     "would start in ms " + choice.startNanos() / 1_000_000,
-                    Math.max(UNAVAILABLE_RETRY_NANOS, choice.startNanos() - remaining),
+                    minRetryNanos(choice.startNanos() - remaining),
                     nowNanos);
         } else if (choice.resident()) {
             long quotaLeft = mQuota.available(pending.mCustomer);
             mAttempts.send(
                     pending, choice.target(), choice.costNanos(), quotaLeft, remaining, nowNanos);
+            if (mHeld != null) {
+                mHeld.release(pending, nowNanos);
+            }
         } else if (exceedsMaxWait(pending, choice.target(), nowNanos)) {
             refuse(
                     pending,
                     pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED,
                     "no place for " + pending.mRequest.adapter(),
-                    pending.mRoute.objectiveNanos(),
+                    mHeld == null ? pending.mRoute.objectiveNanos() : 0,
                     nowNanos);
-        } else {
+        } else if (mHeld == null) {
+            mAttempts.awaitAdapter(pending, choice.target(), nowNanos);
+        } else if (!needsSlot(pending, choice.target()) || !shed(pending, nowNanos)) {
             mAttempts.awaitAdapter(pending, choice.target(), nowNanos);
+            mHeld.hold(pending, "adapter", nowNanos);
+            refuseOverflow(nowNanos);
+        }
+    }
+
+    /** Refuses what has expired, and dispatches the held requests again in their order. */
+    private void dispatchHeld(long nowNanos) {
+        mHeld.onTick();
+        for (long exchange : mHeld.inOrder(it -> isExpired(it, nowNanos))) {
+            dispatch(mByExchange.get(exchange), nowNanos);
+        }
+        // Requests that can run go first, so that the others do not change the order among them.
+        List<Long> runnable = mHeld.inOrder(it -> isOfModel(it) && canRunNow(it, nowNanos));
+        runnable.forEach(exchange -> dispatchIfHeld(exchange, nowNanos));
+        Set<Long> dispatched = new HashSet<>(runnable);
+        mHeld.inOrder(it -> isOfModel(it) && !dispatched.contains(it))
+                .forEach(exchange -> dispatchIfHeld(exchange, nowNanos));
+        releaseHeld(nowNanos);
+        for (String service : List.copyOf(mHeld.services())) {
+            releaseAroundFirst(service, nowNanos);
+        }
+        Map<String, Boolean> backlogged = new LinkedHashMap<>();
+        mHeld.services().forEach(service -> backlogged.put(service, false));
+        mHeld.inOrder(this::waitsForCapacity)
+                .forEach(it -> backlogged.put(mByExchange.get(it).mService, true));
+        backlogged.forEach((service, value) -> mHeld.onBacklog(service, value, nowNanos));
+    }
+
+    /** Dispatches a held request again unless it has ended or was sent meanwhile. */
+    private void dispatchIfHeld(long exchange, long nowNanos) {
+        PendingRequest pending = mByExchange.get(exchange);
+        if (pending != null && mHeld.isHeld(pending)) {
+            dispatch(pending, nowNanos);
         }
     }
 
     private void end(PendingRequest pending, String outcome, long nowNanos) {
         mByExchange.remove(pending.mExchange);
         mAttempts.endWait(pending);
+        if (mHeld != null) {
+            mHeld.remove(pending);
+        }
         count(outcome);
         long started = pending.mStarted ? pending.mStartedNanos - pending.mArrivedNanos : -1;
         long total = nowNanos - pending.mArrivedNanos;
@@ -313,14 +423,53 @@
     }
 
     /** Returns whether a request has waited too long at a replica without open adapter slots. */
-    private static boolean exceedsMaxWait(
-            PendingRequest pending, GatewayTarget target, long nowNanos) {
+    private boolean exceedsMaxWait(PendingRequest pending, GatewayTarget target, long nowNanos) {
+        if (mHeld != null && !HeldRequests.exceedsMaxWait(pending, nowNanos)) {
+            return false;
+        }
         return pending.isWaiting()
                 && target.openAdapterSlots() < 0
                 && nowNanos - pending.mArrivedNanos
                         > MAX_WAIT_OBJECTIVES * pending.mRoute.objectiveNanos();
     }
 
+    /** Holds a request for capacity, or refuses it if it would wait too long. */
+    private void hold(PendingRequest pending, String why, long nowNanos) {
+        if (mHeld.hasRoom(pending.mService, nowNanos) || !shed(pending, nowNanos)) {
+            mHeld.hold(pending, why, nowNanos);
+            refuseOverflow(nowNanos);
+        }
+    }
+
+    private boolean canRunNow(long exchange, long nowNanos) {
+        return mAttempts.canRunNow(mByExchange.get(exchange), nowNanos);
+    }
+
+    private boolean isExpired(long exchange, long nowNanos) {
+        return mByExchange.get(exchange).mDeadlineNanos - nowNanos
+                < FleetRetryBudgets.MIN_REMAINING_NANOS;
+    }
+
+    private boolean isOfModel(long exchange) {
+        return !mByExchange.get(exchange).mRequest.model().isEmpty();
+    }
+
+    /**
+     * Returns the time before which a refused request cannot succeed; with load shedding without a
+     * constant minimum, as the delay is derived from measurements.
+     */
+    private long minRetryNanos(long knownNanos) {
+        return mHeld == null ? Math.max(UNAVAILABLE_RETRY_NANOS, knownNanos) : knownNanos;
+    }
+
+    /** Returns whether a request would need one more adapter slot than a target has open. */
+    private static boolean needsSlot(PendingRequest pending, GatewayTarget target) {
+        String adapter = pending.mRequest.adapter();
+        return target.openAdapterSlots() < 1
+                && !target.isLoading(adapter)
+                && !target.needs().isAwaited(adapter);
+    }
+
     /** Returns the request of an attempt, null if the attempt is not the current one. */
     private PendingRequest ofCurrentAttempt(long exchange, int attempt) {
         PendingRequest pending = mByExchange.get(exchange);
@@ -341,9 +490,14 @@
             PendingRequest pending,
             RefusalCode code,
             String detail,
-            long retryNanos,
+            long minRetryNanos,
             long nowNanos) {
         refund(pending);
+        boolean lacksCapacity = code == RefusalCode.OVERLOADED || code == RefusalCode.UNAVAILABLE;
+        long retryNanos =
+                mHeld != null && lacksCapacity
+                        ? mHeld.retryNanos(pending, minRetryNanos, nowNanos)
+                        : minRetryNanos;
         if (pending.mResponseHeld && pending.mMayHaveRun) {
             mOut.effect(new GatewayEffect.RelayHeldResponse(pending.mExchange));
             end(pending, "target_failed", nowNanos);
@@ -363,6 +517,18 @@
         end(pending, code.name().toLowerCase(Locale.ROOT), nowNanos);
     }
 
+    /** Refuses held requests as long as a bound on their number or size is exceeded. */
+    private void refuseOverflow(long nowNanos) {
+        long exchange = mHeld.overflow();
+        while (exchange >= 0) {
+            PendingRequest pending = mByExchange.get(exchange);
+            count("shed_bound");
+            RefusalCode code = pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED;
+            refuse(pending, code, "queue of the entry full", 0, nowNanos);
+            exchange = mHeld.overflow();
+        }
+    }
+
     /** Refuses a request that was not admitted. */
     private void refuseNew(long exchange, GatewayRequest request, Refusal refusal) {
         count(refusal.code().name().toLowerCase(Locale.ROOT));
@@ -376,6 +542,43 @@
         mOut.effect(new GatewayEffect.Refused(exchange, refusal));
     }
 
+    /**
+     * Sends held requests of a plain service whose first request has tried all targets with room.
+     */
+    private void releaseAroundFirst(String service, long nowNanos) {
+        if (!mHeld.isQueued(service) || !mHeld.hasRoom(service, nowNanos)) {
+            return;
+        }
+        for (long exchange : mHeld.inOrder(it -> !isOfModel(it))) {
+            PendingRequest pending = mByExchange.get(exchange);
+            if (pending != null
+                    && pending.mService.equals(service)
+                    && mHeld.hasRoom(service, nowNanos)) {
+                dispatchIfHeld(exchange, nowNanos);
+            }
+        }
+    }
+
+    /** Refuses a request whose predicted wait is too long; returns whether it did. */
+    private boolean shed(PendingRequest pending, long nowNanos) {
+        long wait = mHeld.excessiveWaitNanos(pending, nowNanos);
+        if (wait == 0) {
+            return false;
+        }
+        count("shed_predicted");
+        RefusalCode code = pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED;
+        refuse(pending, code, "would wait ms " + wait / 1_000_000, wait, nowNanos);
+        return true;
+    }
+
+    /** Returns whether a held request waits for room at a target or for an adapter slot. */
+    private boolean waitsForCapacity(long exchange) {
+        PendingRequest pending = mByExchange.get(exchange);
+        GatewayTarget target = mTargets.get(pending.mAwaitedTargetId);
+        return pending.mRequest.model().isEmpty()
+                || target != null && target.openAdapterSlots() < 0;
+    }
+
     /**
      * Dispatches a request again after a failed attempt if the verdict, the route and the retry
      * budget allow it; refuses it otherwise.
@@ -404,7 +607,7 @@
         } else if (pending.mMayHaveRun) {
             refuse(pending, RefusalCode.LOST, why, 0, nowNanos);
         } else {
-            refuse(pending, RefusalCode.UNAVAILABLE, why, UNAVAILABLE_RETRY_NANOS, nowNanos);
+            refuse(pending, RefusalCode.UNAVAILABLE, why, minRetryNanos(0), nowNanos);
         }
     }
 }
--- a/src/main/java/ebonygw/gateway/TargetNeeds.java
+++ b/src/main/java/ebonygw/gateway/TargetNeeds.java
@@ -1,10 +1,13 @@
 package ebonygw.gateway;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -53,13 +56,27 @@
                                     need.mWaiting,
                                     need.mWithinObjective,
                                     need.mRunning,
-                                    need.mSent));
+                                    need.mSent,
+                                    need.urgency(nowNanos)));
                     need.mSent = 0;
                 });
         mNeeds.values().removeIf(need -> need.mWaiting == 0 && need.mRunning == 0);
         return Optional.of(needs);
     }
 
+    /** Adds a request, registered by {@link #onWaiting}, to those whose urgency is reported. */
+    void addWaiting(PendingRequest pending) {
+        mNeeds.get(pending.mRequest.adapter()).mRequests.add(pending);
+    }
+
+    /** Removes a request from those whose urgency is reported. */
+    void removeWaiting(PendingRequest pending) {
+        Need need = mNeeds.get(pending.mRequest.adapter());
+        if (need != null) {
+            need.mRequests.remove(pending);
+        }
+    }
+
     /** Returns whether any request waits for an adapter. */
     boolean isAwaited(String adapter) {
         Need need = mNeeds.get(adapter);
@@ -127,10 +144,24 @@
     }
 
     private static final class Need {
+        private final Set<PendingRequest> mRequests = new LinkedHashSet<>();
         private long mMinVersion;
         private int mWaiting;
         private int mWithinObjective;
         private int mRunning;
         private int mSent;
+
+        private Optional<GatewayMessage.Urgency> urgency(long nowNanos) {
+            return mRequests.stream()
+                    .min(
+                            Comparator.comparingInt((PendingRequest it) -> it.mPriority)
+                                    .thenComparingLong(it -> it.remainingNanos(nowNanos)))
+                    .map(
+                            it ->
+                                    new GatewayMessage.Urgency(
+                                            it.mPriority,
+                                            it.remainingNanos(nowNanos) / 1_000_000,
+                                            it.mCustomer));
+        }
     }
 }
--- a/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
+++ b/src/main/java/ebonygw/peer/GatewayFamilyCodec.java
@@ -62,13 +62,19 @@
 
     private static void encode(GatewayMessage.AdapterNeeds needs, AdapterNeeds.Builder to) {
         for (GatewayMessage.AdapterNeed need : needs.needs()) {
-            to.addNeedsBuilder()
-                    .setAdapter(need.adapter())
+            AdapterNeed.Builder row = to.addNeedsBuilder();
+            row.setAdapter(need.adapter())
                     .setVersion(need.version())
                     .setWaiting(need.waiting())
                     .setPunctual(need.punctual())
                     .setRunning(need.running())
                     .setSent(need.sent());
+            need.urgency()
+                    .ifPresent(
+                            it ->
+                                    row.setUrgency(it.priority() + 1)
+                                            .setRemainingMs(it.remainingMillis())
+                                            .setCustomer(it.customer()));
         }
     }
 
@@ -156,11 +162,21 @@
                             need.getWaiting(),
                             need.getPunctual(),
                             need.getRunning(),
-                            need.getSent()));
+                            need.getSent(),
+                            urgency(need)));
         }
         return new GatewayMessage.AdapterNeeds(needs);
     }
 
+    /** Returns the urgency of a need, empty if it is not reported or out of its bounds. */
+    private static Optional<GatewayMessage.Urgency> urgency(AdapterNeed need) {
+        return need.getUrgency() > 0 && need.getRemainingMs() >= 0
+                ? Optional.of(
+                        new GatewayMessage.Urgency(
+                                need.getUrgency() - 1, need.getRemainingMs(), need.getCustomer()))
+                : Optional.empty();
+    }
+
     private static GatewayMessage.Usage usage(GatewayUsage from) {
         List<GatewayMessage.EntryUsage> entries = new ArrayList<>();
         for (EntryUsage row : from.getEntriesList()) {
--- a/src/main/java/ebonygw/wire/PeerProtocol.java
+++ b/src/main/java/ebonygw/wire/PeerProtocol.java
@@ -25783,6 +25783,47 @@
      * @return The sent.
      */
     int getSent();
+
+    /**
+     * <pre>
+     * Most urgent priority of the waiting requests plus 1, 0 if it is not reported.
+     * </pre>
+     *
+     * <code>uint32 urgency = 7;</code>
+     * @return The urgency.
+     */
+    int getUrgency();
+
+    /**
+     * <pre>
+     * Time left of the first waiting request of that priority: until its latency objective, or until
+     * its deadline if the objective is missed.
+     * </pre>
+     *
+     * <code>uint64 remaining_ms = 8;</code>
+     * @return The remainingMs.
+     */
+    long getRemainingMs();
+
+    /**
+     * <pre>
+     * Customer of that request.
+     * </pre>
+     *
+     * <code>string customer = 9;</code>
+     * @return The customer.
+     */
+    java.lang.String getCustomer();
+    /**
+     * <pre>
+     * Customer of that request.
+     * </pre>
+     *
+     * <code>string customer = 9;</code>
+     * @return The bytes for customer.
+     */
+    com.google.protobuf.ByteString
+        getCustomerBytes();
   }
   /**
    * Protobuf type {@code ebonygw.AdapterNeed}
@@ -25807,6 +25848,7 @@
     }
     private AdapterNeed() {
       adapter_ = "";
+      customer_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -25933,6 +25975,84 @@
       return sent_;
     }
 
+    public static final int URGENCY_FIELD_NUMBER = 7;
+    private int urgency_ = 0;
+    /**
+     * <pre>
+     * Most urgent priority of the waiting requests plus 1, 0 if it is not reported.
+     * </pre>
+     *
+     * <code>uint32 urgency = 7;</code>
+     * @return The urgency.
+     */
+    @java.lang.Override
+    public int getUrgency() {
+      return urgency_;
+    }
+
+    public static final int REMAINING_MS_FIELD_NUMBER = 8;
+    private long remainingMs_ = 0L;
+    /**
+     * <pre>
+     * Time left of the first waiting request of that priority: until its latency objective, or until
+     * its deadline if the objective is missed.
+     * </pre>
+     *
+     * <code>uint64 remaining_ms = 8;</code>
+     * @return The remainingMs.
+     */
+    @java.lang.Override
+    public long getRemainingMs() {
+      return remainingMs_;
+    }
+
+    public static final int CUSTOMER_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object customer_ = "";
+    /**
+     * <pre>
+     * Customer of that request.
+     * </pre>
+     *
+     * <code>string customer = 9;</code>
+     * @return The customer.
+     */
+    @java.lang.Override
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Customer of that request.
+     * </pre>
+     *
+     * <code>string customer = 9;</code>
+     * @return The bytes for customer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -25965,6 +26085,15 @@
       if (sent_ != 0) {
         output.writeUInt32(6, sent_);
       }
+      if (urgency_ != 0) {
+        output.writeUInt32(7, urgency_);
+      }
+      if (remainingMs_ != 0L) {
+        output.writeUInt64(8, remainingMs_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 9, customer_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -25992,6 +26121,17 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(6, sent_);
       }
+      if (urgency_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(7, urgency_);
+      }
+      if (remainingMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(8, remainingMs_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(9, customer_);
+      }
       return size;
     }
     @java.lang.Override
@@ -26028,6 +26168,12 @@
           != other.getRunning()) return false;
       if (getSent()
           != other.getSent()) return false;
+      if (getUrgency()
+          != other.getUrgency()) return false;
+      if (getRemainingMs()
+          != other.getRemainingMs()) return false;
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -26052,6 +26198,13 @@
       hash = (53 * hash) + getRunning();
       hash = (37 * hash) + SENT_FIELD_NUMBER;
       hash = (53 * hash) + getSent();
+      hash = (37 * hash) + URGENCY_FIELD_NUMBER;
+      hash = (53 * hash) + getUrgency();
+      hash = (37 * hash) + REMAINING_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRemainingMs());
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -26189,6 +26342,9 @@
         punctual_ = 0;
         running_ = 0;
         sent_ = 0;
+        urgency_ = 0;
+        remainingMs_ = 0L;
+        customer_ = "";
         return this;
       }
 
@@ -26240,6 +26396,15 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.sent_ = sent_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.urgency_ = urgency_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.remainingMs_ = remainingMs_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.customer_ = customer_;
+        }
       }
 
       @java.lang.Override
@@ -26274,6 +26439,17 @@
         if (other.getSent() != 0) {
           setSent(other.getSent());
         }
+        if (other.getUrgency() != 0) {
+          setUrgency(other.getUrgency());
+        }
+        if (other.getRemainingMs() != 0L) {
+          setRemainingMs(other.getRemainingMs());
+        }
+        if (!other.getCustomer().isEmpty()) {
+          customer_ = other.customer_;
+          bitField0_ |= 0x00000100;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -26328,6 +26504,21 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 48
+              case 56: {
+                urgency_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                remainingMs_ = input.readUInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 74: {
+                customer_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -26613,6 +26804,189 @@
         return this;
       }
 
+      private int urgency_ ;
+      /**
+       * <pre>
+       * Most urgent priority of the waiting requests plus 1, 0 if it is not reported.
+       * </pre>
+       *
+       * <code>uint32 urgency = 7;</code>
+       * @return The urgency.
+       */
+      @java.lang.Override
+      public int getUrgency() {
+        return urgency_;
+      }
+      /**
+       * <pre>
+       * Most urgent priority of the waiting requests plus 1, 0 if it is not reported.
+       * </pre>
+       *
+       * <code>uint32 urgency = 7;</code>
+       * @param value The urgency to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUrgency(int value) {
+
+        urgency_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Most urgent priority of the waiting requests plus 1, 0 if it is not reported.
+       * </pre>
+       *
+       * <code>uint32 urgency = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUrgency() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        urgency_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long remainingMs_ ;
+      /**
+       * <pre>
+       * Time left of the first waiting request of that priority: until its latency objective, or until
+       * its deadline if the objective is missed.
+       * </pre>
+       *
+       * <code>uint64 remaining_ms = 8;</code>
+       * @return The remainingMs.
+       */
+      @java.lang.Override
+      public long getRemainingMs() {
+        return remainingMs_;
+      }
+      /**
+       * <pre>
+       * Time left of the first waiting request of that priority: until its latency objective, or until
+       * its deadline if the objective is missed.
+       * </pre>
+       *
+       * <code>uint64 remaining_ms = 8;</code>
+       * @param value The remainingMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemainingMs(long value) {
+
+        remainingMs_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time left of the first waiting request of that priority: until its latency objective, or until
+       * its deadline if the objective is missed.
+       * </pre>
+       *
+       * <code>uint64 remaining_ms = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemainingMs() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        remainingMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object customer_ = "";
+      /**
+       * <pre>
+       * Customer of that request.
+       * </pre>
+       *
+       * <code>string customer = 9;</code>
+       * @return The customer.
+       */
+      public java.lang.String getCustomer() {
+        java.lang.Object ref = customer_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          customer_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Customer of that request.
+       * </pre>
+       *
+       * <code>string customer = 9;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Customer of that request.
+       * </pre>
+       *
+       * <code>string customer = 9;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        customer_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Customer of that request.
+       * </pre>
+       *
+       * <code>string customer = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Customer of that request.
+       * </pre>
+       *
+       * <code>string customer = 9;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:ebonygw.AdapterNeed)
     }
 
@@ -32380,22 +32754,24 @@
       "ed\030\004 \003(\0132\027.ebonygw.CustomerTokens\"D\n\016Cus" +
       "tomerTokens\022\020\n\010customer\030\001 \001(\t\022\016\n\006tokens\030" +
       "\002 \001(\022\022\020\n\010sequence\030\003 \001(\004\"3\n\014AdapterNeeds\022" +
-      "#\n\005needs\030\001 \003(\0132\024.ebonygw.AdapterNeed\"q\n\013" +
-      "AdapterNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030" +
-      "\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(\r" +
-      "\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\"\033\n\nOpenP" +
-      "laces\022\r\n\005count\030\001 \001(\021\"`\n\016PromptEvidence\022$" +
-      "\n\005parts\030\001 \003(\0132\025.ebonygw.PartEvidence\022(\n\r" +
-      "ended_targets\030\002 \003(\0132\021.ebonygw.Sighting\"\212" +
-      "\001\n\014PartEvidence\022\014\n\004part\030\001 \001(\t\022\"\n\007crashed" +
-      "\030\002 \003(\0132\021.ebonygw.Sighting\022!\n\006broken\030\003 \003(" +
-      "\0132\021.ebonygw.Sighting\022%\n\tsurvivals\030\004 \003(\0132" +
-      "\022.ebonygw.Survivals\".\n\010Sighting\022\016\n\006targe" +
-      "t\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\r\"R\n\tSurvivals" +
-      "\022\020\n\010observer\030\001 \001(\006\022\020\n\010sequence\030\002 \001(\004\022\r\n\005" +
-      "count\030\003 \001(\r\022\022\n\nage_millis\030\004 \001(\r\"\"\n\013Targe" +
-      "tEnded\022\023\n\013incarnation\030\001 \001(\tB\034\n\014ebonygw.w" +
-      "ireB\014PeerProtocolb\006proto3"
+      "#\n\005needs\030\001 \003(\0132\024.ebonygw.AdapterNeed\"\252\001\n" +
+      "\013AdapterNeed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\004\022\017\n\007waiting\030\003 \001(\r\022\020\n\010punctual\030\004 \001(" +
+      "\r\022\017\n\007running\030\005 \001(\r\022\014\n\004sent\030\006 \001(\r\022\017\n\007urge" +
+      "ncy\030\007 \001(\r\022\024\n\014remaining_ms\030\010 \001(\004\022\020\n\010custo" +
+      "mer\030\t \001(\t\"\033\n\nOpenPlaces\022\r\n\005count\030\001 \001(\021\"`" +
+      "\n\016PromptEvidence\022$\n\005parts\030\001 \003(\0132\025.ebonyg" +
+      "w.PartEvidence\022(\n\rended_targets\030\002 \003(\0132\021." +
+      "ebonygw.Sighting\"\212\001\n\014PartEvidence\022\014\n\004par" +
+      "t\030\001 \001(\t\022\"\n\007crashed\030\002 \003(\0132\021.ebonygw.Sight" +
+      "ing\022!\n\006broken\030\003 \003(\0132\021.ebonygw.Sighting\022%" +
+      "\n\tsurvivals\030\004 \003(\0132\022.ebonygw.Survivals\".\n" +
+      "\010Sighting\022\016\n\006target\030\001 \001(\t\022\022\n\nage_millis\030" +
+      "\002 \001(\r\"R\n\tSurvivals\022\020\n\010observer\030\001 \001(\006\022\020\n\010" +
+      "sequence\030\002 \001(\004\022\r\n\005count\030\003 \001(\r\022\022\n\nage_mil" +
+      "lis\030\004 \001(\r\"\"\n\013TargetEnded\022\023\n\013incarnation\030" +
+      "\001 \001(\tB\034\n\014ebonygw.wireB\014PeerProtocolb\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32552,7 +32928,7 @@
     internal_static_ebonygw_AdapterNeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ebonygw_AdapterNeed_descriptor,
-        new java.lang.String[] { "Adapter", "Version", "Waiting", "Punctual", "Running", "Sent", });
+        new java.lang.String[] { "Adapter", "Version", "Waiting", "Punctual", "Running", "Sent", "Urgency", "RemainingMs", "Customer", });
     internal_static_ebonygw_OpenPlaces_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_ebonygw_OpenPlaces_fieldAccessorTable = new
--- a/src/test/java/ebonygw/gateway/GatewayFixture.java
+++ b/src/test/java/ebonygw/gateway/GatewayFixture.java
@@ -57,6 +57,26 @@
         mNode = new GatewayNode(options(SELF, new Reader()));
     }
 
+    private GatewayFixture(boolean loadShedding) {
+        GatewayOptions options = options(SELF, new Reader());
+        mNode =
+                new GatewayNode(
+                        new GatewayOptions(
+                                options.self(),
+                                options.reader(),
+                                options.loaderPort(),
+                                options.quotaToleranceTokens(),
+                                options.quotaOverage(),
+                                options.retryRatio(),
+                                options.retryExtra(),
+                                options.retryWindowNanos(),
+                                options.acceptNanos(),
+                                options.graceNanos(),
+                                options.maxSettingsAgeNanos(),
+                                options.seed(),
+                                loadShedding));
+    }
+
     /** Returns options of an entry with an empty key-value service. */
     static GatewayOptions options() {
         return options(SELF, new GatewayFixture().new Reader());
@@ -83,7 +103,15 @@
      * two replicas.
      */
     static GatewayFixture started() {
-        GatewayFixture fixture = new GatewayFixture();
+        return started(new GatewayFixture());
+    }
+
+    /** Returns an entry as {@link #started()}, with load shedding. */
+    static GatewayFixture startedWithLoadShedding() {
+        return started(new GatewayFixture(true));
+    }
+
+    private static GatewayFixture started(GatewayFixture fixture) {
         fixture.settings(settings(1, 0, 0));
         for (int i = 0; i < START_SECONDS; i++) {
             fixture.advance(1_000);
--- a/src/test/java/ebonygw/peer/PeerCodecProperties.java
+++ b/src/test/java/ebonygw/peer/PeerCodecProperties.java
@@ -92,6 +92,19 @@
         assertThatThrownBy(() -> mCodec.decode(run)).isInstanceOf(IllegalArgumentException.class);
     }
 
+    /**
+     * Guards against an urgency that older processes do not send and that is taken as priority 0.
+     */
+    @Example
+    void theUrgencyOfAnAdapterNeedIsDecodedOnlyIfItWasSent() {
+        GatewayMessage.AdapterNeed without = new GatewayMessage.AdapterNeed("m/a", 1, 2, 1, 0, 0);
+        GatewayMessage.AdapterNeed with =
+                new GatewayMessage.AdapterNeed(
+                        "m/a", 1, 2, 1, 0, 0, Optional.of(new GatewayMessage.Urgency(0, 9, "c")));
+        Message needs = new GatewayMessage.AdapterNeeds(List.of(without, with));
+        assertThat(mCodec.decode(mCodec.encode(needs))).contains(needs);
+    }
+
     @Example
     void anEnvelopeWithoutAKnownKindDecodesToNoMessage() {
         assertThat(mCodec.decode(Envelope.getDefaultInstance())).isEmpty();
