Shed by the deadline alone, and count requests instead of tokens in predicted waits

Change: a request is refused only if its predicted wait exceeds its deadline; loaders give every fourth load to the late requests with the earliest deadline, and an adapter whose requests are all late counts as one priority less urgent.

--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -33,10 +33,11 @@
     private static final int MAX_TRACKED_ADAPTERS = 500;
 
     /**
-     * Every how many loads the adapter that has been waited for longest is loaded, whatever its
-     * urgency, so that it is loaded at last.
+     * Every how many loads the adapter is loaded whose late requests have the least time left until
+     * their deadline, whatever their priority, so that it is loaded at last. With one of two, more
+     * requests of the most urgent priority are late.
      */
-    private static final int LOADS_PER_LONGEST_WAIT = 4;
+    private static final int LOADS_PER_LATE = 4;
 
     /** Half-life of the loads given to a customer: some loads of 250 ms at four in parallel. */
     private static final long LOADS_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -88,10 +89,10 @@
     }
 
     /**
-     * Returns the adapters to load. If entries report urgency: the most urgent priority first, then
-     * those whose requests can still start within their latency objectives, then those of the
-     * customer with the fewest recent loads, then those with the least time left; except that every
-     * fourth load is that of the adapter that has been waited for longest.
+     * Returns the adapters to load. If entries report urgency: the most urgent priority first,
+     * where requests that have all missed their latency objectives count as one priority less
+     * urgent; then those of the customer with the fewest recent loads, then those with the least
+     * time left; except that every fourth load is for the late requests with the earliest deadline.
      *
      * <p>Otherwise adapters with more waiting requests that can still start within their latency
      * objectives come first, then those with more waiting requests, then those that have been
@@ -237,19 +238,21 @@
         mLoadsByCustomer.forEach(
                 (customer, rate) -> loads.put(customer, rate.count(mUpdatedNanos)));
         missing.sort(
-                Comparator.comparingInt((String adapter) -> mWaiting.get(adapter).mPriority)
-                        .thenComparing(adapter -> mWaiting.get(adapter).mWithinObjective == 0)
+                Comparator.comparingInt((String adapter) -> mWaiting.get(adapter).rank())
                         .thenComparingDouble(
                                 adapter -> loads.getOrDefault(mWaiting.get(adapter).mCustomer, 0.0))
                         .thenComparingLong(adapter -> mWaiting.get(adapter).mDueNanos)
                         .thenComparing(adapter -> adapter));
-        if (!missing.isEmpty() && mLoads % LOADS_PER_LONGEST_WAIT == LOADS_PER_LONGEST_WAIT - 1) {
-            String longest =
+        if (!missing.isEmpty() && mLoads % LOADS_PER_LATE == LOADS_PER_LATE - 1) {
+            String due =
                     Collections.min(
                             missing,
-                            Comparator.comparingLong(adapter -> mWaiting.get(adapter).mSinceNanos));
-            missing.remove(longest);
-            missing.add(0, longest);
+                            Comparator.comparing(
+                                            (String adapter) ->
+                                                    mWaiting.get(adapter).mWithinObjective > 0)
+                                    .thenComparingLong(adapter -> mWaiting.get(adapter).mDueNanos));
+            missing.remove(due);
+            missing.add(0, due);
         }
     }
 
@@ -272,6 +275,13 @@
         private long mDueNanos = Long.MAX_VALUE;
         private String mCustomer = "";
 
+        /** Returns the priority, one less urgent if no request can meet its objective. */
+        int rank() {
+            return mWithinObjective > 0 || mPriority == Integer.MAX_VALUE
+                    ? mPriority
+                    : mPriority + 1;
+        }
+
         /** Applies the urgency that an entry reported, if it is greater. */
         void apply(GatewayMessage.Urgency urgency, long receivedNanos) {
             mHasUrgency = true;
--- a/src/main/java/ebonygw/gateway/HeldRequests.java
+++ b/src/main/java/ebonygw/gateway/HeldRequests.java
@@ -18,18 +18,6 @@
  * <p>Not thread-safe.
  */
 final class HeldRequests {
-    /**
-     * Maximum wait of a request that loses its value when late, as a multiple of its latency
-     * objective.
-     */
-    private static final int MAX_WAIT_OBJECTIVES = 2;
-
-    /**
-     * Lowest priority number of requests that may wait until their deadline; requests of a more
-     * urgent priority lose their value when late.
-     */
-    private static final int PATIENT_PRIORITY = 2;
-
     /** Wait assumed for a request while the capacity has not been measured. */
     private static final long UNMEASURED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -43,13 +31,6 @@
         mOut = out;
     }
 
-    /** Returns whether a request is late beyond use, unless it may wait until its deadline. */
-    static boolean exceedsMaxWait(PendingRequest pending, long nowNanos) {
-        return !isPatient(pending)
-                && nowNanos - pending.mArrivedNanos
-                        > MAX_WAIT_OBJECTIVES * pending.mRoute.objectiveNanos();
-    }
-
     /**
      * Returns whether a request without a usable target may be held: an untried target of its
      * service has no room, or rejected a request a moment ago.
@@ -202,21 +183,15 @@
     }
 
     /**
-     * Returns the predicted wait of a request that is not held if it is too long: beyond its
-     * deadline, or beyond use for one that loses its value when late. Returns 0 otherwise.
+     * Returns the predicted wait of a request that is not held if it exceeds the time left until
+     * its deadline, 0 otherwise.
      */
     long excessiveWaitNanos(PendingRequest pending, long nowNanos) {
         if (isHeld(pending)) {
             return 0;
         }
         long wait = mShedder.predictedWaitNanos(held(pending), nowNanos).orElse(0);
-        long allowed = pending.mDeadlineNanos - nowNanos;
-        if (!isPatient(pending)) {
-            long lateNanos =
-                    pending.mArrivedNanos + MAX_WAIT_OBJECTIVES * pending.mRoute.objectiveNanos();
-            allowed = Math.min(allowed, lateNanos - nowNanos);
-        }
-        return wait > allowed ? wait : 0;
+        return wait > pending.mDeadlineNanos - nowNanos ? wait : 0;
     }
 
     private boolean hasRoom(GatewayTarget target, long nowNanos) {
@@ -235,8 +210,4 @@
                 pending.mRequest.body().size(),
                 pending.mDeadlineNanos);
     }
-
-    private static boolean isPatient(PendingRequest pending) {
-        return pending.mPriority >= PATIENT_PRIORITY;
-    }
 }
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -349,12 +349,12 @@
             if (mHeld != null) {
                 mHeld.release(pending, nowNanos);
             }
-        } else if (exceedsMaxWait(pending, choice.target(), nowNanos)) {
+        } else if (mHeld == null && exceedsMaxWait(pending, choice.target(), nowNanos)) {
             refuse(
                     pending,
                     pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED,
                     "no place for " + pending.mRequest.adapter(),
-                    mHeld == null ? pending.mRoute.objectiveNanos() : 0,
+                    pending.mRoute.objectiveNanos(),
                     nowNanos);
         } else if (mHeld == null) {
             mAttempts.awaitAdapter(pending, choice.target(), nowNanos);
@@ -423,10 +423,8 @@
     }
 
     /** Returns whether a request has waited too long at a replica without open adapter slots. */
-    private boolean exceedsMaxWait(PendingRequest pending, GatewayTarget target, long nowNanos) {
-        if (mHeld != null && !HeldRequests.exceedsMaxWait(pending, nowNanos)) {
-            return false;
-        }
+    private static boolean exceedsMaxWait(
+            PendingRequest pending, GatewayTarget target, long nowNanos) {
         return pending.isWaiting()
                 && target.openAdapterSlots() < 0
                 && nowNanos - pending.mArrivedNanos
--- a/src/main/java/ebonygw/overload/DrainRate.java
+++ b/src/main/java/ebonygw/overload/DrainRate.java
@@ -4,7 +4,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures how fast held work is released while there is a backlog, and predicts waits from it.
+ * Measures how fast held requests are released while there is a backlog, and predicts waits from
+ * it.
  *
  * <p>Only time with a backlog counts: without one the rate of releases is that of arrivals, which
  * says nothing about the capacity. Not thread-safe.
@@ -23,7 +24,7 @@
     private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private boolean mBacklogged;
-    private double mWork;
+    private double mReleased;
     private double mNanos;
     private long mUpdatedNanos = Long.MIN_VALUE;
     private long mMeasuredNanos = Long.MIN_VALUE;
@@ -34,39 +35,41 @@
         mBacklogged = backlogged;
     }
 
-    /** Counts released work. */
-    void onReleased(long work, long nowNanos) {
+    /** Counts a released request. */
+    void onReleased(long nowNanos) {
         advance(nowNanos);
-        mWork += mBacklogged ? work : 0;
+        mReleased += mBacklogged ? 1 : 0;
     }
 
-    /** Returns the released work for each second of backlog, 0 if it was not measured recently. */
+    /**
+     * Returns the released requests for each second of backlog, 0 if it was not measured recently.
+     */
     double perSecond(long nowNanos) {
-        return isMeasured(nowNanos) ? mWork / mNanos * 1e9 : 0;
+        return isMeasured(nowNanos) ? mReleased / mNanos * 1e9 : 0;
     }
 
     /**
-     * Returns the predicted wait of a request.
+     * Returns the predicted wait of a request. One release is assumed beyond those measured, so
+     * that the wait is finite.
      *
-     * @param ahead work that is released before it
-     * @param own its own work; counted as released meanwhile, so that the first wait is finite
+     * @param ahead number of requests that are released before it
      * @return the wait, empty if the rate was not measured recently
      */
-    OptionalLong waitNanos(double ahead, long own, long nowNanos) {
+    OptionalLong waitNanos(double ahead, long nowNanos) {
         return isMeasured(nowNanos)
-                ? OptionalLong.of((long) (ahead * mNanos / (mWork + Math.max(1, own))))
+                ? OptionalLong.of((long) (ahead * mNanos / (mReleased + 1)))
                 : OptionalLong.empty();
     }
 
     private void advance(long nowNanos) {
         if (mUpdatedNanos != Long.MIN_VALUE && mBacklogged) {
             if (nowNanos - mMeasuredNanos > MAX_AGE_NANOS) {
-                mWork = 0;
+                mReleased = 0;
                 mNanos = 0;
             }
             long step = Math.min(MAX_STEP_NANOS, nowNanos - mUpdatedNanos);
             double kept = Math.pow(0.5, step / HALF_LIFE_NANOS);
-            mWork *= kept;
+            mReleased *= kept;
             mNanos = mNanos * kept + step;
             mMeasuredNanos = nowNanos;
         }
--- a/src/main/java/ebonygw/overload/LoadShedder.java
+++ b/src/main/java/ebonygw/overload/LoadShedder.java
@@ -147,8 +147,7 @@
     public OptionalLong predictedWaitNanos(HeldRequest request, long nowNanos) {
         ServiceQueue queue = mQueues.get(request.service());
         return drainRate(request.service())
-                .waitNanos(
-                        queue == null ? 0 : queue.workAhead(request), request.charge(), nowNanos);
+                .waitNanos(queue == null ? 0 : queue.requestsAhead(request), nowNanos);
     }
 
     /** Stops holding a request that is sent to a target; does nothing if it is not held. */
@@ -157,7 +156,7 @@
         if (request != null) {
             mBytes -= request.bytes();
             mQueues.get(request.service()).release(request);
-            drainRate(request.service()).onReleased(request.charge(), nowNanos);
+            drainRate(request.service()).onReleased(nowNanos);
         }
     }
 
--- a/src/main/java/ebonygw/overload/ServiceQueue.java
+++ b/src/main/java/ebonygw/overload/ServiceQueue.java
@@ -40,10 +40,9 @@
     private long mBytes;
 
     void add(HeldRequest request) {
-        mPriorities
-                .computeIfAbsent(request.priority(), p -> new Priority())
-                .mQueue
-                .add(request, WEIGHT);
+        Priority priority = mPriorities.computeIfAbsent(request.priority(), p -> new Priority());
+        priority.mQueue.add(request, WEIGHT);
+        priority.mCounts.merge(request.customer(), 1, Integer::sum);
         mSize++;
         mBytes += request.bytes();
     }
@@ -134,30 +133,29 @@
         onRemoved(request);
     }
 
-    int size() {
-        return mSize;
-    }
-
     /**
-     * Returns the work that would be released before a request that is not held yet. It is at most
-     * what a less urgent priority's share lets pass before it.
+     * Returns the number of requests that would be released before one that is not held yet. It is
+     * at most what the guaranteed share of its priority lets pass before it. Requests are counted
+     * rather than tokens: what most of them wait for is the load of an adapter, which takes the
+     * same time for a long prompt.
      */
-    double workAhead(HeldRequest request) {
-        double moreUrgent = 0;
+    double requestsAhead(HeldRequest request) {
+        int moreUrgent = 0;
         for (Priority priority : mPriorities.headMap(request.priority()).values()) {
-            moreUrgent += priority.mQueue.tokens();
+            moreUrgent += priority.mQueue.size();
         }
         Priority own = mPriorities.get(request.priority());
-        double ahead = 0;
+        int ahead = 0;
         if (own != null) {
-            double customers = own.mQueue.activeWeight(request.customer(), WEIGHT) / WEIGHT;
-            ahead =
-                    Math.min(
-                            own.mQueue.tokens(),
-                            own.mQueue.tokens(request.customer()) * customers
-                                    + request.charge() * (customers - 1));
+            int ofCustomer = own.mCounts.getOrDefault(request.customer(), 0);
+            int others = own.mCounts.size() - (ofCustomer > 0 ? 1 : 0);
+            ahead = Math.min(own.mQueue.size(), ofCustomer * (others + 1) + others);
         }
-        return Math.min(moreUrgent + ahead, (ahead + request.charge()) / GUARANTEED_SHARE);
+        return Math.min(moreUrgent + ahead, (ahead + 1) / GUARANTEED_SHARE);
+    }
+
+    int size() {
+        return mSize;
     }
 
     private Map<Integer, Double> credits() {
@@ -189,6 +187,8 @@
         mSize--;
         mBytes -= request.bytes();
         Priority priority = mPriorities.get(request.priority());
+        priority.mCounts.computeIfPresent(
+                request.customer(), (customer, count) -> count > 1 ? count - 1 : null);
         if (priority.mQueue.size() == 0) {
             priority.mCredit = 0;
         }
@@ -213,6 +213,9 @@
     private static final class Priority {
         private final FairQueue<HeldRequest> mQueue = new FairQueue<>(ORDER);
 
+        /** Number of held requests by customer, without those that have none. */
+        private final Map<String, Integer> mCounts = new HashMap<>();
+
         /** Releases that its guaranteed share has earned and not used. */
         private double mCredit;
     }
--- a/src/test/java/ebonygw/gateway/AdapterUrgencyTest.java
+++ b/src/test/java/ebonygw/gateway/AdapterUrgencyTest.java
@@ -74,9 +74,17 @@
 
     /** Guards against an adapter that is never loaded while more urgent ones keep arriving. */
     @Test
-    void theAdapterWaitedForLongestIsLoadedByTheFourthLoad() {
+    void theAdapterOfALateRequestIsLoadedByTheFourthLoad() {
         List<GatewayMessage.AdapterNeed> needs = new ArrayList<>();
-        needs.add(need("m/digest", 1, 2, 7_000, "a"));
+        needs.add(
+                new GatewayMessage.AdapterNeed(
+                        "m/digest",
+                        0,
+                        1,
+                        0,
+                        0,
+                        0,
+                        Optional.of(new GatewayMessage.Urgency(2, 7_000, "a"))));
         mDemands.onNeeds(ENTRY, needs, NOW - 1);
         for (int i = 0; i < 9; i++) {
             needs.add(need("m/chat-" + i, 1, 0, 500, "a"));
--- a/src/test/java/ebonygw/overload/LoadShedderTest.java
+++ b/src/test/java/ebonygw/overload/LoadShedderTest.java
@@ -40,7 +40,7 @@
 
     /** Guards against a wait that does not follow the requests ahead and the measured rate. */
     @Test
-    void theWaitIsTheWorkAheadDividedByTheRate() {
+    void theWaitIsTheNumberOfRequestsAheadDividedByTheRate() {
         drain(3_000, true);
         for (int i = 0; i < 50; i++) {
             mShedder.hold(request("a", 1, 0));
--- a/src/test/java/ebonygw/overload/ServiceQueueTest.java
+++ b/src/test/java/ebonygw/overload/ServiceQueueTest.java
@@ -66,7 +66,7 @@
         HeldRequest small = add("small", 0, 900, 5_000);
 
         assertThat(mQueue.inOrder(it -> true).subList(0, 2)).contains(small);
-        assertThat(mQueue.workAhead(small)).isLessThan(4_000);
+        assertThat(mQueue.requestsAhead(small)).isLessThan(4);
     }
 
     /** Guards against long prompts that wait until no shorter one is left. */
