--- a/src/main/java/ebonygw/gateway/AdapterDemands.java
+++ b/src/main/java/ebonygw/gateway/AdapterDemands.java
@@ -89,10 +89,11 @@
     }
 
     /**
-     * Returns the adapters to load. If entries report urgency: the most urgent priority first,
-     * where requests that have all missed their latency objectives count as one priority less
-     * urgent; then those of the customer with the fewest recent loads, then those with the least
-     * time left; except that every fourth load is for the late requests with the earliest deadline.
+     * Returns the adapters to load. If entries report urgency: those first whose requests can still
+     * start within their latency objectives; among these the most urgent priority first, then those
+     * of the customer with the fewest recent loads, then those with more such requests, then those
+     * with the least time left. Every fourth load is for the late requests with the earliest
+     * deadline.
      *
      * <p>Otherwise adapters with more waiting requests that can still start within their latency
      * objectives come first, then those with more waiting requests, then those that have been
@@ -238,9 +239,12 @@
         mLoadsByCustomer.forEach(
                 (customer, rate) -> loads.put(customer, rate.count(mUpdatedNanos)));
         missing.sort(
-                Comparator.comparingInt((String adapter) -> mWaiting.get(adapter).rank())
+                Comparator.comparing(
+                                (String adapter) -> mWaiting.get(adapter).mWithinObjective == 0)
+                        .thenComparingInt(adapter -> mWaiting.get(adapter).mPriority)
                         .thenComparingDouble(
                                 adapter -> loads.getOrDefault(mWaiting.get(adapter).mCustomer, 0.0))
+                        .thenComparingInt(adapter -> -mWaiting.get(adapter).mWithinObjective)
                         .thenComparingLong(adapter -> mWaiting.get(adapter).mDueNanos)
                         .thenComparing(adapter -> adapter));
         if (!missing.isEmpty() && mLoads % LOADS_PER_LATE == LOADS_PER_LATE - 1) {
@@ -275,13 +279,6 @@
         private long mDueNanos = Long.MAX_VALUE;
         private String mCustomer = "";
 
-        /** Returns the priority, one less urgent if no request can meet its objective. */
-        int rank() {
-            return mWithinObjective > 0 || mPriority == Integer.MAX_VALUE
-                    ? mPriority
-                    : mPriority + 1;
-        }
-
         /** Applies the urgency that an entry reported, if it is greater. */
         void apply(GatewayMessage.Urgency urgency, long receivedNanos) {
             mHasUrgency = true;
--- a/src/main/java/ebonygw/gateway/HeldRequests.java
+++ b/src/main/java/ebonygw/gateway/HeldRequests.java
@@ -156,6 +156,13 @@
         return mShedder.overflow().map(HeldRequest::exchange).orElse(-1L);
     }
 
+    /** Returns the held exchanges that pass a filter, in no particular order. */
+    List<Long> select(LongPredicate exchanges) {
+        return mShedder.select(held -> exchanges.test(held.exchange())).stream()
+                .map(HeldRequest::exchange)
+                .toList();
+    }
+
     /** Returns the services that requests were held for. */
     Set<String> services() {
         return mShedder.services();
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -97,7 +97,7 @@
         if (mHeld == null) {
             return;
         }
-        for (long exchange : mHeld.inOrder(it -> true)) {
+        for (long exchange : mHeld.select(it -> true)) {
             PendingRequest pending = mByExchange.get(exchange);
             refuse(
                     pending,
@@ -368,7 +368,7 @@
     /** Refuses what has expired, and dispatches the held requests again in their order. */
     private void dispatchHeld(long nowNanos) {
         mHeld.onTick();
-        for (long exchange : mHeld.inOrder(it -> isExpired(it, nowNanos))) {
+        for (long exchange : mHeld.select(it -> isExpired(it, nowNanos))) {
             dispatch(mByExchange.get(exchange), nowNanos);
         }
         // Requests that can run go first, so that the others do not change the order among them.
@@ -383,7 +383,7 @@
         }
         Map<String, Boolean> backlogged = new LinkedHashMap<>();
         mHeld.services().forEach(service -> backlogged.put(service, false));
-        mHeld.inOrder(this::waitsForCapacity)
+        mHeld.select(this::waitsForCapacity)
                 .forEach(it -> backlogged.put(mByExchange.get(it).mService, true));
         backlogged.forEach((service, value) -> mHeld.onBacklog(service, value, nowNanos));
     }
--- a/src/main/java/ebonygw/overload/LoadShedder.java
+++ b/src/main/java/ebonygw/overload/LoadShedder.java
@@ -191,6 +191,11 @@
         return Math.max(1, (long) (shortest + mRandom.nextDouble() * (longest - shortest)));
     }
 
+    /** Returns the held requests that pass a filter, in no particular order. */
+    public List<HeldRequest> select(Predicate<HeldRequest> filter) {
+        return mHeld.values().stream().filter(filter).toList();
+    }
+
     /** Returns the services that requests were held for, in no particular order. */
     public Set<String> services() {
         return mQueues.keySet();
--- a/src/main/java/ebonygw/overload/ServiceQueue.java
+++ b/src/main/java/ebonygw/overload/ServiceQueue.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,10 +55,10 @@
 
     /** Returns the request that is released next, empty if none is held. */
     Optional<HeldRequest> first() {
-        Map<Integer, Double> credits = credits();
-        return mSize == 0
+        List<Priority> waiting = waiting();
+        return waiting.isEmpty()
                 ? Optional.empty()
-                : mPriorities.get(next(credits, this::hasRequests)).mQueue.first();
+                : waiting.get(next(credits(waiting))).mQueue.first();
     }
 
     /**
@@ -65,29 +66,24 @@
      * no others were held.
      */
     List<HeldRequest> inOrder(Predicate<HeldRequest> filter) {
-        Map<Integer, Double> credits = new HashMap<>();
-        Map<Integer, List<HeldRequest>> requests = new TreeMap<>();
-        Map<Integer, Integer> positions = new HashMap<>();
-        mPriorities.forEach(
-                (priority, state) -> {
-                    List<HeldRequest> passed = state.mQueue.inOrder(filter);
-                    if (!passed.isEmpty()) {
-                        requests.put(priority, passed);
-                        credits.put(priority, state.mCredit);
-                        positions.put(priority, 0);
-                    }
-                });
-        Predicate<Integer> remains =
-                priority ->
-                        requests.containsKey(priority)
-                                && positions.get(priority) < requests.get(priority).size();
+        List<Iterator<HeldRequest>> remaining = new ArrayList<>();
+        List<Double> credits = new ArrayList<>();
+        for (Priority priority : mPriorities.values()) {
+            Iterator<HeldRequest> requests = priority.mQueue.inOrder(filter).iterator();
+            if (requests.hasNext()) {
+                remaining.add(requests);
+                credits.add(priority.mCredit);
+            }
+        }
         List<HeldRequest> ordered = new ArrayList<>();
-        Integer priority = next(credits, remains);
-        while (priority != null) {
-            ordered.add(requests.get(priority).get(positions.get(priority)));
-            updateCredits(credits, priority, remains);
-            positions.merge(priority, 1, Integer::sum);
-            priority = next(credits, remains);
+        while (!remaining.isEmpty()) {
+            int next = next(credits);
+            ordered.add(remaining.get(next).next());
+            updateCredits(credits, next);
+            if (!remaining.get(next).hasNext()) {
+                remaining.remove(next);
+                credits.remove(next);
+            }
         }
         return ordered;
     }
@@ -120,9 +116,12 @@
 
     /** Removes a request that is sent to a target, and charges its work to its customer. */
     void release(HeldRequest request) {
-        Map<Integer, Double> credits = credits();
-        updateCredits(credits, request.priority(), this::hasRequests);
-        credits.forEach((priority, credit) -> mPriorities.get(priority).mCredit = credit);
+        List<Priority> waiting = waiting();
+        List<Double> credits = credits(waiting);
+        updateCredits(credits, waiting.indexOf(mPriorities.get(request.priority())));
+        for (int i = 0; i < waiting.size(); i++) {
+            waiting.get(i).mCredit = credits.get(i);
+        }
         mPriorities.get(request.priority()).mQueue.start(request);
         onRemoved(request);
     }
@@ -158,26 +157,19 @@
         return mSize;
     }
 
-    private Map<Integer, Double> credits() {
-        Map<Integer, Double> credits = new HashMap<>();
-        mPriorities.forEach((priority, state) -> credits.put(priority, state.mCredit));
+    private static List<Double> credits(List<Priority> priorities) {
+        List<Double> credits = new ArrayList<>();
+        priorities.forEach(priority -> credits.add(priority.mCredit));
         return credits;
     }
 
-    private boolean hasRequests(int priority) {
-        return mPriorities.get(priority).mQueue.size() > 0;
-    }
-
-    /** Returns the priority that is served next, null if no request remains. */
-    private Integer next(Map<Integer, Double> credits, Predicate<Integer> remains) {
-        Integer next = null;
-        double highest = 0;
-        for (Integer priority : mPriorities.keySet()) {
-            if (remains.test(priority)) {
-                double credit = credits.get(priority);
-                boolean due = next != null && credit >= 1 && credit > highest;
-                highest = due ? credit : highest;
-                next = next == null || due ? priority : next;
+    /** Returns which of the waiting priorities, the most urgent first, is served next. */
+    private static int next(List<Double> credits) {
+        int next = 0;
+        for (int i = 1; i < credits.size(); i++) {
+            double credit = credits.get(i);
+            if (credit >= 1 && (next == 0 || credit > credits.get(next))) {
+                next = i;
             }
         }
         return next;
@@ -194,19 +186,29 @@
         }
     }
 
-    /** Gives each less urgent priority with requests its share of a release. */
-    private void updateCredits(
-            Map<Integer, Double> credits, int released, Predicate<Integer> remains) {
-        List<Integer> waiting = mPriorities.keySet().stream().filter(remains).toList();
-        if (waiting.size() < 2) {
-            return;
+    /**
+     * Gives each less urgent priority with requests its share of a release.
+     *
+     * @param credits credits of the priorities with requests, the most urgent first
+     * @param released which of them released a request
+     */
+    private static void updateCredits(List<Double> credits, int released) {
+        double share = Math.min(GUARANTEED_SHARE, MAX_GUARANTEED_SHARES / (credits.size() - 1));
+        for (int i = 1; i < credits.size(); i++) {
+            credits.set(i, credits.get(i) + share);
         }
-        int lessUrgent = waiting.size() - 1;
-        double share = Math.min(GUARANTEED_SHARE, MAX_GUARANTEED_SHARES / lessUrgent);
-        for (Integer priority : waiting.subList(1, waiting.size())) {
-            credits.merge(priority, share, Double::sum);
+        credits.set(released, Math.max(0, credits.get(released) - 1));
+    }
+
+    /** Returns the priorities with requests, the most urgent first. */
+    private List<Priority> waiting() {
+        List<Priority> waiting = new ArrayList<>();
+        for (Priority priority : mPriorities.values()) {
+            if (priority.mQueue.size() > 0) {
+                waiting.add(priority);
+            }
         }
-        credits.computeIfPresent(released, (p, credit) -> Math.max(0, credit - 1));
+        return waiting;
     }
 
     /** The held requests of one priority. */
