Refuse requests held for targets that are gone, and don't shed after an attempt

Cause: held requests of a plain service without any usable target were not dispatched before their deadline; a request could be shed after it had been sent and rejected; and room was asked of model targets, which have no windows. Change: a pass refuses held requests that no target remains for, a request is shed only before its first attempt, and only plain services are asked for room. The test requestsHeldForATargetThatIsGoneAreSentToAnotherOneOrRefused replaces the one for a new target only.

--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -365,10 +365,13 @@
         }
     }
 
-    /** Refuses what has expired, and dispatches the held requests again in their order. */
+    /**
+     * Refuses what has expired or lost its targets, and dispatches the held requests again in their
+     * order.
+     */
     private void dispatchHeld(long nowNanos) {
         mHeld.onTick();
-        for (long exchange : mHeld.select(it -> isExpired(it, nowNanos))) {
+        for (long exchange : mHeld.select(it -> isExpired(it, nowNanos) || isLost(it, nowNanos))) {
             dispatch(mByExchange.get(exchange), nowNanos);
         }
         // Requests that can run go first, so that the others do not change the order among them.
@@ -433,7 +436,9 @@
 
     /** Holds a request for capacity, or refuses it if it would wait too long. */
     private void hold(PendingRequest pending, String why, long nowNanos) {
-        if (mHeld.hasRoom(pending.mService, nowNanos) || !shed(pending, nowNanos)) {
+        boolean room =
+                pending.mRequest.model().isEmpty() && mHeld.hasRoom(pending.mService, nowNanos);
+        if (room || !shed(pending, nowNanos)) {
             mHeld.hold(pending, why, nowNanos);
             refuseOverflow(nowNanos);
         }
@@ -448,6 +453,11 @@
                 < FleetRetryBudgets.MIN_REMAINING_NANOS;
     }
 
+    /** Returns whether no target remains that a held request of a plain service can wait for. */
+    private boolean isLost(long exchange, long nowNanos) {
+        return !isOfModel(exchange) && !mHeld.mayWait(mByExchange.get(exchange), nowNanos);
+    }
+
     private boolean isOfModel(long exchange) {
         return !mByExchange.get(exchange).mRequest.model().isEmpty();
     }
@@ -544,7 +554,8 @@
      * Sends held requests of a plain service whose first request has tried all targets with room.
      */
     private void releaseAroundFirst(String service, long nowNanos) {
-        if (!mHeld.isQueued(service) || !mHeld.hasRoom(service, nowNanos)) {
+        long first = mHeld.first(service);
+        if (first < 0 || isOfModel(first) || !mHeld.hasRoom(service, nowNanos)) {
             return;
         }
         for (long exchange : mHeld.inOrder(it -> !isOfModel(it))) {
@@ -557,15 +568,22 @@
         }
     }
 
-    /** Refuses a request whose predicted wait is too long; returns whether it did. */
+    /**
+     * Refuses a request whose predicted wait is too long, unless it was sent before; returns
+     * whether it did. A refusal after an attempt costs the caller more than one on arrival.
+     */
     private boolean shed(PendingRequest pending, long nowNanos) {
-        long wait = mHeld.excessiveWaitNanos(pending, nowNanos);
+        long wait = pending.mAttempts > 0 ? 0 : mHeld.excessiveWaitNanos(pending, nowNanos);
         if (wait == 0) {
             return false;
         }
         count("shed_predicted");
-        RefusalCode code = pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.OVERLOADED;
-        refuse(pending, code, "would wait ms " + wait / 1_000_000, wait, nowNanos);
+        refuse(
+                pending,
+                RefusalCode.OVERLOADED,
+                "would wait ms " + wait / 1_000_000,
+                wait,
+                nowNanos);
         return true;
     }
 
--- a/src/test/java/ebonygw/gateway/LoadSheddingTest.java
+++ b/src/test/java/ebonygw/gateway/LoadSheddingTest.java
@@ -164,17 +164,22 @@
         assertThat(mEntry.refusal(early).orElseThrow().code()).isEqualTo(RefusalCode.STOPPING);
     }
 
-    /** Guards against requests that wait for a target that is gone. */
+    /** Guards against requests that wait in vain for targets that are gone. */
     @Test
-    void requestsHeldForATargetThatIsGoneAreSentToANewOne() {
+    void requestsHeldForATargetThatIsGoneAreSentToAnotherOneOrRefused() {
         mEntry.removeTarget("desk-2");
         submit(6, "/look/1");
-        long held = mEntry.submit("/look/1");
-        mEntry.removeTarget("desk-1");
+        List<Long> held = submit(7, "/look/1");
 
         mEntry.putTarget(GatewayFixture.plain("desk-3", "10.1.0.3:80", GatewayFixture.KINGSTON));
+        mEntry.removeTarget("desk-1");
+        mEntry.tick();
+        assertThat(sent(held)).isEqualTo(held.subList(0, 6));
+        assertThat(mEntry.refusal(held.get(6))).isEmpty();
+        mEntry.removeTarget("desk-3");
         mEntry.tick();
 
-        assertThat(mEntry.attempts(held).get(0).instance()).isEqualTo("desk-3");
+        assertThat(mEntry.refusal(held.get(6)).orElseThrow().code())
+                .isEqualTo(RefusalCode.UNAVAILABLE);
     }
 }
