--- a/src/test/java/ebonygw/gateway/AdapterUrgencyTest.java
+++ b/src/test/java/ebonygw/gateway/AdapterUrgencyTest.java
@@ -79,9 +79,8 @@
         mDemands.onNeeds(ENTRY, needs, NOW);
         List<String> loaded = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            String next = mDemands.missingAdapters(Map.of(), loaded).get(0);
-            mDemands.onLoadOrdered(next, NOW);
-            loaded.add(next);
+            loaded.add(mDemands.missingAdapters(Map.of(), loaded).get(0));
+            mDemands.onLoadOrdered(loaded.get(i), NOW);
         }
 
         assertThat(loaded).contains("m/digest");
--- a/src/test/java/ebonygw/gateway/LoadSheddingTest.java
+++ b/src/test/java/ebonygw/gateway/LoadSheddingTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class LoadSheddingTest {
@@ -23,7 +24,6 @@
         GatewayRoute ask = settings.route("host.example", "/ask/").orElseThrow();
         for (int priority : new int[] {0, 2}) {
             String prefix = "/ask/" + priority + "/";
-            long timeout = TimeUnit.SECONDS.toNanos(10);
             routes.add(
                     new GatewayRoute(
                             prefix,
@@ -31,7 +31,7 @@
                             prefix,
                             ask.kind(),
                             ask.services(),
-                            timeout,
+                            TimeUnit.SECONDS.toNanos(10),
                             ask.objectiveNanos(),
                             2,
                             priority,
@@ -39,9 +39,7 @@
                             false));
         }
         List<GatewayService> services =
-                List.of(
-                        settings.service("desk").orElseThrow(),
-                        settings.service("model").orElseThrow());
+                Stream.of("desk", "model").map(it -> settings.service(it).orElseThrow()).toList();
         mEntry.settings(new GatewaySettings(2, routes, services, settings.customers(), 64));
     }
 
@@ -56,11 +54,7 @@
     }
 
     private List<Long> submit(int count, String path) {
-        List<Long> exchanges = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            exchanges.add(mEntry.submit(path));
-        }
-        return exchanges;
+        return Stream.generate(() -> mEntry.submit(path)).limit(count).toList();
     }
 
     /** Guards against chats sent after digests that arrived before them. */
