--- a/src/test/java/ebonygw/platform/PlatformSettingsTest.java
+++ b/src/test/java/ebonygw/platform/PlatformSettingsTest.java
@@ -5,6 +5,7 @@
 
 import ebonygw.process.SettingsException;
 import ebonygw.spillover.SpilloverOptions;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class PlatformSettingsTest {
@@ -32,4 +33,20 @@
                     .isInstanceOf(SettingsException.class);
         }
     }
+
+    /** Guards against prices that operators cannot set, as the platform writes the file. */
+    @Test
+    void variablesOfTheEnvironmentSetThePriceOfTrafficAndGoBeforeTheFile() throws Exception {
+        Map<String, String> environment =
+                Map.of(
+                        "EBONYGW_SPILLOVER_REGION_MS_PER_MB", "700",
+                        "EBONYGW_SPILLOVER_DATA_CENTER_MS_PER_MB", "30",
+                        "PATH", "/bin");
+        PlatformSettings settings =
+                PlatformSettings.parse("zone=a\nspillover.region_ms_per_mb=1")
+                        .withEnvironment(environment);
+
+        assertThat(settings.spillover()).contains(SpilloverOptions.ofMillis(30, 700, 0));
+        assertThat(settings.has("path")).isFalse();
+    }
 }
