--- a/src/test/java/ebonygw/http/HttpClientTest.java
+++ b/src/test/java/ebonygw/http/HttpClientTest.java
@@ -300,8 +300,12 @@
 
     private static void respond(Socket socket, String text) throws IOException {
         StringBuilder head = new StringBuilder();
+        // Without a time limit and a check for the end, a lost request would hang the build.
+        socket.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(TIMEOUT_NANOS));
         while (head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) socket.getInputStream().read());
+            int next = socket.getInputStream().read();
+            assertThat(next).as("byte after %s", head).isNotNegative();
+            head.append((char) next);
         }
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
