--- a/src/main/java/ebonygw/gateway/GatewayFeatures.java
+++ b/src/main/java/ebonygw/gateway/GatewayFeatures.java
@@ -8,14 +8,14 @@
 /**
  * Features of an entry that a deployment's settings switch on.
  *
- * @param loadShedding whether the deployment expects load beyond its capacity, which enables what
- *     decides who is served first
+ * @param contention whether callers compete at times for less capacity than they ask for, which
+ *     enables quotas by shares of the demand and the exchange of the prefill backlog
  * @param spillover the operator's price of traffic between data centres, empty to compare them by
  *     constants
  * @param cold bound on the requests to cold targets, empty if they get as many as others
  */
 public record GatewayFeatures(
-        boolean loadShedding, Optional<SpilloverOptions> spillover, Optional<ColdOptions> cold) {
+        boolean contention, Optional<SpilloverOptions> spillover, Optional<ColdOptions> cold) {
     /** No feature. */
     public static final GatewayFeatures NONE =
             new GatewayFeatures(false, Optional.empty(), Optional.empty());
--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -98,7 +98,7 @@
         SplittableRandom random = new SplittableRandom(options.seed());
         mDirectory = new EntryDirectory(self, mRequestIds, random.split());
         mQuota =
-                options.features().loadShedding()
+                options.features().contention()
                         ? new SharedQuota(
                                 options.quotaToleranceTokens(),
                                 options.quotaOverage(),
@@ -204,7 +204,7 @@
             mResidencyChanged = false;
             mRequests.dispatchWaiting(nowNanos);
         }
-        if (!mSharesBacklog && (mOptions.features().loadShedding() || mRequests.reportsSpeeds())) {
+        if (!mSharesBacklog && (mOptions.features().contention() || mRequests.reportsSpeeds())) {
             mSharesBacklog = true;
             mLinksChanged = true;
         }
