--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -7,10 +7,8 @@
 import ebonygw.warmup.ColdToken;
 import java.util.Collection;
 import java.util.EnumMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -260,7 +258,7 @@
         }
         String adapter = pending.mRequest.adapter();
         if (status == MISDIRECTED) {
-            returnColdToken(pending);
+            returnColdToken(pending, nowNanos);
         }
         if (status == MISDIRECTED && !adapter.isEmpty()) {
             target.onAdapterAbsent(adapter, nowNanos);
@@ -291,10 +289,8 @@
         return counts;
     }
 
-    /** Withdraws the attempts that still wait for a connection to some targets. */
-    void withdrawUnsent(Collection<GatewayTarget> targets) {
-        Set<String> addresses = new HashSet<>();
-        targets.forEach(target -> addresses.add(target.record().address()));
+    /** Withdraws the attempts that still wait for a connection to some addresses. */
+    void withdrawUnsent(Collection<String> addresses) {
         addresses.forEach(it -> mOut.effect(new GatewayEffect.WithdrawWaiting(it)));
     }
 
@@ -310,8 +306,8 @@
     /**
      * Returns the token of the current attempt, which did not reach its target or does not count.
      */
-    void returnColdToken(PendingRequest pending) {
-        pending.mColdToken.giveBack();
+    void returnColdToken(PendingRequest pending, long nowNanos) {
+        pending.mColdToken.giveBack(nowNanos);
         pending.mColdToken = ColdToken.NONE;
     }
 
@@ -336,6 +332,9 @@
         pending.mAttempts++;
         pending.mTargetId = target.record().id();
         pending.mTargetIncarnation = target.record().incarnation();
+        pending.mTargetAddress = target.record().address();
+        pending.mTargetLocality = target.record().locality();
+        pending.mSentNanos = nowNanos;
         pending.mTriedTargetIds.add(pending.mTargetId);
         String cacheOwner = request.adapter().isEmpty() ? request.model() : request.adapter();
         long cached = target.promptCache().cachedTokens(cacheOwner, request.promptParts());
--- a/src/main/java/ebonygw/gateway/PendingRequest.java
+++ b/src/main/java/ebonygw/gateway/PendingRequest.java
@@ -2,6 +2,7 @@
 
 import ebonygw.eligibility.RegionScope;
 import ebonygw.http.BodySummary;
+import ebonygw.protocol.Locality;
 import ebonygw.warmup.ColdToken;
 import java.util.HashSet;
 import java.util.Set;
@@ -50,6 +51,15 @@
     /** Incarnation of that target when the request was sent. */
     String mTargetIncarnation = "";
 
+    /** Address of that target when the request was sent; its registration may be gone since. */
+    String mTargetAddress = "";
+
+    /** Where that target ran when the request was sent, null before the first attempt. */
+    Locality mTargetLocality;
+
+    /** When the current attempt was sent or began to wait for a connection. */
+    long mSentNanos;
+
     /** Token of the current attempt if its target is cold. */
     ColdToken mColdToken = ColdToken.NONE;
 
@@ -108,6 +118,11 @@
         return mRoute.isIdempotent() || mRoute.resumable();
     }
 
+    /** Returns whether an attempt is under way that has no response yet. */
+    boolean isUnanswered() {
+        return !mTargetId.isEmpty() && !mStarted;
+    }
+
     /** Returns whether the request waits for its adapter to be loaded. */
     boolean isWaiting() {
         return !mAwaitedTargetId.isEmpty();
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -8,6 +8,7 @@
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
+import ebonygw.warmup.ColdTarget;
 import ebonygw.warmup.ColdToken;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -136,16 +137,19 @@
         if (failed.started() && !failed.deadlineExceeded() && target != null) {
             mGuard.onBroken(pending, target, nowNanos);
         }
-        // One that waited too long for a connection to a cold target would wait there again.
-        boolean mayReturn = failed.withdrawn() && pending.mColdToken == ColdToken.NONE;
+        // One that waited too long for a connection to a cold target has failed to connect.
+        boolean expired =
+                pending.mColdToken != ColdToken.NONE
+                        && nowNanos - pending.mSentNanos >= ColdTarget.MAX_CONNECT_NANOS;
+        boolean withdrawn = failed.withdrawn() && !expired;
         if (failed.withdrawn() || !failed.mayHaveRun()) {
-            mAttempts.returnColdToken(pending);
+            mAttempts.returnColdToken(pending, nowNanos);
         }
-        if (mayReturn) {
+        if (withdrawn) {
             mAttempts.onWithdrawn(pending, nowNanos);
         }
-        mAttempts.endAttempt(pending, failed.withdrawn(), nowNanos);
-        if (failed.withdrawn()) {
+        mAttempts.endAttempt(pending, withdrawn, nowNanos);
+        if (withdrawn) {
             count("withdrawn");
             dispatch(pending, nowNanos);
             return;
@@ -205,7 +209,13 @@
 
     /** Withdraws the attempts at a data centre that is evacuated which were not sent yet. */
     void onEvacuated(String dataCenter) {
-        mAttempts.withdrawUnsent(mTargets.ofDataCenter(dataCenter));
+        Set<String> addresses = new HashSet<>();
+        for (PendingRequest pending : mByExchange.values()) {
+            if (pending.isUnanswered() && pending.mTargetLocality.dataCenter().equals(dataCenter)) {
+                addresses.add(pending.mTargetAddress);
+            }
+        }
+        mAttempts.withdrawUnsent(addresses);
     }
 
     /** Counts input of operators that is wrong. */
@@ -222,7 +232,7 @@
      */
     boolean onSettings(GatewaySettings settings, long nowNanos) {
         boolean changed = false;
-        Set<GatewayTarget> excluded = new HashSet<>();
+        Set<String> excluded = new HashSet<>();
         for (PendingRequest pending : mByExchange.values()) {
             RegionScope before = pending.mRegions;
             AllowedRegions route =
@@ -234,13 +244,11 @@
                             .map(GatewayCustomer::allowedRegions)
                             .orElse(before.customer());
             pending.mRegions = before.updated(route, customer, nowNanos);
-            GatewayTarget target = mTargets.get(pending.mTargetId);
             if (pending.mRegions != before) {
                 changed = true;
-                if (target != null
-                        && !pending.mStarted
-                        && !pending.mRegions.allows(target.record().locality().region())) {
-                    excluded.add(target);
+                if (pending.isUnanswered()
+                        && !pending.mRegions.allows(pending.mTargetLocality.region())) {
+                    excluded.add(pending.mTargetAddress);
                 }
             }
         }
--- a/src/main/java/ebonygw/warmup/ColdLimit.java
+++ b/src/main/java/ebonygw/warmup/ColdLimit.java
@@ -34,17 +34,17 @@
         }
     }
 
-    /** Returns a limit; {@link #MALFORMED} if a number is negative or not finite. */
+    /**
+     * Returns a limit. {@link #MALFORMED} if the rate is negative or not finite; with the longest
+     * time after a start if only that is, so that the limit still holds.
+     */
     public static ColdLimit of(double perSecond, double startSeconds) {
-        boolean valid =
-                Double.isFinite(perSecond)
-                        && Double.isFinite(startSeconds)
-                        && perSecond >= 0
-                        && startSeconds >= 0;
-        return valid
-                ? new ColdLimit(
-                        perSecond, (long) (Math.min(startSeconds, MAX_START_SECONDS) * 1e9), false)
-                : MALFORMED;
+        if (!Double.isFinite(perSecond) || perSecond < 0) {
+            return MALFORMED;
+        }
+        boolean valid = Double.isFinite(startSeconds) && startSeconds >= 0;
+        double seconds = valid ? Math.min(startSeconds, MAX_START_SECONDS) : MAX_START_SECONDS;
+        return new ColdLimit(perSecond, (long) (seconds * 1e9), !valid);
     }
 
     /** Returns whether there is a limit. */
--- a/src/main/java/ebonygw/warmup/ColdTarget.java
+++ b/src/main/java/ebonygw/warmup/ColdTarget.java
@@ -29,7 +29,7 @@
      * Maximum time for which an attempt may wait for a connection; it is withdrawn at the next
      * tick. Opening a connection takes 60 ms between regions.
      */
-    static final long MAX_CONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    public static final long MAX_CONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /**
      * Seconds in which the tokens are withdrawn whose requests are sent within one second: some
@@ -37,6 +37,12 @@
      */
     static final double WINDOW_SECONDS = 1 + (MAX_CONNECT_NANOS + ShareBucket.MAX_STEP_NANOS) / 1e9;
 
+    /**
+     * Time after its withdrawal in which a token may be returned. Later the bucket has been
+     * refilled meanwhile, so that the token would come on top and exceed the limit.
+     */
+    static final long MAX_RETURN_NANOS = MAX_CONNECT_NANOS + ShareBucket.MAX_STEP_NANOS;
+
     private final WarmUp mWarmUp;
     private final String mId;
     private String mAddress = "";
@@ -141,9 +147,11 @@
         share.withdraw(nowNanos);
         mConnectDeadlines.add(nowNanos + MAX_CONNECT_NANOS);
         mWarmUp.count("tokensWithdrawn");
-        return () -> {
-            share.giveBack();
-            mWarmUp.count("tokensReturned");
+        return returnNanos -> {
+            if (returnNanos - nowNanos <= MAX_RETURN_NANOS) {
+                share.giveBack();
+                mWarmUp.count("tokensReturned");
+            }
         };
     }
 
--- a/src/main/java/ebonygw/warmup/ColdToken.java
+++ b/src/main/java/ebonygw/warmup/ColdToken.java
@@ -4,8 +4,11 @@
 @FunctionalInterface
 public interface ColdToken {
     /** A request to a target that is not cold. */
-    ColdToken NONE = () -> {};
+    ColdToken NONE = nowNanos -> {};
 
-    /** Returns the token, because the request did not reach the target or does not count. */
-    void giveBack();
+    /**
+     * Returns the token, because the request did not reach the target or does not count. Ignored
+     * long after the withdrawal, see {@link ColdTarget#MAX_RETURN_NANOS}.
+     */
+    void giveBack(long nowNanos);
 }
--- a/src/main/java/ebonygw/warmup/ShareBucket.java
+++ b/src/main/java/ebonygw/warmup/ShareBucket.java
@@ -28,10 +28,7 @@
         mLastNanos = nowNanos;
     }
 
-    /**
-     * Returns a token of a request that did not count. The bucket is then as if the request had not
-     * been sent.
-     */
+    /** Returns a token of a request that did not count, soon after its withdrawal. */
     void giveBack() {
         mTokens = Math.min(BURST, mTokens + 1);
     }
--- a/src/test/java/ebonygw/gateway/AllowedRegionsTest.java
+++ b/src/test/java/ebonygw/gateway/AllowedRegionsTest.java
@@ -169,4 +169,17 @@
                 .filter(it -> it.toString().contains("event=region_unknown"))
                 .count();
     }
+
+    // Guards against an unsent attempt that outlives its target's registration and is sent to a
+    // region that a newer configuration excludes.
+    @Test
+    void anUnsentAttemptToADeregisteredTargetIsWithdrawnWhenItsRegionIsExcluded() {
+        GatewayFixture entry = GatewayFixture.started();
+        AttemptTerms terms = entry.attempts(entry.submit("/look/1")).get(0);
+        entry.removeTarget(terms.instance());
+        entry.settings(
+                GatewayFixture.settings(
+                        2, 0, 0, new AllowedRegions(Set.of("montego")), AllowedRegions.ANY));
+        assertThat(entry.mEffects).contains(new GatewayEffect.WithdrawWaiting(terms.address()));
+    }
 }
--- a/src/test/java/ebonygw/gateway/EvacuationTest.java
+++ b/src/test/java/ebonygw/gateway/EvacuationTest.java
@@ -199,4 +199,15 @@
             }
         }
     }
+
+    // Guards against an unsent attempt that outlives its target's registration and is sent to an
+    // evacuated data centre when a connection becomes free.
+    @Test
+    void anUnsentAttemptToADeregisteredTargetIsWithdrawnWhenItsDataCenterIsEvacuated() {
+        GatewayFixture entry = GatewayFixture.started();
+        AttemptTerms terms = entry.attempts(entry.submit("/look/1")).get(0);
+        entry.removeTarget(terms.instance());
+        entry.evacuate(GatewayFixture.KINGSTON);
+        assertThat(entry.mEffects).contains(new GatewayEffect.WithdrawWaiting(terms.address()));
+    }
 }
