--- a/src/main/java/ebonygw/backlog/FleetBacklog.java
+++ b/src/main/java/ebonygw/backlog/FleetBacklog.java
@@ -15,12 +15,15 @@
 public final class FleetBacklog {
     private final Map<NodeId, Reporter> mReporters = new TreeMap<>();
     private long mTotalTokens;
+    private long mInvalidReports;
 
     /** Applies the tokens of an entry, which replace those that it reported before. */
     public void onReport(NodeId entry, long tokens) {
         Reporter reporter = mReporters.computeIfAbsent(entry, e -> new Reporter());
-        mTotalTokens += Math.max(0, tokens) - reporter.mTokens;
-        reporter.mTokens = Math.max(0, tokens);
+        long bounded = TargetBacklog.bounded(tokens);
+        mInvalidReports += bounded == tokens ? 0 : 1;
+        mTotalTokens += bounded - reporter.mTokens;
+        reporter.mTokens = bounded;
     }
 
     /** Discards the tokens of an entry whose connection is lost. */
@@ -42,6 +45,11 @@
                                 .ifPresent(tokens -> out.accept(entry, tokens)));
     }
 
+    /** Returns the number of reports that were out of bounds. */
+    public long invalidReports() {
+        return mInvalidReports;
+    }
+
     /** Returns the tokens of all entries, for diagnostics. */
     public long totalTokens() {
         return mTotalTokens;
--- a/src/main/java/ebonygw/backlog/TargetBacklog.java
+++ b/src/main/java/ebonygw/backlog/TargetBacklog.java
@@ -9,9 +9,20 @@
  * <p>Known only while the loader is connected and has reported. Not thread-safe.
  */
 public final class TargetBacklog {
+    /**
+     * Maximum number of tokens that is believed: far more than replicas can hold, and low enough
+     * that sums and times computed from it stay in range.
+     */
+    static final long MAX_TOKENS = 100_000_000;
+
     private final BacklogReport mReport = new BacklogReport();
     private OptionalLong mOthersTokens = OptionalLong.empty();
 
+    /** Returns a number of tokens within its bounds. */
+    static long bounded(long tokens) {
+        return Math.max(0, Math.min(MAX_TOKENS, tokens));
+    }
+
     /**
      * Returns the message to send to the loader, empty if none is due, and marks it as sent.
      *
@@ -23,7 +34,7 @@
 
     /** Applies the tokens of all other entries that the loader reported. */
     public void onReport(long tokens) {
-        mOthersTokens = OptionalLong.of(Math.max(0, tokens));
+        mOthersTokens = OptionalLong.of(bounded(tokens));
     }
 
     /** Discards what is known, as after the loss of the connection or a restart of the target. */
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -124,6 +124,7 @@
         dump.put("status", String.valueOf(mStatus));
         dump.put("entries", mEntries.toString());
         dump.put("backlogTokens", mBacklog.totalTokens());
+        dump.put("backlogInvalidReports", mBacklog.invalidReports());
         dump.put("counts", Map.copyOf(mCounts));
         return dump;
     }
--- a/src/main/java/ebonygw/gateway/SharedQuota.java
+++ b/src/main/java/ebonygw/gateway/SharedQuota.java
@@ -224,7 +224,8 @@
         if (standing.demand() > MAX_REPORTED
                 || standing.smallDemand() < 0
                 || standing.smallDemand() > standing.demand()
-                || Math.abs(standing.level()) > MAX_REPORTED) {
+                || standing.level() > MAX_REPORTED
+                || standing.level() < -MAX_REPORTED) {
             mInvalidStandings++;
             if (mInvalidSenders.add(entry)) {
                 mLog.accept(
--- a/src/main/java/ebonygw/gateway/UsageExchange.java
+++ b/src/main/java/ebonygw/gateway/UsageExchange.java
@@ -231,7 +231,7 @@
             mQuota.onRemoved(usage.entry());
         }
         if (isNew) {
-            row.mStartUnknown = usage.sequence() > YOUNG_SEQUENCE;
+            row.mBaselineSequence = usage.sequence() > YOUNG_SEQUENCE ? usage.sequence() : 0;
         }
         boolean isNewer = usage.sequence() > row.mSequence;
         if (usage.sequence() > row.mSequence) {
@@ -242,7 +242,10 @@
         }
         Map<String, Long> charged = new HashMap<>();
         for (GatewayMessage.CustomerTokens tokens : usage.charged()) {
-            boolean isBaseline = row.mStartUnknown && !row.mCells.containsKey(tokens.customer());
+            // A value set later than that is what the customer has used since.
+            boolean isBaseline =
+                    tokens.sequence() <= row.mBaselineSequence
+                            && !row.mCells.containsKey(tokens.customer());
             Cell cell = row.mCells.computeIfAbsent(tokens.customer(), c -> new Cell());
             if (tokens.sequence() > cell.mSequence) {
                 if (!isBaseline || !mQuota.accountsByEntry()) {
@@ -415,8 +418,12 @@
         /** When the registration was first seen to be missing, MAX_VALUE if it is there. */
         private long mLapsedNanos = Long.MAX_VALUE;
 
-        /** Whether the entry had charged for a while when it was first heard of. */
-        private boolean mStartUnknown;
+        /**
+         * Sequence at which the entry was first heard of, if it had charged for a while by then;
+         * else 0. What is first heard of a customer and was set up to then is a total, not a
+         * charge.
+         */
+        private long mBaselineSequence;
 
         private boolean mReachable;
 
--- a/src/main/java/ebonygw/spillover/Spillover.java
+++ b/src/main/java/ebonygw/spillover/Spillover.java
@@ -138,7 +138,8 @@
         // A new entry starts with nothing, so that restarts send no additional bursts.
         mCapBytes = Math.min(burst, mCapBytes + rate * elapsed);
         mCapNanos = nowNanos;
-        return mCapBytes >= bytes;
+        // A request larger than the burst is let through when nothing is owed, and owes the rest.
+        return mCapBytes >= Math.min(bytes, burst);
     }
 
     /** Counts a request that the cap kept in the local data centre. */
--- a/src/test/java/ebonygw/backlog/FleetBacklogTest.java
+++ b/src/test/java/ebonygw/backlog/FleetBacklogTest.java
@@ -105,4 +105,18 @@
         assertThat(backlog.othersTokens()).isEmpty();
         assertThat(backlog.drainIfDue(500, NOW + 1)).isEqualTo(OptionalLong.of(500));
     }
+
+    /** Guards against one impossible number that makes a loaded target look idle to all. */
+    @Test
+    void anImpossibleReportIsBoundedAndCounted() {
+        mFleet.onReport(FIRST, 0);
+        mFleet.onReport(SECOND, Long.MAX_VALUE);
+        mFleet.onReport(new NodeId("entry-3"), 5_000);
+
+        assertThat(due(NOW)).containsEntry(FIRST, TargetBacklog.MAX_TOKENS + 5_000);
+        assertThat(mFleet.invalidReports()).isEqualTo(1);
+        TargetBacklog backlog = new TargetBacklog();
+        backlog.onReport(Long.MAX_VALUE);
+        assertThat(backlog.othersTokens()).isEqualTo(OptionalLong.of(TargetBacklog.MAX_TOKENS));
+    }
 }
--- a/src/test/java/ebonygw/gateway/SharedQuotaTest.java
+++ b/src/test/java/ebonygw/gateway/SharedQuotaTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ebonygw.membership.Member;
+import ebonygw.membership.MemberState;
+import ebonygw.membership.Role;
+import ebonygw.protocol.Locality;
 import ebonygw.protocol.NodeId;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -219,4 +223,40 @@
     private static GatewayCustomer customer() {
         return new GatewayCustomer("a", 0, QuotaFleet.RATE, QuotaFleet.BURST, 1, List.of());
     }
+
+    // Guards against a customer's first charges at an older entry that a younger one takes for a
+    // total of long ago, so that both use the whole quota.
+    @Test
+    void theFirstChargeOfALongRunningEntryForACustomerIsCounted() {
+        NodeId peer = new NodeId("e2");
+        Locality here = new Locality("r", "dc");
+        SharedQuota quota = new SharedQuota(0, 0, 1, line -> {});
+        quota.onSettings(List.of(new GatewayCustomer("y", 0, 1, 530_000, 1, List.of())), 0);
+        UsageExchange exchange = new UsageExchange(new NodeId("e1"), here, 1, quota);
+        exchange.onEntries(
+                List.of(new Member(peer, 1, Role.ENTRY, MemberState.LIVE, here, "10.0.0.2:1", "")));
+        exchange.onLink(peer, true);
+        long now = 0;
+        for (int sequence = 100; sequence < 400; sequence++) {
+            now += 100_000_000L;
+            if (sequence == 399) {
+                long before = quota.available("y");
+                exchange.onMessage(peer, usage(peer, sequence, 500_000), now);
+                assertThat(quota.available("y")).isLessThan(before - 400_000);
+            } else {
+                exchange.onMessage(peer, usage(peer, sequence, 0), now);
+            }
+        }
+    }
+
+    private static GatewayMessage.Usage usage(NodeId entry, long sequence, long tokens) {
+        List<GatewayMessage.CustomerTokens> charged =
+                tokens == 0
+                        ? List.of()
+                        : List.of(
+                                new GatewayMessage.CustomerTokens(
+                                        "y", tokens, sequence, QuotaStanding.NONE));
+        return new GatewayMessage.Usage(
+                true, List.of(new GatewayMessage.EntryUsage(entry, 7, sequence, charged)));
+    }
 }
