--- a/src/main/java/ebonygw/gateway/TargetChooser.java
+++ b/src/main/java/ebonygw/gateway/TargetChooser.java
@@ -314,6 +314,8 @@
                 residentCosts[i] = Long.MAX_VALUE;
             }
         }
+        // A request whose awaited target may not get it any more waits nowhere.
+        String waitsAt = isExcluded(usable, distances, awaited) ? "" : awaited;
         int loading = -1;
         long[] ranks = null;
         for (int i = 0; i < count && !allResident; i++) {
@@ -321,7 +323,7 @@
             if (resident[i] || distances[i] == SpilloverCosts.EXCLUDED) {
                 continue;
             }
-            long adapterNanos = adapterNanos(request, target, 0, awaited);
+            long adapterNanos = adapterNanos(request, target, 0, waitsAt);
             if (adapterNanos == IMPOSSIBLE) {
                 continue;
             }
@@ -333,7 +335,7 @@
             }
             ranks = ranks == null ? ranks(usable, request.adapter()) : ranks;
             int rank = (int) ranks[i];
-            long cost = otherNanos + adapterNanos(request, target, rank, awaited);
+            long cost = otherNanos + adapterNanos(request, target, rank, waitsAt);
             if (cost < bestCost) {
                 bestCost = cost;
                 loading = i;
@@ -349,6 +351,17 @@
         return new Choice(usable.get(drawn), true, residentCosts[drawn], learnt.startNanos(drawn));
     }
 
+    /** Returns whether a target is among those that may not get the request. */
+    private static boolean isExcluded(List<GatewayTarget> targets, long[] distances, String id) {
+        for (int i = 0; i < distances.length; i++) {
+            if (distances[i] == SpilloverCosts.EXCLUDED
+                    && targets.get(i).record().id().equals(id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Adds the cost of targets whose data centre gets its work back. */
     private static void addReturnCosts(
             GatewayRequest request, List<GatewayTarget> targets, long[] costs, long nowNanos) {
--- a/src/test/java/ebonygw/gateway/SpilloverCostsTest.java
+++ b/src/test/java/ebonygw/gateway/SpilloverCostsTest.java
@@ -82,4 +82,28 @@
 
         assertThat(left(load(0, 0), Optional.empty(), 0)).isEqualTo(TICKS);
     }
+
+    /** Guards against a refusal of a request that waits elsewhere when the cap is used up. */
+    @Test
+    void aRequestThatWaitsElsewhereReturnsWhenTheCapIsUsedUp() {
+        for (GatewayTarget target : List.of(mLocal, mRemote)) {
+            target.setLoader(GatewayFixture.loader(target.record().host()));
+            target.onLoaderUp();
+        }
+        mOut.setConsumer(effect -> {});
+        TargetSpeeds speeds = new TargetSpeeds(mCosts, mTable, 1, mOut);
+        SpilloverOptions capped = SpilloverOptions.ofMillis(100, 1_000, 1e6);
+        TargetChooser chooser =
+                new TargetChooser(
+                        mCosts,
+                        Optional.of(speeds),
+                        Optional.of(new SpilloverCosts(capped, HERE, new FleetSize(), mOut)));
+        speeds.onReport(mLocal, 100, mNow);
+        mLocal.onOpenAdapterSlots(0);
+        GatewayRequest request = GatewayFixture.request("r", "/ask/1", GatewayFixture.KEY, "m0/a7");
+        List<GatewayTarget> targets = List.of(mLocal, mRemote);
+
+        assertThat(chooser.choose(request, 0, targets, Set.of(), "t2", 0, mNow).target())
+                .isSameAs(mLocal);
+    }
 }
