--- a/src/main/java/ebonygw/backlog/FleetBacklog.java
+++ b/src/main/java/ebonygw/backlog/FleetBacklog.java
@@ -17,13 +17,24 @@
     private long mTotalTokens;
     private long mInvalidReports;
 
-    /** Applies the tokens of an entry, which replace those that it reported before. */
-    public void onReport(NodeId entry, long tokens) {
+    /**
+     * Applies the tokens of an entry, which replace those that it reported before. A number out of
+     * bounds is counted and replaced by the nearest bound.
+     *
+     * @return whether this is the first number out of bounds since the entry connected
+     */
+    public boolean onReport(NodeId entry, long tokens) {
         Reporter reporter = mReporters.computeIfAbsent(entry, e -> new Reporter());
         long bounded = TargetBacklog.bounded(tokens);
-        mInvalidReports += bounded == tokens ? 0 : 1;
         mTotalTokens += bounded - reporter.mTokens;
         reporter.mTokens = bounded;
+        if (bounded == tokens) {
+            return false;
+        }
+        mInvalidReports++;
+        boolean first = !reporter.mInvalid;
+        reporter.mInvalid = true;
+        return first;
     }
 
     /** Discards the tokens of an entry whose connection is lost. */
@@ -58,5 +69,6 @@
     private static final class Reporter {
         private final BacklogReport mReport = new BacklogReport();
         private long mTokens;
+        private boolean mInvalid;
     }
 }
--- a/src/main/java/ebonygw/gateway/LoaderNode.java
+++ b/src/main/java/ebonygw/gateway/LoaderNode.java
@@ -141,7 +141,12 @@
             if (said.message() instanceof GatewayMessage.AdapterNeeds needs) {
                 mDemands.onNeeds(said.peer(), needs.needs(), nowNanos);
             } else if (said.message() instanceof GatewayMessage.PrefillBacklog backlog) {
-                mBacklog.onReport(said.peer(), backlog.tokens());
+                if (mBacklog.onReport(said.peer(), backlog.tokens())) {
+                    mOut.log(
+                            LogLine.of("backlog_invalid")
+                                    .with("entry", said.peer().name())
+                                    .with("tokens", backlog.tokens()));
+                }
             }
         } else if (event instanceof GatewayEvent.PeerUp up) {
             mEntries.add(up.peer());
