--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -348,17 +348,6 @@
         }
         TargetChooser.Choice choice = mAttempts.choose(pending, nowNanos);
         if (choice == null) {
-            Optional<Long> cold = mAttempts.coldNanos(pending, nowNanos);
-            if (cold.isPresent()) {
-                count("cold_refused");
-                refuse(
-                        pending,
-                        pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
-                        "all targets cold of " + pending.mService,
-                        cold.get(),
-                        nowNanos);
-                return;
-            }
             refuseWithoutTarget(pending, nowNanos);
         } else if (choice.startNanos() > remaining) {
             refuse(
@@ -472,6 +461,17 @@
 
     /** Refuses a request that no target takes now. */
     private void refuseWithoutTarget(PendingRequest pending, long nowNanos) {
+        Optional<Long> cold = mAttempts.coldNanos(pending, nowNanos);
+        if (cold.isPresent()) {
+            count("cold_refused");
+            refuse(
+                    pending,
+                    pending.mMayHaveRun ? RefusalCode.LOST : RefusalCode.UNAVAILABLE,
+                    "all targets cold of " + pending.mService,
+                    cold.get(),
+                    nowNanos);
+            return;
+        }
         Optional<Long> pause = mAttempts.remainingPauseNanos(pending, nowNanos);
         Map<Reason, Integer> excluded = mAttempts.excludedByOperators(pending, nowNanos);
         StringBuilder detail = new StringBuilder();
