--- a/src/main/java/ebonygw/gateway/SharedBucket.java
+++ b/src/main/java/ebonygw/gateway/SharedBucket.java
@@ -23,6 +23,12 @@
     /** Half-life of the demand: a few requests at an entry that gets one or two per second. */
     private static final long DEMAND_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * Interval at which a standing is reported again although the demand is much the same. Reports
+     * with each message were most of the traffic between entries.
+     */
+    private static final long STANDING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** Age after which the standing at another entry is ignored: that of an unreachable entry. */
     private static final long MAX_STANDING_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -93,6 +99,8 @@
     private double mReportAge;
     private long mTickNanos;
     private boolean mReported;
+    private long mReportedDemand;
+    private long mReportedNanos;
 
     private record Received(QuotaStanding standing, double deviation, long nanos) {}
 
@@ -310,6 +318,12 @@
         if (demand == 0 && !mReported) {
             return null;
         }
+        boolean similar = Math.abs(demand - mReportedDemand) <= mReportedDemand / 4;
+        if (demand > 0 && similar && nowNanos - mReportedNanos < STANDING_INTERVAL_NANOS) {
+            return null;
+        }
+        mReportedNanos = nowNanos;
+        mReportedDemand = demand;
         mReported = demand > 0;
         long small = Math.min(demand, Math.round(mSmallDemand.perSecond(nowNanos)));
         return new QuotaStanding(demand, small, (long) (mLevel + mRecent.charged(nowNanos)));
