--- a/src/main/java/ebonygw/caller/GatewayServer.java
+++ b/src/main/java/ebonygw/caller/GatewayServer.java
@@ -22,7 +22,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.server.handlers.HttpContinueReadHandler;
-import io.undertow.util.AttachmentKey;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
@@ -35,6 +34,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -51,13 +51,13 @@
  * GatewayEvent}s and returns {@link GatewayEffect}s.
  */
 public final class GatewayServer {
-    private static final AttachmentKey<HttpServerExchange> OPEN_EXCHANGE =
-            AttachmentKey.create(HttpServerExchange.class);
-
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
 
+    /** Wait for a connection that is logged, more than opening one takes between regions. */
+    private static final long LOGGED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final GatewayServerOptions mOptions;
     private final GatewayHeaders mHeaders;
     private final TargetForwarder mTargets;
@@ -68,6 +68,10 @@
     private final HttpListener mCallers;
     private final HttpListener mReadiness;
     private final Set<ServerConnection> mConnections = new HashSet<>();
+
+    /** Exchanges that have not ended, by their connection. */
+    private final Map<ServerConnection, HttpServerExchange> mOpen = new ConcurrentHashMap<>();
+
     private final Map<Long, GatewayExchange> mExchanges = new ConcurrentHashMap<>();
     private final AtomicLong mSequence = new AtomicLong();
     private final CallerExchange.Owner mOwner = new ExchangeOwner();
@@ -150,7 +154,7 @@
                 .execute(
                         () -> {
                             for (ServerConnection connection : List.copyOf(mConnections)) {
-                                HttpServerExchange open = connection.getAttachment(OPEN_EXCHANGE);
+                                HttpServerExchange open = mOpen.get(connection);
                                 if (open == null) {
                                     IoUtils.safeClose(connection);
                                 } else {
@@ -166,6 +170,11 @@
         mReadiness.start();
     }
 
+    /** Returns the number of requests whose responses their callers have not got whole. */
+    public int undelivered() {
+        return mOpen.size();
+    }
+
     /** Stops listening and closes all connections. */
     public void stop() {
         mCallers.close();
@@ -176,12 +185,16 @@
     private void handle(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         if (mConnections.add(connection)) {
-            connection.addCloseListener(mConnections::remove);
+            connection.addCloseListener(
+                    closed -> {
+                        mConnections.remove(closed);
+                        mOpen.remove(closed);
+                    });
         }
-        connection.putAttachment(OPEN_EXCHANGE, exchange);
+        mOpen.put(connection, exchange);
         exchange.addExchangeCompleteListener(
                 (done, next) -> {
-                    connection.removeAttachment(OPEN_EXCHANGE);
+                    mOpen.remove(connection, done);
                     next.proceed();
                 });
         if (mExchanges.size() >= mOptions.maxExchanges()) {
@@ -289,6 +302,20 @@
         openExchange(exchange, request.get(), body.length);
     }
 
+    /** Returns the request of an attempt for which a connection is free now. */
+    private HttpRequest forwarded(GatewayRequest request, AttemptTerms terms, long remainingNanos) {
+        long waitedNanos = terms.remainingNanos() - remainingNanos;
+        if (waitedNanos >= LOGGED_WAIT_NANOS) {
+            LogLine.of("attempt_delayed")
+                    .with("request", request.id())
+                    .with("attempt", terms.number())
+                    .with("target", terms.instance())
+                    .with("wait_ms", TimeUnit.NANOSECONDS.toMillis(waitedNanos))
+                    .info();
+        }
+        return forwarded(request, terms.withRemaining(remainingNanos));
+    }
+
     private HttpRequest forwarded(GatewayRequest request, AttemptTerms terms) {
         Map<String, String> headers = new HashMap<>(mHeaders.write(request, terms));
         headers.put("host", request.host());
@@ -300,7 +327,7 @@
                 terms.address(),
                 terms.maxConnections(),
                 request.id(),
-                remainingNanos -> forwarded(request, terms.withRemaining(remainingNanos)),
+                remainingNanos -> forwarded(request, terms, remainingNanos),
                 terms.remainingNanos(),
                 handler);
     }
--- a/src/main/java/ebonygw/process/GatewayProcess.java
+++ b/src/main/java/ebonygw/process/GatewayProcess.java
@@ -102,6 +102,7 @@
 
     @Override
     public void close() {
+        LogLine.of("callers_closed").with("undelivered", mServer.undelivered()).info();
         mServer.stop();
         mInfrastructure.close();
     }
