--- a/src/test/java/ebonygw/gateway/RejectedLoad.java
+++ b/src/test/java/ebonygw/gateway/RejectedLoad.java
@@ -13,13 +13,22 @@
     private static final int REPLICAS = 9;
     private static final int INTERVAL_MILLIS = 40;
 
+    /** Time between two requests, so short that the budget limits the retries. */
+    static final int SHORT_INTERVAL_MILLIS = 10;
+
     final GatewayFleet mFleet;
     private final SplittableRandom mRandom;
     private final RetryWindows mWindows;
+    private final int mIntervalMillis;
     private int mRequests;
     private int mCountedArrivals;
 
     RejectedLoad(long seed) {
+        this(seed, INTERVAL_MILLIS);
+    }
+
+    RejectedLoad(long seed, int intervalMillis) {
+        mIntervalMillis = intervalMillis;
         mRandom = new SplittableRandom(seed);
         mFleet = new GatewayFleet(seed, ENTRIES, REPLICAS);
         mFleet.mRejecting = true;
@@ -33,14 +42,14 @@
 
     /** Sends requests to entries at random for a time. */
     void run(long millis) {
-        for (long passed = 0; passed < millis; passed += INTERVAL_MILLIS) {
+        for (long passed = 0; passed < millis; passed += mIntervalMillis) {
             List<String> entries = List.copyOf(mFleet.mEntries.keySet());
             if (!entries.isEmpty()) {
                 String entry = entries.get(mRandom.nextInt(entries.size()));
                 mWindows.addRequest(mFleet.nowNanos());
                 mFleet.submit(entry, GatewayFleet.prompt("own" + ++mRequests));
             }
-            mFleet.run(INTERVAL_MILLIS);
+            mFleet.run(mIntervalMillis);
         }
     }
 
