--- a/src/test/java/ebonygw/platform/EntryOnPlatform.java
+++ b/src/test/java/ebonygw/platform/EntryOnPlatform.java
@@ -19,7 +19,7 @@
     GatewayProcess mEntry;
     private int mRequestCount;
 
-    private static String configuration() {
+    static String configuration() {
         return """
         {"version":7,"routes":[
           {"name":"book","hostname":"h","prefix":"/book/","type":"non_idempotent",
