--- a/src/main/java/ebonygw/caller/GatewayServer.java
+++ b/src/main/java/ebonygw/caller/GatewayServer.java
@@ -329,6 +329,7 @@
                 request.id(),
                 remainingNanos -> forwarded(request, terms, remainingNanos),
                 terms.remainingNanos(),
+                terms.maxConnectNanos(),
                 handler);
     }
 
--- a/src/main/java/ebonygw/gateway/AttemptTerms.java
+++ b/src/main/java/ebonygw/gateway/AttemptTerms.java
@@ -13,6 +13,8 @@
  * @param priority scheduling priority at the target, 0 is the highest
  * @param adapterVersion minimum version of the adapter that must run it, 0 for any
  * @param remainingNanos time left until the deadline
+ * @param maxConnectNanos longest time that the attempt may wait for a connection, after which it is
+ *     withdrawn
  */
 public record AttemptTerms(
         int number,
@@ -22,7 +24,11 @@
         String customer,
         int priority,
         long adapterVersion,
-        long remainingNanos) {
+        long remainingNanos,
+        long maxConnectNanos) {
+    /** Maximum wait of an attempt that may wait until its deadline. */
+    public static final long UNTIL_DEADLINE = Long.MAX_VALUE;
+
     /** Creates the parameters. */
     public AttemptTerms {
         Objects.requireNonNull(instance, "instance");
@@ -40,6 +46,7 @@
                 customer,
                 priority,
                 adapterVersion,
-                nanos);
+                nanos,
+                maxConnectNanos);
     }
 }
--- a/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
+++ b/src/main/java/ebonygw/gateway/FleetRetryBudgets.java
@@ -23,6 +23,13 @@
     /** Minimum time left until the deadline for an attempt: a round trip between regions. */
     static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
+    /**
+     * Longest time that a retry may wait for a connection after it was withdrawn from its budget.
+     * Longer than the time limit of a connection that cannot be opened, so that its target is known
+     * to have failed.
+     */
+    static final long MAX_CONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
     /**
      * Balance that every entry may hold, so that deposits of its own requests add up to a retry.
      */
@@ -107,18 +114,22 @@
     }
 
     /**
-     * Returns the bounds of this entry's budgets. Within one window a budget spends at most its
+     * Returns the bounds of this entry's budgets. The retries that arrive within one window were
+     * withdrawn in it or up to the longest wait before, and what such a wait returns to the budget
+     * was withdrawn up to another one before. Within this longer time a budget spends at most its
      * balance at the start and what it receives meanwhile, hence half of the extra retries for
      * each. The minimum balances of entries that may not use their part are taken off the latter.
      */
     private RetryOptions retryOptions() {
         double half = mOptions.retryExtra() / 2;
-        double windowSeconds = mOptions.retryWindowNanos() / 1e9;
-        double refill = Math.max(0, half - MIN_BALANCE * mEntries) / mEntries / windowSeconds;
+        long spendingNanos = mOptions.retryWindowNanos() + 2 * MAX_CONNECT_NANOS;
+        double refill =
+                Math.max(0, half - MIN_BALANCE * mEntries) / mEntries / (spendingNanos / 1e9);
+        double ratio = mOptions.retryRatio() * mOptions.retryWindowNanos() / (double) spendingNanos;
         RetryOptions defaults = RetryOptions.defaults();
         return new RetryOptions(
                 defaults.maxAttempts(),
-                (int) (mOptions.retryRatio() * 100),
+                (int) (ratio * WHOLE_PERCENT),
                 mCertain ? Math.max(MIN_BALANCE, half / mEntries) : MIN_BALANCE,
                 mCertain ? refill : 0,
                 MIN_REMAINING_NANOS,
--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -423,7 +423,10 @@
                                 pending.mCustomer,
                                 pending.mPriority,
                                 wanted,
-                                remainingNanos)));
+                                remainingNanos,
+                                pending.mRetryCharged
+                                        ? FleetRetryBudgets.MAX_CONNECT_NANOS
+                                        : AttemptTerms.UNTIL_DEADLINE)));
     }
 
     /** Returns what leaves for other data centres, for diagnostics. */
--- a/src/main/java/ebonygw/http/HttpCall.java
+++ b/src/main/java/ebonygw/http/HttpCall.java
@@ -44,10 +44,12 @@
     private final String mRequestId;
     private final LongFunction<HttpRequest> mRequests;
     private final long mTimeoutNanos;
+    private final long mMaxConnectNanos;
     private final HttpResponseHandler mHandler;
     private HttpRequest mRequest;
     private HttpConnection mConnection;
     private XnioIoThread.Key mTimer;
+    private XnioIoThread.Key mConnectTimer;
     private long mBegunNanos;
     private long mSentNanos;
     private boolean mResponseStarted;
@@ -68,11 +70,13 @@
             String requestId,
             LongFunction<HttpRequest> requests,
             long timeoutNanos,
+            long maxConnectNanos,
             HttpResponseHandler handler) {
         mClient = client;
         mRequestId = Objects.requireNonNull(requestId, "requestId");
         mRequests = Objects.requireNonNull(requests, "requests");
         mTimeoutNanos = timeoutNanos;
+        mMaxConnectNanos = maxConnectNanos;
         mHandler = Objects.requireNonNull(handler, "handler");
     }
 
@@ -97,6 +101,9 @@
         }
         mBegunNanos = System.nanoTime();
         mTimer = mClient.timer(mTimeoutNanos, this::onTimeout);
+        if (mMaxConnectNanos < mTimeoutNanos) {
+            mConnectTimer = mClient.timer(mMaxConnectNanos, this::onConnectTimeout);
+        }
         return true;
     }
 
@@ -114,6 +121,15 @@
     void sendOn(HttpConnection connection) {
         FullHttpRequest request;
         long sentNanos = System.nanoTime();
+        if (mConnectTimer != null) {
+            mConnectTimer.remove();
+        }
+        if (sentNanos - mBegunNanos > mMaxConnectNanos) {
+            // The timer is late, for example because the process was stopped.
+            onConnectTimeout();
+            mClient.release(connection, 0);
+            return;
+        }
         try {
             mRequest = mRequests.apply(mTimeoutNanos - (sentNanos - mBegunNanos));
             request = encodable();
@@ -127,6 +143,12 @@
         connection.send(request, mRequestId, new ResponseReceiver());
     }
 
+    private void onConnectTimeout() {
+        abort(
+                HttpFailure.Kind.WITHDRAWN,
+                "no connection within " + TimeUnit.NANOSECONDS.toMillis(mMaxConnectNanos) + " ms");
+    }
+
     private void onTimeout() {
         String detail = "time limit passed";
         if (mConnection != null) {
@@ -184,6 +206,9 @@
         if (mTimer != null) {
             mTimer.remove();
         }
+        if (mConnectTimer != null) {
+            mConnectTimer.remove();
+        }
         return true;
     }
 
--- a/src/main/java/ebonygw/http/HttpClient.java
+++ b/src/main/java/ebonygw/http/HttpClient.java
@@ -131,7 +131,7 @@
     public HttpCall prepare(HttpRequest request, long timeoutNanos, HttpResponseHandler handler) {
         Objects.requireNonNull(request, "request");
         String requestId = request.headers().getOrDefault(mOptions.requestIdField(), "");
-        return prepare(requestId, remainingNanos -> request, timeoutNanos, handler);
+        return prepare(requestId, remainingNanos -> request, timeoutNanos, timeoutNanos, handler);
     }
 
     /**
@@ -143,6 +143,8 @@
      *     thread
      * @param timeoutNanos time limit from sending the request to the end of the response, in
      *     nanoseconds
+     * @param maxConnectNanos longest time for which the request waits for a connection; then it
+     *     fails as withdrawn
      * @param handler receives the response, with exactly one end or failure
      * @return the call, as of {@link #prepare(HttpRequest, long, HttpResponseHandler)}
      * @throws NullPointerException if an argument is null
@@ -151,10 +153,11 @@
             String requestId,
             LongFunction<HttpRequest> requests,
             long timeoutNanos,
+            long maxConnectNanos,
             HttpResponseHandler handler) {
         Objects.requireNonNull(requestId, "requestId");
         String repeatedId = mOptions.requestIdField().isEmpty() ? "" : requestId;
-        return new HttpCall(this, repeatedId, requests, timeoutNanos, handler);
+        return new HttpCall(this, repeatedId, requests, timeoutNanos, maxConnectNanos, handler);
     }
 
     /** Sends a prepared request; each call may be sent once. */
--- a/src/main/java/ebonygw/target/TargetForwarder.java
+++ b/src/main/java/ebonygw/target/TargetForwarder.java
@@ -62,6 +62,7 @@
      * @param requests returns the request, given the time left in nanoseconds when a connection is
      *     free for it
      * @param timeoutNanos time limit of the whole exchange, until the response has ended
+     * @param maxConnectNanos longest wait for a connection, after which the request is withdrawn
      * @param sink receives the response
      * @return a handle to cancel the request or pause its response
      */
@@ -71,9 +72,10 @@
             String requestId,
             LongFunction<HttpRequest> requests,
             long timeoutNanos,
+            long maxConnectNanos,
             HttpResponseHandler sink) {
         HttpClient client = mClients.computeIfAbsent(address, a -> client(a, maxConnections));
-        HttpCall call = client.prepare(requestId, requests, timeoutNanos, sink);
+        HttpCall call = client.prepare(requestId, requests, timeoutNanos, maxConnectNanos, sink);
         client.send(call);
         return call;
     }
