--- a/src/main/java/ebonygw/caller/GatewayServer.java
+++ b/src/main/java/ebonygw/caller/GatewayServer.java
@@ -55,6 +55,9 @@
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
 
+    /** Interval at which a stopping process checks whether callers have got their responses. */
+    private static final long DELIVERY_CHECK_MILLIS = 10;
+
     /** Wait for a connection that is logged, more than opening one takes between regions. */
     private static final long LOGGED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -175,6 +178,16 @@
         return mOpen.size();
     }
 
+    /**
+     * Runs a task on the IO thread once all callers have got their whole responses.
+     *
+     * @param timeoutNanos time after which it runs in any case
+     */
+    public void whenDelivered(long timeoutNanos, Runnable task) {
+        long deadlineNanos = System.nanoTime() + timeoutNanos;
+        mWorker.getIoThread().execute(() -> awaitDelivery(deadlineNanos, task));
+    }
+
     /** Stops listening and closes all connections. */
     public void stop() {
         mCallers.close();
@@ -182,6 +195,18 @@
         mTargets.close();
     }
 
+    private void awaitDelivery(long deadlineNanos, Runnable task) {
+        if (mOpen.isEmpty() || System.nanoTime() - deadlineNanos >= 0) {
+            task.run();
+        } else {
+            mWorker.getIoThread()
+                    .executeAfter(
+                            () -> awaitDelivery(deadlineNanos, task),
+                            DELIVERY_CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void handle(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         if (mConnections.add(connection)) {
--- a/src/main/java/ebonygw/process/GatewayProcess.java
+++ b/src/main/java/ebonygw/process/GatewayProcess.java
@@ -25,9 +25,11 @@
     private final GatewayInfrastructure mInfrastructure;
     private final GatewayNode mNode;
     private final GatewayServer mServer;
+    private final long mGraceNanos;
     private final LatencyTable mLatencies = new LatencyTable();
     private volatile boolean mReady;
     private volatile boolean mStopping;
+    private volatile long mStopRequestedNanos;
 
     private GatewayProcess(
             GatewayOptions options,
@@ -47,6 +49,7 @@
                         mLatencies::register,
                         () -> mReady);
         mNode = new GatewayNode(options);
+        mGraceNanos = options.graceNanos();
     }
 
     /**
@@ -84,6 +87,7 @@
 
     @Override
     public void requestStop() {
+        mStopRequestedNanos = System.nanoTime();
         mReady = false;
         mStopping = true;
         mServer.drain();
@@ -125,6 +129,10 @@
     private void apply(GatewayEffect effect) {
         if (effect instanceof GatewayEffect.Ended ended) {
             mLatencies.record(ended);
+        } else if (effect instanceof GatewayEffect.Exit) {
+            // What targets have sent may still have to be read by callers.
+            long elapsedNanos = System.nanoTime() - mStopRequestedNanos;
+            mServer.whenDelivered(mGraceNanos - elapsedNanos, mInfrastructure.runtime()::exit);
         } else if (!mInfrastructure.apply(effect)) {
             mServer.apply(effect);
         }
