--- a/src/main/java/ebonygw/gateway/GatewaySettings.java
+++ b/src/main/java/ebonygw/gateway/GatewaySettings.java
@@ -17,6 +17,7 @@
  */
 public final class GatewaySettings {
     private final long mRevision;
+    private final long mVersion;
     private final Map<String, List<GatewayRoute>> mRoutesByHost = new HashMap<>();
     private final Map<String, GatewayRoute> mRoutesByName = new HashMap<>();
     private final Map<String, GatewayCustomer> mCustomersByName = new HashMap<>();
@@ -26,10 +27,21 @@
     private final Set<String> mAllowedRegions = new HashSet<>();
     private final long mMaxBodyBytes;
 
+    /** Creates a revision whose version is its number. */
+    public GatewaySettings(
+            long revision,
+            List<GatewayRoute> routes,
+            List<GatewayService> services,
+            List<GatewayCustomer> customers,
+            long maxBodyBytes) {
+        this(revision, revision, routes, services, customers, maxBodyBytes);
+    }
+
     /**
      * Creates a revision.
      *
      * @param revision greater than that of any older revision
+     * @param version version by the operators, which they increase with each change
      * @param routes the routes; of several matching ones that with the longest prefix applies
      * @param services the services, with unique names
      * @param customers the customers; if empty, no request needs a key
@@ -38,11 +50,13 @@
      */
     public GatewaySettings(
             long revision,
+            long version,
             List<GatewayRoute> routes,
             List<GatewayService> services,
             List<GatewayCustomer> customers,
             long maxBodyBytes) {
         mRevision = revision;
+        mVersion = version;
         mCustomers = List.copyOf(customers);
         mMaxBodyBytes = maxBodyBytes;
         for (GatewayRoute route : routes) {
@@ -120,4 +134,9 @@
     public Optional<GatewayService> service(String name) {
         return Optional.ofNullable(mServices.get(name));
     }
+
+    /** Returns the version by the operators. */
+    public long version() {
+        return mVersion;
+    }
 }
--- a/src/main/java/ebonygw/gateway/OperatorState.java
+++ b/src/main/java/ebonygw/gateway/OperatorState.java
@@ -213,6 +213,7 @@
         mOut.log(
                 LogLine.of("configuration_in_force")
                         .with("revision", settings.revision())
+                        .with("version", settings.version())
                         .with("previous_age_ms", mPreviousAgeMillis));
         mListener.onSettings(settings, nowNanos);
     }
