--- a/src/test/java/ebonygw/platform/StoreStandIn.java
+++ b/src/test/java/ebonygw/platform/StoreStandIn.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -27,6 +28,12 @@
     private int mPageSize = 500;
     private volatile int mFailureStatus;
 
+    /** Era in all responses, negative if they name none. */
+    private long mEra = -1;
+
+    private final Map<String, ObjectNode> mCopy = new TreeMap<>();
+    private long mCopyRevision;
+
     StoreStandIn() {
         mServer = new LoopbackServer(32, this::handle);
     }
@@ -45,6 +52,47 @@
         mCompactedRevision = mRevision;
     }
 
+    /** Names the first era from now on. */
+    synchronized void startEras() {
+        mEra = 1;
+    }
+
+    /** Keeps a copy of all items that have no lease. */
+    synchronized void copy() {
+        mCopy.clear();
+        mItems.forEach(
+                (key, item) -> {
+                    if (item.get("lease_id").asLong() == 0) {
+                        mCopy.put(key, item);
+                    }
+                });
+        mCopyRevision = mRevision;
+    }
+
+    /**
+     * Starts the next era from the copy: what was written since is lost, and revisions and leases
+     * are given out again.
+     *
+     * @param writes what is written before any other call is served
+     */
+    synchronized void restore(Runnable writes) {
+        mEra++;
+        mItems.clear();
+        mItems.putAll(mCopy);
+        mEvents.clear();
+        mLeases.clear();
+        mRevision = mCopyRevision;
+        mCompactedRevision = mCopyRevision;
+        mLastLeaseId = 0;
+        writes.run();
+        notifyAll();
+    }
+
+    /** Grants a lease to another process. */
+    synchronized void grantForeignLease() {
+        mLeases.put(++mLastLeaseId, new Lease(TimeUnit.MINUTES.toMillis(1)));
+    }
+
     /** Ends all leases and removes their keys. */
     synchronized void lapseLeases() {
         mLeases.clear();
@@ -129,6 +177,9 @@
             exchange.setStatusCode(mFailureStatus);
             return;
         }
+        if (era() >= 0) {
+            exchange.getResponseHeaders().put(new HttpString("Store-Era"), era());
+        }
         byte[] bytes = exchange.getInputStream().readAllBytes();
         JsonNode body = bytes.length == 0 ? null : Json.MAPPER.readTree(bytes);
         String path = exchange.getRequestPath();
@@ -145,6 +196,10 @@
         exchange.getResponseSender().send(response.toString());
     }
 
+    private synchronized long era() {
+        return mEra;
+    }
+
     private synchronized void expireLeases() {
         long now = System.nanoTime();
         mLeases.values().removeIf(lease -> lease.mEndNanos - now <= 0);
@@ -198,7 +253,7 @@
         long endMillis =
                 System.currentTimeMillis() + Long.parseLong(query(exchange, "wait_ms", "0"));
         while (true) {
-            if (after < mCompactedRevision) {
+            if (after < mCompactedRevision || after > mRevision) {
                 exchange.setStatusCode(410);
                 return Json.MAPPER.createObjectNode();
             }
