--- a/src/main/java/ebonygw/gateway/OperatorState.java
+++ b/src/main/java/ebonygw/gateway/OperatorState.java
@@ -14,7 +14,8 @@
  * State set by operators: the configuration in force and the required versions of models and
  * adapters.
  *
- * <p>Updates with a lower revision or version are ignored. Not thread-safe.
+ * <p>Updates with a lower revision or version are ignored; the latter come from an older copy from
+ * which the service was restored. Not thread-safe.
  */
 final class OperatorState {
     private final StoreReader mReader;
@@ -207,6 +208,14 @@
         if (settings.revision() <= revision()) {
             return;
         }
+        if (mSettings != null && settings.version() < mSettings.version()) {
+            mOut.log(
+                    LogLine.of("configuration_outdated")
+                            .with("revision", settings.revision())
+                            .with("version", settings.version())
+                            .with("in_force", mSettings.version()));
+            return;
+        }
         mSettings = settings;
         mSettingsSinceNanos = nowNanos;
         mUnreadSinceNanos = Long.MIN_VALUE;
