--- a/src/main/java/ebonygw/gateway/GatewayNode.java
+++ b/src/main/java/ebonygw/gateway/GatewayNode.java
@@ -275,7 +275,7 @@
             endIncarnation(known.record(), nowNanos);
         }
         mLinksChanged |= changed || !known.record().service().equals(record.service());
-        GatewayTarget target = mTargets.put(record);
+        GatewayTarget target = mTargets.put(record, nowNanos);
         target.onRegistrationRead(nowNanos);
         if (started) {
             mRequests.onTargetStarted(target, nowNanos);
--- a/src/main/java/ebonygw/gateway/GatewayTarget.java
+++ b/src/main/java/ebonygw/gateway/GatewayTarget.java
@@ -175,20 +175,20 @@
      * @param regions where the request may run
      */
     Optional<Ineligibility> ineligibility(RegionScope regions, long nowNanos) {
-        if (mNotices.isLeaving()) {
+        if (mRecord.draining()) {
             return because(
                     Reason.LEAVING,
-                    mNotices.leavingSinceNanos(),
+                    mDrainingSinceNanos,
                     OptionalLong.empty(),
-                    Source.RESPONSE,
+                    Source.REGISTRATION,
                     nowNanos);
         }
-        if (mRecord.draining()) {
+        if (mNotices.isLeaving()) {
             return because(
                     Reason.LEAVING,
-                    mDrainingSinceNanos,
+                    mNotices.leavingSinceNanos(),
                     OptionalLong.empty(),
-                    Source.REGISTRATION,
+                    Source.RESPONSE,
                     nowNanos);
         }
         if (!regions.allows(mRecord.locality().region())) {
--- a/src/main/java/ebonygw/gateway/TargetNotice.java
+++ b/src/main/java/ebonygw/gateway/TargetNotice.java
@@ -10,6 +10,9 @@
     /** A response without a notice. */
     public static final TargetNotice NONE = new TargetNotice(false, 0);
 
+    /** Says that the target is about to stop. */
+    static final TargetNotice LEAVING = new TargetNotice(true, 0);
+
     /**
      * Creates a notice.
      *
--- a/src/main/java/ebonygw/gateway/TargetTable.java
+++ b/src/main/java/ebonygw/gateway/TargetTable.java
@@ -53,8 +53,15 @@
         return mById.values().stream().filter(t -> loader.equals(t.loader())).toList();
     }
 
-    /** Adds a target, or applies its newer registration. */
-    GatewayTarget put(TargetRecord record) {
+    /**
+     * Adds a target, or applies its newer registration. An incarnation that has once reported that
+     * it is draining counts as leaving, whatever later registrations say: they may be older ones
+     * that were restored.
+     */
+    GatewayTarget put(TargetRecord record, long nowNanos) {
+        if (record.draining()) {
+            mNotices.of(record.incarnation()).apply(TargetNotice.LEAVING, nowNanos);
+        }
         GatewayTarget known = mById.get(record.id());
         if (known == null) {
             known =
--- a/src/test/java/ebonygw/gateway/SpilloverCostsTest.java
+++ b/src/test/java/ebonygw/gateway/SpilloverCostsTest.java
@@ -26,7 +26,7 @@
     private long mNow = TimeUnit.SECONDS.toNanos(100);
 
     private GatewayTarget put(String id, Locality locality) {
-        return mTable.put(GatewayFixture.replica(id, "10.2.0." + id + ":80", locality));
+        return mTable.put(GatewayFixture.replica(id, "10.2.0." + id + ":80", locality), 0);
     }
 
     /** Returns how many of the requests of 10 s, with loads of both targets, leave. */
--- a/src/test/java/ebonygw/gateway/TargetChooserBenchmark.java
+++ b/src/test/java/ebonygw/gateway/TargetChooserBenchmark.java
@@ -91,7 +91,7 @@
                             false,
                             Map.of("m0", 1L),
                             Map.of("m0/a1", 1L, "m0/b" + i, 1L));
-            GatewayTarget target = mTable.put(record);
+            GatewayTarget target = mTable.put(record, mNow);
             target.onLoaderUp();
             target.onLoad(new TargetLoad(i, i % 3, 64), mNow);
             target.promptCache().onPromptSent(owner, List.of(new PromptPart("system", 400)));
--- a/src/test/java/ebonygw/gateway/UnevenLoad.java
+++ b/src/test/java/ebonygw/gateway/UnevenLoad.java
@@ -89,7 +89,7 @@
         TargetTable table = new TargetTable(options);
         for (int i = 0; i < replicas; i++) {
             String address = "10.2.0." + i + ":80";
-            table.put(GatewayFixture.replica("t" + i, address, GatewayFixture.KINGSTON));
+            table.put(GatewayFixture.replica("t" + i, address, GatewayFixture.KINGSTON), 0);
         }
         return table;
     }
