--- a/src/main/java/ebonygw/keyvalue/PrefixMirror.java
+++ b/src/main/java/ebonygw/keyvalue/PrefixMirror.java
@@ -16,8 +16,10 @@
 /**
  * A local copy of all keys with a prefix, kept up to date by a range read and a watch.
  *
- * <p>A key never goes back to an earlier revision, also if it was removed. During an outage of the
- * service, leases of live processes expire because they cannot be renewed. A removal that is
+ * <p>A key never goes back to an earlier revision, also if it was removed. After a restore of the
+ * service from an older copy (see {@link Revisions}) all its keys count as new, and those that it
+ * lacks as lost; others may write them again within the time as of an outage. During an outage of
+ * the service, leases of live processes expire because they cannot be renewed. A removal that is
  * received within {@link #REWRITE_GRACE_NANOS} after the service is available again is therefore
  * applied only if the key is still absent at the end of that period. Not thread-safe.
  */
@@ -41,7 +43,7 @@
     private final String mRangeEnd;
     private final KeyValueRequestIds mRequestIds;
     private final Map<String, Entry> mEntries = new HashMap<>();
-    private final Map<String, Long> mPendingRemovals = new HashMap<>();
+    private final Map<String, Removal> mPendingRemovals = new HashMap<>();
 
     /** Revisions of the latest removals by key, the newest one last. */
     private final Map<String, Long> mRemovedRevisions = new LinkedHashMap<>();
@@ -76,8 +78,14 @@
      * A change of one key.
      *
      * @param entry the new entry, null if the key was removed
+     * @param lost whether the key was not removed by anybody but lost with a restore of the service
      */
-    public record Change(String key, Entry entry) {}
+    public record Change(String key, Entry entry, boolean lost) {
+        /** Creates a change that somebody has made. */
+        public Change(String key, Entry entry) {
+            this(key, entry, false);
+        }
+    }
 
     /**
      * Returns the exclusive end of the range of keys that start with a prefix: the prefix with its
@@ -188,7 +196,7 @@
         }
         if (entry.value() == null) {
             recordRemoval(entry.key(), entry.modRevision());
-            removeOrDefer(entry.key(), nowNanos);
+            removeOrDefer(entry.key(), false, nowNanos);
             return;
         }
         mPendingRemovals.remove(entry.key());
@@ -201,13 +209,13 @@
         if (mPendingRemovals.isEmpty() || mUnavailable) {
             return;
         }
-        for (Map.Entry<String, Long> removal : Map.copyOf(mPendingRemovals).entrySet()) {
-            if (nowNanos >= removal.getValue()) {
-                mPendingRemovals.remove(removal.getKey());
-                mEntries.remove(removal.getKey());
-                mChanges.add(new Change(removal.getKey(), null));
-            }
-        }
+        Map.copyOf(mPendingRemovals)
+                .forEach(
+                        (key, removal) -> {
+                            if (nowNanos >= removal.dueNanos()) {
+                                remove(key, removal.lost());
+                            }
+                        });
     }
 
     private void onConfirmation(long nowNanos) {
@@ -239,21 +247,30 @@
     }
 
     /** Removes a key, or defers the removal while the grace period after an outage lasts. */
-    private void removeOrDefer(String key, long nowNanos) {
+    private void removeOrDefer(String key, boolean lost, long nowNanos) {
         if (!mEntries.containsKey(key)) {
             return;
         }
         if (mRecoveredNanos != Long.MIN_VALUE && nowNanos - mRecoveredNanos < REWRITE_GRACE_NANOS) {
-            mPendingRemovals.putIfAbsent(key, mRecoveredNanos + REWRITE_GRACE_NANOS);
+            mPendingRemovals.putIfAbsent(
+                    key, new Removal(mRecoveredNanos + REWRITE_GRACE_NANOS, lost));
         } else {
-            mEntries.remove(key);
-            mPendingRemovals.remove(key);
-            mChanges.add(new Change(key, null));
+            remove(key, lost);
         }
     }
 
+    private void remove(String key, boolean lost) {
+        mEntries.remove(key);
+        mPendingRemovals.remove(key);
+        mChanges.add(new Change(key, null, lost));
+    }
+
     /** Applies the result of a range read; keys that it lacks are removed. */
     private void replace(KeyValueResponse.RangeResult found, long nowNanos) {
+        boolean restored = mLoaded && Revisions.era(found.revision()) > Revisions.era(mRevision);
+        if (restored) {
+            mRecoveredNanos = nowNanos;
+        }
         Set<String> present = new HashSet<>();
         for (Entry entry : found.entries()) {
             present.add(entry.key());
@@ -262,11 +279,14 @@
         for (String key : List.copyOf(mEntries.keySet())) {
             if (!present.contains(key)) {
                 recordRemoval(key, found.revision());
-                removeOrDefer(key, nowNanos);
+                removeOrDefer(key, restored, nowNanos);
             }
         }
         mRevision = Math.max(mRevision, found.revision());
         mNeedsRangeRead = false;
         mLoaded = true;
     }
+
+    /** A removal that is applied if the key is still absent when it is due. */
+    private record Removal(long dueNanos, boolean lost) {}
 }
--- a/src/test/java/ebonygw/keyvalue/PrefixMirrorTest.java
+++ b/src/test/java/ebonygw/keyvalue/PrefixMirrorTest.java
@@ -140,6 +140,28 @@
                         new PrefixMirror.Change("p/a", null));
     }
 
+    // Guards against keys that are kept, or values that are ignored, after a restore from a copy.
+    @Test
+    void afterARestoreLowerNumbersCountAsNewAndMissingKeysAsLost() {
+        loadMirror(entry("p/a", 3), entry("p/b", 4));
+        respond(new KeyValueResponse.Compacted(0));
+        advance(25);
+
+        Entry restored = entry("p/a", Revisions.of(1, 2));
+        respond(new KeyValueResponse.RangeResult(Revisions.of(1, 5), List.of(restored), false));
+        advance(0);
+
+        assertThat(mMirror.drainChanges())
+                .containsExactly(new PrefixMirror.Change("p/a", restored));
+        assertThat(mRequests.get(mRequests.size() - 1))
+                .isEqualTo(new KeyValueRequest.Watch("p/", "p0", Revisions.of(1, 6)));
+        advance(2_000);
+        assertThat(mMirror.drainChanges()).isEmpty();
+        advance(500);
+        assertThat(mMirror.drainChanges())
+                .containsExactly(new PrefixMirror.Change("p/b", null, true));
+    }
+
     @Test
     void aRangeReadWithoutAResponseIsRetried() {
         advance(0);
