--- a/src/main/java/ebonygw/gateway/PromptGuard.java
+++ b/src/main/java/ebonygw/gateway/PromptGuard.java
@@ -172,12 +172,17 @@
         mPeers.forEach((peer, state) -> sendIfDue(peer, state, nowNanos));
     }
 
-    /** Applies a blocked part that is stored, or the removal of one by an operator. */
+    /**
+     * Applies a blocked part that is stored, or the removal of one by an operator. One that the
+     * service has lost is written again.
+     */
     private void applyStored(PrefixMirror.Change change, long nowNanos) {
         String part = change.key().substring(KEY_PREFIX.length());
         if (change.entry() == null) {
             mStoredRevisions.remove(part);
-            if (mQuarantine.lift(part)) {
+            if (change.lost()) {
+                mWriteDueNanos.put(part, nowNanos + writeDelayNanos());
+            } else if (mQuarantine.lift(part)) {
                 mOut.log(LogLine.of("part_lifted").with("part", part));
             }
             return;
--- a/src/test/java/ebonygw/gateway/PromptGuardTest.java
+++ b/src/test/java/ebonygw/gateway/PromptGuardTest.java
@@ -7,6 +7,7 @@
 import ebonygw.keyvalue.KeyValueRequestIds;
 import ebonygw.keyvalue.KeyValueResponse;
 import ebonygw.keyvalue.KeyValueResponse.Entry;
+import ebonygw.keyvalue.Revisions;
 import ebonygw.protocol.NodeId;
 import ebonygw.quarantine.Evidence;
 import ebonygw.quarantine.Evidence.PartEvidence;
@@ -133,6 +134,24 @@
         assertThat(isBlocked()).isTrue();
     }
 
+    // Guards against a part that is lifted because a restore of the service has lost its key.
+    @Test
+    void aBlockThatTheServiceHasLostIsWrittenAgain() {
+        crash();
+        advance(500);
+        advance(20);
+        mStored.remove(KEY);
+        mRevision = Revisions.of(1, 5);
+
+        respond(mWatch, new KeyValueResponse.Compacted(0));
+        for (int i = 0; i < 150; i++) {
+            advance(20);
+            assertThat(isBlocked()).isTrue();
+        }
+
+        assertThat(mStored).containsKey(KEY);
+    }
+
     @Test
     void theKeyOfABlockThatSurvivalsEndIsDeleted() {
         crash();
