--- a/src/main/java/ebonygw/gateway/EntryDirectory.java
+++ b/src/main/java/ebonygw/gateway/EntryDirectory.java
@@ -111,6 +111,10 @@
             mRecoveredNanos = mMirror.recoveredNanos();
             mLease.renewSoon(nowNanos);
         }
+        if (mLease.id() == 0) {
+            // A service that was restored may grant the same number again.
+            mRegisteredLease = 0;
+        }
         mLease.onTick(nowNanos, out);
         mMirror.onTick(nowNanos, out);
         long timeoutNanos = mLease.options().requestTimeoutNanos();
--- a/src/main/java/ebonygw/keyvalue/Revisions.java
+++ b/src/main/java/ebonygw/keyvalue/Revisions.java
@@ -6,7 +6,7 @@
  *
  * <p>A service counts its restores; this count is its era. A revision is the number by the service
  * in the lower bits and the era above them, so that any revision of a later era is greater. In era
- * 0 both are equal. Identifiers of leases have the same form.
+ * 0 both are equal.
  */
 public final class Revisions {
     /** Greatest era, so that a revision is an exact number in JSON. */
--- a/src/test/java/ebonygw/platform/StoreStandIn.java
+++ b/src/test/java/ebonygw/platform/StoreStandIn.java
@@ -18,13 +18,16 @@
 final class StoreStandIn implements AutoCloseable {
     private static final long LEASE_CHECK_MILLIS = 200;
 
+    /** Identifiers of leases are numbers of any size. */
+    private static final long FIRST_LEASE_ID = 1L << 46;
+
     private final Map<String, ObjectNode> mItems = new TreeMap<>();
     private final Map<Long, ObjectNode> mEvents = new TreeMap<>();
     private final Map<Long, Lease> mLeases = new TreeMap<>();
     private final LoopbackServer mServer;
     private long mRevision = 1;
     private long mCompactedRevision;
-    private long mLastLeaseId;
+    private long mLastLeaseId = FIRST_LEASE_ID;
     private int mPageSize = 500;
     private volatile int mFailureStatus;
 
@@ -83,11 +86,20 @@
         mLeases.clear();
         mRevision = mCopyRevision;
         mCompactedRevision = mCopyRevision;
-        mLastLeaseId = 0;
+        mLastLeaseId = FIRST_LEASE_ID;
         writes.run();
         notifyAll();
     }
 
+    synchronized boolean hasCopy() {
+        return mCopyRevision > 0;
+    }
+
+    /** Returns the keys that start with a prefix. */
+    synchronized List<String> keys(String prefix) {
+        return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    }
+
     /** Grants a lease to another process. */
     synchronized void grantForeignLease() {
         mLeases.put(++mLastLeaseId, new Lease(TimeUnit.MINUTES.toMillis(1)));
@@ -142,7 +154,7 @@
 
     /** Returns the number of keys that start with a prefix. */
     synchronized long count(String prefix) {
-        return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+        return keys(prefix).size();
     }
 
     private static String query(HttpServerExchange exchange, String name, String defaultValue) {
