--- a/src/main/java/ebonygw/gateway/GatewayAttempts.java
+++ b/src/main/java/ebonygw/gateway/GatewayAttempts.java
@@ -424,9 +424,7 @@
                                 pending.mPriority,
                                 wanted,
                                 remainingNanos,
-                                pending.mRetryCharged
-                                        ? FleetRetryBudgets.MAX_CONNECT_NANOS
-                                        : AttemptTerms.UNTIL_DEADLINE)));
+                                maxConnectNanos(pending))));
     }
 
     /** Returns what leaves for other data centres, for diagnostics. */
@@ -463,6 +461,19 @@
         }
     }
 
+    /**
+     * Returns the longest time that the current attempt may wait for a connection: one that is
+     * charged to a limit or budget has to arrive soon after.
+     */
+    static long maxConnectNanos(PendingRequest pending) {
+        if (pending.mLimitToken != LimitToken.NONE) {
+            return LimitedTarget.MAX_CONNECT_NANOS;
+        }
+        return pending.mRetryCharged
+                ? FleetRetryBudgets.MAX_CONNECT_NANOS
+                : AttemptTerms.UNTIL_DEADLINE;
+    }
+
     /** Returns this entry's part of the connections that a target of a service accepts. */
     private int maxConnections(String service) {
         int accepted = mOperator.service(service).map(GatewayService::maxConnections).orElse(1);
--- a/src/main/java/ebonygw/gateway/PendingRequests.java
+++ b/src/main/java/ebonygw/gateway/PendingRequests.java
@@ -8,8 +8,6 @@
 import ebonygw.request.Refusal;
 import ebonygw.request.RefusalCode;
 import ebonygw.request.Verdict;
-import ebonygw.targetlimit.LimitToken;
-import ebonygw.targetlimit.LimitedTarget;
 import ebonygw.targetlimit.NamedLimits;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -141,16 +139,16 @@
         if (failed.started() && !failed.deadlineExceeded() && target != null) {
             mGuard.onBroken(pending, target, nowNanos);
         }
-        // One that waited too long for a connection to a limited target has failed to connect.
-        boolean expired =
-                pending.mLimitToken != LimitToken.NONE
-                        && nowNanos - pending.mSentNanos >= LimitedTarget.MAX_CONNECT_NANOS;
+        // One that waited too long for a connection has failed to connect.
+        boolean expired = nowNanos - pending.mSentNanos >= GatewayAttempts.maxConnectNanos(pending);
         boolean withdrawn = failed.withdrawn() && !expired;
         if (failed.withdrawn() || !failed.mayHaveRun()) {
             mAttempts.returnLimitToken(pending, false, nowNanos);
         }
         if (withdrawn) {
             mAttempts.onWithdrawn(pending, nowNanos);
+        }
+        if (failed.withdrawn()) {
             refundRetry(pending, nowNanos);
         }
         mAttempts.endAttempt(pending, withdrawn, nowNanos);
