--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -43,6 +43,17 @@
     /** Separates the random numbers of limits from those of other checks. */
     private static final long LIMIT_SEED = 1L << 44;
 
+    /** Separates the random numbers of restores of the store from those of other faults. */
+    private static final long RESTORE_SEED = 1L << 45;
+
+    /**
+     * One in so many faults is accompanied by a copy of the store, and one by a restore from it.
+     */
+    private static final int RESTORE_PERIOD = 5;
+
+    /** Longest time from a copy of the store, and after its restore, to what is written then. */
+    private static final int RESTORE_MILLIS = 3_000;
+
     /** Limits in requests a second, below the usual load of a replica. */
     private static final List<Double> LIMITS = List.of(0.4, 1.0, 1.3, 3.0);
 
@@ -96,6 +107,7 @@
     private final SplittableRandom mCheckRandom;
     private final SplittableRandom mPlacementRandom;
     private final SplittableRandom mLimitRandom;
+    private final SplittableRandom mRestoreRandom;
     private final List<Thread> mRecoveryThreads = new ArrayList<>();
     private final long mSeed;
     private final boolean mSurplus;
@@ -110,6 +122,7 @@
         mCheckRandom = new SplittableRandom(seed + CHECK_SEED);
         mPlacementRandom = new SplittableRandom(seed + PLACEMENT_SEED);
         mLimitRandom = new SplittableRandom(seed + LIMIT_SEED);
+        mRestoreRandom = new SplittableRandom(seed + RESTORE_SEED);
     }
 
     /**
@@ -182,6 +195,7 @@
                 if (mPlacementRandom.nextInt(PLACEMENT_PERIOD) == 0) {
                     changePlacement();
                 }
+                copyOrRestoreStore();
                 TimeUnit.MILLISECONDS.sleep(100 + mRandom.nextInt(1_500));
             }
             for (Thread thread : mRecoveryThreads) {
@@ -216,6 +230,7 @@
                 mFleet.mReplicas.subList(
                         SoakFleet.ENGINES, SoakFleet.ENGINES + SoakFleet.PLAIN_REPLICAS));
         checkSilentStore();
+        checkRestoredStore();
         checkRetryBudget(callers);
         checkCrashesEnd();
     }
@@ -380,6 +395,39 @@
         }
     }
 
+    /**
+     * Checks that configurations come into force in time, and none goes back, around a restore of
+     * the store from a copy that lacks the newest one.
+     */
+    private void checkRestoredStore() throws InterruptedException {
+        mFleet.mStore.copy();
+        mFleet.publishConfiguration();
+        TimeUnit.MILLISECONDS.sleep(RESTORE_MILLIS + mRestoreRandom.nextInt(RESTORE_MILLIS));
+        mFleet.recordDisturbance();
+        mFleet.mStore.restore(() -> {});
+        TimeUnit.MILLISECONDS.sleep(mRestoreRandom.nextInt(RESTORE_MILLIS));
+        mFleet.checkConfigurationServed();
+        mFleet.writeAgain();
+        mFleet.publishConfiguration();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONFIGURATION_MILLIS);
+        while (System.nanoTime() < endNanos) {
+            mFleet.checkConfigurationApplied();
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    /** Copies the store, or restores it from the last copy, if there is one. */
+    private void copyOrRestoreStore() {
+        int draw = mRestoreRandom.nextInt(RESTORE_PERIOD);
+        if (draw == 0) {
+            mFleet.mStore.copy();
+        } else if (draw == 1 && mFleet.mStore.hasCopy()) {
+            mFleet.recordDisturbance();
+            mFleet.restoreStore();
+            mRecorder.count("fault restore");
+        }
+    }
+
     /**
      * Has replicas reject requests while entries start again and their registrations lapse; the
      * recorder checks the retries of each window.
--- a/src/test/java/ebonygw/platform/SoakFleet.java
+++ b/src/test/java/ebonygw/platform/SoakFleet.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -56,6 +57,10 @@
     private final String mNetworkPrefix;
     private final int mFirstPort;
     private final List<String> mRegistrationKeys = new ArrayList<>();
+
+    /** What the operator has written, by key; the store may lose it. */
+    private final Map<String, String> mOperatorValues = new ConcurrentHashMap<>();
+
     private volatile Configuration mConfiguration = new Configuration(0, System.nanoTime());
     private volatile long mLastDisturbanceNanos = System.nanoTime();
 
@@ -78,6 +83,7 @@
         mDirectory = Files.createDirectories(directory);
         mNetworkPrefix = "127." + (1 + ProcessHandle.current().pid() % 250) + '.';
         mFirstPort = port;
+        mStore.startEras();
         publishConfiguration();
         for (int i = 0; i < ENGINES + PLAIN_REPLICAS + SPARE_REPLICAS; i++) {
             boolean engine = i < ENGINES;
@@ -153,7 +159,7 @@
         routes.append(idempotent).append(',');
         routes.append(route(SoakCaller.STREAMING, "streaming", MAX_ATTEMPTS, "model")).append(',');
         routes.append(route("v" + version, "idempotent", 1, "desk"));
-        mStore.put(
+        putAsOperator(
                 "op/config",
                 """
                 {"version":%d,"routes":[%s],
@@ -189,10 +195,11 @@
         String former = mPlacement.evacuated();
         if (!former.isEmpty() && !former.equals(zone)) {
             mPlacement.setEvacuated("");
+            mOperatorValues.remove("op/evacuate/" + former);
             mStore.remove("op/evacuate/" + former);
         }
         if (!zone.isEmpty() && !former.equals(zone)) {
-            mStore.put("op/evacuate/" + zone, "{}");
+            putAsOperator("op/evacuate/" + zone, "{}");
             mPlacement.setEvacuated(zone);
         }
     }
@@ -247,12 +254,51 @@
     void publishAdapterVersion(int adapter) {
         long version = mConfiguration.version() + 1;
         mReplicas.forEach(replica -> replica.setWantedVersion("a" + adapter, version));
-        mStore.put(
+        putAsOperator(
                 "op/version/m0.a" + adapter,
                 "{\"model\":\"m0\",\"adapter\":\"a%d\",\"version\":%d}"
                         .formatted(adapter, version));
     }
 
+    private void putAsOperator(String key, String value) {
+        mOperatorValues.put(key, value);
+        mStore.put(key, value);
+    }
+
+    /** Restores the store from its copy; what others have written is there again at once. */
+    synchronized void restoreStore() {
+        mStore.restore(this::writeAgain);
+    }
+
+    /** Writes again what the operator and the replicas have written, after a restore. */
+    synchronized void writeAgain() {
+        for (String prefix : List.of("op/", "servers/")) {
+            mStore.keys(prefix).stream()
+                    .filter(
+                            key ->
+                                    !mOperatorValues.containsKey(key)
+                                            && !mRegistrationKeys.contains(key))
+                    .forEach(mStore::remove);
+        }
+        mOperatorValues.forEach(mStore::put);
+        for (int i = 0; i < mReplicas.size(); i++) {
+            if (!mRegistrationKeys.get(i).isEmpty()) {
+                putRegistration(i);
+            }
+        }
+    }
+
+    /** Checks that no entry denies the route of the newest configuration. */
+    void checkConfigurationServed() {
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            int status = probe(entry, mConfiguration.version());
+            if (status == 401 || status == 403 || status == 404) {
+                mRecorder.recordViolation(
+                        "CONFIG: entry " + entry + " answers " + status + " after a restore");
+            }
+        }
+    }
+
     /** Waits until all entries serve requests under the newest configuration. */
     void awaitReady() throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
@@ -327,11 +373,15 @@
         if (!mRegistrationKeys.get(replica).isEmpty()) {
             mStore.remove(mRegistrationKeys.get(replica));
         }
-        String key = "servers/" + standIn.instance();
-        mRegistrationKeys.set(replica, key);
+        mRegistrationKeys.set(replica, "servers/" + standIn.instance());
+        putRegistration(replica);
+    }
+
+    private void putRegistration(int replica) {
+        SoakReplica standIn = mReplicas.get(replica);
         String service = replica < ENGINES ? MODEL : DESK;
         mStore.put(
-                key,
+                mRegistrationKeys.get(replica),
                 standIn.registration(
                         service,
                         mReplicaProxies.get(replica).address(),
