--- a/src/test/java/ebonygw/platform/FaultSoak.java
+++ b/src/test/java/ebonygw/platform/FaultSoak.java
@@ -51,7 +51,10 @@
      */
     private static final int RESTORE_PERIOD = 5;
 
-    /** Longest time from a copy of the store, and after its restore, to what is written then. */
+    /**
+     * Longest pause between a restore of the store and what is written after it; shortest one, and
+     * half of the longest one, between a copy and the restore.
+     */
     private static final int RESTORE_MILLIS = 3_000;
 
     /** Limits in requests a second, below the usual load of a replica. */
