--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -213,7 +213,10 @@
                                     + "\"kv_total\":200000,\"handles\":0,\"pending\":%s,"
                                     + "\"runs\":[]}",
                             mBorn, models(), sequence(), mWaiting.get(), running(), pending());
-            connection.json(200, Map.of("Content-Type", "application/json"), report);
+            Map<String, String> fields = new TreeMap<>();
+            fields.put("Content-Type", "application/json");
+            sayIfLeaving(fields);
+            connection.json(200, fields, report);
             return true;
         }
         if (head.path().equals("/order")) {
@@ -226,12 +229,22 @@
             return true;
         }
         if (head.path().equals("/healthz")) {
-            connection.json(mDraining ? 503 : 200, Map.of("Instance-Id", mId), "");
+            Map<String, String> fields = new TreeMap<>();
+            fields.put("Instance-Id", mId);
+            sayIfLeaving(fields);
+            connection.json(mDraining ? 503 : 200, fields, "");
             return true;
         }
         return serve(head, body, connection);
     }
 
+    /** A replica that leaves says so in all its answers. */
+    private void sayIfLeaving(Map<String, String> fields) {
+        if (mDraining) {
+            fields.put("Server-Leaving", "1");
+        }
+    }
+
     private boolean serve(HttpPeer.Head head, byte[] body, HttpPeer.Connection connection)
             throws Exception {
         String id = head.field("attempt-id");
@@ -241,6 +254,7 @@
         mTargets.add(head.target());
         Map<String, String> fields = new TreeMap<>();
         fields.put("Attempt-Id", id);
+        sayIfLeaving(fields);
         if (mEngine || mSlots > 0) {
             fields.put("Instance-Load", running() + "," + mWaiting.get() + "," + mSlots);
         }
@@ -285,6 +299,7 @@
         }
         seen.mBegun = mRecord.now();
         mRecord.add("%s: %s begins", mId, id);
+        sayIfLeaving(fields);
         fields.put("Server-Signature", "sig." + id);
         if (mEvents == 0) {
             Thread.sleep(mEventMillis);
