--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10; run it in the repository's root, after the build of the
+# Builds the stand-ins of the cases 6 to 9; run it in the repository's root, after the build of the
 # deploy file.
 set -e
 cd "$(dirname "$0")/.."
