--- a/review/standins-2/CrashingPart.java
+++ b/review/standins-2/CrashingPart.java
@@ -60,6 +60,9 @@
                 caller("bad-still", CRASHING_PART + ":300,", ip, record);
             }
             List<Caller> after = sound("after", ip, record);
+            if (trouble) {
+                caller("bad-end", CRASHING_PART + ":300,", ip, record);
+            }
             int begunBefore = begun(before, engines);
             int begunAfter = begun(after, engines);
             Map<String, Integer> outcomes = new TreeMap<>();
