--- a/review/standins-2/DrainingReplica.java
+++ b/review/standins-2/DrainingReplica.java
@@ -7,14 +7,14 @@
 /**
  * Case: a replica is replaced while callers are queued for it in an entry.
  *
- * <p>Four entries, one engine with the slots and connections of the pages' example. Callers that
- * one entry got ask for streams. Then a second engine registers, the first one reports that it is
+ * <p>Four entries, two engines with the slots and connections of the pages' example. Callers that one
+ * entry got ask for streams. Then a third engine registers, the first one reports that it is
  * draining, and the store acknowledges it. The first one exits some seconds after drain_ms.
  */
 public final class DrainingReplica {
     private static final int SLOTS = 64;
     private static final int CONNECTIONS = 360;
-    private static final int CALLERS = 110;
+    private static final int CALLERS = 210;
     private static final int ENTRIES = 4;
     private static final int EVENTS = 24;
     private static final long EVENT_MILLIS = 250;
@@ -33,13 +33,16 @@
         try (Store store = new Store(Fleet.NETWORK + "1");
                 Fleet fleet = new Fleet(store.address(), record);
                 Replica old = replica("i-old", 11, record);
+                Replica other = replica("i-other", 13, record);
                 Replica fresh = replica("i-new", 12, record)) {
             store.put("op/config", Site.config(SLOTS, CONNECTIONS));
             store.put("servers/i-old", old.registration());
+            store.put("servers/i-other", other.registration());
             for (int i = 0; i < ENTRIES; i++) {
                 fleet.entry(Fleet.NETWORK + (21 + i));
             }
             fleet.loader("models", old.address());
+            fleet.loader("models", other.address());
             fleet.loader("models", fresh.address());
             for (int i = 0; i < ENTRIES; i++) {
                 if (!Fleet.awaitReady(Fleet.NETWORK + (21 + i), 30_000)) {
@@ -52,7 +55,7 @@
             List<Caller> callers = new ArrayList<>();
             for (int i = 0; i < CALLERS; i++) {
                 callers.add(stream("c" + i, record));
-                Thread.sleep(10);
+                Thread.sleep(5);
             }
             Thread.sleep(500);
             long acknowledged = Long.MAX_VALUE / 2;
--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -68,7 +69,13 @@
     /** When each adapter, named MODEL/ADAPTER, is loaded. */
     private final Map<String, Long> mAdapters = new TreeMap<>();
 
-    private volatile boolean mLateDue;
+    private volatile AtomicBoolean mLateDue = new AtomicBoolean();
+    private String mLateAdapter = "";
+    private final List<String> mLoaded = new ArrayList<>();
+
+    /** Whether an adapter was unloaded since the last start. */
+    private boolean mUnloaded;
+
     private volatile long mLateMillis;
     private long mSequence;
     private long mFencingToken;
@@ -128,6 +135,8 @@
         mModels = new TreeMap<>();
         mModelLoaded = -1;
         mAdapters.clear();
+        mLoaded.clear();
+        mUnloaded = false;
         mSequence = 0;
         mFencingToken = 0;
         mPeer.open();
@@ -191,19 +200,42 @@
         return "[" + String.join(",", pending) + "]";
     }
 
-    /** Sets that the next load of an adapter is carried out late. */
-    void setLate(long millis) {
+    /**
+     * Sets that one load of an adapter is carried out late: the first one for the place that an
+     * unload has made.
+     *
+     * @param due whether that is still to come; shared by all replicas of a case
+     */
+    void setLate(AtomicBoolean due, long millis) {
         mLateMillis = millis;
-        mLateDue = true;
+        mLateDue = due;
     }
 
     private synchronized boolean isLate(Map<String, Object> order) {
         boolean late =
-                mLateDue && order.get("adapter") != null && "loading".equals(order.get("operation"));
-        mLateDue &= !late;
+                mUnloaded
+                        && order.get("adapter") != null
+                        && "loading".equals(order.get("operation"))
+                        && mLateDue.compareAndSet(true, false);
+        mLateAdapter = late ? order.get("model") + "/" + order.get("adapter") : mLateAdapter;
         return late;
     }
 
+    /** Returns the adapter whose load is late here, empty if there is none. */
+    synchronized String lateAdapter() {
+        return mLateAdapter;
+    }
+
+    /** Returns the adapters that were loaded here since the last start, in order. */
+    synchronized List<String> loaded() {
+        return List.copyOf(mLoaded);
+    }
+
+    /** Returns whether all places for adapters are taken. */
+    synchronized boolean isFull() {
+        return mAdapters.size() >= ADAPTER_SLOTS;
+    }
+
     private void crashIfOverloaded() {
         if (!mOverload.isEmpty()) {
             mRecord.add("%s: crashes under the load of %s", mId, mOverload);
@@ -235,6 +267,7 @@
         if ("unloading".equals(order.get("operation"))) {
             mSequence++;
             mAdapters.remove(name);
+            mUnloaded = true;
             mRecord.add("%s: ordered to unload %s", mId, name);
             return 200;
         }
@@ -243,6 +276,7 @@
         }
         mSequence++;
         mAdapters.put(name, mRecord.now() + ADAPTER_MILLIS);
+        mLoaded.add(name);
         int megabytes = mAdapters.size() * mAdapterMegabytes;
         for (int model : mModels.values()) {
             megabytes += model;
