--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# PARTS sets the number of shared parts of each prompt.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec java -cp target/review-3:target/ebonygw.jar review3.Nameless . "$here/record.txt" "${TROUBLE:-1}"
+exec java -cp target/review-3:target/ebonygw.jar review3.LongPrompt . "$here/record.txt" \
+    "${TROUBLE:-1}" "${PARTS:-33}"
--- a/review/standins-3/LongPrompt.java
+++ b/review/standins-3/LongPrompt.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 12: a part far behind in a prompt crashes each replica that begins to answer it. */
+/** Case 13: a part far behind in a prompt crashes each replica that begins to answer it. */
 public final class LongPrompt {
     private static final int REPLICAS = 6;
     private static final String CRASHING_PART = "dead0bad";
--- a/review/standins-3/Nameless.java
+++ b/review/standins-3/Nameless.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 13: another writer leaves an entry without an id and with fields missing in the store. */
+/** Case 14: another writer leaves an entry without an id and with fields missing in the store. */
 public final class Nameless {
     private static final int CLIENTS = 8;
     private static final int REQUESTS = 40;
