--- a/review/standins-3/SlowReaders.java
+++ b/review/standins-3/SlowReaders.java
@@ -16,7 +16,7 @@
 /** Case 12: clients read their answers slowly, while others ask for short ones. */
 public final class SlowReaders {
     private static final int ANSWER_BYTES = 8_000_000;
-    private static final int READERS = 160;
+    private static final int READERS = 240;
     private static final int CALLERS = 8;
     private static final long TIMEOUT_MILLIS = 2_000;
     private static final long BOUND_MILLIS = 500;
