--- a/review/standins-3/SlowReaders.java
+++ b/review/standins-3/SlowReaders.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Case 12: clients read their answers slowly, while others ask for short ones. */
 public final class SlowReaders {
@@ -21,6 +22,10 @@
     private static final long TIMEOUT_MILLIS = 2_000;
     private static final long BOUND_MILLIS = 500;
     private static final long READ_MILLIS = 12_000;
+    private static final int SLICE_BYTES = 16 * 1024;
+
+    /** A replica cuts off an answer that remains unread for so long. */
+    private static final long UNREAD_NANOS = 5_000_000_000L;
 
     private final Record mRecord;
     private final AtomicBoolean mStop = new AtomicBoolean();
@@ -28,6 +33,7 @@
     private final AtomicInteger mOther = new AtomicInteger();
     private final AtomicInteger mUnansweredAtTimeout = new AtomicInteger();
     private final AtomicInteger mUnansweredLater = new AtomicInteger();
+    private final AtomicInteger mCutOff = new AtomicInteger();
     private final AtomicInteger mSlowHeads = new AtomicInteger();
 
     private SlowReaders(Record record) {
@@ -109,9 +115,9 @@
         int atTimeout = mUnansweredAtTimeout.get();
         int later = mUnansweredLater.get();
         mRecord.line(
-                "slow readers with a head=%d; short requests: served=%d other=%d"
+                "slow readers with a head=%d cut off by replicas=%d; short requests: served=%d other=%d"
                         + " unanswered_at_timeout=%d unanswered_half_a_second_later=%d",
-                mSlowHeads.get(), mServed.get(), mOther.get(), atTimeout, later);
+                mSlowHeads.get(), mCutOff.get(), mServed.get(), mOther.get(), atTimeout, later);
         boolean broken = later * 2 > atTimeout;
         mRecord.line(broken ? "CONFIG is broken" : "CONFIG holds");
         return broken ? 1 : 0;
@@ -142,11 +148,39 @@
 
     private boolean serve(Http.Message request, Socket socket, OutputStream out) throws Exception {
         boolean isLong = request.target().startsWith("/long/");
-        byte[] body = new byte[isLong ? ANSWER_BYTES : 800];
-        out.write(PlainServer.answer(request.field("attempt-id"), 200, "", body));
+        String id = request.field("attempt-id");
+        byte[] answer =
+                PlainServer.answer(id, 200, "", new byte[isLong ? ANSWER_BYTES : 800]);
+        AtomicLong progressNanos = new AtomicLong(System.nanoTime());
+        AtomicBoolean written = new AtomicBoolean();
+        if (isLong) {
+            PlainServer.thread(() -> cutOffIfUnread(socket, progressNanos, written));
+        }
+        for (int at = 0; at < answer.length; at += SLICE_BYTES) {
+            out.write(answer, at, Math.min(SLICE_BYTES, answer.length - at));
+            progressNanos.set(System.nanoTime());
+        }
+        written.set(true);
         return true;
     }
 
+    /** Resets the channel of an answer of which nothing has been read for some seconds. */
+    private void cutOffIfUnread(Socket socket, AtomicLong progressNanos, AtomicBoolean written) {
+        try {
+            while (!written.get()) {
+                if (System.nanoTime() - progressNanos.get() > UNREAD_NANOS) {
+                    mCutOff.incrementAndGet();
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                    return;
+                }
+                Thread.sleep(100);
+            }
+        } catch (IOException | InterruptedException ended) {
+            // The entry has closed the channel.
+        }
+    }
+
     private static String request(String path, String id, long deadlineMillis) {
         return "GET "
                 + path
