--- a/review/standins-3/LongPrompt.java
+++ b/review/standins-3/LongPrompt.java
@@ -160,6 +160,7 @@
                             + "\r\nDeadline-Ms: 6000\r\nAuthorization: Bearer k1\r\n"
                             + "Content-Length: 4\r\n\r\nbody";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            mRecord.line("client: %s is sent, crashing part=%s", id, crashing);
             InputStream input = Http.buffered(socket.getInputStream());
             Http.Message answer = Http.head(input);
             if (answer == null) {
@@ -177,9 +178,7 @@
         } else {
             (end.equals("200") ? mSoundServed : end.equals("503") ? mSoundRefused : mSoundCut)
                     .incrementAndGet();
-            if (!end.equals("200")) {
-                mRecord.line("client: %s gets %s", id, end);
-            }
+            mRecord.line("client: %s gets %s", id, end);
         }
     }
 
@@ -220,6 +219,8 @@
                         mFifthMillis != Long.MAX_VALUE && now - mFifthMillis > CONTACT_MILLIS;
                 mReachedLate.addAndGet(late ? 1 : 0);
                 mRecord.line("replica %s: begins %s%s", mId, id, late ? " LATE" : "");
+            } else {
+                mRecord.line("replica %s: begins %s", mId, id);
             }
             Thread.sleep(30);
             out.write(
--- a/review/standins-3/SlowReaders.java
+++ b/review/standins-3/SlowReaders.java
@@ -149,6 +149,7 @@
     private boolean serve(Http.Message request, Socket socket, OutputStream out) throws Exception {
         boolean isLong = request.target().startsWith("/long/");
         String id = request.field("attempt-id");
+        mRecord.line("replica: runs %s", id);
         byte[] answer =
                 PlainServer.answer(id, 200, "", new byte[isLong ? ANSWER_BYTES : 800]);
         AtomicLong progressNanos = new AtomicLong(System.nanoTime());
@@ -198,6 +199,7 @@
             socket.setSoTimeout(20_000);
             socket.getOutputStream()
                     .write(request("/long/1", id, 30_000).getBytes(StandardCharsets.ISO_8859_1));
+            mRecord.line("slow reader: %s is sent", id);
             InputStream input = socket.getInputStream();
             byte[] buffer = new byte[slow ? 4_096 : 65_536];
             long read = 0;
@@ -207,6 +209,7 @@
                 }
                 read += count;
                 if (read >= ANSWER_BYTES) {
+                    mRecord.line("slow reader: %s has its answer", id);
                     return;
                 }
                 if (slow) {
@@ -225,6 +228,7 @@
             socket.getOutputStream()
                     .write(request("/short/1", id, 4_000).getBytes(StandardCharsets.ISO_8859_1));
             long sent = System.nanoTime();
+            mRecord.line("client: %s is sent", id);
             socket.setSoTimeout((int) TIMEOUT_MILLIS);
             InputStream input = Http.buffered(socket.getInputStream());
             Http.Message answer;
@@ -244,6 +248,8 @@
                 }
             }
             (answer != null && answer.status() == 200 ? mServed : mOther).incrementAndGet();
+            mRecord.line(
+                    "client: %s gets %s", id, answer == null ? "a close" : answer.mFirstLine);
             Thread.sleep(50);
         } catch (IOException | InterruptedException failure) {
             mOther.incrementAndGet();
